The whole path, thin, as separate processes

Cause: the project was empty. Change: entry, stand-ins for store, instance list, target and balancer, command line, demonstration, and a test that runs every daemon as a process of its own against a golden file. Conclusion: the path stands; the allocator is the naive one and refuses without a queue.

--- /dev/null
+++ b/eslint.config.mjs
@@ -0,0 +1,27 @@
+import eslint from "@eslint/js";
+import tsdoc from "eslint-plugin-tsdoc";
+import tseslint from "typescript-eslint";
+
+export default tseslint.config(
+  { ignores: ["dist/", "node_modules/"] },
+  eslint.configs.recommended,
+  tseslint.configs.strictTypeChecked,
+  tseslint.configs.stylisticTypeChecked,
+  {
+    plugins: { tsdoc },
+    languageOptions: { parserOptions: { projectService: true, tsconfigRootDir: import.meta.dirname } },
+    rules: {
+      "tsdoc/syntax": "error",
+      "@typescript-eslint/restrict-template-expressions": [
+        "error",
+        { allowNumber: true, allowBoolean: true },
+      ],
+      "max-lines-per-function": ["error", { max: 80, skipComments: true, skipBlankLines: true }],
+    },
+  },
+  {
+    files: ["**/test/**"],
+    rules: { "max-lines-per-function": "off" },
+  },
+  { files: ["**/*.mjs"], extends: [tseslint.configs.disableTypeChecked] },
+);
--- /dev/null
+++ b/src/cli/instance-commands.ts
@@ -0,0 +1,68 @@
+/**
+ * Commands on instances: move, drain, restore, status.
+ * @packageDocumentation
+ */
+import { randomUUID } from "node:crypto";
+import { defineCommand } from "citty";
+import { readFromEntry, sendCommand } from "./operator-client.js";
+import {
+  operatorAddress,
+  operatorArguments,
+  reportCommand,
+  reportFailure,
+  writeLine,
+} from "./shared-arguments.js";
+
+const instanceArguments = {
+  instance: { type: "positional", required: true, description: "Identifier of the instance" },
+  "change-id": { type: "string", description: "Identifier; the same one is carried out once" },
+  ...operatorArguments,
+} as const;
+
+/** Moves an instance. */
+export const moveCommand = defineCommand({
+  meta: { name: "move", description: "Move an instance. Example: dogwoodhoist move target-3 --to quotes" },
+  args: { ...instanceArguments, to: { type: "string", required: true, description: "Pool that it joins" } },
+  run: async ({ args }) => {
+    const body = { instanceId: args.instance, pool: args.to, changeId: args["change-id"] ?? randomUUID() };
+    reportCommand(await sendCommand(operatorAddress(args), "/operator/move", body), args.json);
+  },
+});
+
+/** Drains an instance. */
+export const drainCommand = defineCommand({
+  meta: { name: "drain", description: "Drain an instance. Example: dogwoodhoist drain target-3" },
+  args: instanceArguments,
+  run: async ({ args }) => {
+    const body = { instanceId: args.instance, changeId: args["change-id"] ?? randomUUID() };
+    reportCommand(await sendCommand(operatorAddress(args), "/operator/drain", body), args.json);
+  },
+});
+
+/** Lets an instance serve again. */
+export const restoreCommand = defineCommand({
+  meta: {
+    name: "restore",
+    description: "Let an instance serve again. Example: dogwoodhoist restore target-3",
+  },
+  args: instanceArguments,
+  run: async ({ args }) => {
+    const body = { instanceId: args.instance, changeId: args["change-id"] ?? randomUUID() };
+    reportCommand(await sendCommand(operatorAddress(args), "/operator/restore", body), args.json);
+  },
+});
+
+/** Shows an entry's state. */
+export const statusCommand = defineCommand({
+  meta: { name: "status", description: "Show an entry's state. Example: dogwoodhoist status" },
+  args: operatorArguments,
+  run: async ({ args }) => {
+    const status = await readFromEntry(operatorAddress(args), "/operator/status");
+    status.caseOf({
+      Left: reportFailure,
+      Right: (value) => {
+        writeLine(JSON.stringify(value, undefined, args.json ? 0 : 2));
+      },
+    });
+  },
+});
--- /dev/null
+++ b/src/cli/main.ts
@@ -0,0 +1,27 @@
+#!/usr/bin/env node
+/**
+ * The command line.
+ * @packageDocumentation
+ */
+import { defineCommand, runMain } from "citty";
+import { entryCommand } from "./entry-command.js";
+import { drainCommand, moveCommand, restoreCommand, statusCommand } from "./instance-commands.js";
+import { standInCommand } from "./stand-in-command.js";
+import { applyCommand, checkCommand, showCommand } from "./text-commands.js";
+
+const main = defineCommand({
+  meta: { name: "dogwoodhoist", description: "Fleet capacity and maintenance manager" },
+  subCommands: {
+    entry: entryCommand,
+    check: checkCommand,
+    apply: applyCommand,
+    show: showCommand,
+    status: statusCommand,
+    move: moveCommand,
+    drain: drainCommand,
+    restore: restoreCommand,
+    "stand-in": standInCommand,
+  },
+});
+
+await runMain(main);
--- /dev/null
+++ b/src/cli/text-commands.ts
@@ -0,0 +1,96 @@
+/**
+ * Commands on the operators' text: check, apply, show.
+ * @packageDocumentation
+ */
+import { randomUUID } from "node:crypto";
+import { readFile } from "node:fs/promises";
+import { userInfo } from "node:os";
+import { defineCommand } from "citty";
+import { Left, Right, type Either } from "purify-ts";
+import { checkText } from "../configuration/index.js";
+import { exitCodes } from "./exit-codes.js";
+import { readFromEntry, sendCommand } from "./operator-client.js";
+import {
+  operatorAddress,
+  operatorArguments,
+  reportCommand,
+  reportFailure,
+  writeLine,
+} from "./shared-arguments.js";
+
+/** Checks a text without an entry. */
+export const checkCommand = defineCommand({
+  meta: { name: "check", description: "Check a text. Example: dogwoodhoist check text.json" },
+  args: {
+    text: { type: "positional", required: true, description: "The text, a JSON file" },
+    json: operatorArguments.json,
+  },
+  run: async ({ args }) => {
+    const faults = (await readJson(args.text))
+      .mapLeft((message) => [{ path: "", message }])
+      .chain(checkText)
+      .swap()
+      .orDefault([]);
+    if (args.json) writeLine(JSON.stringify({ valid: faults.length === 0, faults }));
+    else if (faults.length === 0) writeLine("the text is valid");
+    if (!args.json)
+      faults.forEach(({ path, message }) => {
+        writeLine(`${path}: ${message}`);
+      });
+    process.exitCode = faults.length === 0 ? exitCodes.done : exitCodes.failed;
+  },
+});
+
+/** Applies a text. */
+export const applyCommand = defineCommand({
+  meta: { name: "apply", description: "Apply a text. Example: dogwoodhoist apply text.json --base 4" },
+  args: {
+    text: { type: "positional", required: true, description: "The text, a JSON file" },
+    base: {
+      type: "string",
+      required: true,
+      description: "Revision that the change starts from, 0 for the first",
+    },
+    "change-id": { type: "string", description: "Identifier; the same one is accepted once" },
+    ...operatorArguments,
+  },
+  run: async ({ args }) => {
+    const text = await readJson(args.text);
+    const base = Number(args.base);
+    if (text.isLeft() || !Number.isInteger(base) || base < 0) {
+      const message = text.swap().orDefault("--base must be a whole number of 0 or more");
+      reportFailure({ exitCode: exitCodes.badUsage, message });
+      return;
+    }
+    const change = {
+      changeId: args["change-id"] ?? randomUUID(),
+      author: userInfo().username,
+      baseRevision: base,
+      text: text.unsafeCoerce(),
+    };
+    reportCommand(await sendCommand(operatorAddress(args), "/operator/configuration", change), args.json);
+  },
+});
+
+/** Shows the text in force. */
+export const showCommand = defineCommand({
+  meta: { name: "show", description: "Show the text in force. Example: dogwoodhoist show" },
+  args: operatorArguments,
+  run: async ({ args }) => {
+    const current = await readFromEntry(operatorAddress(args), "/operator/configuration");
+    current.caseOf({
+      Left: reportFailure,
+      Right: (value) => {
+        writeLine(JSON.stringify(value, undefined, args.json ? 0 : 2));
+      },
+    });
+  },
+});
+
+async function readJson(path: string): Promise<Either<string, unknown>> {
+  try {
+    return Right(JSON.parse(await readFile(path, "utf8")) as unknown);
+  } catch (error) {
+    return Left(`${path}: ${(error as Error).message}`);
+  }
+}
--- /dev/null
+++ b/src/configuration/text-schema.ts
@@ -0,0 +1,68 @@
+/**
+ * Form of the operators' text.
+ * @packageDocumentation
+ */
+import { z } from "zod";
+
+const nameSchema = z
+  .string()
+  .regex(/^[a-z][a-z0-9-]{0,62}$/, "expected a name of lower-case letters, digits and hyphens");
+
+const operationSchema = z.strictObject({
+  name: nameSchema,
+  /** Whether running it twice does no harm. */
+  idempotent: z.boolean(),
+  /** What operators believe a run takes; weak evidence that measured run times replace. */
+  expectedMilliseconds: z.int().min(1).default(100),
+});
+
+const serviceSchema = z.strictObject({
+  name: nameSchema,
+  /** The pool whose instances run this service. */
+  pool: nameSchema,
+  dependsOn: z.array(nameSchema).default([]),
+  availability: z.strictObject({
+    /** Share of requests that must be answered in time, such as 0.999. */
+    objective: z.number().gt(0).lt(1),
+    windowSeconds: z.int().min(60).default(3_600),
+  }),
+  /** Deadline of requests that bring none. */
+  deadlineMilliseconds: z.int().min(10).max(600_000),
+  operations: z.array(operationSchema).min(1),
+});
+
+const poolSchema = z.strictObject({
+  name: nameSchema,
+  /** The pool is never planned below this many instances. */
+  minimumInstances: z.int().min(0),
+  /** Instances of a spare pool are lent to the others. */
+  spare: z.boolean().default(false),
+  slotsPerInstance: z.int().min(1).default(8),
+  connectionsPerInstance: z.int().min(1).default(64),
+});
+
+const teamSchema = z.strictObject({
+  name: nameSchema,
+  /** Share of a pool's slots that the team may hold while others wait. */
+  quota: z.number().gt(0).max(1),
+});
+
+/** Checks the form of the operators' text. References are checked apart from it. */
+export const textSchema = z.strictObject({
+  $schema: z.string().optional(),
+  version: z.literal(1),
+  pools: z.array(poolSchema).min(1),
+  services: z.array(serviceSchema).min(1),
+  teams: z.array(teamSchema).default([]),
+});
+
+/** The operators' text. */
+export type OperatorText = z.infer<typeof textSchema>;
+/** One service of the text. */
+export type ServiceText = z.infer<typeof serviceSchema>;
+/** One operation of a service. */
+export type OperationText = z.infer<typeof operationSchema>;
+/** One pool of the text. */
+export type PoolText = z.infer<typeof poolSchema>;
+/** One team of the text. */
+export type TeamText = z.infer<typeof teamSchema>;
--- /dev/null
+++ b/src/demo/main.ts
@@ -0,0 +1,39 @@
+/**
+ * The demonstration: a whole fleet in one process, a turn of demand, a move, a drain and a configuration change.
+ * @packageDocumentation
+ */
+import { readFile } from "node:fs/promises";
+import { startFleet } from "../stand-ins/index.js";
+import { createLog } from "../telemetry/index.js";
+import { sendTurn } from "./demand.js";
+import { applyChangedText, drainOne, moveOne } from "./operator-steps.js";
+import { createPromiseTable } from "./promise-table.js";
+
+const seed = 7;
+const meanRunMilliseconds = 80;
+const turn = { requestsPerSecond: 900, seconds: 5, timeoutMilliseconds: 2_000, seed };
+
+const text: unknown = JSON.parse(
+  await readFile(new URL("../../examples/agency/text.json", import.meta.url), "utf8"),
+);
+const log = createLog("info", (line) => {
+  process.stdout.write(`${line}\n`);
+});
+const fleet = await startFleet({
+  text,
+  targets: { quotes: 3, portal: 3, spare: 2 },
+  entries: 3,
+  zones: 3,
+  meanRunMilliseconds,
+  seed,
+  log,
+});
+log.write("info", "turn-started", { service: "quotes", requestsPerSecond: turn.requestsPerSecond });
+const sending = sendTurn(fleet.balancer.address, turn);
+const moves = await moveOne(fleet);
+const rollOutMilliseconds = await applyChangedText(fleet, text);
+const drained = await drainOne(fleet);
+const answers = await sending;
+log.write("info", "turn-ended", { requests: answers.length });
+process.stdout.write(`\n${createPromiseTable({ fleet, answers, moves, rollOutMilliseconds, drained })}\n`);
+await fleet.close();
--- /dev/null
+++ b/src/demo/operator-steps.ts
@@ -0,0 +1,64 @@
+/**
+ * What the operators do in the demonstration.
+ * @packageDocumentation
+ */
+import { waitUntil, type Fleet } from "../stand-ins/index.js";
+import type { Target } from "../pools/index.js";
+
+/**
+ * Moves an instance from the spare pool to the busy one.
+ * @param fleet - the running fleet
+ * @returns how many moves were finished
+ */
+export async function moveOne(fleet: Fleet): Promise<number> {
+  const instanceId = memberOf(fleet, "spare")?.instanceId ?? "";
+  await command(fleet, "move", { instanceId, pool: "quotes", changeId: "demo-move" });
+  const moved = await waitUntil(() => isServing(fleet, instanceId, "quotes"));
+  return moved ? 1 : 0;
+}
+
+/**
+ * Drains an instance of the busy pool.
+ * @param fleet - the running fleet
+ * @returns the drained instance, undefined when the drain did not end
+ */
+export async function drainOne(fleet: Fleet): Promise<Target | undefined> {
+  const instanceId = memberOf(fleet, "quotes")?.instanceId ?? "";
+  await command(fleet, "drain", { instanceId, changeId: "demo-drain" });
+  const isStopped = (): boolean => fleet.entries[0]?.placement.find(instanceId)?.state === "stopped";
+  return (await waitUntil(isStopped)) ? fleet.entries[0]?.placement.find(instanceId) : undefined;
+}
+
+/**
+ * Applies a changed text and waits until it is in force in every entry.
+ * @param fleet - the running fleet
+ * @param text - the text in force
+ * @returns how long the roll-out took in milliseconds
+ */
+export async function applyChangedText(fleet: Fleet, text: unknown): Promise<number> {
+  const changed = structuredClone(text) as { services: { availability: { objective: number } }[] };
+  for (const service of changed.services) service.availability.objective = 0.998;
+  const startedAt = performance.now();
+  await command(fleet, "configuration", {
+    changeId: "demo-change",
+    author: "demonstration",
+    baseRevision: 1,
+    text: changed,
+  });
+  await waitUntil(() => fleet.entries.every(({ configuration }) => configuration.revision() === 2));
+  return performance.now() - startedAt;
+}
+
+function memberOf(fleet: Fleet, pool: string): Target | undefined {
+  return fleet.entries[0]?.placement.serving(pool)[0];
+}
+
+function isServing(fleet: Fleet, instanceId: string, pool: string): boolean {
+  const target = fleet.entries[0]?.placement.find(instanceId);
+  return target?.pool === pool && target.state === "serving";
+}
+
+async function command(fleet: Fleet, path: string, body: unknown): Promise<void> {
+  const address = fleet.entries[0]?.addresses.operators ?? "";
+  await fetch(`http://${address}/operator/${path}`, { method: "POST", body: JSON.stringify(body) });
+}
--- /dev/null
+++ b/src/demo/promise-table.ts
@@ -0,0 +1,102 @@
+/**
+ * The table that ends the demonstration: promises and measures as this run showed them.
+ * @packageDocumentation
+ */
+import type { Target } from "../pools/index.js";
+import type { Fleet, TargetCounts } from "../stand-ins/index.js";
+import type { CallerAnswer } from "./demand.js";
+
+/** What the run left behind. */
+export interface DemoResult {
+  readonly fleet: Fleet;
+  readonly answers: readonly CallerAnswer[];
+  readonly moves: number;
+  readonly rollOutMilliseconds: number;
+  readonly drained: Target | undefined;
+}
+
+interface Row {
+  readonly name: string;
+  readonly measured: string;
+  readonly kept: boolean;
+}
+
+/**
+ * Writes the table.
+ * @param result - what the run left behind
+ * @returns the table, a line for each promise and measure
+ */
+export function createPromiseTable(result: DemoResult): string {
+  const rows = createRows(result);
+  const width = Math.max(...rows.map(({ name }) => name.length));
+  const lines = rows.map(
+    ({ name, measured, kept }) => `${kept ? "kept  " : "BROKEN"}  ${name.padEnd(width)}  ${measured}`,
+  );
+  return [...lines, "", ...createMeasures(result)].join("\n");
+}
+
+function createRows({ fleet, answers, drained }: DemoResult): Row[] {
+  const counts = fleet.targets.map((target) => target.counts());
+  const answered = answers.filter(({ outcome }) => outcome === "answered");
+  const foreign = answered.filter(({ own }) => !own).length;
+  const untrue = answers.filter(
+    ({ outcome, requestId }) => outcome === "refused" && wasRun(counts, requestId),
+  );
+  const repeated = counts.flatMap(({ runs }) => Object.values(runs)).filter((runs) => runs > 1).length;
+  const cut = answers.filter(({ outcome }) => outcome !== "answered" && outcome !== "refused").length;
+  const late = lateStarts(fleet, drained);
+  return [
+    {
+      name: "whole, own answers",
+      measured: `${answered.length} answered, ${foreign} not own`,
+      kept: foreign === 0,
+    },
+    {
+      name: "not run means not run",
+      measured: `${untrue.length} refused but run`,
+      kept: untrue.length === 0,
+    },
+    { name: "at most one run", measured: `${repeated} requests run twice`, kept: repeated === 0 },
+    { name: "planned stops cut nothing", measured: `${cut} requests cut`, kept: cut === 0 },
+    { name: "leaving target gets no work", measured: late.measured, kept: late.kept },
+    { name: "one pool for an instance", measured: poolsAgree(fleet).measured, kept: poolsAgree(fleet).kept },
+  ];
+}
+
+function wasRun(counts: readonly TargetCounts[], requestId: string): boolean {
+  return counts.some(({ runs }) => (runs[requestId] ?? 0) > 0);
+}
+
+function lateStarts(fleet: Fleet, drained: Target | undefined): { measured: string; kept: boolean } {
+  if (drained === undefined) return { measured: "the drain did not end", kept: false };
+  const target = fleet.targets.find(({ instanceId }) => instanceId === drained.instanceId);
+  const after = (target?.counts().lastStartedAt ?? Infinity) - drained.since;
+  return {
+    measured: `last start ${Math.abs(after)} ms ${after > 0 ? "after" : "before"} the stop`,
+    kept: after <= 0,
+  };
+}
+
+function poolsAgree(fleet: Fleet): { measured: string; kept: boolean } {
+  const views = fleet.entries.map(({ placement }) =>
+    JSON.stringify(
+      placement
+        .all()
+        .map(({ instanceId, pool }) => [instanceId, pool])
+        .sort(),
+    ),
+  );
+  const different = new Set(views).size;
+  return { measured: `${different} different views in ${views.length} entries`, kept: different === 1 };
+}
+
+function createMeasures({ fleet, answers, moves, rollOutMilliseconds }: DemoResult): string[] {
+  const refused = answers.filter(({ outcome }) => outcome === "refused").length;
+  const spare = fleet.entries[0]?.placement.serving("spare").length ?? 0;
+  return [
+    `answers        ${answers.length - refused} answered, ${refused} refused at once, of ${answers.length}`,
+    `buffer cost    ${spare} of ${fleet.targets.length} instances held back at the end`,
+    `roll-out time  ${rollOutMilliseconds.toFixed(0)} ms until in force in ${fleet.entries.length} entries`,
+    `moves          ${moves}`,
+  ];
+}
--- /dev/null
+++ b/src/index.ts
@@ -0,0 +1,16 @@
+/**
+ * dogwoodhoist as a library: the parts that an embedder can use one by one, and the whole entry.
+ * @packageDocumentation
+ */
+export * from "./configuration/index.js";
+export * from "./execution/index.js";
+export * from "./forwarding/index.js";
+export * from "./ingress/index.js";
+export * from "./membership/index.js";
+export * from "./operations/index.js";
+export * from "./platform/index.js";
+export * from "./pools/index.js";
+export * from "./routing/index.js";
+export * from "./settings/index.js";
+export * from "./telemetry/index.js";
+export { startEntry, type Entry } from "./wiring.js";
--- /dev/null
+++ b/src/ingress/messages.ts
@@ -0,0 +1,40 @@
+/**
+ * Headers and bodies between callers and an entry.
+ * @packageDocumentation
+ */
+import type { OutcomeKind, RefusalReason } from "../execution/index.js";
+import type { UnknownReason } from "../forwarding/index.js";
+
+/** Names of the headers that callers send. */
+export const callerHeaders = {
+  /** Milliseconds that the caller waits. */
+  timeout: "x-timeout-ms",
+  team: "x-team",
+  urgency: "x-urgency",
+  idempotencyKey: "idempotency-key",
+} as const;
+
+/** Header of every answer: how the request ended. */
+export const outcomeHeader = "x-outcome";
+
+/** Why a request was rejected before it was accepted. */
+export type RejectionReason =
+  | "unknown-service"
+  | "unknown-operation"
+  | "bad-timeout"
+  | "bad-team"
+  | "bad-urgency"
+  | "bad-idempotency-key"
+  | "body-too-large"
+  | "body-too-slow"
+  | "body-cut";
+
+/** Body of every answer that does not come from a target. */
+export interface OutcomeBody {
+  readonly outcome: OutcomeKind | "rejected";
+  readonly reason: RefusalReason | UnknownReason | RejectionReason;
+  /** True only when it is proved that no target ran the request; undefined when that is not known. */
+  readonly notRun: boolean | undefined;
+  readonly message: string;
+  readonly requestId: string;
+}
--- /dev/null
+++ b/src/membership/index.ts
@@ -0,0 +1,15 @@
+/**
+ * The entries: roster, peers, failure detection and control duties.
+ * @packageDocumentation
+ */
+export { definePeerCall, type PeerCall } from "./messages.js";
+export type { PeerFailure, PeerFailureKind, PeerState } from "./peer-link.js";
+export type { PeerAnswer } from "./peer-listener.js";
+export {
+  createPeerNetwork,
+  type PeerIdentity,
+  type PeerNetwork,
+  type PeerNetworkEvents,
+} from "./peer-network.js";
+export { createRoster, rosterPrefix, type Roster, type RosterRecord } from "./roster.js";
+export { createDuty, type Duty, type DutyOptions } from "./duty.js";
--- /dev/null
+++ b/src/membership/messages.ts
@@ -0,0 +1,44 @@
+/**
+ * Frames between entries and the definition of calls that the slices add.
+ * @packageDocumentation
+ */
+import { z } from "zod";
+
+/** A call that one entry makes to another. */
+export interface PeerCall<Request, Reply> {
+  readonly name: string;
+  readonly request: z.ZodType<Request>;
+  readonly reply: z.ZodType<Reply>;
+}
+
+/**
+ * Defines a call between entries.
+ * @param name - unique name, `slice.verb`
+ * @param request - form of the request
+ * @param reply - form of the reply
+ * @returns the definition that caller and answerer share
+ */
+export function definePeerCall<Request, Reply>(
+  name: string,
+  request: z.ZodType<Request>,
+  reply: z.ZodType<Reply>,
+): PeerCall<Request, Reply> {
+  return { name, request, reply };
+}
+
+/** Checks a frame on a connection between entries. */
+export const frameSchema = z.discriminatedUnion("kind", [
+  z.object({ kind: z.literal("hello"), entryId: z.string(), incarnation: z.number(), zone: z.string() }),
+  z.object({
+    kind: z.literal("heartbeat"),
+    entryId: z.string(),
+    /** Numbers that slices report, by name. */
+    reports: z.record(z.string(), z.number()),
+  }),
+  z.object({ kind: z.literal("call"), id: z.number(), name: z.string(), body: z.unknown() }),
+  z.object({ kind: z.literal("reply"), id: z.number(), body: z.unknown() }),
+  z.object({ kind: z.literal("failure"), id: z.number(), reason: z.string() }),
+]);
+
+/** A frame on a connection between entries. */
+export type Frame = z.infer<typeof frameSchema>;
--- /dev/null
+++ b/src/membership/peer-listener.ts
@@ -0,0 +1,118 @@
+/**
+ * Takes connections from peers and answers their calls.
+ * @packageDocumentation
+ */
+import http from "node:http";
+import type { AddressInfo } from "node:net";
+import { pack } from "msgpackr";
+import { WebSocketServer, type WebSocket } from "ws";
+import { parseWith } from "../shared/index.js";
+import type { Log } from "../telemetry/index.js";
+import type { Frame, PeerCall } from "./messages.js";
+import { decodeFrame } from "./peer-link.js";
+
+/** Answers a call; the peer's identifier tells who asked. */
+export type PeerAnswer<Request, Reply> = (request: Request, peerId: string) => Reply | Promise<Reply>;
+
+/** Takes connections from peers. */
+export interface PeerListener {
+  /**
+   * Adds the answer to a call.
+   * @param definition - the call
+   * @param answer - computes the reply
+   */
+  answer<Request, Reply>(definition: PeerCall<Request, Reply>, answer: PeerAnswer<Request, Reply>): void;
+  /** Starts to listen and returns the port in use. */
+  listen(host: string, port: number): Promise<number>;
+  /** Sends a frame on every open connection. */
+  broadcast(frame: Frame): void;
+  close(): Promise<void>;
+}
+
+/** Called for each heartbeat of a peer. */
+export type HeartbeatHandler = (peerId: string, reports: Readonly<Record<string, number>>) => void;
+
+type RawAnswer = (body: unknown, peerId: string) => Promise<unknown>;
+
+const maximumFrameBytes = 4_194_304;
+
+/**
+ * Creates a listener.
+ * @param onHeartbeat - called for each heartbeat
+ * @param log - takes events
+ * @returns the listener, not yet listening
+ */
+export function createPeerListener(onHeartbeat: HeartbeatHandler, log: Log): PeerListener {
+  const listener = http.createServer();
+  const sockets = new WebSocketServer({
+    server: listener,
+    maxPayload: maximumFrameBytes,
+    perMessageDeflate: false,
+  });
+  const answers = new Map<string, RawAnswer>();
+
+  const answerCall = async (
+    socket: WebSocket,
+    peerId: string,
+    frame: Frame & { kind: "call" },
+  ): Promise<void> => {
+    const answer = answers.get(frame.name);
+    if (answer === undefined) {
+      send(socket, { kind: "failure", id: frame.id, reason: `unknown call ${frame.name}` });
+      return;
+    }
+    try {
+      send(socket, { kind: "reply", id: frame.id, body: await answer(frame.body, peerId) });
+    } catch (error) {
+      send(socket, { kind: "failure", id: frame.id, reason: (error as Error).message });
+    }
+  };
+
+  sockets.on("connection", (socket) => {
+    let peerId = "";
+    socket.on("error", (error) => {
+      log.write("debug", "peer-connection-failed", { peer: peerId, message: error.message });
+    });
+    socket.on("message", (data) => {
+      decodeFrame(data).ifRight((frame) => {
+        if (frame.kind === "hello") peerId = frame.entryId;
+        if (frame.kind === "heartbeat") onHeartbeat(frame.entryId, frame.reports);
+        if (frame.kind === "call") void answerCall(socket, peerId, frame);
+      });
+    });
+  });
+
+  return {
+    answer: (definition, answer) => {
+      answers.set(definition.name, async (body, peerId) => {
+        const request = parseWith(definition.request, body);
+        if (request.isLeft()) throw new TypeError(`${definition.name}: the request has a wrong form`);
+        return answer(request.unsafeCoerce(), peerId);
+      });
+    },
+    listen: async (host, port) => {
+      await new Promise<void>((resolve, reject) => {
+        listener.once("error", reject);
+        listener.listen(port, host, resolve);
+      });
+      return (listener.address() as AddressInfo).port;
+    },
+    broadcast: (frame) => {
+      const bytes = pack(frame);
+      for (const socket of sockets.clients) socket.send(bytes);
+    },
+    close: async () => {
+      for (const socket of sockets.clients) socket.terminate();
+      await new Promise<void>((resolve) => {
+        listener.close(() => {
+          resolve();
+        });
+        listener.closeAllConnections();
+      });
+    },
+  };
+}
+
+function send(socket: WebSocket, frame: Frame): void {
+  socket.send(pack(frame));
+}
--- /dev/null
+++ b/src/operations/index.ts
@@ -0,0 +1,11 @@
+/**
+ * Operators' side of an entry.
+ * @packageDocumentation
+ */
+export {
+  createOperatorService,
+  type CommandAnswer,
+  type CommandResult,
+  type OperatorServiceParts,
+} from "./operator-service.js";
+export type { EntryStatus } from "./status.js";
--- /dev/null
+++ b/src/operations/operator-service.ts
@@ -0,0 +1,194 @@
+/**
+ * Operators' HTTP interface of an entry.
+ * @packageDocumentation
+ */
+import { createHash, timingSafeEqual } from "node:crypto";
+import type { IncomingMessage, ServerResponse } from "node:http";
+import type { Either } from "purify-ts";
+import { z } from "zod";
+import { applyChange, type AcceptedConfiguration, type ConfigurationKeeper } from "../configuration/index.js";
+import type { StoreClient } from "../platform/index.js";
+import type { PlacementCommands, PlacementFailure } from "../pools/index.js";
+import { createHttpService, parseWith, readBody, sendJson, type HttpService } from "../shared/index.js";
+import type { Metrics } from "../telemetry/index.js";
+import type { EntryStatus } from "./status.js";
+
+/** What the interface works with. */
+export interface OperatorServiceParts {
+  readonly store: StoreClient;
+  readonly configuration: ConfigurationKeeper;
+  readonly placement: PlacementCommands;
+  readonly metrics: Metrics;
+  /** Shared secret of operators' calls; undefined asks for none. */
+  readonly token: string | undefined;
+  status(): EntryStatus;
+}
+
+/** How an operator's command ended, for scripts. */
+export type CommandResult = "done" | "failed" | "invalid" | "conflict" | "unknown";
+
+/** Body of the answer to an operator's command. */
+export interface CommandAnswer {
+  readonly result: CommandResult;
+  readonly message: string;
+  readonly details?: unknown;
+}
+
+const applySchema = z.strictObject({
+  changeId: z.string().min(1).max(100),
+  author: z.string().min(1).max(100),
+  baseRevision: z.int().min(0),
+  text: z.unknown(),
+});
+const moveSchema = z.strictObject({ instanceId: z.string(), pool: z.string(), changeId: z.string().min(1) });
+const instanceSchema = z.strictObject({ instanceId: z.string(), changeId: z.string().min(1) });
+
+const maximumBodyBytes = 1_048_576;
+const bodyTimeoutMilliseconds = 10_000;
+const ok = 200;
+const unauthorized = 401;
+const statusOfResult: Readonly<Record<CommandResult, number>> = {
+  done: 200,
+  failed: 503,
+  invalid: 400,
+  conflict: 409,
+  unknown: 504,
+};
+
+/**
+ * Creates the operators' interface.
+ * @param parts - what it works with
+ * @returns the HTTP service, not yet listening
+ */
+export function createOperatorService(parts: OperatorServiceParts): HttpService {
+  const service = createHttpService();
+  const { placement, configuration } = parts;
+
+  const read = (path: string, produce: () => unknown): void => {
+    service.routes.get(path, (request, response) => {
+      if (isAuthorized(request, parts.token)) sendJson(response, ok, produce());
+      else sendUnauthorized(response);
+    });
+  };
+  const command = <Input>(
+    path: string,
+    schema: z.ZodType<Input>,
+    run: (input: Input) => Promise<CommandAnswer>,
+  ): void => {
+    service.routes.post(path, async (request, response) => {
+      if (isAuthorized(request, parts.token)) await runCommand(request, response, schema, run);
+      else sendUnauthorized(response);
+    });
+  };
+
+  read("/operator/status", () => parts.status());
+  read("/operator/configuration", () => configuration.current() ?? null);
+  command("/operator/configuration", applySchema, async (change) => {
+    const result = await applyChange(parts.store, change);
+    result.ifRight((accepted) => configuration.adopt(accepted));
+    return describeApply(result);
+  });
+  command("/operator/move", moveSchema, async ({ instanceId, pool, changeId }) => {
+    if (configuration.pool(pool) === undefined) {
+      return { result: "invalid", message: `pool "${pool}" does not exist` };
+    }
+    return describePlacement(await placement.move(instanceId, pool, changeId));
+  });
+  command("/operator/drain", instanceSchema, async ({ instanceId, changeId }) =>
+    describePlacement(await placement.drain(instanceId, changeId)),
+  );
+  command("/operator/restore", instanceSchema, async ({ instanceId, changeId }) =>
+    describePlacement(await placement.restore(instanceId, changeId)),
+  );
+  service.routes.get("/metrics", (request, response) => {
+    if (!isAuthorized(request, parts.token)) {
+      sendUnauthorized(response);
+      return;
+    }
+    response.writeHead(ok, { "content-type": "text/plain; version=0.0.4" });
+    response.end(parts.metrics.expose());
+  });
+  return service;
+}
+
+async function runCommand<Input>(
+  request: IncomingMessage,
+  response: ServerResponse,
+  schema: z.ZodType<Input>,
+  run: (input: Input) => Promise<CommandAnswer>,
+): Promise<void> {
+  const body = await readBody(request, maximumBodyBytes, bodyTimeoutMilliseconds);
+  const input = parseWith(schema, parseJson(body.orDefault(Buffer.alloc(0)).toString("utf8")));
+  const answer = await input.caseOf<Promise<CommandAnswer>>({
+    Left: async (faults) =>
+      Promise.resolve({ result: "invalid", message: "the command is not valid", details: faults }),
+    Right: run,
+  });
+  sendJson(response, statusOfResult[answer.result], answer);
+}
+
+function parseJson(text: string): unknown {
+  try {
+    return JSON.parse(text);
+  } catch {
+    return undefined;
+  }
+}
+
+function isAuthorized(request: IncomingMessage, token: string | undefined): boolean {
+  if (token === undefined) return true;
+  const given = request.headers.authorization ?? "";
+  return timingSafeEqual(digest(given), digest(`Bearer ${token}`));
+}
+
+function digest(text: string): Buffer {
+  return createHash("sha256").update(text).digest();
+}
+
+function sendUnauthorized(response: ServerResponse): void {
+  const answer: CommandAnswer = { result: "invalid", message: "a valid operator token is required" };
+  sendJson(response, unauthorized, answer, { "www-authenticate": "Bearer" });
+}
+
+function describeApply(result: Awaited<ReturnType<typeof applyChange>>): CommandAnswer {
+  return result.caseOf<CommandAnswer>({
+    Left: (failure) => {
+      switch (failure.kind) {
+        case "invalid":
+          return { result: "invalid", message: "the text is not valid", details: failure.faults };
+        case "conflict":
+          return {
+            result: "conflict",
+            message: `the revision in force is ${failure.current?.revision ?? 0}`,
+            details: { current: failure.current },
+          };
+        case "not-done":
+          return { result: "failed", message: failure.message };
+        case "unknown":
+          return { result: "unknown", message: failure.message };
+      }
+    },
+    Right: (accepted: AcceptedConfiguration) => ({
+      result: "done",
+      message: `revision ${accepted.revision} was accepted`,
+      details: { revision: accepted.revision, changeId: accepted.changeId },
+    }),
+  });
+}
+
+function describePlacement(result: Either<PlacementFailure, number>): CommandAnswer {
+  return result.caseOf<CommandAnswer>({
+    Left: ({ kind, message }) => {
+      switch (kind) {
+        case "refused":
+        case "conflict":
+          return { result: "conflict", message };
+        case "not-done":
+          return { result: "failed", message };
+        case "unknown":
+          return { result: "unknown", message };
+      }
+    },
+    Right: (revision) => ({ result: "done", message: "recorded", details: { revision } }),
+  });
+}
--- /dev/null
+++ b/src/platform/index.ts
@@ -0,0 +1,31 @@
+/**
+ * Clients of what the platform gives: the key-value service and the instance list.
+ * @packageDocumentation
+ */
+export type {
+  ConditionalWrite,
+  StoreChange,
+  StoreClient,
+  StoreFailure,
+  StoreFailureKind,
+  StoreLease,
+  StoreListing,
+  StoreRecord,
+  StoreWatch,
+  WatchHandlers,
+  WriteResult,
+} from "./store.js";
+export { EtcdStoreClient, type EtcdStoreClientOptions } from "./etcd-store-client.js";
+export { writeAndSettle } from "./settled-write.js";
+export {
+  createInstanceList,
+  type InstanceList,
+  type InstanceState,
+  type ListedInstance,
+} from "./instance-list.js";
+export {
+  createStoreMirror,
+  type StoreMirror,
+  type StoreMirrorEvents,
+  type StoreMirrorOptions,
+} from "./store-mirror.js";
--- /dev/null
+++ b/src/pools/commands.ts
@@ -0,0 +1,70 @@
+/**
+ * Operators' and planners' commands on the placement.
+ * @packageDocumentation
+ */
+import { Left, Right, type Either } from "purify-ts";
+import type { PlacedInstance } from "./placement-record.js";
+import type { PlacementView } from "./placement-view.js";
+import type { PlacementFailure, PlacementWriter } from "./placement-writer.js";
+
+/** Commands on the placement. */
+export interface PlacementCommands {
+  /**
+   * Starts to move an instance: it takes no new work and joins the pool once it has none.
+   * @param instanceId - the instance
+   * @param pool - the pool it joins
+   * @param changeId - identifier of the command; repeating it changes nothing more
+   */
+  move(instanceId: string, pool: string, changeId: string): Promise<Either<PlacementFailure, number>>;
+  /** Starts to drain an instance: it takes no new work and is stopped once it has none. */
+  drain(instanceId: string, changeId: string): Promise<Either<PlacementFailure, number>>;
+  /** Lets a leaving or stopped instance serve its pool again. */
+  restore(instanceId: string, changeId: string): Promise<Either<PlacementFailure, number>>;
+}
+
+/**
+ * Creates the commands.
+ * @param view - finds an instance's availability zone
+ * @param writer - writes the changes
+ * @returns the commands
+ */
+export function createPlacementCommands(view: PlacementView, writer: PlacementWriter): PlacementCommands {
+  const change = async (
+    instanceId: string,
+    changeId: string,
+    next: (placed: PlacedInstance) => Either<string, PlacedInstance>,
+  ): Promise<Either<PlacementFailure, number>> => {
+    const zone = view.find(instanceId)?.zone;
+    if (zone === undefined) {
+      return Left({ kind: "refused", message: `instance "${instanceId}" is not placed` });
+    }
+    return writer.change(zone, `${changeId}/${instanceId}`, (instances) => {
+      const placed = instances[instanceId];
+      if (placed === undefined) return Left(`instance "${instanceId}" is not placed in zone ${zone}`);
+      if (placed.changeId === changeId) return Right(instances);
+      return next(placed).map((changed) => ({
+        ...instances,
+        [instanceId]: { ...changed, changeId, since: Date.now() },
+      }));
+    });
+  };
+
+  return {
+    move: async (instanceId, pool, changeId) =>
+      change(instanceId, changeId, (placed) => {
+        if (placed.state !== "serving") return Left(`instance "${instanceId}" is ${placed.state}`);
+        if (placed.pool === pool) return Left(`instance "${instanceId}" is in pool "${pool}" already`);
+        return Right({ ...placed, state: "leaving", moveTo: pool });
+      }),
+    drain: async (instanceId, changeId) =>
+      change(instanceId, changeId, (placed) => {
+        if (placed.state !== "serving") return Left(`instance "${instanceId}" is ${placed.state}`);
+        return Right({ ...placed, state: "leaving", moveTo: undefined });
+      }),
+    restore: async (instanceId, changeId) =>
+      change(instanceId, changeId, (placed) => {
+        if (placed.state === "serving") return Left(`instance "${instanceId}" is serving`);
+        return Right({ ...placed, state: "serving", moveTo: undefined });
+      }),
+  };
+}
--- /dev/null
+++ b/src/pools/placement-writer.ts
@@ -0,0 +1,100 @@
+/**
+ * Changes of the placement: each is one compare-and-swap on a zone's record.
+ * @packageDocumentation
+ */
+import { Left, Right, type Either } from "purify-ts";
+import { writeAndSettle, type StoreClient, type StoreMirror, type StoreRecord } from "../platform/index.js";
+import { parseWith } from "../shared/index.js";
+import {
+  placementKey,
+  placementRecordSchema,
+  type PlacedInstance,
+  type PlacementRecord,
+} from "./placement-record.js";
+
+/** Why a placement was not changed. */
+export interface PlacementFailure {
+  readonly kind: "refused" | "conflict" | "not-done" | "unknown";
+  readonly message: string;
+}
+
+/** The instances of a zone by identifier. */
+export type ZoneInstances = Readonly<Record<string, PlacedInstance>>;
+
+/** Computes a zone's new instances, or says why the change is refused. */
+export type PlacementChange = (instances: ZoneInstances) => Either<string, ZoneInstances>;
+
+/** Writes changes of the placement. */
+export interface PlacementWriter {
+  /**
+   * Changes a zone's record.
+   * @param zone - the availability zone
+   * @param writeId - unique identifier of this write
+   * @param change - computes the new instances from those in the store
+   * @returns the store's revision of the new record, or why nothing was changed
+   */
+  change(zone: string, writeId: string, change: PlacementChange): Promise<Either<PlacementFailure, number>>;
+}
+
+const maximumAttempts = 5;
+
+/**
+ * Creates a writer.
+ * @param store - the platform's store
+ * @param mirror - takes over what was written or read
+ * @returns the writer
+ */
+export function createPlacementWriter(store: StoreClient, mirror: StoreMirror): PlacementWriter {
+  const attempt = async (
+    zone: string,
+    writeId: string,
+    change: PlacementChange,
+  ): Promise<Either<PlacementFailure, number>> => {
+    const key = placementKey(zone);
+    const read = await store.get(key);
+    if (read.isLeft()) return Left({ kind: "not-done", message: "the store does not answer" });
+    const record = read.orDefault(undefined);
+    const before = decodePlacement(record);
+    if (before?.writeId === writeId) return Right(record?.revision ?? 0);
+    const changed = change(before?.instances ?? {});
+    if (changed.isLeft()) {
+      return Left({ kind: "refused", message: changed.swap().orDefault("the change is not possible") });
+    }
+    const value: PlacementRecord = { zone, writeId, instances: { ...changed.orDefault({}) } };
+    const expectedRevision = record?.revision ?? 0;
+    const isOwn = (held: unknown): boolean => (held as PlacementRecord | undefined)?.writeId === writeId;
+    const result = await writeAndSettle(store, { key, value, expectedRevision }, isOwn);
+    switch (result.kind) {
+      case "done":
+        mirror.offer({ key, value, revision: result.revision });
+        return Right(result.revision);
+      case "conflict":
+        return Left({ kind: "conflict", message: `another change of zone ${zone} came first` });
+      case "not-done":
+      case "unknown":
+        return Left({ kind: result.kind, message: result.failure.message });
+    }
+  };
+
+  return {
+    change: async (zone, writeId, change) => {
+      let result = await attempt(zone, writeId, change);
+      for (let tries = 1; tries < maximumAttempts && isConflict(result); tries += 1) {
+        result = await attempt(zone, writeId, change);
+      }
+      return result;
+    },
+  };
+}
+
+function isConflict(result: Either<PlacementFailure, number>): boolean {
+  return result
+    .swap()
+    .map(({ kind }) => kind === "conflict")
+    .orDefault(false);
+}
+
+function decodePlacement(record: StoreRecord | undefined): PlacementRecord | undefined {
+  if (record === undefined) return undefined;
+  return parseWith(placementRecordSchema, record.value).orDefault(undefined as never);
+}
--- /dev/null
+++ b/src/routing/index.ts
@@ -0,0 +1,14 @@
+/**
+ * Which target a request goes to.
+ * @packageDocumentation
+ */
+export type {
+  SlotAllocator,
+  SlotAsk,
+  SlotGrant,
+  SlotRefusal,
+  SlotRefusalReason,
+  SlotUse,
+  Urgency,
+} from "./slot-allocator.js";
+export { IndependentAllocator, type IndependentAllocatorOptions } from "./independent-allocator.js";
--- /dev/null
+++ b/src/settings/index.ts
@@ -0,0 +1,10 @@
+/**
+ * Settings files of the daemons.
+ * @packageDocumentation
+ */
+export {
+  checkEntrySettings,
+  entrySettingsSchema,
+  readEntrySettings,
+  type EntrySettings,
+} from "./entry-settings.js";
--- /dev/null
+++ b/src/shared/index.ts
@@ -0,0 +1,9 @@
+/**
+ * Small helpers that every slice uses and that belong to none.
+ * @packageDocumentation
+ */
+export { createRandom, type Random } from "./random.js";
+export { rendezvousOrder, rendezvousOwner, hashText } from "./rendezvous.js";
+export { delay, withTimeout } from "./timers.js";
+export { parseWith, type ParseFault } from "./parse.js";
+export { createHttpService, sendJson, readBody, type HttpService, type BodyFault } from "./http.js";
--- /dev/null
+++ b/src/stand-ins/fleet/index.ts
@@ -0,0 +1,5 @@
+/**
+ * A whole small fleet in one process.
+ * @packageDocumentation
+ */
+export { startFleet, waitUntil, type Fleet, type FleetOptions } from "./fleet.js";
--- /dev/null
+++ b/src/stand-ins/index.ts
@@ -0,0 +1,9 @@
+/**
+ * Small stand-ins for what the platform gives, for tests, measurements and the demonstration.
+ * @packageDocumentation
+ */
+export * from "./balancer/index.js";
+export * from "./instance-list/index.js";
+export * from "./store/index.js";
+export * from "./target/index.js";
+export * from "./fleet/index.js";
--- /dev/null
+++ b/src/stand-ins/store/faults.ts
@@ -0,0 +1,33 @@
+/**
+ * Faults of the key-value stand-in that tests switch on.
+ * @packageDocumentation
+ */
+import { z } from "zod";
+
+/** Checks a change of the faults. */
+export const storeFaultsSchema = z.object({
+  /** `down` answers nothing, `refusing` answers 503 without effect. */
+  mode: z.enum(["up", "down", "refusing"]).optional(),
+  /** Added to every answer. */
+  delayMilliseconds: z.number().int().min(0).optional(),
+  /** How many of the next writes take effect and then lose their answer. */
+  loseAnswers: z.number().int().min(0).optional(),
+  /** Whether new and waiting watches report nothing. */
+  muteWatches: z.boolean().optional(),
+});
+
+/** The faults in force. */
+export interface StoreFaults {
+  mode: "up" | "down" | "refusing";
+  delayMilliseconds: number;
+  loseAnswers: number;
+  muteWatches: boolean;
+}
+
+/**
+ * Creates faults that are all off.
+ * @returns the faults, changed in place by tests
+ */
+export function createStoreFaults(): StoreFaults {
+  return { mode: "up", delayMilliseconds: 0, loseAnswers: 0, muteWatches: false };
+}
--- /dev/null
+++ b/src/stand-ins/store/memory-client.ts
@@ -0,0 +1,106 @@
+/**
+ * The key-value stand-in behind the client interface, without a network in between.
+ * @packageDocumentation
+ */
+import { Left, Right, type Either } from "purify-ts";
+import { prefixEnd } from "../../platform/etcd-messages.js";
+import type {
+  ConditionalWrite,
+  StoreChange,
+  StoreClient,
+  StoreFailure,
+  StoreLease,
+  StoreListing,
+  StoreRecord,
+  StoreWatch,
+  WatchHandlers,
+  WriteResult,
+} from "../../platform/index.js";
+import { delay } from "../../shared/index.js";
+import type { EngineChange, EngineRecord, StoreEngine } from "./engine.js";
+import type { StoreFaults } from "./faults.js";
+
+/** Calls the engine directly, with the same faults as over HTTP. */
+export class MemoryStoreClient implements StoreClient {
+  readonly #engine: StoreEngine;
+  readonly #faults: StoreFaults;
+
+  /**
+   * Creates a client.
+   * @param engine - the store's state, shared between clients
+   * @param faults - the faults in force, shared or of this client alone
+   */
+  constructor(engine: StoreEngine, faults: StoreFaults) {
+    this.#engine = engine;
+    this.#faults = faults;
+  }
+
+  async get(key: string): Promise<Either<StoreFailure, StoreRecord | undefined>> {
+    return this.#call(() => this.#engine.range(key).map(decodeRecord)[0]);
+  }
+
+  async list(prefix: string): Promise<Either<StoreFailure, StoreListing>> {
+    return this.#call(() => ({
+      records: this.#engine.range(prefix, prefixEnd(prefix)).map(decodeRecord),
+      revision: this.#engine.revision(),
+    }));
+  }
+
+  async compareAndSwap(write: ConditionalWrite): Promise<WriteResult> {
+    const result = await this.#call(() => this.#write(write));
+    return result.caseOf<WriteResult>({
+      Left: (failure) => ({ kind: "not-done", failure }),
+      Right: (done) => {
+        if (this.#faults.loseAnswers === 0) return done;
+        this.#faults.loseAnswers -= 1;
+        return { kind: "unknown", failure: { kind: "timeout", message: "the answer was lost" } };
+      },
+    });
+  }
+
+  async grantLease(ttlSeconds: number): Promise<Either<StoreFailure, StoreLease>> {
+    return this.#call(() => ({ leaseId: this.#engine.grantLease(ttlSeconds * 1_000), ttlSeconds }));
+  }
+
+  async renewLease(leaseId: string): Promise<Either<StoreFailure, boolean>> {
+    return this.#call(() => this.#engine.renewLease(leaseId) > 0);
+  }
+
+  async revokeLease(leaseId: string): Promise<Either<StoreFailure, boolean>> {
+    return this.#call(() => this.#engine.revokeLease(leaseId));
+  }
+
+  watch(prefix: string, fromRevision: number, handlers: WatchHandlers): StoreWatch {
+    const report = (change: EngineChange): void => {
+      if (this.#faults.mode === "up" && !this.#faults.muteWatches) handlers.onChange(decodeChange(change));
+    };
+    return { close: this.#engine.watch(prefix, prefixEnd(prefix), fromRevision, report) };
+  }
+
+  #write(write: ConditionalWrite): WriteResult {
+    const done = this.#engine.write({
+      key: write.key,
+      value: write.value === undefined ? undefined : JSON.stringify(write.value),
+      expectedRevision: write.expectedRevision,
+      leaseId: write.leaseId,
+    });
+    if (done) return { kind: "done", revision: this.#engine.revision() };
+    return { kind: "conflict", current: this.#engine.range(write.key).map(decodeRecord)[0] };
+  }
+
+  async #call<Output>(action: () => Output): Promise<Either<StoreFailure, Output>> {
+    if (this.#faults.delayMilliseconds > 0) await delay(this.#faults.delayMilliseconds);
+    else await Promise.resolve();
+    if (this.#faults.mode !== "up") return Left({ kind: "unavailable", message: "the store is down" });
+    return Right(action());
+  }
+}
+
+function decodeRecord(record: EngineRecord): StoreRecord {
+  return { key: record.key, value: JSON.parse(record.value) as unknown, revision: record.revision };
+}
+
+function decodeChange(change: EngineChange): StoreChange {
+  const value = change.value === undefined ? undefined : (JSON.parse(change.value) as unknown);
+  return { key: change.key, value, revision: change.revision };
+}
--- /dev/null
+++ b/src/stand-ins/target/faults.ts
@@ -0,0 +1,50 @@
+/**
+ * Faults of the target stand-in that tests switch on.
+ * @packageDocumentation
+ */
+import { z } from "zod";
+
+/** Checks a change of the faults. */
+export const targetFaultsSchema = z.object({
+  /** Every run ends at once with status 500. */
+  failAll: z.boolean().optional(),
+  /** Every request is refused before it starts. */
+  refuseAll: z.boolean().optional(),
+  /** Added to every answer after the run. */
+  lateMilliseconds: z.number().int().min(0).optional(),
+  /** How many of the next answers are cut in the middle. */
+  cutAnswers: z.number().int().min(0).optional(),
+  /** How many of the next answers carry another request's identifier. */
+  crossAnswers: z.number().int().min(0).optional(),
+  /** How many of the next runs lose their connection without any answer. */
+  dropAnswers: z.number().int().min(0).optional(),
+  /** Bytes that are added to every answer. */
+  paddingBytes: z.number().int().min(0).optional(),
+});
+
+/** The faults in force. */
+export interface TargetFaults {
+  failAll: boolean;
+  refuseAll: boolean;
+  lateMilliseconds: number;
+  cutAnswers: number;
+  crossAnswers: number;
+  dropAnswers: number;
+  paddingBytes: number;
+}
+
+/**
+ * Creates faults that are all off.
+ * @returns the faults, changed in place by tests
+ */
+export function createTargetFaults(): TargetFaults {
+  return {
+    failAll: false,
+    refuseAll: false,
+    lateMilliseconds: 0,
+    cutAnswers: 0,
+    crossAnswers: 0,
+    dropAnswers: 0,
+    paddingBytes: 0,
+  };
+}
--- /dev/null
+++ b/src/telemetry/index.ts
@@ -0,0 +1,7 @@
+/**
+ * Logs, metrics and traces.
+ * @packageDocumentation
+ */
+export { createLog, type Log, type LogFields, type LogLevel, type LogValue } from "./log.js";
+export { createMetrics, type HistogramSummary, type MetricLabels, type Metrics } from "./metrics.js";
+export { createTracing, LogSpanExporter, type TraceHeaders, type Tracing } from "./tracing.js";
