Frame of the measurements and a hook for ended requests

Cause: the slices measure and count on their own and need one place for it. Conclusion: the slices can be built side by side.

--- a/src/ingress/ingress.ts
+++ b/src/ingress/ingress.ts
@@ -6,7 +6,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { Left, type Either } from "purify-ts";
 import type { ConfigurationKeeper } from "../configuration/index.js";
-import type { Executor } from "../execution/index.js";
+import type { Executor, OutcomeKind } from "../execution/index.js";
 import type { TargetRequest } from "../forwarding/index.js";
 import { createHttpService, delay, readBody, sendJson, type BodyFault } from "../shared/index.js";
 import type { Metrics, Tracing } from "../telemetry/index.js";
@@ -25,6 +25,16 @@
   abort(): void;
 }
 
+/** An accepted request that has ended. */
+export interface EndedRequest {
+  readonly service: string;
+  readonly operation: string;
+  readonly team: string;
+  readonly outcome: OutcomeKind;
+  /** From acceptance to the end, queueing included. */
+  readonly milliseconds: number;
+}
+
 /** What an ingress works with. */
 export interface IngressParts {
   readonly configuration: ConfigurationKeeper;
@@ -34,6 +44,8 @@
   readonly maximumBodyBytes: number;
   /** How long the balancer may take to see that this entry is not ready. */
   readonly leaveMilliseconds: number;
+  /** Called when an accepted request has ended. */
+  onOutcome(ended: EndedRequest): void;
   /** Whether this entry can run requests. */
   isReady(): boolean;
 }
@@ -121,15 +133,17 @@
 }
 
 async function runAccepted(
-  { tracing, executor, metrics }: IngressParts,
+  parts: IngressParts,
   request: IncomingMessage,
   response: ServerResponse,
   parsed: ParsedRequest,
   target: TargetRequest,
 ): Promise<void> {
+  const { tracing, executor, metrics } = parts;
   const { service, operation, team, urgency, timeoutMilliseconds } = parsed;
   const { requestId } = target;
-  const deadlineAt = Date.now() + timeoutMilliseconds;
+  const startedAt = Date.now();
+  const deadlineAt = startedAt + timeoutMilliseconds;
   const cancelled = new AbortController();
   response.on("close", () => {
     if (!response.writableFinished) cancelled.abort();
@@ -140,6 +154,14 @@
     executor.run({ service, operation, team, urgency, deadlineAt, target, trace }, cancelled.signal),
   );
   metrics.count("answers_total", { service: service.name, outcome: outcome.kind });
+  const milliseconds = Date.now() - startedAt;
+  parts.onOutcome({
+    service: service.name,
+    operation: operation.name,
+    team,
+    outcome: outcome.kind,
+    milliseconds,
+  });
   writeOutcome(response, requestId, outcome);
 }
 
--- /dev/null
+++ b/src/measures/registry.ts
@@ -0,0 +1,8 @@
+/**
+ * All measurements by name.
+ * @packageDocumentation
+ */
+import type { Measure } from "./measure.js";
+
+/** The measurements, one line each. */
+export const measures: readonly Measure[] = [];
--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -233,6 +233,9 @@
     tracing,
     maximumBodyBytes: settings.limits.bodyBytes,
     leaveMilliseconds,
+    onOutcome: ({ service, milliseconds }) => {
+      metrics.observe("answer_milliseconds", milliseconds, { service });
+    },
     isReady,
   });
   return { allocator, exchange, ingress, isReady };
