--- a/src/cli/instance-commands.ts
+++ b/src/cli/instance-commands.ts
@@ -1,17 +1,11 @@
 /**
- * Commands on instances: move, drain, restore, status.
+ * Commands on instances: move, drain, restore.
  * @packageDocumentation
  */
 import { randomUUID } from "node:crypto";
 import { defineCommand } from "citty";
-import { readFromEntry, sendCommand } from "./operator-client.js";
-import {
-  operatorAddress,
-  operatorArguments,
-  reportCommand,
-  reportFailure,
-  writeLine,
-} from "./shared-arguments.js";
+import { sendCommand } from "./operator-client.js";
+import { operatorAddress, operatorArguments, reportCommand } from "./shared-arguments.js";
 
 const instanceArguments = {
   instance: { type: "positional", required: true, description: "Identifier of the instance" },
@@ -51,18 +45,3 @@
     reportCommand(await sendCommand(operatorAddress(args), "/operator/restore", body), args.json);
   },
 });
-
-/** Shows an entry's state. */
-export const statusCommand = defineCommand({
-  meta: { name: "status", description: "Show an entry's state. Example: dogwoodhoist status" },
-  args: operatorArguments,
-  run: async ({ args }) => {
-    const status = await readFromEntry(operatorAddress(args), "/operator/status");
-    status.caseOf({
-      Left: reportFailure,
-      Right: (value) => {
-        writeLine(JSON.stringify(value, undefined, args.json ? 0 : 2));
-      },
-    });
-  },
-});
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -5,8 +5,9 @@
  */
 import { defineCommand, runMain } from "citty";
 import { entryCommand } from "./entry-command.js";
-import { drainCommand, moveCommand, restoreCommand, statusCommand } from "./instance-commands.js";
+import { drainCommand, moveCommand, restoreCommand } from "./instance-commands.js";
 import { standInCommand } from "./stand-in-command.js";
+import { statusCommand } from "./status-command.js";
 import { applyCommand, checkCommand, showCommand } from "./text-commands.js";
 
 const main = defineCommand({
--- /dev/null
+++ b/src/cli/test/commands.test.ts
@@ -0,0 +1,92 @@
+/**
+ * The commands against a running fleet, as an operator's script sees them: output and exit codes.
+ * @packageDocumentation
+ */
+import { execFile } from "node:child_process";
+import { mkdtemp, readFile, rm, writeFile } from "node:fs/promises";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { fileURLToPath } from "node:url";
+import { afterAll, beforeAll, expect, test } from "vitest";
+import { startFleet, waitUntil, type Fleet } from "../../stand-ins/index.js";
+
+const main = fileURLToPath(new URL("../main.ts", import.meta.url));
+const textPath = fileURLToPath(new URL("../../../examples/agency/text.json", import.meta.url));
+let fleet: Fleet;
+let folder: string;
+let text: { services: { pool: string }[] };
+
+interface CommandRun {
+  readonly code: number;
+  readonly output: string;
+}
+
+async function run(...args: readonly string[]): Promise<CommandRun> {
+  return new Promise((resolve) => {
+    execFile(process.execPath, ["--import", "tsx", main, ...args], (error, output, errors) => {
+      resolve({ code: Number(error?.code ?? 0), output: output + errors });
+    });
+  });
+}
+
+async function onEntry(...args: readonly string[]): Promise<CommandRun> {
+  return run(...args, "--entry", fleet.entries[0]?.addresses.operators ?? "");
+}
+
+beforeAll(async () => {
+  text = JSON.parse(await readFile(textPath, "utf8")) as typeof text;
+  folder = await mkdtemp(join(tmpdir(), "dogwoodhoist-"));
+  fleet = await startFleet({
+    text,
+    targets: { quotes: 2, spare: 1 },
+    entries: 1,
+    zones: 1,
+    meanRunMilliseconds: 5,
+    seed: 1,
+  });
+});
+
+afterAll(async () => {
+  await fleet.close();
+  await rm(folder, { recursive: true });
+});
+
+test("check tells a valid text from a broken one", async () => {
+  const broken = join(folder, "broken.json");
+  await writeFile(broken, JSON.stringify({ ...text, services: [{ ...text.services[0], pool: "nowhere" }] }));
+  const [valid, invalid] = await Promise.all([run("check", textPath), run("check", broken)]);
+  expect(valid).toEqual({ code: 0, output: "the text is valid\n" });
+  expect(invalid).toEqual({ code: 1, output: 'services[0].pool: pool "nowhere" does not exist\n' });
+});
+
+test("apply ends with 0 when done, 3 in a conflict, 2 on bad usage", async () => {
+  const first = await onEntry("apply", textPath, "--base", "1", "--change-id", "c-2");
+  const repeated = await onEntry("apply", textPath, "--base", "1", "--change-id", "c-2");
+  const late = await onEntry("apply", textPath, "--base", "1", "--change-id", "c-3");
+  const unusable = await onEntry("apply", textPath, "--base", "x");
+  expect([first.code, repeated.code, late.code, unusable.code]).toEqual([0, 0, 3, 2]);
+  expect(first.output).toBe("done: revision 2 was accepted\n");
+  expect(late.output).toContain("conflict: the revision in force is 2");
+});
+
+test("a command without an entry fails and names the address", async () => {
+  const { code, output } = await run("status", "--entry", "127.0.0.1:1");
+  expect({ code, output }).toEqual({ code: 1, output: "no entry listens on 127.0.0.1:1\n" });
+});
+
+test("move and drain are seen in the status", async () => {
+  const moved = await onEntry("move", "target-3", "--to", "quotes");
+  const unknownPool = await onEntry("move", "target-1", "--to", "nowhere");
+  const unplaced = await onEntry("drain", "target-9", "--json");
+  expect([moved.code, unknownPool.code, unplaced.code]).toEqual([0, 2, 3]);
+  expect(JSON.parse(unplaced.output)).toEqual({
+    result: "conflict",
+    message: 'instance "target-9" is not placed',
+  });
+  const placement = fleet.entries[0]?.placement;
+  expect(await waitUntil(() => placement?.find("target-3")?.pool === "quotes")).toBe(true);
+  expect((await onEntry("drain", "target-3")).code).toBe(0);
+  expect(await waitUntil(() => placement?.find("target-3")?.state === "stopped")).toBe(true);
+  const { output } = await onEntry("status");
+  expect(output).toContain("target-3\tzone-1\tzone-1-rack-1\tquotes\tstopped");
+});
--- a/src/settings/entry-settings.ts
+++ b/src/settings/entry-settings.ts
@@ -14,6 +14,7 @@
 
 /** Checks an entry's settings. */
 export const entrySettingsSchema = z.strictObject({
+  $schema: z.string().optional(),
   /** Name of this entry, unique among all entries. */
   entryId: z.string().regex(/^[a-z0-9][a-z0-9-]{0,62}$/),
   availabilityZone: z.string().min(1),
@@ -45,7 +46,13 @@
     .prefault({}),
   logLevel: z.enum(["debug", "info", "warn", "error", "silent"]).default("info"),
   /** Where finished spans go. */
-  traces: z.enum(["none", "log"]).default("none"),
+  traces: z
+    .discriminatedUnion("exporter", [
+      z.strictObject({ exporter: z.literal("none") }),
+      z.strictObject({ exporter: z.literal("log") }),
+      z.strictObject({ exporter: z.literal("otlp"), address: z.url() }),
+    ])
+    .default({ exporter: "none" }),
   /** Seed of this entry's random choices. */
   seed: z.int().default(1),
 });
--- /dev/null
+++ b/src/settings/test/schema.test.ts
@@ -0,0 +1,14 @@
+/**
+ * The schema that ships for editors is the one that the settings are checked with.
+ * @packageDocumentation
+ */
+import { expect, test } from "vitest";
+import { z } from "zod";
+import { entrySettingsSchema } from "../index.js";
+
+test("the committed schema is up to date", async () => {
+  const schema = z.toJSONSchema(entrySettingsSchema, { io: "input" });
+  await expect(`${JSON.stringify(schema, undefined, 2)}\n`).toMatchFileSnapshot(
+    "../../../schemas/entry-settings.schema.json",
+  );
+});
--- a/src/telemetry/index.ts
+++ b/src/telemetry/index.ts
@@ -4,4 +4,5 @@
  */
 export { createLog, type Log, type LogFields, type LogLevel, type LogValue } from "./log.js";
 export { createMetrics, type HistogramSummary, type MetricLabels, type Metrics } from "./metrics.js";
-export { createTracing, LogSpanExporter, type TraceHeaders, type Tracing } from "./tracing.js";
+export { createSpanExporter, type TraceSettings } from "./span-exporters.js";
+export { createTracing, type TraceHeaders, type Tracing } from "./tracing.js";
--- a/src/telemetry/tracing.ts
+++ b/src/telemetry/tracing.ts
@@ -12,14 +12,8 @@
   type Context,
   type Span,
 } from "@opentelemetry/api";
-import { W3CTraceContextPropagator, hrTimeToMilliseconds, ExportResultCode } from "@opentelemetry/core";
-import {
-  BasicTracerProvider,
-  BatchSpanProcessor,
-  type ReadableSpan,
-  type SpanExporter,
-} from "@opentelemetry/sdk-trace-base";
-import type { Log } from "./log.js";
+import { W3CTraceContextPropagator } from "@opentelemetry/core";
+import { BasicTracerProvider, BatchSpanProcessor, type SpanExporter } from "@opentelemetry/sdk-trace-base";
 
 /** The headers that carry a trace from process to process. */
 export type TraceHeaders = Record<string, string>;
@@ -89,33 +83,3 @@
     },
   };
 }
-
-/** Writes finished spans as log lines. */
-export class LogSpanExporter implements SpanExporter {
-  readonly #log: Log;
-
-  /**
-   * Creates an exporter.
-   * @param log - takes a line for each span
-   */
-  constructor(log: Log) {
-    this.#log = log;
-  }
-
-  export(spans: ReadableSpan[], done: (result: { code: ExportResultCode }) => void): void {
-    for (const span of spans) {
-      this.#log.write("info", "span", {
-        name: span.name,
-        trace: span.spanContext().traceId,
-        span: span.spanContext().spanId,
-        parent: span.parentSpanContext?.spanId,
-        milliseconds: Number(hrTimeToMilliseconds(span.duration).toFixed(3)),
-      });
-    }
-    done({ code: ExportResultCode.SUCCESS });
-  }
-
-  async shutdown(): Promise<void> {
-    await Promise.resolve();
-  }
-}
--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -48,7 +48,7 @@
   createLog,
   createMetrics,
   createTracing,
-  LogSpanExporter,
+  createSpanExporter,
   type Log,
   type Metrics,
   type Tracing,
@@ -147,7 +147,7 @@
 
 function wireFoundation(settings: EntrySettings, log: Log): Foundation {
   const entryLog = log.with({ entry: settings.entryId });
-  const tracing = createTracing(settings.traces === "log" ? new LogSpanExporter(entryLog) : undefined);
+  const tracing = createTracing(createSpanExporter(settings.traces, entryLog));
   const store = new EtcdStoreClient(settings.store);
   const mirror = (prefix: string): StoreMirror =>
     createStoreMirror({
