Checks that can fail: crossed answers, drains with long runs, silent watches

The stand-in crossed only the header, not the body, and no test had a run that outlasts the drain. Change: a crossed answer carries another request's body; two tests of drains, one with runs of 800 ms, one with watches that have gone silent.

--- a/src/stand-ins/target/target.ts
+++ b/src/stand-ins/target/target.ts
@@ -159,11 +159,12 @@
   }
   const status = faults.failAll ? 500 : 200;
   const answeredId = takeOne(faults, "crossAnswers") ? `other-${requestId}` : requestId;
-  const digest = createHash("sha256").update(body).digest("hex");
+  const answeredBody = answeredId === requestId ? body : Buffer.from(`body of ${answeredId}`);
+  const digest = createHash("sha256").update(answeredBody).digest("hex");
   const padding = "x".repeat(faults.paddingBytes);
   const content = {
     instanceId: options.instanceId,
-    requestId,
+    requestId: answeredId,
     digest,
     ...(padding === "" ? {} : { padding }),
   };
--- a/src/test/faults.test.ts
+++ b/src/test/faults.test.ts
@@ -171,18 +171,33 @@
   expect(breaches).toEqual({ foreignAnswers: 0, untrueRefusals: 0, repeatedRuns: 0, lost: 0 });
 });
 
-test("a leaving target gets no new work once the drain has ended", async () => {
-  let instanceId = "";
+test("a drain ends only when the last request has ended", async () => {
   const { fleet: running } = await runWithFault(async (each) => {
-    ({ instanceId } = targetIn(each, "quotes"));
+    const target = targetIn(each, "quotes");
+    target.faults.lateMilliseconds = 800;
+    await delay(faultAfterMilliseconds);
+    await command(each, "drain", { instanceId: target.instanceId, changeId: "d" });
+    const isStopped = (): boolean => each.entries[1]?.placement.find(target.instanceId)?.state === "stopped";
+    expect(await waitUntil(isStopped)).toBe(true);
+    const { started, finished } = target.counts();
+    expect({ started, running: started - finished }).toEqual({ started, running: 0 });
+  });
+  expect(running.targets.length).toBeGreaterThan(0);
+});
+
+test("a drain waits for entries whose watch has gone silent", async () => {
+  const { fleet: running } = await runWithFault(async (each) => {
+    each.store.faults.muteWatches = true;
+    const { instanceId } = targetIn(each, "quotes");
     await command(each, "drain", { instanceId, changeId: "d" });
   });
-  expect(await waitUntil(() => running.entries[0]?.placement.find(instanceId)?.state === "stopped")).toBe(
-    true,
-  );
-  const stoppedAt = running.entries[0]?.placement.find(instanceId)?.since ?? 0;
-  const lastStartedAt = running.targets
-    .find((each) => each.instanceId === instanceId)
-    ?.counts().lastStartedAt;
-  expect(lastStartedAt).toBeLessThanOrEqual(stoppedAt);
+  const instanceId = running.targets
+    .map((each) => each.instanceId)
+    .find((each) => running.entries[1]?.placement.find(each)?.state !== "serving");
+  const stopped = (): boolean =>
+    running.entries.every(({ placement }) => placement.find(instanceId ?? "")?.state === "stopped");
+  expect(await waitUntil(stopped, 20_000)).toBe(true);
+  const stoppedAt = running.entries[1]?.placement.find(instanceId ?? "")?.since ?? 0;
+  const target = running.targets.find((each) => each.instanceId === instanceId);
+  expect(target?.counts().lastStartedAt).toBeLessThanOrEqual(stoppedAt);
 });
