--- a/src/shared/random.ts
+++ b/src/shared/random.ts
@@ -28,6 +28,9 @@
   exponential(mean: number): number;
 }
 
+/** The first draws of neighbouring seeds are alike; later ones are not. */
+const discardedDraws = 32;
+
 /**
  * Creates a source of random numbers.
  * @param seed - equal seeds give equal sequences
@@ -35,6 +38,7 @@
  */
 export function createRandom(seed: number): Random {
   const generator = xoroshiro128plus(seed);
+  for (let draw = 0; draw < discardedDraws; draw += 1) generator.next();
   const fraction = (): number => uniformFloat64(generator);
   return {
     integer: (minimum, maximum) => uniformInt(generator, minimum, maximum),
--- /dev/null
+++ b/src/shared/test/random.test.ts
@@ -0,0 +1,43 @@
+/**
+ * Seeded randomness: repeatable, and even in its first draws for small seeds.
+ * @packageDocumentation
+ */
+import { expect, test } from "vitest";
+import { createRandom, rendezvousOwner } from "../index.js";
+
+const seeds = Array.from({ length: 1_000 }, (_, seed) => seed);
+
+test("equal seeds give equal sequences", () => {
+  const [left, right] = [createRandom(7), createRandom(7)];
+  const draw = (): [number, number] => [left.integer(0, 1_000), right.integer(0, 1_000)];
+  for (let draws = 0; draws < 50; draws += 1) expect(draw()).toSatisfy(([first, second]) => first === second);
+});
+
+test("the first draws of neighbouring seeds are spread evenly", () => {
+  const firsts = seeds.map((seed) => createRandom(seed).fraction());
+  for (const decile of Array.from({ length: 10 }, (_, index) => index / 10)) {
+    const share = firsts.filter((value) => value >= decile && value < decile + 0.1).length / firsts.length;
+    expect(share).toBeGreaterThan(0.06);
+    expect(share).toBeLessThan(0.14);
+  }
+});
+
+test("a member that leaves changes the owner of its own keys alone", () => {
+  const members = ["entry-1", "entry-2", "entry-3", "entry-4"];
+  const keys = seeds.map((seed) => `group-${seed}`);
+  const moved = keys.filter((key) => {
+    const before = rendezvousOwner(key, members);
+    return (
+      before !== "entry-2" &&
+      before !==
+        rendezvousOwner(
+          key,
+          members.filter((member) => member !== "entry-2"),
+        )
+    );
+  });
+  expect(moved).toEqual([]);
+  const owned = keys.filter((key) => rendezvousOwner(key, members) === "entry-2").length;
+  expect(owned).toBeGreaterThan(200);
+  expect(owned).toBeLessThan(300);
+});
