Guarded store client; a mirror that deletions cannot be undone in

Change: MirroredRecords with a floor from the last list and tombstones; the watch is kept while the list is read and opened anew when the list brought news; writeAndSettle calls a replaced key a conflict only on proof; GuardedStoreClient adds a budget with a share for lease renewals, a circuit breaker and retries of reads, never of writes. The stand-ins break a watch that would miss a change while down; a cancelled etcd watch is reported. Conclusion: the other slices get the guarded client by wireFoundation.

--- a/src/platform/etcd-store-client.ts
+++ b/src/platform/etcd-store-client.ts
@@ -161,7 +161,9 @@
     let failure: StoreFailure = { kind: "unavailable", message: "the watch ended" };
     try {
       const response = await this.#open("/v3/watch", body, signal);
-      for await (const line of splitLines(response.body)) reportLine(line, handlers);
+      for await (const line of splitLines(response.body)) {
+        if (!reportLine(line, handlers)) break;
+      }
     } catch (error) {
       failure = describeFailure(error, signal);
     }
@@ -179,13 +181,19 @@
   }
 }
 
-function reportLine(line: string, handlers: WatchHandlers): void {
+/** Reports the changes of one line; returns whether the watch goes on. */
+function reportLine(line: string, handlers: WatchHandlers): boolean {
   const message = parseJson(line).chain((value) => parseWith(watchResponseSchema, value));
-  message.ifRight(({ result }) => {
-    for (const { type, kv } of result.events) {
-      const { key, value, revision } = decodeRecord(kv);
-      handlers.onChange({ key, value: type === "DELETE" ? undefined : value, revision });
-    }
+  return message.caseOf({
+    // A line that cannot be read may have held a change.
+    Left: () => false,
+    Right: ({ result }) => {
+      for (const { type, kv } of result.events) {
+        const { key, value, revision } = decodeRecord(kv);
+        handlers.onChange({ key, value: type === "DELETE" ? undefined : value, revision });
+      }
+      return result.canceled !== true;
+    },
   });
 }
 
--- a/src/platform/index.ts
+++ b/src/platform/index.ts
@@ -16,6 +16,8 @@
   WriteResult,
 } from "./store.js";
 export { EtcdStoreClient, type EtcdStoreClientOptions } from "./etcd-store-client.js";
+export type { BreakerState } from "./circuit-breaker.js";
+export { GuardedStoreClient, type GuardedStoreClientOptions } from "./guarded-store-client.js";
 export { writeAndSettle } from "./settled-write.js";
 export {
   createInstanceList,
--- a/src/platform/store-mirror.ts
+++ b/src/platform/store-mirror.ts
@@ -4,7 +4,8 @@
  */
 import Emittery from "emittery";
 import { delay } from "../shared/index.js";
-import type { StoreClient, StoreRecord } from "./store.js";
+import { createMirroredRecords } from "./mirrored-records.js";
+import type { StoreClient, StoreRecord, StoreWatch } from "./store.js";
 
 /** What a mirror reports. */
 export interface StoreMirrorEvents {
@@ -21,13 +22,21 @@
   readonly events: Emittery<StoreMirrorEvents>;
   /** The records as last heard, by key. */
   records(): ReadonlyMap<string, StoreRecord>;
-  /** The time of the last comparison with the store in milliseconds since the epoch, 0 before the first. */
+  /**
+   * When the last list that arrived was asked for, in milliseconds since the epoch; 0 before the first.
+   * Changes up to that time are held.
+   */
   confirmedAt(): number;
   /**
    * Takes over a record that was heard elsewhere or written by this process.
-   * A revision that is not higher than the one held is passed over.
+   * A revision that is not higher than the one held, or than that of the key's deletion, is passed over.
    */
   offer(record: StoreRecord): void;
+  /**
+   * Holds the watch only while a condition is true, which is asked once a refresh period.
+   * Without a watch the periodic list remains.
+   */
+  watchWhile(condition: () => boolean): void;
   /** Compares with the store now. */
   refresh(): Promise<boolean>;
   /** Ends the watch. */
@@ -52,66 +61,75 @@
 export function createStoreMirror(options: StoreMirrorOptions): StoreMirror {
   const { store, prefix } = options;
   const events = new Emittery<StoreMirrorEvents>();
-  const records = new Map<string, StoreRecord>();
   const stop = new AbortController();
+  const records = createMirroredRecords({
+    onChanged: (record) => void events.emit("changed", record),
+    onDeleted: (key) => void events.emit("deleted", { key }),
+  });
+  let isWatching = (): boolean => true;
   let confirmedAt = 0;
 
-  const offer = (record: StoreRecord): void => {
-    if ((records.get(record.key)?.revision ?? 0) >= record.revision) return;
-    records.set(record.key, record);
-    void events.emit("changed", record);
-  };
-
-  const remove = (key: string, revision: number): void => {
-    if ((records.get(key)?.revision ?? Infinity) > revision) return;
-    records.delete(key);
-    void events.emit("deleted", { key });
-  };
-
-  const refresh = async (): Promise<number | undefined> => {
+  const refresh = async (): Promise<Comparison | undefined> => {
+    // The list may be as old as its request, also when this process was paused before it read the answer.
+    const askedAt = Date.now();
     const listing = await store.list(prefix);
-    return listing.caseOf({
+    return listing.caseOf<Comparison | undefined>({
       Left: () => undefined,
-      Right: ({ records: found, revision }) => {
-        const keys = new Set(found.map(({ key }) => key));
-        for (const key of [...records.keys()].filter((held) => !keys.has(held))) remove(key, revision);
-        found.forEach(offer);
-        confirmedAt = Date.now();
-        void events.emit("confirmed", { revision });
-        return revision;
+      Right: (found) => {
+        const repaired = records.replaceBy(found);
+        confirmedAt = Math.max(confirmedAt, askedAt);
+        void events.emit("confirmed", { revision: found.revision });
+        return { revision: found.revision, repaired };
       },
     });
   };
 
-  const watchUntilDue = async (fromRevision: number): Promise<void> => {
-    const broken = new AbortController();
-    const watch = store.watch(prefix, fromRevision, {
+  const openWatch = (fromRevision: number, onBroken: () => void): StoreWatch =>
+    store.watch(prefix, fromRevision, {
       onChange: ({ key, value, revision }) => {
-        if (value === undefined) remove(key, revision);
-        else offer({ key, value, revision });
-      },
-      onBroken: () => {
-        broken.abort();
+        if (value === undefined) records.remove(key, revision);
+        else records.offer({ key, value, revision });
       },
+      onBroken,
     });
-    await delay(options.refreshMilliseconds, AbortSignal.any([broken.signal, stop.signal]));
+
+  const watchUntilBroken = async (fromRevision: number): Promise<void> => {
+    const broken = new AbortController();
+    const ended = AbortSignal.any([broken.signal, stop.signal]);
+    const watch = openWatch(fromRevision, () => {
+      broken.abort();
+    });
+    while (isWatching()) {
+      await delay(options.refreshMilliseconds, ended);
+      if (ended.aborted) break;
+      const compared = await refresh();
+      // A list that brought news shows that the watch has gone silent.
+      if (compared?.repaired === true) break;
+    }
     watch.close();
+    if (broken.signal.aborted) await delay(options.retryMilliseconds, stop.signal);
   };
 
   const run = async (): Promise<void> => {
     while (!stop.signal.aborted) {
-      const revision = await refresh();
-      if (revision === undefined) await delay(options.retryMilliseconds, stop.signal);
-      else await watchUntilDue(revision + 1);
+      const compared = await refresh();
+      if (compared === undefined) await delay(options.retryMilliseconds, stop.signal);
+      else if (isWatching()) await watchUntilBroken(compared.revision + 1);
+      else await delay(options.refreshMilliseconds, stop.signal);
     }
   };
 
   void run();
   return {
     events,
-    records: () => records,
+    records: () => records.held,
     confirmedAt: () => confirmedAt,
-    offer,
+    offer: (record) => {
+      records.offer(record);
+    },
+    watchWhile: (condition) => {
+      isWatching = condition;
+    },
     refresh: async () => (await refresh()) !== undefined,
     close: () => {
       stop.abort();
@@ -119,3 +137,9 @@
     },
   };
 }
+
+interface Comparison {
+  readonly revision: number;
+  /** Whether the list held anything that was not known. */
+  readonly repaired: boolean;
+}
--- /dev/null
+++ b/src/platform/test/settled-write.test.ts
@@ -0,0 +1,70 @@
+/**
+ * Lost answers are settled only by what the store proves.
+ * @packageDocumentation
+ */
+import { expect, test } from "vitest";
+import { createStoreEngine, createStoreFaults, MemoryStoreClient } from "../../stand-ins/store/index.js";
+import { writeAndSettle, type ConditionalWrite, type StoreClient, type WriteResult } from "../index.js";
+
+type Interference = (store: StoreClient, result: WriteResult) => Promise<unknown>;
+
+/** A client that loses the answer of its first write and lets something happen before the next read. */
+class LossyClient extends MemoryStoreClient {
+  interfere: Interference | undefined;
+  reachesStore = true;
+
+  override async compareAndSwap(write: ConditionalWrite): Promise<WriteResult> {
+    const { interfere } = this;
+    if (interfere === undefined) return super.compareAndSwap(write);
+    this.interfere = undefined;
+    const result = this.reachesStore ? await super.compareAndSwap(write) : undefined;
+    if (result !== undefined) await interfere(this, result);
+    return { kind: "unknown", failure: { kind: "timeout", message: "lost" } };
+  }
+}
+
+function createClient(interfere: Interference): LossyClient {
+  const client = new LossyClient(createStoreEngine(), createStoreFaults());
+  client.interfere = interfere;
+  return client;
+}
+
+const isOwn = (value: unknown): boolean => value === "own";
+const nothing: Interference = async () => Promise.resolve();
+
+test("an own value that is read back is done", async () => {
+  const client = createClient(nothing);
+  const write = { key: "a", value: "own", expectedRevision: 0 };
+  expect(await writeAndSettle(client, write, isOwn)).toMatchObject({ kind: "done", revision: 2 });
+});
+
+test("an unchanged key stays unknown, since the write may still arrive", async () => {
+  const client = createClient(nothing);
+  client.reachesStore = false;
+  const write = { key: "a", value: "own", expectedRevision: 0 };
+  expect(await writeAndSettle(client, write, isOwn)).toMatchObject({ kind: "unknown" });
+});
+
+test("a write that was replaced after it took effect is not called a conflict", async () => {
+  const replace: Interference = async (store, result) =>
+    store.compareAndSwap({
+      key: "a",
+      value: "other",
+      expectedRevision: result.kind === "done" ? result.revision : 0,
+    });
+  const write = { key: "a", value: "own", expectedRevision: 0 };
+  expect(await writeAndSettle(createClient(replace), write, isOwn)).toMatchObject({ kind: "unknown" });
+  const provesAbsence = (value: unknown): boolean => value === "other";
+  expect(await writeAndSettle(createClient(replace), write, isOwn, provesAbsence)).toMatchObject({
+    kind: "conflict",
+  });
+});
+
+test("a deletion whose key is absent is done", async () => {
+  const client = createClient(nothing);
+  client.interfere = undefined;
+  await client.compareAndSwap({ key: "a", value: "own", expectedRevision: 0 });
+  client.interfere = nothing;
+  const write = { key: "a", value: undefined, expectedRevision: 2 };
+  expect(await writeAndSettle(client, write, isOwn)).toMatchObject({ kind: "done" });
+});
--- /dev/null
+++ b/src/platform/test/store-mirror.test.ts
@@ -0,0 +1,103 @@
+/**
+ * The mirror against deletions, silent watches and pauses.
+ * @packageDocumentation
+ */
+import { afterEach, beforeEach, expect, test, vi } from "vitest";
+import { createStoreEngine, createStoreFaults, MemoryStoreClient } from "../../stand-ins/store/index.js";
+import { createStoreMirror, type StoreMirror } from "../index.js";
+
+const prefix = "things/";
+let mirror: StoreMirror;
+
+function createParts() {
+  const engine = createStoreEngine();
+  const faults = createStoreFaults();
+  const store = new MemoryStoreClient(engine, faults);
+  mirror = createStoreMirror({ store, prefix, refreshMilliseconds: 1_000, retryMilliseconds: 100 });
+  const put = async (key: string, value: unknown, expectedRevision: number): Promise<number> => {
+    const result = await store.compareAndSwap({ key: `${prefix}${key}`, value, expectedRevision });
+    return result.kind === "done" ? result.revision : 0;
+  };
+  return { engine, faults, put };
+}
+
+function held(key: string): unknown {
+  return mirror.records().get(`${prefix}${key}`)?.value;
+}
+
+beforeEach(() => {
+  vi.useFakeTimers();
+});
+
+afterEach(() => {
+  mirror.close();
+  vi.useRealTimers();
+});
+
+test("a late offer of a deleted record does not bring it back", async () => {
+  const { put } = createParts();
+  await vi.advanceTimersByTimeAsync(10);
+  const written = await put("a", 1, 0);
+  await put("a", undefined, written);
+  mirror.offer({ key: `${prefix}a`, value: 1, revision: written });
+  expect(held("a")).toBeUndefined();
+  await vi.advanceTimersByTimeAsync(1_100);
+  mirror.offer({ key: `${prefix}a`, value: 1, revision: written });
+  expect(held("a")).toBeUndefined();
+  await put("a", 2, 0);
+  expect(held("a")).toBe(2);
+});
+
+test("a record that was deleted before the first list is not brought back", async () => {
+  const { put } = createParts();
+  const written = await put("a", 1, 0);
+  await put("a", undefined, written);
+  await vi.advanceTimersByTimeAsync(10);
+  mirror.offer({ key: `${prefix}a`, value: 1, revision: written });
+  expect(held("a")).toBeUndefined();
+});
+
+test("a silent watch is repaired by the list and opened anew", async () => {
+  const { engine, faults, put } = createParts();
+  await vi.advanceTimersByTimeAsync(10);
+  faults.muteWatches = true;
+  const written = await put("a", 1, 0);
+  expect(held("a")).toBeUndefined();
+  await vi.advanceTimersByTimeAsync(1_100);
+  expect(held("a")).toBe(1);
+  expect(engine.counts.watches).toBe(2);
+  faults.muteWatches = false;
+  await put("a", 2, written);
+  expect(held("a")).toBe(2);
+});
+
+test("a watch that reports is kept while the list is read again", async () => {
+  const { engine, put } = createParts();
+  await vi.advanceTimersByTimeAsync(10);
+  await put("a", 1, 0);
+  await vi.advanceTimersByTimeAsync(5_000);
+  expect(engine.counts.watches).toBe(1);
+  expect(engine.counts.reads).toBeGreaterThan(4);
+});
+
+test("the comparison counts from when the list was asked for", async () => {
+  const { faults } = createParts();
+  await vi.advanceTimersByTimeAsync(10);
+  faults.delayMilliseconds = 5_000;
+  const askedAt = Date.now();
+  const refreshed = mirror.refresh();
+  await vi.advanceTimersByTimeAsync(5_000);
+  expect(await refreshed).toBe(true);
+  expect(mirror.confirmedAt()).toBeLessThanOrEqual(askedAt + 1_000);
+});
+
+test("a store that went down breaks its watches", async () => {
+  const { faults, put } = createParts();
+  await vi.advanceTimersByTimeAsync(10);
+  faults.mode = "down";
+  await vi.advanceTimersByTimeAsync(2_000);
+  faults.mode = "up";
+  await put("a", 1, 0);
+  await vi.advanceTimersByTimeAsync(1_200);
+  expect(held("a")).toBe(1);
+});
--- a/src/stand-ins/store/http.ts
+++ b/src/stand-ins/store/http.ts
@@ -158,7 +158,9 @@
       decodeText(create.range_end ?? create.key),
       create.start_revision,
       (change) => {
-        if (!faults.muteWatches) send({ header: header(engine), events: [encodeChange(change)] });
+        if (faults.muteWatches) return;
+        if (faults.mode === "up") send({ header: header(engine), events: [encodeChange(change)] });
+        else response.destroy();
       },
     );
     response.on("close", stop);
--- a/src/stand-ins/store/memory-client.ts
+++ b/src/stand-ins/store/memory-client.ts
@@ -71,10 +71,23 @@
   }
 
   watch(prefix: string, fromRevision: number, handlers: WatchHandlers): StoreWatch {
+    let open = true;
     const report = (change: EngineChange): void => {
-      if (this.#faults.mode === "up" && !this.#faults.muteWatches) handlers.onChange(decodeChange(change));
+      if (!open || this.#faults.muteWatches) return;
+      if (this.#faults.mode === "up") {
+        handlers.onChange(decodeChange(change));
+        return;
+      }
+      open = false;
+      handlers.onBroken({ kind: "unavailable", message: "the store is down" });
+    };
+    const stop = this.#engine.watch(prefix, prefixEnd(prefix), fromRevision, report);
+    return {
+      close: () => {
+        open = false;
+        stop();
+      },
     };
-    return { close: this.#engine.watch(prefix, prefixEnd(prefix), fromRevision, report) };
   }
 
   #write(write: ConditionalWrite): WriteResult {
--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -28,6 +28,8 @@
   createInstanceList,
   createStoreMirror,
   EtcdStoreClient,
+  GuardedStoreClient,
+  type StoreClient,
   type StoreMirror,
 } from "./platform/index.js";
 import {
@@ -140,7 +142,7 @@
   readonly log: Log;
   readonly metrics: Metrics;
   readonly tracing: Tracing;
-  readonly store: EtcdStoreClient;
+  readonly store: StoreClient;
   readonly mirrors: Readonly<Record<"configuration" | "placement" | "roster", StoreMirror>>;
   close(): Promise<void>;
 }
@@ -148,7 +150,11 @@
 function wireFoundation(settings: EntrySettings, log: Log): Foundation {
   const entryLog = log.with({ entry: settings.entryId });
   const tracing = createTracing(settings.traces === "log" ? new LogSpanExporter(entryLog) : undefined);
-  const store = new EtcdStoreClient(settings.store);
+  const metrics = createMetrics();
+  const client = new EtcdStoreClient(settings.store);
+  const { callsPerSecond } = settings.store;
+  const random = createRandom(settings.seed);
+  const store = new GuardedStoreClient({ client, callsPerSecond, random, metrics });
   const mirror = (prefix: string): StoreMirror =>
     createStoreMirror({
       store,
@@ -163,9 +169,9 @@
   };
   const close = async (): Promise<void> => {
     for (const each of Object.values(mirrors)) each.close();
-    await Promise.all([store.close(), tracing.close()]);
+    await Promise.all([client.close(), tracing.close()]);
   };
-  return { settings, log: entryLog, metrics: createMetrics(), tracing, store, mirrors, close };
+  return { settings, log: entryLog, metrics, tracing, store, mirrors, close };
 }
 
 function wireConfiguration({ log, mirrors }: Foundation): ConfigurationKeeper {
