History, rollback and identifiers that are accepted once

Change: the record to be replaced is written to the history first, so that a crash between the two writes loses nothing; the current record names the 200 changes before it; findDifferences; rollBack accepts an earlier text anew; the mirror of the configuration covers the current record only.

--- a/src/configuration/apply.ts
+++ b/src/configuration/apply.ts
@@ -3,10 +3,20 @@
  * @packageDocumentation
  */
 import { Left, Right, type Either } from "purify-ts";
-import { writeAndSettle, type StoreClient, type StoreRecord } from "../platform/index.js";
+import { writeAndSettle, type StoreClient, type StoreFailure } from "../platform/index.js";
 import { parseWith, type ParseFault } from "../shared/index.js";
 import { checkText } from "./check.js";
-import { configurationRecordSchema, currentConfigurationKey, type AcceptedConfiguration } from "./record.js";
+import { findDifferences, type TextDifference } from "./difference.js";
+import { archiveRecord, pruneHistory, readCurrent, readRevision, type StoredCurrent } from "./history.js";
+import {
+  configurationRecordSchema,
+  createCurrentRecord,
+  currentConfigurationKey,
+  currentRecordSchema,
+  findRevisionOfChange,
+  type AcceptedConfiguration,
+  type CurrentRecord,
+} from "./record.js";
 import type { OperatorText } from "./text-schema.js";
 
 /** A change that an operator asks for. */
@@ -20,80 +30,146 @@
   readonly text: unknown;
 }
 
+/** A return to an earlier text. */
+export interface RollBackRequest extends Omit<ConfigurationChange, "text"> {
+  /** The revision whose text is accepted anew. */
+  readonly toRevision: number;
+}
+
 /** Why a change was not accepted. */
 export type ApplyFailure =
   | { readonly kind: "invalid"; readonly faults: readonly ParseFault[] }
-  | { readonly kind: "conflict"; readonly current: AcceptedConfiguration | undefined }
+  | {
+      readonly kind: "conflict";
+      readonly current: AcceptedConfiguration | undefined;
+      /** What others changed since the base; empty when the base is not in the history. */
+      readonly differences: readonly TextDifference[];
+    }
   | { readonly kind: "not-done"; readonly message: string }
   | { readonly kind: "unknown"; readonly message: string };
 
+type ApplyResult = Either<ApplyFailure, AcceptedConfiguration>;
+
 /**
  * Accepts a change.
  * @param store - the platform's store
  * @param change - the change
- * @returns the accepted configuration with its store revision, or why it was not accepted
+ * @returns the accepted configuration, or why it was not accepted
  */
-export async function applyChange(
-  store: StoreClient,
-  change: ConfigurationChange,
-): Promise<Either<ApplyFailure, AcceptedConfiguration>> {
+export async function applyChange(store: StoreClient, change: ConfigurationChange): Promise<ApplyResult> {
   const checked = checkText(change.text);
   if (checked.isLeft()) return Left({ kind: "invalid", faults: checked.swap().orDefault([]) });
-  const text = checked.unsafeCoerce();
-  const read = await store.get(currentConfigurationKey);
-  if (read.isLeft()) return Left({ kind: "not-done", message: describeRead(read) });
-  const record = read.orDefault(undefined);
-  const current = decodeRecord(record);
-  if (current?.changeId === change.changeId) return Right(current);
-  if ((current?.revision ?? 0) !== change.baseRevision) return Left({ kind: "conflict", current });
-  return writeAccepted(store, record, createAccepted(change, text));
+  const read = await readCurrent(store);
+  if (read.isLeft()) return read.mapLeft(describeFailure);
+  const current = read.unsafeCoerce();
+  const { record } = current;
+  const acceptedRevision = record === undefined ? undefined : findRevisionOfChange(record, change.changeId);
+  if (acceptedRevision !== undefined) return readAccepted(store, acceptedRevision);
+  if ((record?.revision ?? 0) !== change.baseRevision) return describeConflict(store, change, record);
+  if (record !== undefined) {
+    const archived = await archiveRecord(store, record);
+    if (archived.isLeft()) return archived.mapLeft(describeFailure);
+  }
+  return writeAccepted(store, current, change, createAccepted(change, checked.unsafeCoerce()));
+}
+
+/**
+ * Accepts the text of an earlier revision as a new revision.
+ * @param store - the platform's store
+ * @param request - the earlier revision and the base
+ * @returns the accepted configuration, or why it was not accepted
+ */
+export async function rollBack(store: StoreClient, request: RollBackRequest): Promise<ApplyResult> {
+  const { toRevision, ...change } = request;
+  const read = await readRevision(store, toRevision);
+  if (read.isLeft()) return read.mapLeft(describeFailure);
+  const earlier = read.orDefault(undefined);
+  if (earlier !== undefined) return applyChange(store, { ...change, text: earlier.text });
+  const message = `the history holds no revision ${toRevision}`;
+  return Left({ kind: "invalid", faults: [{ path: "toRevision", message }] });
 }
 
 function createAccepted(change: ConfigurationChange, text: OperatorText): AcceptedConfiguration {
-  return {
-    revision: change.baseRevision + 1,
-    changeId: change.changeId,
-    author: change.author,
-    acceptedAt: Date.now(),
-    text,
-  };
+  const { changeId, author, baseRevision } = change;
+  return { revision: baseRevision + 1, changeId, author, acceptedAt: Date.now(), text };
 }
 
 async function writeAccepted(
   store: StoreClient,
-  record: StoreRecord | undefined,
+  { record, storeRevision }: StoredCurrent,
+  change: ConfigurationChange,
   accepted: AcceptedConfiguration,
-): Promise<Either<ApplyFailure, AcceptedConfiguration>> {
+): Promise<ApplyResult> {
   const write = {
     key: currentConfigurationKey,
-    value: accepted,
-    expectedRevision: record?.revision ?? 0,
+    value: createCurrentRecord(record, accepted),
+    expectedRevision: storeRevision,
   };
-  const result = await writeAndSettle(store, write, (value) => hasChangeId(value, accepted.changeId));
+  const isOwn = (value: unknown): boolean => revisionOfChange(value, accepted.changeId) === accepted.revision;
+  const provesAbsence = (value: unknown): boolean => namesRevision(value, accepted.revision);
+  const result = await writeAndSettle(store, write, isOwn, provesAbsence);
   switch (result.kind) {
     case "done":
+      await pruneHistory(store, accepted.revision);
       return Right(accepted);
     case "conflict":
-      return Left({ kind: "conflict", current: decodeRecord(result.current) });
+      return settleConflict(store, change, result.current?.value);
     case "not-done":
-      return Left({ kind: "not-done", message: result.failure.message });
     case "unknown":
-      return Left({ kind: "unknown", message: result.failure.message });
+      return Left({ kind: result.kind, message: result.failure.message });
   }
 }
 
-function hasChangeId(value: unknown, changeId: string): boolean {
-  return (value as { changeId?: unknown } | undefined)?.changeId === changeId;
+/** The same change may have been accepted through another entry in the meantime. */
+async function settleConflict(
+  store: StoreClient,
+  change: ConfigurationChange,
+  value: unknown,
+): Promise<ApplyResult> {
+  const revision = revisionOfChange(value, change.changeId);
+  if (revision !== undefined) return readAccepted(store, revision);
+  return describeConflict(store, change, decodeCurrent(value));
+}
+
+async function readAccepted(store: StoreClient, revision: number): Promise<ApplyResult> {
+  const read = await readRevision(store, revision);
+  return read.mapLeft(describeFailure).chain((accepted): ApplyResult => {
+    if (accepted !== undefined) return Right(accepted);
+    return Left({ kind: "not-done", message: `revision ${revision} is no longer in the history` });
+  });
+}
+
+async function describeConflict(
+  store: StoreClient,
+  { baseRevision }: ConfigurationChange,
+  record: CurrentRecord | undefined,
+): Promise<ApplyResult> {
+  if (record === undefined) return Left({ kind: "conflict", current: undefined, differences: [] });
+  const base = await readRevision(store, baseRevision);
+  const text = base.orDefault(undefined)?.text;
+  const differences = text === undefined ? [] : findDifferences(text, record.text);
+  return Left({ kind: "conflict", current: configurationRecordSchema.parse(record), differences });
+}
+
+function decodeCurrent(value: unknown): CurrentRecord | undefined {
+  return parseWith(currentRecordSchema, value).caseOf<CurrentRecord | undefined>({
+    Left: () => undefined,
+    Right: (record) => record,
+  });
+}
+
+function revisionOfChange(value: unknown, changeId: string): number | undefined {
+  const record = decodeCurrent(value);
+  return record === undefined ? undefined : findRevisionOfChange(record, changeId);
 }
 
-function decodeRecord(record: StoreRecord | undefined): AcceptedConfiguration | undefined {
-  if (record === undefined) return undefined;
-  return parseWith(configurationRecordSchema, record.value).orDefault(undefined as never);
+/** Tells whether a record says which change got a revision. */
+function namesRevision(value: unknown, revision: number): boolean {
+  const record = decodeCurrent(value);
+  if (record === undefined) return false;
+  return [record, ...record.earlierChanges].some((named) => named.revision === revision);
 }
 
-function describeRead(read: Either<{ message: string }, unknown>): string {
-  return read
-    .swap()
-    .map(({ message }) => message)
-    .orDefault("");
+function describeFailure({ message }: StoreFailure): ApplyFailure {
+  return { kind: "not-done", message };
 }
--- a/src/configuration/index.ts
+++ b/src/configuration/index.ts
@@ -17,5 +17,13 @@
   type ConfigurationEvents,
   type ConfigurationKeeper,
 } from "./keeper.js";
-export { applyChange, type ApplyFailure, type ConfigurationChange } from "./apply.js";
+export {
+  applyChange,
+  rollBack,
+  type ApplyFailure,
+  type ConfigurationChange,
+  type RollBackRequest,
+} from "./apply.js";
+export { findDifferences, type TextDifference } from "./difference.js";
+export { readHistory, readRevision } from "./history.js";
 export { startRollOut } from "./roll-out.js";
--- /dev/null
+++ b/src/configuration/test/apply.test.ts
@@ -0,0 +1,144 @@
+/**
+ * Accepting changes: races, lost answers, repeated identifiers, history and rollback.
+ * @packageDocumentation
+ */
+import { readFile } from "node:fs/promises";
+import { expect, test } from "vitest";
+import type { ConditionalWrite, WriteResult } from "../../platform/index.js";
+import { createStoreEngine, createStoreFaults, MemoryStoreClient } from "../../stand-ins/store/index.js";
+import {
+  applyChange,
+  currentConfigurationKey,
+  readHistory,
+  readRevision,
+  rollBack,
+  type ConfigurationChange,
+  type OperatorText,
+} from "../index.js";
+
+const example = JSON.parse(
+  await readFile(new URL("../../../examples/agency/text.json", import.meta.url), "utf8"),
+) as OperatorText;
+
+function createStore() {
+  const engine = createStoreEngine();
+  const faults = createStoreFaults();
+  return { engine, faults, store: new MemoryStoreClient(engine, faults) };
+}
+
+function change(changeId: string, baseRevision: number, minimumInstances = 6): ConfigurationChange {
+  const text = structuredClone(example) as { pools: { minimumInstances: number }[] };
+  text.pools = text.pools.map((pool) => ({ ...pool, minimumInstances }));
+  return { changeId, author: "test", baseRevision, text };
+}
+
+test("exactly one of ten racing operators wins on a base", async () => {
+  const { store } = createStore();
+  const results = await Promise.all(
+    Array.from({ length: 10 }, async (_, index) => applyChange(store, change(`change-${index}`, 0))),
+  );
+  expect(results.filter((result) => result.isRight())).toHaveLength(1);
+});
+
+test("the same identifier is accepted once, also after later changes", async () => {
+  const { store } = createStore();
+  const first = await applyChange(store, change("one", 0));
+  await applyChange(store, change("two", 1));
+  await applyChange(store, change("three", 2));
+  const repeated = await applyChange(store, change("one", 0));
+  expect(repeated.unsafeCoerce().revision).toBe(first.unsafeCoerce().revision);
+  const rebased = await applyChange(store, change("two", 3));
+  expect(rebased.unsafeCoerce().revision).toBe(2);
+  expect((await readRevision(store, 4)).unsafeCoerce()).toBeUndefined();
+});
+
+test("the same change through two entries at once is accepted for both", async () => {
+  const { store } = createStore();
+  await applyChange(store, change("one", 0));
+  const results = await Promise.all([
+    applyChange(store, change("two", 1)),
+    applyChange(store, change("two", 1)),
+  ]);
+  expect(results.map((result) => result.unsafeCoerce().revision)).toEqual([2, 2]);
+});
+
+test("a change that was replaced before its lost answer was settled is reported as accepted", async () => {
+  const { engine, faults, store } = createStore();
+  await applyChange(store, change("one", 0));
+  const other = new MemoryStoreClient(engine, createStoreFaults());
+  class ReplacedClient extends MemoryStoreClient {
+    override async compareAndSwap(write: ConditionalWrite): Promise<WriteResult> {
+      const result = await super.compareAndSwap(write);
+      if (write.key !== currentConfigurationKey) return result;
+      expect((await applyChange(other, change("three", 2))).isRight()).toBe(true);
+      return { kind: "unknown", failure: { kind: "timeout", message: "lost" } };
+    }
+  }
+  const replaced = new ReplacedClient(engine, faults);
+  const result = await applyChange(replaced, change("two", 1));
+  expect(result.unsafeCoerce()).toMatchObject({ revision: 2, changeId: "two" });
+});
+
+test("a current record that cannot be read is never replaced", async () => {
+  const { store } = createStore();
+  const unreadable = { key: currentConfigurationKey, value: { revision: "newer form" }, expectedRevision: 0 };
+  await store.compareAndSwap(unreadable);
+  const result = await applyChange(store, change("one", 0));
+  expect(result.swap().unsafeCoerce().kind).toBe("not-done");
+  expect((await store.get(currentConfigurationKey)).unsafeCoerce()?.value).toEqual(unreadable.value);
+});
+
+test("a conflict shows the paths that others changed since the base", async () => {
+  const { store } = createStore();
+  await applyChange(store, change("one", 0));
+  await applyChange(store, change("two", 1, 5));
+  const failure = (await applyChange(store, change("late", 1, 4))).swap().unsafeCoerce();
+  expect(failure).toMatchObject({ kind: "conflict", current: { revision: 2 } });
+  expect(failure.kind === "conflict" && failure.differences[0]).toEqual({
+    path: "pools[quotes].minimumInstances",
+    before: 6,
+    after: 5,
+  });
+});
+
+test("history holds each accepted text and a rollback is a new revision", async () => {
+  const { store } = createStore();
+  for (let base = 0; base < 4; base += 1) await applyChange(store, change(`change-${base}`, base, base));
+  const request = { changeId: "back", author: "test", baseRevision: 4, toRevision: 2 };
+  const back = await rollBack(store, request);
+  expect(back.unsafeCoerce()).toMatchObject({ revision: 5, changeId: "back" });
+  expect(back.unsafeCoerce().text.pools[0]?.minimumInstances).toBe(1);
+  const history = (await readHistory(store, 10)).unsafeCoerce();
+  expect(history.map(({ revision, changeId }) => `${revision} ${changeId}`)).toEqual([
+    "5 back",
+    "4 change-3",
+    "3 change-2",
+    "2 change-1",
+    "1 change-0",
+  ]);
+  const missing = await rollBack(store, { ...request, changeId: "none", baseRevision: 5, toRevision: 9 });
+  expect(missing.swap().unsafeCoerce().kind).toBe("invalid");
+});
+
+test("no accepted change is missing from the history, whichever write loses its answer or fails", async () => {
+  for (let failing = 0; failing < 8; failing += 1) {
+    const { engine, faults, store } = createStore();
+    let writes = 0;
+    class FailingClient extends MemoryStoreClient {
+      override async compareAndSwap(write: ConditionalWrite): Promise<WriteResult> {
+        writes += 1;
+        if (writes !== failing) return super.compareAndSwap(write);
+        return { kind: "not-done", failure: { kind: "unavailable", message: "cut" } };
+      }
+    }
+    const accepted: string[] = [];
+    for (let turn = 0; turn < 6; turn += 1) {
+      const client = turn % 2 === 0 ? new FailingClient(engine, faults) : store;
+      const base = (await readHistory(store, 1)).unsafeCoerce()[0]?.revision ?? 0;
+      const result = await applyChange(client, change(`change-${turn}`, base));
+      result.ifRight(({ changeId }) => accepted.push(changeId));
+    }
+    const history = (await readHistory(store, 20)).unsafeCoerce().map(({ changeId }) => changeId);
+    expect(history.toReversed()).toEqual(accepted);
+  }
+});
--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -3,8 +3,8 @@
  * @packageDocumentation
  */
 import {
-  configurationPrefix,
   createConfigurationKeeper,
+  currentConfigurationKey,
   followStore,
   startRollOut,
   type ConfigurationKeeper,
@@ -163,7 +163,7 @@
       retryMilliseconds: mirrorRetryMilliseconds,
     });
   const mirrors = {
-    configuration: mirror(configurationPrefix),
+    configuration: mirror(currentConfigurationKey),
     placement: mirror(placementPrefix),
     roster: mirror(rosterPrefix),
   };
