Text: committed JSON schema, every fault by exact path, warnings

Cause: an unknown key was reported at its parent, references were not checked when the form had a fault, editors had no schema, unwise texts passed silently. Change: checkForm names the unknown key's own path and the nearest known key; references are checked on whatever names can be read; warnAboutText; the schema in schemas/text.schema.json is held to the code by a test.

--- a/src/configuration/check.ts
+++ b/src/configuration/check.ts
@@ -3,8 +3,10 @@
  * @packageDocumentation
  */
 import { Left, Right, type Either } from "purify-ts";
-import { parseWith, type ParseFault } from "../shared/index.js";
-import { textSchema, type OperatorText } from "./text-schema.js";
+import { z } from "zod";
+import type { ParseFault } from "../shared/index.js";
+import { checkForm } from "./text-form.js";
+import type { OperatorText } from "./text-schema.js";
 
 /**
  * Checks a text.
@@ -12,13 +14,37 @@
  * @returns the text, or every fault with its path
  */
 export function checkText(value: unknown): Either<ParseFault[], OperatorText> {
-  return parseWith(textSchema, value).chain((text) => {
-    const faults = [...findDuplicates(text), ...findUnknownReferences(text), ...findCycles(text)];
-    return faults.length === 0 ? Right(text) : Left(faults);
+  const names = namesSchema.parse(value);
+  const references = [...findDuplicates(names), ...findUnknownReferences(names), ...findCycles(names)];
+  return checkForm(value).caseOf<Either<ParseFault[], OperatorText>>({
+    Left: (faults) => Left([...faults, ...references]),
+    Right: (text) => (references.length === 0 ? Right(text) : Left(references)),
   });
 }
 
-function findDuplicates(text: OperatorText): ParseFault[] {
+const nameSchema = z.string().catch("");
+const namedSchema = z.object({ name: nameSchema }).catch({ name: "" });
+const namedServiceSchema = z
+  .object({
+    name: nameSchema,
+    pool: nameSchema,
+    dependsOn: z.array(nameSchema).catch([]),
+    operations: z.array(namedSchema).catch([]),
+  })
+  .catch({ name: "", pool: "", dependsOn: [], operations: [] });
+
+/** The names in a text of whatever form; those that cannot be read are empty and are passed over. */
+const namesSchema = z
+  .object({
+    pools: z.array(namedSchema).catch([]),
+    services: z.array(namedServiceSchema).catch([]),
+    teams: z.array(namedSchema).catch([]),
+  })
+  .catch({ pools: [], services: [], teams: [] });
+
+type TextNames = z.infer<typeof namesSchema>;
+
+function findDuplicates(text: TextNames): ParseFault[] {
   const lists = {
     pools: text.pools,
     services: text.services,
@@ -34,7 +60,7 @@
 function findRepeatedNames(list: string, items: readonly { readonly name: string }[]): ParseFault[] {
   const seen = new Set<string>();
   return items.flatMap(({ name }, index) => {
-    if (!seen.has(name)) {
+    if (name === "" || !seen.has(name)) {
       seen.add(name);
       return [];
     }
@@ -42,12 +68,12 @@
   });
 }
 
-function findUnknownReferences(text: OperatorText): ParseFault[] {
+function findUnknownReferences(text: TextNames): ParseFault[] {
   const pools = new Set(text.pools.map(({ name }) => name));
   const services = new Set(text.services.map(({ name }) => name));
   return text.services.flatMap((service, index) => {
     const dependencies = service.dependsOn.flatMap((name, position) =>
-      services.has(name)
+      name === "" || services.has(name)
         ? []
         : [
             {
@@ -56,7 +82,7 @@
             },
           ],
     );
-    if (pools.has(service.pool)) return dependencies;
+    if (service.pool === "" || pools.has(service.pool)) return dependencies;
     return [
       { path: `services[${index}].pool`, message: `pool "${service.pool}" does not exist` },
       ...dependencies,
@@ -64,9 +90,10 @@
   });
 }
 
-function findCycles(text: OperatorText): ParseFault[] {
+function findCycles(text: TextNames): ParseFault[] {
   const dependencies = new Map(text.services.map(({ name, dependsOn }) => [name, dependsOn]));
   return text.services.flatMap(({ name }, index) => {
+    if (name === "") return [];
     const cycle = findPathBack(name, dependencies);
     if (cycle === undefined) return [];
     const message = `"${name}" depends on itself through ${cycle.join(" -> ")}`;
--- a/src/configuration/index.ts
+++ b/src/configuration/index.ts
@@ -5,6 +5,8 @@
 export { textSchema } from "./text-schema.js";
 export type { OperationText, OperatorText, PoolText, ServiceText, TeamText } from "./text-schema.js";
 export { checkText } from "./check.js";
+export { createTextJsonSchema } from "./json-schema.js";
+export { warnAboutText } from "./warnings.js";
 export {
   configurationPrefix,
   configurationRecordSchema,
--- /dev/null
+++ b/src/configuration/test/check.test.ts
@@ -0,0 +1,148 @@
+/**
+ * Faults and warnings of texts, with their exact paths, and the committed JSON schema.
+ * @packageDocumentation
+ */
+import { readFile } from "node:fs/promises";
+import { format, resolveConfig } from "prettier";
+import { expect, test } from "vitest";
+import { checkText, createTextJsonSchema, warnAboutText, type OperatorText } from "../index.js";
+
+const exampleUrl = new URL("../../../examples/agency/text.json", import.meta.url);
+const schemaUrl = new URL("../../../schemas/text.schema.json", import.meta.url);
+const example = JSON.parse(await readFile(exampleUrl, "utf8")) as OperatorText;
+
+/** A text as loose JSON, so that tests can break it. */
+interface LooseText {
+  [key: string]: unknown;
+  pools: Record<string, unknown>[];
+  services: Record<string, unknown>[];
+  teams: Record<string, unknown>[];
+}
+
+function pathsOf(breakText: (text: LooseText) => void): string[] {
+  const text = structuredClone(example) as unknown;
+  breakText(text as LooseText);
+  return checkText(text)
+    .swap()
+    .orDefault([])
+    .map(({ path }) => path);
+}
+
+function set(items: Record<string, unknown>[], index: number, changes: Record<string, unknown>): void {
+  Object.assign(items[index] ?? {}, changes);
+}
+
+const brokenTexts: readonly [string, (text: LooseText) => void][] = [
+  ["version", (text) => (text.version = 2)],
+  [
+    "pools[1].minimumInstances",
+    ({ pools }) => {
+      set(pools, 1, { minimumInstances: -1 });
+    },
+  ],
+  [
+    "pools[4].name",
+    ({ pools }) => {
+      set(pools, 4, { name: "quotes" });
+    },
+  ],
+  [
+    "services[0].pool",
+    ({ services }) => {
+      set(services, 0, { pool: "quote" });
+    },
+  ],
+  [
+    "services[2].dependsOn[0]",
+    ({ services }) => {
+      set(services, 2, { dependsOn: ["nest"] });
+    },
+  ],
+  [
+    "services[3].availability.objective",
+    ({ services }) => {
+      set(services, 3, { availability: { objective: 1 } });
+    },
+  ],
+  [
+    "services[1].deadlineMillisecond",
+    ({ services }) => {
+      set(services, 1, { deadlineMillisecond: 5 });
+    },
+  ],
+  [
+    "services[0].operations[0].idempotent",
+    ({ services }) => {
+      set(services, 0, { operations: [{ name: "quote" }] });
+    },
+  ],
+  [
+    "services[1].dependsOn",
+    ({ services }) => {
+      set(services, 1, { dependsOn: ["nesting"] });
+    },
+  ],
+  [
+    "teams[2].quota",
+    ({ teams }) => {
+      set(teams, 2, { quota: 1.5 });
+    },
+  ],
+];
+
+test("the example has neither faults nor warnings", () => {
+  expect(checkText(example).isRight()).toBe(true);
+  expect(warnAboutText(checkText(example).unsafeCoerce())).toEqual([]);
+});
+
+test.each(brokenTexts)("a broken text gives exactly the path %s", (path, breakText) => {
+  expect(pathsOf(breakText)).toEqual([path]);
+});
+
+test("all faults of form and of references are reported together", () => {
+  const paths = pathsOf(({ pools, services, teams }) => {
+    set(pools, 0, { minimumInstances: "six", minimumInstance: 6 });
+    set(services, 0, { pool: "none", dependsOn: ["quotes"] });
+    set(teams, 1, { name: "plants" });
+  });
+  expect(paths.toSorted()).toEqual([
+    "pools[0].minimumInstance",
+    "pools[0].minimumInstances",
+    "services[0].dependsOn",
+    "services[0].pool",
+    "teams[1].name",
+  ]);
+});
+
+test("an unknown key names the nearest known one", () => {
+  const text = structuredClone(example) as unknown as LooseText;
+  set(text.services, 0, { dependOn: [] });
+  const faults = checkText(text).swap().orDefault([]);
+  expect(faults).toEqual([
+    { path: "services[0].dependOn", message: 'the key "dependOn" is unknown; did you mean "dependsOn"?' },
+  ]);
+});
+
+test("what is legal but unwise is warned of", () => {
+  const text = structuredClone(example) as unknown as LooseText;
+  set(text.pools, 0, { minimumInstances: 0 });
+  set(text.services, 1, { availability: { objective: 0.99999, windowSeconds: 3600 } });
+  set(text.services, 2, { deadlineMilliseconds: 50 });
+  text.pools.push({ name: "unused", minimumInstances: 1 });
+  set(text.teams, 0, { quota: 1 });
+  const paths = warnAboutText(checkText(text).unsafeCoerce()).map(({ path }) => path);
+  expect(paths.toSorted()).toEqual([
+    "pools[0].minimumInstances",
+    "pools[5]",
+    "services[0].availability",
+    "services[1].availability",
+    "services[2].operations[0].expectedMilliseconds",
+    "teams[0].quota",
+  ]);
+});
+
+test("the committed JSON schema is that of the code", async () => {
+  const options = await resolveConfig(schemaUrl);
+  const text = await format(JSON.stringify(createTextJsonSchema()), { ...options, parser: "json" });
+  await expect(text).toMatchFileSnapshot(schemaUrl.pathname);
+});
--- /dev/null
+++ b/src/configuration/warnings.ts
@@ -0,0 +1,59 @@
+/**
+ * Warnings about texts that are valid but unwise.
+ * @packageDocumentation
+ */
+import type { ParseFault } from "../shared/index.js";
+import type { OperatorText, PoolText, ServiceText } from "./text-schema.js";
+
+const millisecondsPerSecond = 1_000;
+
+/**
+ * Finds what is legal but unwise.
+ * @param text - a valid text
+ * @returns each warning with its path
+ */
+export function warnAboutText(text: OperatorText): ParseFault[] {
+  return [
+    ...text.pools.flatMap((pool, index) => warnAboutPool(text, pool, `pools[${index}]`)),
+    ...text.services.flatMap((service, index) => warnAboutService(text, service, `services[${index}]`)),
+    ...text.teams.flatMap(({ name, quota }, index) => {
+      if (quota < 1) return [];
+      const message = `team "${name}" may hold all slots of a pool while others wait`;
+      return [{ path: `teams[${index}].quota`, message }];
+    }),
+  ];
+}
+
+function warnAboutPool(text: OperatorText, pool: PoolText, path: string): ParseFault[] {
+  const serves = text.services.some((service) => service.pool === pool.name);
+  if (!serves && !pool.spare) {
+    return [{ path, message: `no service runs in pool "${pool.name}", and it is not spare` }];
+  }
+  if (serves && pool.minimumInstances === 0) {
+    const message = `pool "${pool.name}" runs services and may be planned down to no instance`;
+    return [{ path: `${path}.minimumInstances`, message }];
+  }
+  return [];
+}
+
+function warnAboutService(text: OperatorText, service: ServiceText, path: string): ParseFault[] {
+  const slow = service.operations.flatMap(({ name, expectedMilliseconds }, index) => {
+    if (expectedMilliseconds <= service.deadlineMilliseconds) return [];
+    const message = `operation "${name}" is expected to take longer than its service's deadline`;
+    return [{ path: `${path}.operations[${index}].expectedMilliseconds`, message }];
+  });
+  return [...warnAboutBudget(text, service, path), ...slow];
+}
+
+/** A drain lasts up to the deadline and takes one instance's share of the pool. */
+function warnAboutBudget(text: OperatorText, service: ServiceText, path: string): ParseFault[] {
+  const { objective, windowSeconds } = service.availability;
+  const budgetSeconds = (1 - objective) * windowSeconds;
+  const instances = text.pools.find(({ name }) => name === service.pool)?.minimumInstances ?? 0;
+  const drainSeconds = service.deadlineMilliseconds / millisecondsPerSecond / Math.max(1, instances);
+  if (drainSeconds <= budgetSeconds) return [];
+  const message =
+    `the budget of ${budgetSeconds.toFixed(1)} s in a window is less than one drain of ` +
+    `${drainSeconds.toFixed(1)} s, so that no wave fits in`;
+  return [{ path: `${path}.availability`, message }];
+}
--- a/src/shared/index.ts
+++ b/src/shared/index.ts
@@ -5,5 +5,5 @@
 export { createRandom, type Random } from "./random.js";
 export { rendezvousOrder, rendezvousOwner, hashText } from "./rendezvous.js";
 export { delay, withTimeout } from "./timers.js";
-export { parseWith, type ParseFault } from "./parse.js";
+export { formatPath, parseWith, type ParseFault } from "./parse.js";
 export { createHttpService, sendJson, readBody, type HttpService, type BodyFault } from "./http.js";
--- a/src/shared/parse.ts
+++ b/src/shared/parse.ts
@@ -25,7 +25,12 @@
   return Left(result.error.issues.map((issue) => ({ path: formatPath(issue.path), message: issue.message })));
 }
 
-function formatPath(path: readonly PropertyKey[]): string {
+/**
+ * Formats a path.
+ * @param path - keys and positions from the whole inwards
+ * @returns the path such as `pools[2].name`
+ */
+export function formatPath(path: readonly PropertyKey[]): string {
   return path.reduce<string>((text, part) => {
     if (typeof part === "number") return `${text}[${part}]`;
     return text === "" ? String(part) : `${text}.${String(part)}`;
