A duty is renewed during its steps and ends by the holder's own clock

Change: renewal runs beside the steps; the step's signal aborts half a second before the lease may end by the monotonic clock; a lost acquisition revokes its lease, so that a late write has no effect; isCandidate for large rosters. Conclusion: writes stay compare-and-swaps; the lease only saves doubled work.

--- a/src/configuration/nearest-name.ts
+++ b/src/configuration/nearest-name.ts
@@ -22,9 +22,9 @@
 /** Counts the insertions, deletions and replacements between two names (Levenshtein). */
 function editDistance(left: string, right: string): number {
   let previous = Array.from({ length: right.length + 1 }, (_, column) => column);
-  for (const [row, character] of [...left].entries()) {
+  for (const [row, character] of Array.from(left).entries()) {
     const current = [row + 1];
-    for (const [column, other] of [...right].entries()) {
+    for (const [column, other] of Array.from(right).entries()) {
       const replaced = (previous[column] ?? 0) + (character === other ? 0 : 1);
       current.push(Math.min(replaced, (previous[column + 1] ?? 0) + 1, (current[column] ?? 0) + 1));
     }
--- a/src/membership/duty.ts
+++ b/src/membership/duty.ts
@@ -3,13 +3,14 @@
  * The lease only saves doubled work; every write of a duty is a compare-and-swap of its own.
  * @packageDocumentation
  */
-import { writeAndSettle, type StoreClient } from "../platform/index.js";
-import { delay } from "../shared/index.js";
+import { Left, type Either } from "purify-ts";
+import { writeAndSettle, type StoreClient, type StoreFailure } from "../platform/index.js";
+import { delay, withTimeout } from "../shared/index.js";
 import type { Log } from "../telemetry/index.js";
 
 /** A duty that this entry competes for. */
 export interface Duty {
-  /** Whether this entry holds the duty as far as it knows. */
+  /** Whether this entry holds the duty; false once its lease may have ended by this process's own clock. */
   isHeld(): boolean;
   /** Gives the duty up and stops competing. */
   close(): Promise<void>;
@@ -23,14 +24,30 @@
   readonly name: string;
   readonly entryId: string;
   readonly log: Log;
-  /** One step of the duty's work, called again and again while the duty is held. */
+  /**
+   * One step of the duty's work, called again and again while the duty is held. Its signal aborts when the lease may
+   * have ended.
+   */
   step(signal: AbortSignal): Promise<void>;
   /** The wait between steps. */
   readonly periodMilliseconds: number;
+  /** Whether this entry competes now; all entries do by default. */
+  readonly isCandidate?: () => boolean;
 }
 
 const leaseSeconds = 6;
+const renewMilliseconds = 2_000;
+const renewRetryMilliseconds = 500;
+/** The holder stops this much before the lease ends, for clocks that run at different rates. */
+const leaseMarginMilliseconds = 500;
 const competeMilliseconds = 1_000;
+const millisecondsPerSecond = 1_000;
+
+interface HeldLease {
+  readonly leaseId: string;
+  /** When the lease may end, by the monotonic clock of this process. */
+  validUntil: number;
+}
 
 /**
  * Starts to compete for a duty.
@@ -39,54 +56,93 @@
  */
 export function createDuty(options: DutyOptions): Duty {
   const { store, name, entryId, log } = options;
-  const key = `duties/${name}`;
   const stop = new AbortController();
-  let leaseId: string | undefined;
+  const isStopped = (): boolean => stop.signal.aborted;
+  let held: HeldLease | undefined;
 
-  const acquire = async (): Promise<boolean> => {
-    const found = await store.get(key);
-    if (found.isLeft() || found.orDefault(undefined) !== undefined) return false;
-    const lease = await store.grantLease(leaseSeconds);
-    if (lease.isLeft()) return false;
-    const { leaseId: granted } = lease.unsafeCoerce();
-    const value = { entryId, leaseId: granted };
-    const isOwn = (held: unknown): boolean => (held as typeof value | undefined)?.leaseId === granted;
-    const result = await writeAndSettle(store, { key, value, expectedRevision: 0, leaseId: granted }, isOwn);
-    if (result.kind !== "done") return false;
-    leaseId = granted;
-    log.write("info", "duty-acquired", { duty: name });
-    return true;
-  };
-
-  const work = async (): Promise<void> => {
-    while (!stop.signal.aborted && leaseId !== undefined) {
-      const renewed = await store.renewLease(leaseId);
-      if (!renewed.orDefault(false)) break;
-      await options.step(stop.signal);
-      await delay(options.periodMilliseconds, stop.signal);
+  const work = async (lease: HeldLease): Promise<void> => {
+    const lost = new AbortController();
+    const ended = AbortSignal.any([stop.signal, lost.signal]);
+    const renewing = renewWhileStanding(store, lease, ended).then(() => {
+      lost.abort();
+    });
+    while (!ended.aborted && isStanding(lease)) {
+      await options.step(ended);
+      await delay(options.periodMilliseconds, ended);
     }
-    if (!stop.signal.aborted) log.write("warn", "duty-lost", { duty: name });
-    if (!stop.signal.aborted) leaseId = undefined;
+    lost.abort();
+    await renewing;
   };
 
   const run = async (): Promise<void> => {
-    while (!stop.signal.aborted) {
-      if (await acquire()) await work();
-      else await delay(competeMilliseconds, stop.signal);
+    while (!isStopped()) {
+      const isCandidate = options.isCandidate?.() ?? true;
+      held = isCandidate ? await acquire(store, name, entryId) : undefined;
+      if (held === undefined) {
+        await delay(competeMilliseconds, stop.signal);
+        continue;
+      }
+      log.write("info", "duty-acquired", { duty: name });
+      await work(held);
+      if (!isStopped()) log.write("warn", "duty-lost", { duty: name });
     }
   };
 
   const finished = run();
   return {
-    isHeld: () => leaseId !== undefined,
+    isHeld: () => held !== undefined && isStanding(held),
     abandon: () => {
       stop.abort();
     },
     close: async () => {
       stop.abort();
       await finished;
-      if (leaseId !== undefined) await store.revokeLease(leaseId);
-      leaseId = undefined;
+      if (held !== undefined) await store.revokeLease(held.leaseId);
+      held = undefined;
     },
   };
 }
+
+function isStanding({ validUntil }: HeldLease): boolean {
+  return performance.now() < validUntil;
+}
+
+function endOfLease(askedAt: number): number {
+  return askedAt + leaseSeconds * millisecondsPerSecond - leaseMarginMilliseconds;
+}
+
+async function acquire(store: StoreClient, name: string, entryId: string): Promise<HeldLease | undefined> {
+  const key = `duties/${name}`;
+  const found = await store.get(key);
+  if (found.isLeft() || found.orDefault(undefined) !== undefined) return undefined;
+  const askedAt = performance.now();
+  const lease = await store.grantLease(leaseSeconds);
+  if (lease.isLeft()) return undefined;
+  const { leaseId } = lease.unsafeCoerce();
+  const value = { entryId, leaseId };
+  const isOwn = (current: unknown): boolean => (current as typeof value | undefined)?.leaseId === leaseId;
+  const result = await writeAndSettle(store, { key, value, expectedRevision: 0, leaseId }, isOwn);
+  if (result.kind === "done") return { leaseId, validUntil: endOfLease(askedAt) };
+  // A write that is still on its way has no effect once its lease has ended.
+  await store.revokeLease(leaseId);
+  return undefined;
+}
+
+/** Renews a lease until it has ended, may have ended, or the signal aborts. */
+async function renewWhileStanding(store: StoreClient, lease: HeldLease, signal: AbortSignal): Promise<void> {
+  let wait = renewMilliseconds;
+  while (isStanding(lease)) {
+    await delay(Math.min(wait, lease.validUntil - performance.now()), signal);
+    const askedAt = performance.now();
+    const left = lease.validUntil - askedAt;
+    if (signal.aborted || left <= 0) return;
+    const late: Either<StoreFailure, boolean> = Left({
+      kind: "timeout",
+      message: "the lease may have ended",
+    });
+    const renewed = await withTimeout(store.renewLease(lease.leaseId), left, late);
+    if (renewed.isRight() && !renewed.orDefault(false)) return;
+    if (renewed.isRight()) lease.validUntil = endOfLease(askedAt);
+    wait = renewed.isRight() ? renewMilliseconds : renewRetryMilliseconds;
+  }
+}
--- /dev/null
+++ b/src/membership/test/duty.test.ts
@@ -0,0 +1,100 @@
+/**
+ * Duties whose holder is slow, paused or cut off from the store.
+ * @packageDocumentation
+ */
+import { afterEach, beforeEach, expect, test, vi } from "vitest";
+import { delay } from "../../shared/index.js";
+import { createStoreEngine, createStoreFaults, MemoryStoreClient } from "../../stand-ins/store/index.js";
+import { createLog } from "../../telemetry/index.js";
+import { createDuty, type Duty } from "../index.js";
+
+const log = createLog("silent");
+const engine = createStoreEngine();
+let duties: Duty[] = [];
+
+interface Competitor {
+  readonly duty: Duty;
+  readonly faults: ReturnType<typeof createStoreFaults>;
+  /** Whether a step that was not told to end is in progress. */
+  isWorking(): boolean;
+}
+
+function compete(entryId: string, name: string, stepMilliseconds = 50): Competitor {
+  const faults = createStoreFaults();
+  const store = new MemoryStoreClient(engine, faults);
+  let working: AbortSignal | undefined;
+  const duty = createDuty({
+    store,
+    name,
+    entryId,
+    log,
+    periodMilliseconds: 100,
+    step: async (signal) => {
+      working = signal;
+      await delay(stepMilliseconds, signal);
+      working = undefined;
+    },
+  });
+  duties.push(duty);
+  return { duty, faults, isWorking: () => working?.aborted === false };
+}
+
+beforeEach(() => {
+  vi.useFakeTimers();
+});
+
+afterEach(() => {
+  for (const duty of duties) duty.abandon();
+  duties = [];
+  vi.restoreAllMocks();
+  vi.useRealTimers();
+});
+
+test("a step longer than the lease keeps the duty", async () => {
+  const first = compete("a", "long", 20_000);
+  await vi.advanceTimersByTimeAsync(100);
+  const second = compete("b", "long");
+  await vi.advanceTimersByTimeAsync(15_000);
+  expect([first.duty.isHeld(), second.duty.isHeld()]).toEqual([true, false]);
+});
+
+test("an outage shorter than the lease costs nothing", async () => {
+  const first = compete("a", "short");
+  await vi.advanceTimersByTimeAsync(1_000);
+  first.faults.mode = "down";
+  await vi.advanceTimersByTimeAsync(2_500);
+  expect(first.duty.isHeld()).toBe(true);
+  first.faults.mode = "up";
+  await vi.advanceTimersByTimeAsync(10_000);
+  expect(first.duty.isHeld()).toBe(true);
+});
+
+test("a holder that is cut off stops before another one starts", async () => {
+  const first = compete("a", "cut", 20_000);
+  await vi.advanceTimersByTimeAsync(1_000);
+  const second = compete("b", "cut");
+  first.faults.mode = "down";
+  let both = 0;
+  for (let waited = 0; waited < 20_000; waited += 50) {
+    await vi.advanceTimersByTimeAsync(50);
+    if (second.duty.isHeld() && (first.duty.isHeld() || first.isWorking())) both += 1;
+  }
+  expect([both, first.duty.isHeld(), second.duty.isHeld()]).toEqual([0, false, true]);
+});
+
+test("a holder that was paused past its lease knows it before it looks at the store", async () => {
+  const first = compete("a", "paused");
+  await vi.advanceTimersByTimeAsync(1_000);
+  expect(first.duty.isHeld()).toBe(true);
+  const pausedAt = performance.now();
+  vi.spyOn(performance, "now").mockReturnValue(pausedAt + 10_000);
+  expect(first.duty.isHeld()).toBe(false);
+});
+
+test("a lost answer to the acquisition leaves the duty to somebody within a lease", async () => {
+  const first = compete("a", "lost");
+  first.faults.loseAnswers = 1;
+  const second = compete("b", "lost");
+  await vi.advanceTimersByTimeAsync(8_000);
+  expect([first.duty.isHeld(), second.duty.isHeld()].filter(Boolean)).toHaveLength(1);
+});
