--- a/src/membership/index.ts
+++ b/src/membership/index.ts
@@ -11,5 +11,6 @@
   type PeerNetwork,
   type PeerNetworkEvents,
 } from "./peer-network.js";
-export { createRoster, rosterPrefix, type Roster, type RosterRecord } from "./roster.js";
+export { createRoster, leaseSecondsFor, rosterPrefix, type Roster, type RosterRecord } from "./roster.js";
+export { choosePeers, isChosenInZone, maximumPeerLinks, type SelectableEntry } from "./selection.js";
 export { createDuty, type Duty, type DutyOptions } from "./duty.js";
--- a/src/membership/roster.ts
+++ b/src/membership/roster.ts
@@ -10,7 +10,8 @@
 /** Prefix of the entries' records. */
 export const rosterPrefix = "entries/";
 
-const rosterRecordSchema = z.object({
+/** Checks one entry's record. */
+export const rosterRecordSchema = z.object({
   entryId: z.string(),
   /** Start time of the process, higher after each restart. */
   incarnation: z.number(),
@@ -26,15 +27,33 @@
 export interface Roster {
   /** All entries with a record, this one included once registered. */
   entries(): RosterRecord[];
+  /** Takes records that peers know; they count until the store was read. */
+  learn(records: readonly RosterRecord[]): void;
   /** Removes this entry's record and stops renewing it. */
   leave(): Promise<void>;
   /** Stops renewing the record, which then ends with its lease. */
   abandon(): void;
 }
 
-const leaseSeconds = 10;
-const renewMilliseconds = 3_000;
+const shortestLeaseSeconds = 10;
+/** A lease is renewed three times, and a little more, before it would end. */
+const renewalShare = 0.3;
+/** Renewals by all entries together. */
+const renewalsPerSecond = 50;
+/** A lease is replaced when the roster's size asks for one this many times as long. */
+const leaseGrowth = 2;
 const retryMilliseconds = 500;
+const millisecondsPerSecond = 1_000;
+
+/**
+ * Computes how long a lease of an entry's record lasts. Peers find out sooner that an entry has stopped; the lease
+ * only clears the record away.
+ * @param rosterSize - how many entries there are
+ * @returns the time in seconds
+ */
+export function leaseSecondsFor(rosterSize: number): number {
+  return Math.max(shortestLeaseSeconds, Math.ceil(rosterSize / renewalsPerSecond / renewalShare));
+}
 
 /**
  * Registers this entry and keeps its record while the process runs.
@@ -46,27 +65,38 @@
  */
 export function createRoster(store: StoreClient, mirror: StoreMirror, self: RosterRecord, log: Log): Roster {
   const stop = new AbortController();
+  const isStopped = (): boolean => stop.signal.aborted;
   let leaseId: string | undefined;
+  let learned: readonly RosterRecord[] = [];
 
-  const register = async (): Promise<boolean> => {
+  const register = async (leaseSeconds: number): Promise<RegistrationResult> => {
     const lease = await store.grantLease(leaseSeconds);
-    leaseId = lease.map((granted) => granted.leaseId).orDefault(undefined as never);
-    return lease.isRight() && leaseId !== "" && writeOwnRecord(store, self, leaseId);
+    if (lease.isLeft()) return "failed";
+    leaseId = lease.unsafeCoerce().leaseId;
+    return writeOwnRecord(store, self, leaseId);
   };
 
-  const renewWhileStanding = async (): Promise<void> => {
-    while (!stop.signal.aborted && leaseId !== undefined) {
-      await delay(renewMilliseconds, stop.signal);
+  const renewWhileStanding = async (leaseSeconds: number): Promise<void> => {
+    while (!isStopped() && leaseId !== undefined) {
+      await delay(leaseSeconds * renewalShare * millisecondsPerSecond, stop.signal);
+      if (isStopped()) return;
       const renewed = await store.renewLease(leaseId);
       if (renewed.isRight() && !renewed.orDefault(true)) return;
+      if (leaseSecondsFor(mirror.records().size) >= leaseSeconds * leaseGrowth) return;
     }
   };
 
   const run = async (): Promise<void> => {
-    while (!stop.signal.aborted) {
-      if (await register()) {
-        log.write("info", "entry-registered", { incarnation: self.incarnation });
-        await renewWhileStanding();
+    while (!isStopped()) {
+      const leaseSeconds = leaseSecondsFor(mirror.records().size);
+      const result = await register(leaseSeconds);
+      if (result === "superseded") {
+        log.write("error", "entry-superseded", { incarnation: self.incarnation });
+        return;
+      }
+      if (result === "registered") {
+        log.write("info", "entry-registered", { incarnation: self.incarnation, leaseSeconds });
+        await renewWhileStanding(leaseSeconds);
       } else {
         await delay(retryMilliseconds, stop.signal);
       }
@@ -75,13 +105,10 @@
 
   void run();
   return {
-    entries: () =>
-      [...mirror.records().values()].flatMap(({ value }) =>
-        parseWith(rosterRecordSchema, value).caseOf<RosterRecord[]>({
-          Left: () => [],
-          Right: (record) => [record],
-        }),
-      ),
+    entries: () => (mirror.confirmedAt() > 0 ? decodeRecords(mirror) : [...learned]),
+    learn: (records) => {
+      learned = records;
+    },
     abandon: () => {
       stop.abort();
     },
@@ -92,13 +119,36 @@
   };
 }
 
-async function writeOwnRecord(store: StoreClient, self: RosterRecord, leaseId: string): Promise<boolean> {
+function decodeRecords(mirror: StoreMirror): RosterRecord[] {
+  return [...mirror.records().values()].flatMap(({ value }) => decodeRecord(value) ?? []);
+}
+
+function decodeRecord(value: unknown): RosterRecord | undefined {
+  return parseWith(rosterRecordSchema, value).caseOf<RosterRecord | undefined>({
+    Left: () => undefined,
+    Right: (record) => record,
+  });
+}
+
+type RegistrationResult = "registered" | "failed" | "superseded";
+
+async function writeOwnRecord(
+  store: StoreClient,
+  self: RosterRecord,
+  leaseId: string,
+): Promise<RegistrationResult> {
   const key = `${rosterPrefix}${self.entryId}`;
   const found = await store.get(key);
-  if (found.isLeft()) return false;
-  const expectedRevision = found.map((record) => record?.revision ?? 0).orDefault(0);
-  const isOwn = (value: unknown): boolean =>
-    (value as RosterRecord | undefined)?.incarnation === self.incarnation;
-  const result = await writeAndSettle(store, { key, value: self, expectedRevision, leaseId }, isOwn);
-  return result.kind === "done";
+  if (found.isLeft()) return "failed";
+  const current = found.orDefault(undefined);
+  const standing = decodeRecord(current?.value);
+  // A process that was paused while its successor registered must not take the name back.
+  if (standing !== undefined && standing.incarnation > self.incarnation) {
+    await store.revokeLease(leaseId);
+    return "superseded";
+  }
+  const isOwn = (value: unknown): boolean => decodeRecord(value)?.incarnation === self.incarnation;
+  const write = { key, value: self, expectedRevision: current?.revision ?? 0, leaseId };
+  const result = await writeAndSettle(store, write, isOwn);
+  return result.kind === "done" ? "registered" : "failed";
 }
--- /dev/null
+++ b/src/membership/test/roster.test.ts
@@ -0,0 +1,74 @@
+/**
+ * The roster under restarts, pauses and outages.
+ * @packageDocumentation
+ */
+import { afterEach, beforeEach, expect, test, vi } from "vitest";
+import { createStoreMirror, type StoreMirror } from "../../platform/index.js";
+import { createStoreEngine, createStoreFaults, MemoryStoreClient } from "../../stand-ins/store/index.js";
+import { createLog } from "../../telemetry/index.js";
+import { createRoster, rosterPrefix, type Roster } from "../index.js";
+
+const opened: (StoreMirror | Roster)[] = [];
+
+function createParts() {
+  const engine = createStoreEngine();
+  const faults = createStoreFaults();
+  const register = (incarnation: number): Roster => {
+    const store = new MemoryStoreClient(engine, faults);
+    const options = { store, prefix: rosterPrefix, refreshMilliseconds: 1_000, retryMilliseconds: 100 };
+    const mirror = createStoreMirror(options);
+    const self = { entryId: "a", incarnation, peerAddress: "127.0.0.1:1", zone: "z" };
+    const roster = createRoster(store, mirror, self, createLog("silent"));
+    opened.push(mirror, roster);
+    return roster;
+  };
+  return { faults, register };
+}
+
+beforeEach(() => {
+  vi.useFakeTimers();
+});
+
+afterEach(() => {
+  for (const part of opened.splice(0)) {
+    if ("abandon" in part) part.abandon();
+    else part.close();
+  }
+  vi.useRealTimers();
+});
+
+test("a higher incarnation replaces a lower one, which never takes the name back", async () => {
+  const { register } = createParts();
+  const observer = register(1);
+  await vi.advanceTimersByTimeAsync(1_000);
+  expect(observer.entries().map(({ incarnation }) => incarnation)).toEqual([1]);
+  register(2);
+  // The lease of the first record is renewed on; only the second one's may hold the record.
+  await vi.advanceTimersByTimeAsync(60_000);
+  register(1);
+  await vi.advanceTimersByTimeAsync(5_000);
+  expect(observer.entries().map(({ incarnation }) => incarnation)).toEqual([2]);
+});
+
+test("an entry whose lease ended in an outage registers again", async () => {
+  const { faults, register } = createParts();
+  const roster = register(1);
+  await vi.advanceTimersByTimeAsync(1_000);
+  faults.mode = "down";
+  await vi.advanceTimersByTimeAsync(30_000);
+  faults.mode = "up";
+  await vi.advanceTimersByTimeAsync(6_000);
+  expect(roster.entries()).toHaveLength(1);
+});
+
+test("a fresh entry uses what peers know until the store answers", async () => {
+  const { faults, register } = createParts();
+  faults.mode = "down";
+  const roster = register(1);
+  roster.learn([{ entryId: "b", incarnation: 1, peerAddress: "127.0.0.1:2", zone: "z" }]);
+  await vi.advanceTimersByTimeAsync(1_000);
+  expect(roster.entries().map(({ entryId }) => entryId)).toEqual(["b"]);
+  faults.mode = "up";
+  await vi.advanceTimersByTimeAsync(6_000);
+  expect(roster.entries().map(({ entryId }) => entryId)).toEqual(["a"]);
+});
--- /dev/null
+++ b/src/membership/test/selection.test.ts
@@ -0,0 +1,57 @@
+/**
+ * The chosen peers join all entries and bound each one's links.
+ * @packageDocumentation
+ */
+import { expect, test } from "vitest";
+import { choosePeers, isChosenInZone, leaseSecondsFor, type SelectableEntry } from "../index.js";
+
+function createEntries(count: number, zones: number): SelectableEntry[] {
+  return Array.from({ length: count }, (_, index) => ({
+    entryId: `entry-${index}`,
+    zone: `zone-${index % zones}`,
+  }));
+}
+
+/** Counts hops from the first entry until all were reached; Infinity when some never are. */
+function countHops(links: ReadonlyMap<string, readonly string[]>, start: string): number {
+  let reached = new Set([start]);
+  for (let hops = 0; hops < 20; hops += 1) {
+    if (reached.size === links.size) return hops;
+    const pushed = [...links].filter(
+      ([from, peers]) => peers.some((peer) => reached.has(peer)) || reached.has(from),
+    );
+    reached = new Set([...reached, ...pushed.map(([from]) => from)]);
+  }
+  return Infinity;
+}
+
+test("few entries form a full mesh", () => {
+  const entries = createEntries(9, 3);
+  for (const self of entries) expect(choosePeers(entries, self, 32)).toHaveLength(8);
+});
+
+test.each([81, 400, 1_000])("%i entries are joined within four hops by 32 links each", (count) => {
+  const entries = createEntries(count, 17);
+  const links = new Map(entries.map((self) => [self.entryId, choosePeers(entries, self, 32)]));
+  expect(Math.max(...[...links.values()].map((peers) => new Set(peers).size))).toBeLessThanOrEqual(32);
+  const incoming = new Map<string, number>();
+  for (const peer of [...links.values()].flat()) incoming.set(peer, (incoming.get(peer) ?? 0) + 1);
+  expect(Math.max(...incoming.values())).toBeLessThanOrEqual(96);
+  expect(countHops(links, "entry-0")).toBeLessThanOrEqual(4);
+});
+
+test("each zone has its chosen entries, and others follow when they stop", () => {
+  const entries = createEntries(60, 3);
+  const chosen = entries.filter((self) => isChosenInZone("watch", entries, self, 2));
+  expect(chosen).toHaveLength(6);
+  const living = entries.filter((entry) => !chosen.includes(entry));
+  expect(living.filter((self) => isChosenInZone("watch", living, self, 2))).toHaveLength(6);
+});
+
+test("leases lengthen with the roster so that renewals stay under 50 a second", () => {
+  expect(leaseSecondsFor(9)).toBe(10);
+  for (const size of [100, 1_000, 4_000, 20_000]) {
+    const renewalsPerSecond = size / ((leaseSecondsFor(size) * 3) / 10);
+    expect(renewalsPerSecond).toBeLessThanOrEqual(50);
+  }
+});
