--- a/src/configuration/index.ts
+++ b/src/configuration/index.ts
@@ -5,6 +5,8 @@
 export { textSchema } from "./text-schema.js";
 export type { OperationText, OperatorText, PoolText, ServiceText, TeamText } from "./text-schema.js";
 export { checkText } from "./check.js";
+export { createTextJsonSchema } from "./json-schema.js";
+export { warnAboutText } from "./warnings.js";
 export {
   configurationPrefix,
   configurationRecordSchema,
@@ -17,5 +19,13 @@
   type ConfigurationEvents,
   type ConfigurationKeeper,
 } from "./keeper.js";
-export { applyChange, type ApplyFailure, type ConfigurationChange } from "./apply.js";
+export {
+  applyChange,
+  rollBack,
+  type ApplyFailure,
+  type ConfigurationChange,
+  type RollBackRequest,
+} from "./apply.js";
+export { findDifferences, type TextDifference } from "./difference.js";
+export { readHistory, readRevision } from "./history.js";
 export { startRollOut } from "./roll-out.js";
--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -3,8 +3,8 @@
  * @packageDocumentation
  */
 import {
-  configurationPrefix,
   createConfigurationKeeper,
+  currentConfigurationKey,
   followStore,
   startRollOut,
   type ConfigurationKeeper,
@@ -28,6 +28,8 @@
   createInstanceList,
   createStoreMirror,
   EtcdStoreClient,
+  GuardedStoreClient,
+  type StoreClient,
   type StoreMirror,
 } from "./platform/index.js";
 import {
@@ -140,7 +142,7 @@
   readonly log: Log;
   readonly metrics: Metrics;
   readonly tracing: Tracing;
-  readonly store: EtcdStoreClient;
+  readonly store: StoreClient;
   readonly mirrors: Readonly<Record<"configuration" | "placement" | "roster", StoreMirror>>;
   close(): Promise<void>;
 }
@@ -148,7 +150,11 @@
 function wireFoundation(settings: EntrySettings, log: Log): Foundation {
   const entryLog = log.with({ entry: settings.entryId });
   const tracing = createTracing(createSpanExporter(settings.traces, entryLog));
-  const store = new EtcdStoreClient(settings.store);
+  const metrics = createMetrics();
+  const client = new EtcdStoreClient(settings.store);
+  const { callsPerSecond } = settings.store;
+  const random = createRandom(settings.seed);
+  const store = new GuardedStoreClient({ client, callsPerSecond, random, metrics });
   const mirror = (prefix: string): StoreMirror =>
     createStoreMirror({
       store,
@@ -157,15 +163,15 @@
       retryMilliseconds: mirrorRetryMilliseconds,
     });
   const mirrors = {
-    configuration: mirror(configurationPrefix),
+    configuration: mirror(currentConfigurationKey),
     placement: mirror(placementPrefix),
     roster: mirror(rosterPrefix),
   };
   const close = async (): Promise<void> => {
     for (const each of Object.values(mirrors)) each.close();
-    await Promise.all([store.close(), tracing.close()]);
+    await Promise.all([client.close(), tracing.close()]);
   };
-  return { settings, log: entryLog, metrics: createMetrics(), tracing, store, mirrors, close };
+  return { settings, log: entryLog, metrics, tracing, store, mirrors, close };
 }
 
 function wireConfiguration({ log, mirrors }: Foundation): ConfigurationKeeper {
