HomeAllocator: slots granted by one home entry a pool

Cause: nine entries that grant from their own counts pass a target's slots. Change: asks and releases go to the pool's home in batches; a home takes a pool over by collecting promises with an epoch and leaves the shares of entries that did not promise to them. Faults that the tests found: a batch that came twice released a slot in use; slots of cut-off entries stayed counted for ever, so that an isolated home had none.

--- /dev/null
+++ b/src/routing/home-allocator.ts
@@ -0,0 +1,273 @@
+/**
+ * Grants slots through one home entry for each pool, which counts the slots of all entries together.
+ * The rules for a home that dies, is paused or is cut off are in docs/design/routing.md.
+ * @packageDocumentation
+ */
+import type { Either } from "purify-ts";
+import { createRunTimes, type RunTimes } from "../admission/index.js";
+import type { PeerNetwork } from "../membership/index.js";
+import type { PlacementView } from "../pools/index.js";
+import type { Random } from "../shared/index.js";
+import { createHomeView, type HomeView } from "./home-view.js";
+import { exchangeSlots, reportSlots, type ReportReply, type SlotMessage } from "./messages.js";
+import { createOutbox, type Outbox } from "./outbox.js";
+import { PoolHome } from "./pool-home.js";
+import type { SlotAllocator, SlotAsk, SlotGrant, SlotRefusal, SlotUse } from "./slot-allocator.js";
+import { SlotAsker } from "./slot-asker.js";
+
+/** Settings of the allocator. */
+export interface HomeAllocatorOptions {
+  readonly entryId: string;
+  /** This entry's availability zone. */
+  readonly zone: string;
+  readonly view: PlacementView;
+  readonly peers: Pick<PeerNetwork, "answer" | "call" | "peers">;
+  readonly random: Random;
+  /** Asks that may wait for one pool at most. */
+  readonly maximumQueued: number;
+  /** Slots of each target of a pool. */
+  slotsPerTarget(pool: string): number;
+  /** Share of a pool's slots that a team may hold while others wait; 1 without a quota. */
+  quota(team: string): number;
+  /** The declared run time of an operation, by the key `service/operation`. */
+  declaredMilliseconds(operationKey: string): number;
+}
+
+const tickMilliseconds = 100;
+/** A gap between two ticks after which other entries may have taken over. */
+const pauseMilliseconds = 700;
+const exchangeTimeoutMilliseconds = 500;
+/** How long an entry looks for a home before it serves itself from its own share. */
+const isolationWaitMilliseconds = 3_000;
+
+/** Shares targets among entries exactly. */
+export class HomeAllocator implements SlotAllocator {
+  readonly #options: HomeAllocatorOptions;
+  readonly #homeView: HomeView;
+  readonly #runTimes: RunTimes;
+  readonly #asker: SlotAsker;
+  readonly #homes = new Map<string, PoolHome>();
+  readonly #outboxes = new Map<string, Outbox<SlotMessage>>();
+  /** Highest epoch heard of, by pool. */
+  readonly #epochs = new Map<string, number>();
+  /** Since when no home takes this entry's asks, by pool. */
+  readonly #homelessSince = new Map<string, number>();
+  readonly #timer: NodeJS.Timeout;
+  #tickedAt = Date.now();
+
+  /**
+   * Creates an allocator and answers its peers.
+   * @param options - its parts and bounds
+   */
+  constructor(options: HomeAllocatorOptions) {
+    const { entryId, zone, view, peers } = options;
+    this.#options = options;
+    this.#homeView = createHomeView(entryId, peers);
+    this.#runTimes = createRunTimes((key) => options.declaredMilliseconds(key));
+    this.#asker = new SlotAsker({
+      entryId,
+      zone,
+      view,
+      runTimes: this.#runTimes,
+      homeOf: (pool) => this.#homeOf(pool),
+      deliver: (toId, message) => {
+        this.#deliver(toId, message);
+      },
+    });
+    peers.answer(exchangeSlots, ({ messages }, fromId) => {
+      this.#homeView.heard(fromId);
+      for (const message of messages) this.#receive(fromId, message);
+      return {};
+    });
+    peers.answer(reportSlots, ({ pool, epoch }, fromId) => this.#onReport(pool, epoch, fromId));
+    this.#timer = setInterval(() => {
+      this.#tick();
+    }, tickMilliseconds);
+  }
+
+  async acquire(ask: SlotAsk, signal: AbortSignal): Promise<Either<SlotRefusal, SlotGrant>> {
+    return this.#asker.acquire(ask, signal);
+  }
+
+  release(grant: SlotGrant, use: SlotUse): void {
+    this.#asker.release(grant, use);
+  }
+
+  inProgress(instanceId: string): number {
+    return this.#asker.inProgress(instanceId);
+  }
+
+  close(): void {
+    clearInterval(this.#timer);
+    this.#asker.close();
+    for (const outbox of this.#outboxes.values()) outbox.close();
+  }
+
+  #tick(): void {
+    const wasPaused = !this.#isAwake();
+    this.#tickedAt = Date.now();
+    this.#homeView.refresh();
+    if (wasPaused) for (const pool of [...this.#homes.keys()]) this.#closeHome(pool);
+    for (const entryId of [...this.#outboxes.keys()]) {
+      if (this.#homeView.isGone(entryId)) this.#closeOutbox(entryId);
+    }
+    const pools = new Set(this.#options.view.all().map(({ pool }) => pool));
+    for (const pool of pools) this.#ensureHome(pool);
+    for (const home of [...this.#homes.values()]) home.step();
+    this.#asker.replace();
+  }
+
+  #isAwake(): boolean {
+    return Date.now() - this.#tickedAt < pauseMilliseconds;
+  }
+
+  #isAlone(pool: string): boolean {
+    const since = this.#homelessSince.get(pool);
+    return since !== undefined && Date.now() - since >= isolationWaitMilliseconds;
+  }
+
+  #homeOf(pool: string): string {
+    return this.#isAlone(pool) ? this.#options.entryId : this.#homeView.homeOf(pool);
+  }
+
+  #ensureHome(pool: string): PoolHome | undefined {
+    const { entryId } = this.#options;
+    const existing = this.#homes.get(pool);
+    const isOutgrown = existing?.start.alone === true && this.#homeView.homeOf(pool) === entryId;
+    if (existing !== undefined && !isOutgrown) return existing;
+    if (isOutgrown) {
+      this.#homelessSince.delete(pool);
+      this.#closeHome(pool);
+    }
+    if (this.#homeOf(pool) !== entryId) return undefined;
+    return this.#openHome(pool, Date.now());
+  }
+
+  #openHome(pool: string, startedAt: number): PoolHome {
+    const { view, random, maximumQueued, entryId, peers } = this.#options;
+    const known = Math.max(this.#epochs.get(pool) ?? 0, this.#asker.promisedEpoch(pool));
+    const epoch = known + 1;
+    this.#epochs.set(pool, epoch);
+    const parts = {
+      pool,
+      entryId,
+      view,
+      random,
+      maximumQueued,
+      homeView: this.#homeView,
+      runTimes: this.#runTimes,
+      slotsPerTarget: () => this.#options.slotsPerTarget(pool),
+      quota: (team: string) => this.#options.quota(team),
+      promiseOwn: (own: number) => this.#asker.promise(pool, entryId, own),
+      report: async (peerId: string, own: number): Promise<ReportReply | undefined> => {
+        const request = { pool, epoch: own };
+        const reply = await peers.call(peerId, reportSlots, request, exchangeTimeoutMilliseconds);
+        return reply.caseOf<ReportReply | undefined>({ Left: () => undefined, Right: (value) => value });
+      },
+      deliver: (toId: string, message: SlotMessage) => {
+        this.#deliver(toId, message);
+      },
+      isDelivered: (peerId: string) => this.#outboxes.get(peerId)?.isIdle() ?? true,
+      isAwake: () => this.#isAwake(),
+      onOutdated: (higher: number) => {
+        this.#onOutdated(pool, higher, startedAt);
+      },
+    };
+    const home = new PoolHome(parts, { epoch, startedAt, alone: this.#isAlone(pool) });
+    this.#homes.set(pool, home);
+    return home;
+  }
+
+  #onOutdated(pool: string, higher: number, startedAt: number): void {
+    this.#epochs.set(pool, Math.max(higher, this.#epochs.get(pool) ?? 0));
+    const wasActive = this.#homes.get(pool)?.isActive() === true;
+    this.#closeHome(pool);
+    if (this.#homeOf(pool) === this.#options.entryId) {
+      this.#openHome(pool, wasActive ? Date.now() : startedAt);
+    }
+  }
+
+  #closeHome(pool: string): void {
+    const home = this.#homes.get(pool);
+    this.#homes.delete(pool);
+    home?.close();
+  }
+
+  #onReport(pool: string, epoch: number, fromId: string): ReportReply {
+    this.#homeView.heard(fromId);
+    this.#homeView.refresh();
+    const promised = this.#asker.promisedEpoch(pool);
+    if (this.#homeView.homeOf(pool) !== fromId) {
+      return { kind: "denied", epoch: promised, seesOtherHome: true };
+    }
+    const reply = this.#asker.promise(pool, fromId, epoch);
+    if (reply.kind === "promised") {
+      this.#epochs.set(pool, Math.max(epoch, this.#epochs.get(pool) ?? 0));
+      this.#homelessSince.delete(pool);
+      this.#closeHome(pool);
+    }
+    return reply;
+  }
+
+  #deliver(toId: string, message: SlotMessage): void {
+    if (toId === this.#options.entryId) {
+      this.#receive(toId, message);
+      return;
+    }
+    let outbox = this.#outboxes.get(toId);
+    if (outbox === undefined) {
+      outbox = createOutbox<SlotMessage>(async (messages) => {
+        const request = { messages: [...messages] };
+        const { peers } = this.#options;
+        return (await peers.call(toId, exchangeSlots, request, exchangeTimeoutMilliseconds)).isRight();
+      });
+      this.#outboxes.set(toId, outbox);
+    }
+    outbox.push(message);
+  }
+
+  #closeOutbox(entryId: string): void {
+    this.#outboxes.get(entryId)?.close();
+    this.#outboxes.delete(entryId);
+  }
+
+  #receive(fromId: string, message: SlotMessage): void {
+    switch (message.kind) {
+      case "grant":
+        this.#noteHome(fromId, message.pool);
+        this.#asker.onGrant(fromId, message);
+        break;
+      case "refusal":
+        this.#noteHome(fromId, message.pool);
+        this.#asker.onRefusal(message);
+        break;
+      case "not-home":
+        if (fromId !== this.#options.entryId) this.#noteHomeless(message.pool);
+        this.#asker.onNotHome(message.askId);
+        break;
+      default:
+        this.#receiveAsHome(fromId, message);
+    }
+  }
+
+  #receiveAsHome(
+    fromId: string,
+    message: Extract<SlotMessage, { kind: "ask" | "cancel" | "release" }>,
+  ): void {
+    const home = message.kind === "ask" ? this.#ensureHome(message.pool) : this.#homes.get(message.pool);
+    const isServed = home?.start.alone !== true || fromId === this.#options.entryId;
+    if (home !== undefined && isServed) home.receive(fromId, message);
+    else if (message.kind === "ask") {
+      this.#deliver(fromId, { kind: "not-home", pool: message.pool, askId: message.askId });
+    }
+  }
+
+  #noteHome(fromId: string, pool: string): void {
+    const isAloneHome = fromId === this.#options.entryId && this.#homes.get(pool)?.start.alone === true;
+    if (!isAloneHome) this.#homelessSince.delete(pool);
+  }
+
+  #noteHomeless(pool: string): void {
+    if (!this.#homelessSince.has(pool)) this.#homelessSince.set(pool, Date.now());
+  }
+}
--- a/src/routing/index.ts
+++ b/src/routing/index.ts
@@ -12,3 +12,4 @@
   Urgency,
 } from "./slot-allocator.js";
 export { IndependentAllocator, type IndependentAllocatorOptions } from "./independent-allocator.js";
+export { HomeAllocator, type HomeAllocatorOptions } from "./home-allocator.js";
--- /dev/null
+++ b/src/routing/slot-asker.ts
@@ -0,0 +1,280 @@
+/**
+ * The asking side: the asks of this entry's requests, the slots they hold, and what was promised to homes.
+ * @packageDocumentation
+ */
+import { Left, Right, type Either } from "purify-ts";
+import type { RunTimes } from "../admission/index.js";
+import type { PlacementView } from "../pools/index.js";
+import type { ReportedSlot, ReportReply, SlotMessage } from "./messages.js";
+import type { SlotAsk, SlotGrant, SlotRefusal, SlotUse } from "./slot-allocator.js";
+
+/** What the asking side works with. */
+export interface SlotAskerParts {
+  readonly entryId: string;
+  readonly zone: string;
+  readonly view: PlacementView;
+  readonly runTimes: RunTimes;
+  /** Names the entry to ask for a pool's slots. */
+  homeOf(pool: string): string;
+  deliver(entryId: string, message: SlotMessage): void;
+}
+
+interface PendingAsk {
+  readonly askId: string;
+  readonly ask: SlotAsk;
+  /** The entry that was asked, undefined when the ask must be placed anew. */
+  homeId: string | undefined;
+  finish(result: Either<SlotRefusal, SlotGrant>): void;
+}
+
+interface UsedSlot extends ReportedSlot {
+  readonly pool: string;
+}
+
+interface HomePromise {
+  readonly epoch: number;
+  readonly homeId: string;
+}
+
+type MessageOf<Kind extends SlotMessage["kind"]> = Extract<SlotMessage, { kind: Kind }>;
+
+const noTargetRetryMilliseconds = 1_000;
+const closingRetryMilliseconds = 1_000;
+
+/** The asks and slots of one entry. */
+export class SlotAsker {
+  readonly #parts: SlotAskerParts;
+  readonly #pending = new Map<string, PendingAsk>();
+  readonly #used = new Map<string, UsedSlot>();
+  readonly #inProgress = new Map<string, number>();
+  readonly #promises = new Map<string, HomePromise>();
+  /** Distinguishes the asks of this process from those of an earlier one with the same name. */
+  readonly #askPrefix: string;
+  #nextAsk = 1;
+
+  /**
+   * Creates the asking side.
+   * @param parts - what it works with
+   */
+  constructor(parts: SlotAskerParts) {
+    this.#parts = parts;
+    this.#askPrefix = `${parts.entryId}/${Date.now()}`;
+  }
+
+  /**
+   * Waits for a slot.
+   * @param ask - what is asked for
+   * @param signal - aborts the wait
+   * @returns a grant or a refusal, at the ask's deadline at the latest
+   */
+  async acquire(ask: SlotAsk, signal: AbortSignal): Promise<Either<SlotRefusal, SlotGrant>> {
+    if (signal.aborted) return Left({ reason: "cancelled", retryAfterMilliseconds: 0 });
+    const remaining = ask.deadlineAt - Date.now();
+    if (remaining <= 0) return Left({ reason: "deadline-passed", retryAfterMilliseconds: 0 });
+    if (this.#parts.view.serving(ask.pool).length === 0) {
+      return Left({ reason: "no-target", retryAfterMilliseconds: noTargetRetryMilliseconds });
+    }
+    return new Promise((resolve) => {
+      const askId = `${this.#askPrefix}/${this.#nextAsk}`;
+      this.#nextAsk += 1;
+      const giveUp = (reason: "cancelled" | "deadline-passed"): void => {
+        pending.finish(Left({ reason, retryAfterMilliseconds: 0 }));
+        const { homeId } = pending;
+        if (homeId !== undefined) this.#parts.deliver(homeId, { kind: "cancel", pool: ask.pool, askId });
+      };
+      const onAbort = (): void => {
+        giveUp("cancelled");
+      };
+      const timer = setTimeout(giveUp, remaining, "deadline-passed");
+      const finish = (result: Either<SlotRefusal, SlotGrant>): void => {
+        clearTimeout(timer);
+        signal.removeEventListener("abort", onAbort);
+        this.#pending.delete(askId);
+        resolve(result);
+      };
+      const pending: PendingAsk = { askId, ask, homeId: undefined, finish };
+      signal.addEventListener("abort", onAbort, { once: true });
+      this.#pending.set(askId, pending);
+      this.#place(pending);
+    });
+  }
+
+  /**
+   * Gives a slot back to the pool's home.
+   * @param grant - the slot
+   * @param use - what came of it
+   */
+  release(grant: SlotGrant, use: SlotUse): void {
+    const slot = this.#used.get(grant.grantId);
+    if (slot === undefined) return;
+    this.#used.delete(grant.grantId);
+    const left = this.inProgress(slot.instanceId) - 1;
+    if (left === 0) this.#inProgress.delete(slot.instanceId);
+    else this.#inProgress.set(slot.instanceId, left);
+    const homeId = this.promisedHome(slot.pool);
+    if (homeId !== this.#parts.entryId && use.verdict === "ok") {
+      this.#parts.runTimes.record(slot.operationKey, use.runMilliseconds);
+    }
+    this.#parts.deliver(homeId, { kind: "release", pool: slot.pool, grantId: grant.grantId, ...use });
+  }
+
+  /**
+   * Counts the slots that this entry uses on a target.
+   * @param instanceId - the target
+   * @returns how many
+   */
+  inProgress(instanceId: string): number {
+    return this.#inProgress.get(instanceId) ?? 0;
+  }
+
+  /**
+   * Lists the slots in use.
+   * @param pool - the pool
+   * @returns this entry's slots of the pool
+   */
+  slots(pool: string): UsedSlot[] {
+    return [...this.#used.values()].filter((slot) => slot.pool === pool);
+  }
+
+  /**
+   * Names the home that has this entry's promise.
+   * @param pool - the pool
+   * @returns the home, or this entry itself when it promised none
+   */
+  promisedHome(pool: string): string {
+    return this.#promises.get(pool)?.homeId ?? this.#parts.entryId;
+  }
+
+  /**
+   * Names the highest epoch that this entry promised.
+   * @param pool - the pool
+   * @returns the epoch, 0 for none
+   */
+  promisedEpoch(pool: string): number {
+    return this.#promises.get(pool)?.epoch ?? 0;
+  }
+
+  /**
+   * Promises to use no grant of a lower epoch.
+   * @param pool - the pool
+   * @param homeId - the entry that wants to be its home
+   * @param epoch - its epoch
+   * @returns the slots in use, or a denial when a higher epoch was promised
+   */
+  promise(pool: string, homeId: string, epoch: number): ReportReply {
+    const promised = this.#promises.get(pool);
+    const isLower = promised !== undefined && epoch < promised.epoch;
+    const isRival = epoch === promised?.epoch && homeId !== promised.homeId;
+    if (isLower || isRival) {
+      return { kind: "denied", epoch: promised.epoch, seesOtherHome: false };
+    }
+    this.#promises.set(pool, { epoch, homeId });
+    if (epoch !== promised?.epoch) this.#resetPlaces(pool);
+    const slots = this.slots(pool).map(({ grantId, instanceId, team, operationKey }) => ({
+      grantId,
+      instanceId,
+      team,
+      operationKey,
+    }));
+    return { kind: "promised", slots };
+  }
+
+  /**
+   * Takes a slot, unless the ask ended, the granting home has no promise or the target takes no new work.
+   * @param fromId - the entry that grants
+   * @param grant - the grant
+   */
+  onGrant(fromId: string, grant: MessageOf<"grant">): void {
+    const { pool, askId, grantId, instanceId, epoch } = grant;
+    // A batch whose reply was lost comes twice.
+    if (this.#used.has(grantId)) return;
+    const pending = this.#pending.get(askId);
+    const target = this.#parts.view.serving(pool).find((each) => each.instanceId === instanceId);
+    if (pending === undefined || target === undefined || !this.#accepts(fromId, pool, epoch)) {
+      const unused = { verdict: "neutral", runMilliseconds: 0 } as const;
+      this.#parts.deliver(fromId, { kind: "release", pool, grantId, ...unused });
+      if (pending !== undefined) pending.homeId = undefined;
+      return;
+    }
+    const { team, service, operation } = pending.ask;
+    const operationKey = operationKeyOf(service, operation);
+    this.#used.set(grantId, { pool, grantId, instanceId, team, operationKey });
+    this.#inProgress.set(instanceId, this.inProgress(instanceId) + 1);
+    pending.finish(Right({ grantId, target }));
+  }
+
+  /**
+   * Ends an ask that its home refused.
+   * @param refusal - the refusal
+   */
+  onRefusal({ askId, reason, retryAfterMilliseconds }: MessageOf<"refusal">): void {
+    this.#pending.get(askId)?.finish(Left({ reason, retryAfterMilliseconds }));
+  }
+
+  /**
+   * Notes that an ask must be placed anew.
+   * @param askId - the ask
+   */
+  onNotHome(askId: string): void {
+    const pending = this.#pending.get(askId);
+    if (pending !== undefined) pending.homeId = undefined;
+  }
+
+  /** Places the asks anew whose home is another entry by now. */
+  replace(): void {
+    for (const pending of [...this.#pending.values()]) {
+      const { homeId, askId, ask } = pending;
+      if (homeId === this.#parts.homeOf(ask.pool)) continue;
+      if (homeId !== undefined) this.#parts.deliver(homeId, { kind: "cancel", pool: ask.pool, askId });
+      this.#place(pending);
+    }
+  }
+
+  /** Refuses all waiting asks. */
+  close(): void {
+    for (const pending of [...this.#pending.values()]) {
+      pending.finish(Left({ reason: "unavailable", retryAfterMilliseconds: closingRetryMilliseconds }));
+    }
+  }
+
+  /** Lets every ask of a pool be placed anew, since a home that started again has lost them. */
+  #resetPlaces(pool: string): void {
+    for (const pending of this.#pending.values()) {
+      if (pending.ask.pool === pool) pending.homeId = undefined;
+    }
+  }
+
+  #accepts(fromId: string, pool: string, epoch: number): boolean {
+    // This entry's own grants are given without delay, so that none can come late.
+    if (fromId === this.#parts.entryId) return true;
+    const promised = this.#promises.get(pool);
+    return epoch === promised?.epoch && fromId === promised.homeId;
+  }
+
+  #place(pending: PendingAsk): void {
+    const { ask, askId } = pending;
+    const homeId = this.#parts.homeOf(ask.pool);
+    pending.homeId = homeId;
+    this.#parts.deliver(homeId, {
+      kind: "ask",
+      pool: ask.pool,
+      askId,
+      zone: this.#parts.zone,
+      team: ask.team,
+      urgency: ask.urgency,
+      operationKey: operationKeyOf(ask.service, ask.operation),
+      remainingMilliseconds: ask.deadlineAt - Date.now(),
+      excludedInstances: [...ask.excludedInstances],
+    });
+  }
+}
+
+/**
+ * Names an operation of a service.
+ * @param service - the service
+ * @param operation - the operation
+ * @returns the key of its run times
+ */
+export function operationKeyOf(service: string, operation: string): string {
+  return `${service}/${operation}`;
+}
--- a/src/routing/slot-home.ts
+++ b/src/routing/slot-home.ts
@@ -171,6 +171,17 @@
     this.pump();
   }
 
+  /**
+   * Ends all waits without an answer and stops granting.
+   * @returns the asks that waited
+   */
+  drain(): HomeAsk[] {
+    this.#active = false;
+    const asks = [...this.#waiting.values()];
+    for (const { askId } of asks) this.cancel(askId);
+    return asks;
+  }
+
   /**
    * Adds slots that an entry reported as in use.
    * @param slots - the slots
@@ -257,7 +268,14 @@
     chosen.free -= 1;
     this.#waiting.delete(ask.askId);
     this.#queue.remove(ask);
-    this.ledger.add({ grantId, instanceId, entryId, team, operationKey });
+    this.ledger.add({
+      grantId,
+      instanceId,
+      entryId,
+      team,
+      operationKey,
+      grantedAt: this.#parts.now(),
+    });
     this.#parts.onGrant(ask, grantId, chosen.target);
   }
 }
--- a/src/routing/slot-ledger.ts
+++ b/src/routing/slot-ledger.ts
@@ -11,6 +11,8 @@
   readonly entryId: string;
   readonly team: string;
   readonly operationKey: string;
+  /** When this home granted the slot or heard of it, in milliseconds since the epoch. */
+  readonly grantedAt: number;
 }
 
 /** Counts slots in use. */
--- /dev/null
+++ b/src/routing/test/home-allocator.test.ts
@@ -0,0 +1,228 @@
+import { setMaxListeners } from "node:events";
+import Emittery from "emittery";
+import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
+import type { PlacementView, Target } from "../../pools/index.js";
+import { createRandom, delay, rendezvousOwner } from "../../shared/index.js";
+import { HomeAllocator } from "../home-allocator.js";
+import type { SlotAsk, SlotGrant } from "../slot-allocator.js";
+import { createPeerHub, type PeerHub } from "./peer-hub.js";
+import { createTargets } from "./home-fixture.js";
+
+const slots = 8;
+const entryIds = ["entry-1", "entry-2", "entry-3", "entry-4"];
+const homeId = rendezvousOwner("home/quotes", entryIds) ?? "";
+const others = entryIds.filter((entryId) => entryId !== homeId);
+const [asker = "", second = ""] = others;
+
+interface TestFleet {
+  readonly hub: PeerHub;
+  readonly allocators: ReadonlyMap<string, HomeAllocator>;
+  readonly targets: Target[];
+  /** Slots in use by target, as the targets see them. */
+  readonly inUse: Map<string, number>;
+  /** Uses that found all slots of their target taken. */
+  overSlots: number;
+  readonly ended: { readonly entryId: string; readonly kind: string; readonly at: number }[];
+  readonly dead: Set<string>;
+}
+
+function createView(targets: Target[]): PlacementView {
+  const serving = (pool: string): Target[] =>
+    targets.filter((target) => target.pool === pool && target.state === "serving");
+  return {
+    events: new Emittery(),
+    serving,
+    members: serving,
+    all: () => targets,
+    find: (instanceId) => targets.find((target) => target.instanceId === instanceId),
+    revision: () => 1,
+  };
+}
+
+function createFleet(targetCount: number): TestFleet {
+  const hub = createPeerHub();
+  const targets = createTargets(targetCount);
+  const networks = entryIds.map((entryId) => ({ entryId, peers: hub.join(entryId) }));
+  const allocators = new Map(
+    networks.map(({ entryId, peers }, index) => [
+      entryId,
+      new HomeAllocator({
+        entryId,
+        zone: "zone-1",
+        view: createView(targets),
+        peers,
+        random: createRandom(index + 1),
+        maximumQueued: 10_000,
+        slotsPerTarget: () => slots,
+        quota: () => 1,
+        declaredMilliseconds: () => 100,
+      }),
+    ]),
+  );
+  return { hub, allocators, targets, inUse: new Map(), overSlots: 0, ended: [], dead: new Set() };
+}
+
+function createAsk(patience: number): SlotAsk {
+  return {
+    requestId: "r",
+    pool: "quotes",
+    service: "quotes",
+    operation: "quote",
+    team: "plants",
+    urgency: "normal",
+    deadlineAt: Date.now() + patience,
+    excludedInstances: [],
+  };
+}
+
+async function use(fleet: TestFleet, entryId: string, grant: SlotGrant, run: number): Promise<void> {
+  const { instanceId } = grant.target;
+  const count = (fleet.inUse.get(instanceId) ?? 0) + 1;
+  fleet.inUse.set(instanceId, count);
+  if (count > slots) fleet.overSlots += 1;
+  await delay(run);
+  fleet.inUse.set(instanceId, (fleet.inUse.get(instanceId) ?? 0) - 1);
+  if (!fleet.dead.has(entryId)) {
+    fleet.allocators.get(entryId)?.release(grant, { verdict: "ok", runMilliseconds: run });
+  }
+}
+
+async function request(
+  fleet: TestFleet,
+  entryId: string,
+  { patience = 5_000, run = 100, signal = new AbortController().signal } = {},
+): Promise<void> {
+  const result = await fleet.allocators.get(entryId)?.acquire(createAsk(patience), signal);
+  if (fleet.dead.has(entryId) || result === undefined) return;
+  const kind = result.caseOf<string>({ Left: ({ reason }) => reason, Right: () => "granted" });
+  fleet.ended.push({ entryId, kind, at: Date.now() });
+  if (result.isRight()) await use(fleet, entryId, result.unsafeCoerce(), run);
+}
+
+/** Sends requests at every entry for a while, at a multiple of what the targets hold. */
+async function load(fleet: TestFleet, milliseconds: number, factor: number): Promise<void> {
+  const perTick = (fleet.targets.length * slots * factor * 10) / 100;
+  const random = createRandom(7);
+  let due = 0;
+  for (let passed = 0; passed < milliseconds; passed += 10) {
+    for (due += perTick; due >= 1; due -= 1) {
+      const entryId = entryIds[random.integer(0, entryIds.length - 1)] ?? "";
+      if (!fleet.dead.has(entryId))
+        void request(fleet, entryId, { patience: 800, run: random.integer(50, 150) });
+    }
+    await vi.advanceTimersByTimeAsync(10);
+  }
+}
+
+function countEnded(fleet: TestFleet, kind: string, since = 0, entryId?: string): number {
+  return fleet.ended.filter(
+    (each) => each.kind === kind && each.at >= since && (entryId === undefined || each.entryId === entryId),
+  ).length;
+}
+
+describe("HomeAllocator", () => {
+  let fleet: TestFleet;
+
+  beforeEach(async () => {
+    vi.useFakeTimers({ now: 1_000_000 });
+    fleet = createFleet(2);
+    await vi.advanceTimersByTimeAsync(1_000);
+  });
+
+  afterEach(() => {
+    for (const allocator of fleet.allocators.values()) allocator.close();
+    vi.useRealTimers();
+  });
+
+  it("never passes a target's slots over all entries and keeps them busy in overload", async () => {
+    await load(fleet, 5_000, 3);
+    expect(fleet.overSlots).toBe(0);
+    // 16 slots of 100 ms give 800 runs in 5 s.
+    expect(countEnded(fleet, "granted")).toBeGreaterThan(750);
+    await vi.advanceTimersByTimeAsync(10_000);
+    expect([...fleet.inUse.values()].every((count) => count === 0)).toBe(true);
+  });
+
+  it("grants again within 1 s after its home was killed, and then on all slots", async () => {
+    await load(fleet, 1_000, 1.5);
+    const killedAt = Date.now();
+    fleet.hub.kill(homeId);
+    fleet.dead.add(homeId);
+    fleet.allocators.get(homeId)?.close();
+    await load(fleet, 1_000, 1.5);
+    expect(countEnded(fleet, "granted", killedAt)).toBeGreaterThan(50);
+    const laterAt = Date.now();
+    await load(fleet, 3_000, 3);
+    expect(countEnded(fleet, "granted", laterAt)).toBeGreaterThan(430);
+    // The killed entry's requests were still running when its slots were granted anew.
+    expect(fleet.overSlots).toBeLessThanOrEqual(slots * fleet.targets.length);
+  });
+
+  it("keeps within the slots while the home is cut from all others and when it comes back", async () => {
+    await load(fleet, 1_000, 2);
+    for (const entryId of others) fleet.hub.cut(homeId, entryId, true);
+    const cutAt = Date.now();
+    await load(fleet, 8_000, 2);
+    expect(fleet.overSlots).toBe(0);
+    expect(countEnded(fleet, "granted", cutAt + 6_500, homeId)).toBeGreaterThan(0);
+    expect(countEnded(fleet, "granted", cutAt + 6_500, asker)).toBeGreaterThan(0);
+    for (const entryId of others) fleet.hub.cut(homeId, entryId, false);
+    await load(fleet, 3_000, 2);
+    const healedAt = Date.now();
+    await load(fleet, 3_000, 2);
+    expect(fleet.overSlots).toBe(0);
+    expect(countEnded(fleet, "granted", healedAt)).toBeGreaterThan(430);
+  });
+
+  it("lets an entry that lost only its home run on its own share, within the slots", async () => {
+    await load(fleet, 1_000, 2);
+    fleet.hub.cut(homeId, asker, true);
+    const cutAt = Date.now();
+    await load(fleet, 12_000, 2);
+    expect(fleet.overSlots).toBe(0);
+    expect(countEnded(fleet, "granted", cutAt + 8_000, asker)).toBeGreaterThan(0);
+    expect(countEnded(fleet, "granted", cutAt + 8_000, second)).toBeGreaterThan(0);
+    fleet.hub.cut(homeId, asker, false);
+    await load(fleet, 5_000, 2);
+    const healedAt = Date.now();
+    await load(fleet, 2_000, 2);
+    expect(fleet.overSlots).toBe(0);
+    expect(countEnded(fleet, "granted", healedAt)).toBeGreaterThan(280);
+  });
+
+  it("frees slots whose messages were lost", async () => {
+    fleet.hub.loseReplies(40);
+    await load(fleet, 2_000, 1.5);
+    await vi.advanceTimersByTimeAsync(8_000);
+    const quietAt = Date.now();
+    for (let index = 0; index < slots * 2; index += 1) void request(fleet, asker);
+    await vi.advanceTimersByTimeAsync(90);
+    expect(countEnded(fleet, "granted", quietAt)).toBe(slots * 2);
+    expect(fleet.overSlots).toBe(0);
+  });
+
+  it("answers a wave of cancellations at once and frees its places", async () => {
+    for (let index = 0; index < slots * 2; index += 1) void request(fleet, asker, { run: 2_000 });
+    await vi.advanceTimersByTimeAsync(20);
+    const wave = new AbortController();
+    setMaxListeners(0, wave.signal);
+    const options = { patience: 600_000, signal: wave.signal };
+    for (let index = 0; index < 3_000; index += 1) void request(fleet, asker, options);
+    await vi.advanceTimersByTimeAsync(20);
+    wave.abort();
+    await vi.advanceTimersByTimeAsync(0);
+    expect(countEnded(fleet, "cancelled")).toBe(3_000);
+    await vi.advanceTimersByTimeAsync(2_500);
+    void request(fleet, second, { patience: 300 });
+    await vi.advanceTimersByTimeAsync(50);
+    expect(countEnded(fleet, "granted", 0, second)).toBe(1);
+  });
+
+  it("ends an ask at its deadline when no home answers", async () => {
+    for (const entryId of entryIds) fleet.hub.cut(entryId, asker, true);
+    const askedAt = Date.now();
+    void request(fleet, asker, { patience: 400 });
+    await vi.advanceTimersByTimeAsync(410);
+    expect(fleet.ended).toEqual([{ entryId: asker, kind: "deadline-passed", at: askedAt + 400 }]);
+  });
+});
