Exchange proves what was sent; claims on idempotency keys; body memory

Cause: a cancelled or late request that still waited for a connection was called unknown though no byte was written; an answer without length was taken as whole; a length beyond the bound was read to the end. Non-idempotent operations had no claim on their key, so that a repeated key ran again.

Change: the exchange reads answers by its own handler, which sees the moment before the first byte; claims by key shard with a fenced, group-committed log in the store; retries by tokens; jobs that fail on several healthy targets are final for a while; request and answer bodies count against bodyMemoryBytes.

--- /dev/null
+++ b/src/execution/claims/index.ts
@@ -0,0 +1,10 @@
+/**
+ * At-most-once claims by idempotency key.
+ * @packageDocumentation
+ */
+export { createClaims, type Claims, type ClaimsOptions } from "./claims.js";
+export { createClaimOwner, shardOfKey, type ClaimOwner, type ClaimOwnerOptions } from "./claim-owner.js";
+export { createRetentionLease, type RetentionLease } from "./retention-lease.js";
+export { claimsPrefix, digestParts } from "./claim-segment.js";
+export type { ClaimMemoryOptions } from "./claim-memory.js";
+export type { ClaimAnswer, ClaimAsk, ClaimSettlement, HeldAnswer } from "./claim-messages.js";
--- a/src/execution/executor.ts
+++ b/src/execution/executor.ts
@@ -1,31 +1,21 @@
 /**
- * Runs a caller's request: waits for a slot, sends it to the target, sends it again where nothing ran.
+ * Runs a caller's request: claims its idempotency key where it may not run twice, then sends it to targets.
  * @packageDocumentation
  */
-import type { Context } from "@opentelemetry/api";
-import type { OperationText, ServiceText } from "../configuration/index.js";
-import type {
-  ExchangeResult,
-  TargetAnswer,
-  TargetExchange,
-  TargetRequest,
-  UnknownReason,
-} from "../forwarding/index.js";
-import type { SlotAllocator, SlotAsk, SlotGrant, SlotUse, Urgency } from "../routing/index.js";
+import type { TargetExchange } from "../forwarding/index.js";
+import type { SlotAllocator } from "../routing/index.js";
 import type { Metrics, Tracing } from "../telemetry/index.js";
-import type { Outcome } from "./outcome.js";
-
-/** A caller's request with what the text says of it. */
-export interface CallerRequest {
-  readonly service: ServiceText;
-  readonly operation: OperationText;
-  readonly team: string;
-  readonly urgency: Urgency;
-  /** When the caller gives up, in milliseconds since the epoch. */
-  readonly deadlineAt: number;
-  readonly target: TargetRequest;
-  readonly trace: Context;
-}
+import { createAttempts, digestJob } from "./attempts.js";
+import type { CallerRequest } from "./caller-request.js";
+import {
+  digestParts,
+  type ClaimAnswer,
+  type ClaimAsk,
+  type Claims,
+  type ClaimSettlement,
+} from "./claims/index.js";
+import { createFailedJobs } from "./failed-jobs.js";
+import { judgeAnswer, type Outcome, type RefusalReason } from "./outcome.js";
 
 /** Runs callers' requests. */
 export interface Executor {
@@ -42,13 +32,12 @@
 export interface ExecutorParts {
   readonly allocator: SlotAllocator;
   readonly exchange: TargetExchange;
+  readonly claims: Claims;
   readonly metrics: Metrics;
   readonly tracing: Tracing;
 }
 
-const maximumAttempts = 3;
 const retryAfterMilliseconds = 1_000;
-const internalError = 500;
 
 /**
  * Creates an executor.
@@ -56,79 +45,82 @@
  * @returns the executor
  */
 export function createExecutor(parts: ExecutorParts): Executor {
-  const { allocator, exchange, metrics, tracing } = parts;
+  const { claims, metrics, tracing } = parts;
+  const failedJobs = createFailedJobs();
+  const attempts = createAttempts({ ...parts, failedJobs });
 
-  const sendOnce = async (
+  const runClaimed = async (
     request: CallerRequest,
-    grant: SlotGrant,
+    idempotencyKey: string,
     signal: AbortSignal,
-  ): Promise<ExchangeResult> => {
-    const attributes = { instance: grant.target.instanceId, zone: grant.target.zone };
-    const startedAt = Date.now();
-    const result = await tracing.within("target", request.trace, attributes, async (context) => {
-      const headers = { ...request.target.headers, ...tracing.inject(context) };
-      const timeout = request.deadlineAt - startedAt;
-      return exchange.send(grant.target.address, { ...request.target, headers }, timeout, signal);
-    });
-    const runMilliseconds = Date.now() - startedAt;
-    allocator.release(grant, { verdict: judgeTarget(result), runMilliseconds });
-    metrics.observe("run_milliseconds", runMilliseconds, { service: request.service.name });
-    return result;
+  ): Promise<Outcome> => {
+    const ask = createClaimAsk(request, idempotencyKey, claims.entryId);
+    const answer = await tracing.within("claim", request.trace, {}, async () => claims.take(ask, signal));
+    metrics.count("claims_total", { answer: answer.kind });
+    if (answer.kind !== "granted") return describeClaimAnswer(answer);
+    const outcome = await attempts.run(request, signal);
+    const settled = claims.settle(createSettlement(ask, outcome));
+    // A caller that is told to ask again must not meet its own claim.
+    if (outcome.kind === "refused") await settled;
+    return outcome;
   };
 
-  const run = async (request: CallerRequest, signal: AbortSignal): Promise<Outcome> => {
-    const excludedInstances: string[] = [];
-    let unknown: UnknownReason | undefined;
-    for (let attempts = 1; attempts <= maximumAttempts; attempts += 1) {
-      const ask = createAsk(request, excludedInstances);
-      const granted = await tracing.within("queue", request.trace, {}, async () =>
-        allocator.acquire(ask, signal),
-      );
-      if (granted.isLeft()) {
-        // Once an attempt may have run, a later refusal must not claim that nothing ran.
-        if (unknown !== undefined) return { kind: "unknown", reason: unknown, attempts: attempts - 1 };
-        return { kind: "refused", ...granted.swap().unsafeCoerce(), attempts };
+  return {
+    run: async (request, signal) => {
+      const { operation, idempotencyKey } = request;
+      if (!operation.idempotent) {
+        // Without a key the request cannot be told from another one, so that it runs without a claim.
+        if (idempotencyKey === undefined) return attempts.run(request, signal);
+        return runClaimed(request, idempotencyKey, signal);
       }
-      const grant = granted.unsafeCoerce();
-      excludedInstances.push(grant.target.instanceId);
-      const result = await sendOnce(request, grant, signal);
-      if (result.kind === "answered") return judgeAnswer(result.answer, attempts);
-      if (result.kind === "not-started") continue;
-      unknown = result.reason;
-      if (!request.operation.idempotent || result.reason !== "cut") break;
-    }
-    if (unknown !== undefined)
-      return { kind: "unknown", reason: unknown, attempts: excludedInstances.length };
-    return {
-      kind: "refused",
-      reason: "targets-unreachable",
-      retryAfterMilliseconds,
-      attempts: maximumAttempts,
-    };
+      const finalFor = failedJobs.isEmpty() ? 0 : failedJobs.finalFor(digestJob(request));
+      if (finalFor === 0) return attempts.run(request, signal);
+      return { kind: "refused", reason: "job-fails", retryAfterMilliseconds: finalFor, attempts: 0 };
+    },
   };
-
-  return { run };
 }
 
-function createAsk(request: CallerRequest, excludedInstances: readonly string[]): SlotAsk {
+function createClaimAsk(request: CallerRequest, idempotencyKey: string, entryId: string): ClaimAsk {
+  const { service, operation, team, target, deadlineAt } = request;
   return {
-    requestId: request.target.requestId,
-    pool: request.service.pool,
-    service: request.service.name,
-    operation: request.operation.name,
-    team: request.team,
-    urgency: request.urgency,
-    deadlineAt: request.deadlineAt,
-    excludedInstances,
+    key: digestParts([service.name, operation.name, team, idempotencyKey]),
+    claimId: target.requestId,
+    fingerprint: digestParts([target.method, target.path, target.body]),
+    entryId,
+    deadlineAt,
   };
 }
 
-function judgeAnswer(answer: TargetAnswer, attempts: number): Outcome {
-  return { kind: answer.status >= internalError ? "failed" : "answered", answer, attempts };
+function describeClaimAnswer(answer: Exclude<ClaimAnswer, { kind: "granted" }>): Outcome {
+  switch (answer.kind) {
+    case "finished": {
+      const { status, headers, body } = answer.answer;
+      return judgeAnswer({ status, headers, body: Buffer.from(body) }, 0, true);
+    }
+    case "already-running":
+    case "already-run":
+      return { kind: "unknown", reason: answer.kind, attempts: 0 };
+    case "unknown":
+      return { kind: "unknown", reason: "earlier-run-unknown", attempts: 0 };
+    case "key-reused":
+      return refuse("key-reused");
+    case "unavailable":
+      return refuse("claims-unavailable");
+  }
+}
+
+function refuse(reason: RefusalReason): Outcome {
+  return { kind: "refused", reason, retryAfterMilliseconds, attempts: 0 };
 }
 
-function judgeTarget(result: ExchangeResult): SlotUse["verdict"] {
-  if (result.kind === "answered") return result.answer.status >= internalError ? "target-fault" : "ok";
-  if (result.kind === "unknown" && result.reason === "cancelled") return "neutral";
-  return "target-fault";
+function createSettlement({ key, claimId }: ClaimAsk, outcome: Outcome): ClaimSettlement {
+  switch (outcome.kind) {
+    case "answered":
+    case "failed":
+      return { key, claimId, state: "finished", answer: outcome.answer };
+    case "refused":
+      return { key, claimId, state: "released" };
+    case "unknown":
+      return { key, claimId, state: "unknown" };
+  }
 }
--- a/src/execution/index.ts
+++ b/src/execution/index.ts
@@ -2,5 +2,29 @@
  * Running of callers' requests.
  * @packageDocumentation
  */
-export type { Outcome, OutcomeKind, RefusalReason } from "./outcome.js";
-export { createExecutor, type CallerRequest, type Executor, type ExecutorParts } from "./executor.js";
+export type {
+  AnswerOutcome,
+  EarlierRunReason,
+  Outcome,
+  OutcomeKind,
+  RefusalReason,
+  RefusedOutcome,
+  UnknownOutcome,
+} from "./outcome.js";
+export type { CallerRequest } from "./caller-request.js";
+export { createExecutor, type Executor, type ExecutorParts } from "./executor.js";
+export {
+  claimsPrefix,
+  createClaimOwner,
+  createClaims,
+  createRetentionLease,
+  type ClaimAnswer,
+  type ClaimAsk,
+  type ClaimMemoryOptions,
+  type ClaimOwner,
+  type ClaimOwnerOptions,
+  type Claims,
+  type ClaimSettlement,
+  type ClaimsOptions,
+  type RetentionLease,
+} from "./claims/index.js";
--- a/src/forwarding/index.ts
+++ b/src/forwarding/index.ts
@@ -3,14 +3,12 @@
  * @packageDocumentation
  */
 export {
-  createTargetExchange,
   notStartedHeader,
   requestIdHeader,
   type ExchangeResult,
   type NotStartedReason,
   type TargetAnswer,
-  type TargetExchange,
-  type TargetExchangeOptions,
   type TargetRequest,
   type UnknownReason,
-} from "./exchange.js";
+} from "./messages.js";
+export { createTargetExchange, type TargetExchange, type TargetExchangeOptions } from "./exchange.js";
--- a/src/ingress/ingress.ts
+++ b/src/ingress/ingress.ts
@@ -4,14 +4,15 @@
  */
 import { randomUUID } from "node:crypto";
 import type { IncomingMessage, ServerResponse } from "node:http";
-import { Left, type Either } from "purify-ts";
+import { Left, Right, type Either } from "purify-ts";
 import type { ConfigurationKeeper } from "../configuration/index.js";
-import type { Executor, OutcomeKind } from "../execution/index.js";
+import type { Executor, Outcome, OutcomeKind, RefusalReason } from "../execution/index.js";
 import type { TargetRequest } from "../forwarding/index.js";
 import { createHttpService, delay, readBody, sendJson, type BodyFault } from "../shared/index.js";
 import type { Metrics, Tracing } from "../telemetry/index.js";
+import { createBodyMemory, type BodyMemory } from "./body-memory.js";
 import { parseRequest, type ParsedRequest, type Rejection } from "./parse-request.js";
-import { writeOutcome, writeRejection } from "./write-outcome.js";
+import { describeParserFault, writeOutcome, writeRawRejection, writeRejection } from "./write-outcome.js";
 
 /** Takes callers' requests. */
 export interface Ingress {
@@ -42,6 +43,10 @@
   readonly metrics: Metrics;
   readonly tracing: Tracing;
   readonly maximumBodyBytes: number;
+  /** Memory for the bodies of all requests in this entry. */
+  readonly bodyMemoryBytes: number;
+  /** How long a body may take to arrive; 10 s by default. */
+  readonly bodyTimeoutMilliseconds?: number;
   /** How long the balancer may take to see that this entry is not ready. */
   readonly leaveMilliseconds: number;
   /** Called when an accepted request has ended. */
@@ -50,7 +55,7 @@
   isReady(): boolean;
 }
 
-const bodyTimeoutMilliseconds = 10_000;
+const defaultBodyTimeoutMilliseconds = 10_000;
 const ok = 200;
 const serviceUnavailable = 503;
 const retryAfterMilliseconds = 1_000;
@@ -62,6 +67,7 @@
  */
 export function createIngress(parts: IngressParts): Ingress {
   const service = createHttpService();
+  const memory = createBodyMemory(parts.bodyMemoryBytes);
   let closing = false;
   let inProgress = 0;
 
@@ -77,7 +83,12 @@
     response.once("close", () => {
       inProgress -= 1;
     });
-    await handleRequest(parts, request, response);
+    await handleRequest(parts, memory, request, response);
+  });
+  service.listener.on("clientError", (error: Error & { code?: string }, socket) => {
+    const rejection = describeParserFault(error.code);
+    parts.metrics.count("rejections_total", { reason: rejection.reason });
+    writeRawRejection(socket, rejection);
   });
 
   return {
@@ -98,38 +109,80 @@
 
 async function handleRequest(
   parts: IngressParts,
+  memory: BodyMemory,
   request: RoutedRequest,
   response: ServerResponse,
 ): Promise<void> {
   const requestId = randomUUID();
   if (!parts.isReady()) {
-    const refusal = { kind: "refused", reason: "not-ready", retryAfterMilliseconds, attempts: 0 } as const;
-    writeOutcome(response, requestId, refusal);
+    writeOutcome(response, requestId, refuse("not-ready"));
     return;
   }
   const names = { service: request.params.service ?? "", operation: request.params.operation ?? "" };
-  const accepted = await acceptRequest(parts, request, names);
+  const accepted = parseRequest(request, names, parts.configuration).chain((parsed) =>
+    readBodySize(request, parts.maximumBodyBytes).map((size) => ({ parsed, size })),
+  );
   if (accepted.isLeft()) {
-    const rejection = accepted.swap().unsafeCoerce();
-    parts.metrics.count("rejections_total", { reason: rejection.reason });
-    writeRejection(response, requestId, rejection);
+    reject(parts, response, requestId, accepted.swap().unsafeCoerce());
+    return;
+  }
+  const { parsed, size } = accepted.unsafeCoerce();
+  if (!memory.reserve(size)) {
+    parts.metrics.count("refusals_total", { reason: "body-memory" });
+    response.setHeader("connection", "close");
+    writeOutcome(response, requestId, refuse("body-memory"));
     return;
   }
-  const { parsed, body } = accepted.unsafeCoerce();
-  const headers = parsed.headers;
-  const target = { requestId, method: request.method ?? "POST", path: request.url ?? "/", headers, body };
-  await runAccepted(parts, request, response, parsed, target);
+  response.once("close", () => {
+    memory.release(size);
+  });
+  const timeout = parts.bodyTimeoutMilliseconds ?? defaultBodyTimeoutMilliseconds;
+  const body = await readBody(request, parts.maximumBodyBytes, timeout);
+  if (body.isLeft()) {
+    reject(parts, response, requestId, describeBodyFault(body.swap().unsafeCoerce()));
+    return;
+  }
+  const target = {
+    requestId,
+    method: request.method ?? "POST",
+    path: request.url ?? "/",
+    headers: parsed.headers,
+    body: body.unsafeCoerce(),
+  };
+  const outcome = await runAccepted(parts, request, response, parsed, target);
+  holdAnswer(memory, response, outcome);
+  writeOutcome(response, requestId, outcome);
 }
 
-async function acceptRequest(
+function refuse(reason: RefusalReason): Outcome {
+  return { kind: "refused", reason, retryAfterMilliseconds, attempts: 0 };
+}
+
+function reject(
   parts: IngressParts,
-  request: RoutedRequest,
-  names: { service: string; operation: string },
-): Promise<Either<Rejection, { parsed: ParsedRequest; body: Buffer }>> {
-  const parsed = parseRequest(request, names, parts.configuration);
-  if (parsed.isLeft()) return Left(parsed.swap().unsafeCoerce());
-  const body = await readBody(request, parts.maximumBodyBytes, bodyTimeoutMilliseconds);
-  return body.mapLeft(describeBodyFault).map((bytes) => ({ parsed: parsed.unsafeCoerce(), body: bytes }));
+  response: ServerResponse,
+  requestId: string,
+  rejection: Rejection,
+): void {
+  parts.metrics.count("rejections_total", { reason: rejection.reason });
+  writeRejection(response, requestId, rejection);
+}
+
+/** Reads how much memory a body may need; one of unknown length may need the most that is accepted. */
+function readBodySize(request: IncomingMessage, maximumBytes: number): Either<Rejection, number> {
+  const { "content-length": length, "transfer-encoding": encoding } = request.headers;
+  if (encoding !== undefined) return Right(maximumBytes);
+  const size = Number(length ?? 0);
+  return size > maximumBytes ? Left(describeBodyFault("too-large")) : Right(size);
+}
+
+function holdAnswer(memory: BodyMemory, response: ServerResponse, outcome: Outcome): void {
+  if (response.destroyed || (outcome.kind !== "answered" && outcome.kind !== "failed")) return;
+  const size = outcome.answer.body.length;
+  memory.add(size);
+  response.once("close", () => {
+    memory.release(size);
+  });
 }
 
 async function runAccepted(
@@ -138,9 +191,9 @@
   response: ServerResponse,
   parsed: ParsedRequest,
   target: TargetRequest,
-): Promise<void> {
+): Promise<Outcome> {
   const { tracing, executor, metrics } = parts;
-  const { service, operation, team, urgency, timeoutMilliseconds } = parsed;
+  const { service, operation, team, urgency, timeoutMilliseconds, idempotencyKey } = parsed;
   const { requestId } = target;
   const startedAt = Date.now();
   const deadlineAt = startedAt + timeoutMilliseconds;
@@ -151,7 +204,10 @@
   const attributes = { service: service.name, operation: operation.name, request: requestId };
   const caller = tracing.extract(request.headers);
   const outcome = await tracing.within("request", caller, attributes, async (trace) =>
-    executor.run({ service, operation, team, urgency, deadlineAt, target, trace }, cancelled.signal),
+    executor.run(
+      { service, operation, team, urgency, deadlineAt, idempotencyKey, target, trace },
+      cancelled.signal,
+    ),
   );
   metrics.count("answers_total", { service: service.name, outcome: outcome.kind });
   const milliseconds = Date.now() - startedAt;
@@ -162,7 +218,7 @@
     outcome: outcome.kind,
     milliseconds,
   });
-  writeOutcome(response, requestId, outcome);
+  return outcome;
 }
 
 function describeBodyFault(fault: BodyFault): Rejection {
--- a/src/ingress/messages.ts
+++ b/src/ingress/messages.ts
@@ -2,7 +2,7 @@
  * Headers and bodies between callers and an entry.
  * @packageDocumentation
  */
-import type { OutcomeKind, RefusalReason } from "../execution/index.js";
+import type { EarlierRunReason, OutcomeKind, RefusalReason } from "../execution/index.js";
 import type { UnknownReason } from "../forwarding/index.js";
 
 /** Names of the headers that callers send. */
@@ -17,6 +17,9 @@
 /** Header of every answer: how the request ended. */
 export const outcomeHeader = "x-outcome";
 
+/** Header of an answer that is held from an earlier request under the same idempotency key. */
+export const replayedHeader = "idempotent-replayed";
+
 /** Why a request was rejected before it was accepted. */
 export type RejectionReason =
   | "unknown-service"
@@ -27,12 +30,14 @@
   | "bad-idempotency-key"
   | "body-too-large"
   | "body-too-slow"
-  | "body-cut";
+  | "body-cut"
+  | "header-too-large"
+  | "malformed-request";
 
 /** Body of every answer that does not come from a target. */
 export interface OutcomeBody {
   readonly outcome: OutcomeKind | "rejected";
-  readonly reason: RefusalReason | UnknownReason | RejectionReason;
+  readonly reason: RefusalReason | UnknownReason | EarlierRunReason | RejectionReason;
   /** True only when it is proved that no target ran the request; undefined when that is not known. */
   readonly notRun: boolean | undefined;
   readonly message: string;
--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -2,6 +2,7 @@
  * The one module that builds an entry from its parts.
  * @packageDocumentation
  */
+import { randomUUID } from "node:crypto";
 import {
   configurationPrefix,
   createConfigurationKeeper,
@@ -10,7 +11,13 @@
   type ConfigurationKeeper,
   type OperatorText,
 } from "./configuration/index.js";
-import { createExecutor } from "./execution/index.js";
+import {
+  createClaimOwner,
+  createClaims,
+  createExecutor,
+  createRetentionLease,
+  type Claims,
+} from "./execution/index.js";
 import { createTargetExchange, type TargetExchange } from "./forwarding/index.js";
 import { createIngress, type Ingress } from "./ingress/index.js";
 import {
@@ -76,6 +83,12 @@
 const leaveMilliseconds = 300;
 const slotsPerTarget = 8;
 const connectionsPerTarget = 7;
+const claimShards = 16;
+const claimCommitMilliseconds = 100;
+const claimRetentionMilliseconds = 3_600_000;
+const claimAnswerBytes = 16_777_216;
+const claimLargestAnswerBytes = 262_144;
+const rememberedClaims = 100_000;
 
 /**
  * Starts an entry.
@@ -92,7 +105,7 @@
   const membership = await wireMembership(foundation);
   startRollOut(configuration, membership.peers);
   const placement = wirePlacement(foundation);
-  const requestPath = wireRequestPath(foundation, configuration, placement.view);
+  const requestPath = wireRequestPath(foundation, configuration, placement.view, membership.peers);
   const duties = wireDuties(foundation, configuration, membership, placement, requestPath.allocator);
   const status = (): EntryStatus => readStatus(foundation, configuration, membership, placement, requestPath);
   const operators = wireOperators(foundation, configuration, placement, status);
@@ -218,13 +231,20 @@
   foundation: Foundation,
   configuration: ConfigurationKeeper,
   view: PlacementView,
+  peers: PeerNetwork,
 ): RequestPathParts {
   const { settings, metrics, tracing } = foundation;
   const random = createRandom(settings.seed);
   const allocator = new IndependentAllocator({ view, random, slotsPerTarget });
   const maximumAnswerBytes = settings.limits.answerBytes;
   const exchange = createTargetExchange({ connectionsPerTarget, maximumAnswerBytes });
-  const executor = createExecutor({ allocator, exchange, metrics, tracing });
+  const executor = createExecutor({
+    allocator,
+    exchange,
+    claims: wireClaims(foundation, peers),
+    metrics,
+    tracing,
+  });
   const isReady = (): boolean => configuration.revision() > 0 && view.all().length > 0;
   const ingress = createIngress({
     configuration,
@@ -232,6 +252,7 @@
     metrics,
     tracing,
     maximumBodyBytes: settings.limits.bodyBytes,
+    bodyMemoryBytes: settings.limits.bodyMemoryBytes,
     leaveMilliseconds,
     onOutcome: ({ service, milliseconds }) => {
       metrics.observe("answer_milliseconds", milliseconds, { service });
@@ -241,6 +262,26 @@
   return { allocator, exchange, ingress, isReady };
 }
 
+function wireClaims({ settings, store }: Foundation, peers: PeerNetwork): Claims {
+  const { entryId } = settings;
+  const owner = createClaimOwner({
+    store,
+    shards: claimShards,
+    writerId: `${entryId}/${randomUUID()}`,
+    lease: createRetentionLease(store, claimRetentionMilliseconds, Date.now),
+    commitMilliseconds: claimCommitMilliseconds,
+    retentionMilliseconds: claimRetentionMilliseconds,
+    now: Date.now,
+    memory: {
+      answerBytes: claimAnswerBytes,
+      largestAnswerBytes: claimLargestAnswerBytes,
+      claims: rememberedClaims,
+    },
+    isUp: (peerId) => peerId === entryId || peers.upPeers().includes(peerId),
+  });
+  return createClaims({ entryId, peers, owner, shards: claimShards });
+}
+
 function wireDuties(
   foundation: Foundation,
   configuration: ConfigurationKeeper,
