Moves that wait for every entry that could still send

Cause: the mover asked only the entries of the store's roster. An outage of the store longer than the roster's lease empties that roster, and the mover then moved without any confirmation. A command repeated after a later command was carried out a second time. Confirmations of one departure could complete a later one within the same millisecond. A record heard late could replace a newer view.

--- a/src/pools/adoption.ts
+++ b/src/pools/adoption.ts
@@ -1,14 +1,21 @@
 /**
- * Places instances that the platform lists and that no record holds yet.
+ * Keeps the placement in line with the platform's list and the text: places new instances, follows replaced ones and
+ * lets those leave that the platform takes away or whose pool is gone.
  * @packageDocumentation
  */
 import { Right } from "purify-ts";
 import type { OperatorText } from "../configuration/index.js";
 import type { InstanceList, ListedInstance } from "../platform/index.js";
 import type { Log } from "../telemetry/index.js";
-import type { PlacedInstance } from "./placement-record.js";
+import { nextSince, type PlacedInstance, type Target } from "./placement-record.js";
 import type { PlacementView } from "./placement-view.js";
-import type { PlacementWriter } from "./placement-writer.js";
+import type { PlacementWriter, ZoneInstances } from "./placement-writer.js";
+
+/** Keeps the placement in line with the platform's list. */
+export interface Adoption {
+  /** Reads the list and makes what changes follow from it. */
+  step(): Promise<void>;
+}
 
 /** What adoption works with. */
 export interface AdoptionParts {
@@ -18,54 +25,167 @@
   readonly log: Log;
   /** The text in force, undefined before the first. */
   text(): OperatorText | undefined;
+  /** The time in milliseconds since the epoch. */
+  readonly now: () => number;
+}
+
+/** Time for which an instance must be missing from the list before it counts as taken away. */
+export const absenceMilliseconds = 30_000;
+/** A list that misses a larger share of the placed instances is not believed. */
+const maximumAbsentShare = 0.5;
+
+type InstanceChange = (placed: PlacedInstance | undefined) => PlacedInstance | undefined;
+
+interface PlannedChange {
+  readonly zone: string;
+  readonly instanceId: string;
+  readonly reason: "adopted" | "replaced" | "taken-away" | "pool-gone" | "removed";
+  readonly change: InstanceChange;
 }
 
 /**
- * Places every listed instance that is not placed yet: in the pool that the platform delivered it for if the text
- * knows it, else in the spare pool.
+ * Creates the adoption.
  * @param parts - what it works with
+ * @returns the adoption
  */
-export async function adoptInstances(parts: AdoptionParts): Promise<void> {
-  const text = parts.text();
-  if (text === undefined) return;
-  const listed = await parts.instanceList.read();
-  if (listed.isLeft()) {
-    parts.log.write("warn", "instance-list-unread", { message: listed.swap().orDefault("") });
-    return;
-  }
-  const fresh = listed
-    .orDefault([])
-    .filter(({ instanceId, state }) => state === "live" && parts.view.find(instanceId) === undefined);
-  for (const [zone, instances] of groupByZone(fresh)) await adoptZone(parts, text, zone, instances);
+export function createAdoption(parts: AdoptionParts): Adoption {
+  const { view, writer, log } = parts;
+  const absentSince = new Map<string, number>();
+  let steps = 0;
+
+  const noteAbsent = (listed: ReadonlyMap<string, ListedInstance>): void => {
+    const absent = view.all().filter(({ instanceId }) => !listed.has(instanceId));
+    if (absent.length > view.all().length * maximumAbsentShare) {
+      log.write("warn", "instance-list-doubted", { absent: absent.length, placed: view.all().length });
+      absentSince.clear();
+      return;
+    }
+    const absentIds = new Set(absent.map(({ instanceId }) => instanceId));
+    for (const instanceId of [...absentSince.keys()].filter((held) => !absentIds.has(held))) {
+      absentSince.delete(instanceId);
+    }
+    for (const instanceId of absentIds) {
+      if (!absentSince.has(instanceId)) absentSince.set(instanceId, parts.now());
+    }
+  };
+
+  const isAbsent = (instanceId: string): boolean =>
+    parts.now() - (absentSince.get(instanceId) ?? Infinity) > absenceMilliseconds;
+
+  const planFor = (
+    target: Target,
+    listed: ListedInstance | undefined,
+    text: OperatorText,
+  ): PlannedChange[] => {
+    const { zone, instanceId } = target;
+    if (listed === undefined && isAbsent(instanceId)) {
+      const isRemoved = target.state === "stopped";
+      return isRemoved
+        ? [{ zone, instanceId, reason: "removed", change: removeStopped(target) }]
+        : takeAway(target);
+    }
+    if (listed?.state === "leaving") return takeAway(target);
+    if (listed?.state === "live" && listed.address !== target.address && listed.zone === zone) {
+      return [{ zone, instanceId, reason: "replaced", change: replaceAddress(target, listed) }];
+    }
+    return leaveLostPool(target, text);
+  };
+
+  const applyZone = async (zone: string, planned: readonly PlannedChange[]): Promise<void> => {
+    steps += 1;
+    const writeId = `adoption/${parts.now()}/${steps}`;
+    const result = await writer.change(zone, writeId, (instances) => Right(applyAll(instances, planned)));
+    result.ifRight(() => {
+      for (const { instanceId, reason } of planned) {
+        log.write("info", "instance-followed", { instance: instanceId, zone, reason });
+      }
+    });
+  };
+
+  return {
+    step: async () => {
+      const text = parts.text();
+      if (text === undefined) return;
+      const read = await parts.instanceList.read();
+      if (read.isLeft()) {
+        log.write("warn", "instance-list-unread", { message: read.swap().orDefault("") });
+        return;
+      }
+      const listed = new Map(read.orDefault([]).map((instance) => [instance.instanceId, instance]));
+      noteAbsent(listed);
+      const planned = [
+        ...[...listed.values()].flatMap((instance) => adopt(view, text, instance)),
+        ...view.all().flatMap((target) => planFor(target, listed.get(target.instanceId), text)),
+      ];
+      const zones = new Set(planned.map(({ zone }) => zone));
+      await Promise.all(
+        [...zones].map(async (zone) =>
+          applyZone(
+            zone,
+            planned.filter((each) => each.zone === zone),
+          ),
+        ),
+      );
+    },
+  };
 }
 
-async function adoptZone(
-  parts: AdoptionParts,
-  text: OperatorText,
-  zone: string,
-  fresh: readonly ListedInstance[],
-): Promise<void> {
-  const placed = fresh.flatMap((instance) => placeInstance(text, instance));
-  if (placed.length === 0) return;
-  const writeId = `adopt/${zone}/${placed.map(({ instanceId }) => instanceId).join(",")}`;
-  const added = Object.fromEntries(placed.map((instance) => [instance.instanceId, instance]));
-  const result = await parts.writer.change(zone, writeId, (instances) => Right({ ...added, ...instances }));
-  result.ifRight(() => {
-    parts.log.write("info", "instances-adopted", { zone, count: placed.length });
-  });
+function applyAll(instances: ZoneInstances, planned: readonly PlannedChange[]): ZoneInstances {
+  return planned.reduce<ZoneInstances>((held, { instanceId, change }) => {
+    const before = held[instanceId];
+    const after = change(before);
+    if (after === before) return held;
+    const others = Object.entries(held).filter(([other]) => other !== instanceId);
+    return Object.fromEntries(after === undefined ? others : [...others, [instanceId, after]]);
+  }, instances);
 }
 
-function placeInstance(text: OperatorText, instance: ListedInstance): PlacedInstance[] {
+function adopt(view: PlacementView, text: OperatorText, instance: ListedInstance): PlannedChange[] {
+  const { instanceId, address, rack, zone } = instance;
+  if (instance.state !== "live" || view.find(instanceId) !== undefined) return [];
   const pool = text.pools.find(({ name }) => name === instance.pool) ?? text.pools.find(({ spare }) => spare);
   if (pool === undefined) return [];
-  const { instanceId, address, rack } = instance;
-  return [{ instanceId, address, rack, pool: pool.name, state: "serving", since: Date.now() }];
+  const placed: PlacedInstance = {
+    instanceId,
+    address,
+    rack,
+    pool: pool.name,
+    state: "serving",
+    recentChanges: [],
+    since: Date.now(),
+  };
+  return [{ zone, instanceId, reason: "adopted", change: (held) => held ?? placed }];
+}
+
+function replaceAddress(target: Target, { address, rack }: ListedInstance): InstanceChange {
+  // A holder that was paused may bring an old list: only the address that it saw replaced is replaced.
+  return (placed) => (placed?.address === target.address ? { ...placed, address, rack } : placed);
+}
+
+function removeStopped(target: Target): InstanceChange {
+  return (placed) => (placed?.state === "stopped" && placed.since === target.since ? undefined : placed);
+}
+
+function takeAway(target: Target): PlannedChange[] {
+  const { zone, instanceId } = target;
+  const isLeavingForGood = target.state === "leaving" && target.moveTo === undefined;
+  if (isLeavingForGood || target.state === "stopped") return [];
+  const change = startLeaving(target, undefined, "platform/taken-away");
+  return [{ zone, instanceId, reason: "taken-away", change }];
+}
+
+function leaveLostPool(target: Target, text: OperatorText): PlannedChange[] {
+  const { zone, instanceId } = target;
+  const spare = text.pools.find((pool) => pool.spare);
+  const isKnown = text.pools.some(({ name }) => name === target.pool);
+  if (isKnown || spare === undefined || target.state !== "serving") return [];
+  const change = startLeaving(target, spare.name, `text/pool-gone/${target.pool}`);
+  return [{ zone, instanceId, reason: "pool-gone", change }];
 }
 
-function groupByZone(instances: readonly ListedInstance[]): Map<string, ListedInstance[]> {
-  const zones = new Map<string, ListedInstance[]>();
-  for (const instance of instances) {
-    zones.set(instance.zone, [...(zones.get(instance.zone) ?? []), instance]);
-  }
-  return zones;
+function startLeaving(target: Target, moveTo: string | undefined, changeId: string): InstanceChange {
+  return (placed) => {
+    if (placed?.since !== target.since) return placed;
+    return { ...placed, state: "leaving", moveTo, changeId, since: nextSince(placed) };
+  };
 }
--- a/src/pools/commands.ts
+++ b/src/pools/commands.ts
@@ -3,7 +3,7 @@
  * @packageDocumentation
  */
 import { Left, Right, type Either } from "purify-ts";
-import type { PlacedInstance } from "./placement-record.js";
+import { nextSince, type PlacedInstance } from "./placement-record.js";
 import type { PlacementView } from "./placement-view.js";
 import type { PlacementFailure, PlacementWriter } from "./placement-writer.js";
 
@@ -18,10 +18,22 @@
   move(instanceId: string, pool: string, changeId: string): Promise<Either<PlacementFailure, number>>;
   /** Starts to drain an instance: it takes no new work and is stopped once it has none. */
   drain(instanceId: string, changeId: string): Promise<Either<PlacementFailure, number>>;
-  /** Lets a leaving or stopped instance serve its pool again. */
-  restore(instanceId: string, changeId: string): Promise<Either<PlacementFailure, number>>;
+  /**
+   * Lets a leaving or stopped instance serve its pool again.
+   * @param instanceId - the instance
+   * @param changeId - identifier of the command
+   * @param supersedes - a command that must have no effect from now on, also if it arrives later
+   */
+  restore(
+    instanceId: string,
+    changeId: string,
+    supersedes?: string,
+  ): Promise<Either<PlacementFailure, number>>;
 }
 
+/** A command repeated after this many others on the same instance counts as a new one. */
+const maximumRecentChanges = 8;
+
 /**
  * Creates the commands.
  * @param view - finds an instance's availability zone
@@ -41,10 +53,11 @@
     return writer.change(zone, `${changeId}/${instanceId}`, (instances) => {
       const placed = instances[instanceId];
       if (placed === undefined) return Left(`instance "${instanceId}" is not placed in zone ${zone}`);
-      if (placed.changeId === changeId) return Right(instances);
-      return next(placed).map((changed) => ({
+      if (placed.recentChanges.includes(changeId)) return Right(instances);
+      const recentChanges = [changeId, ...placed.recentChanges].slice(0, maximumRecentChanges);
+      return next({ ...placed, recentChanges }).map((changed) => ({
         ...instances,
-        [instanceId]: { ...changed, changeId, since: Date.now() },
+        [instanceId]: { ...changed, changeId, since: nextSince(placed) },
       }));
     });
   };
@@ -61,10 +74,14 @@
         if (placed.state !== "serving") return Left(`instance "${instanceId}" is ${placed.state}`);
         return Right({ ...placed, state: "leaving", moveTo: undefined });
       }),
-    restore: async (instanceId, changeId) =>
+    restore: async (instanceId, changeId, supersedes) =>
       change(instanceId, changeId, (placed) => {
-        if (placed.state === "serving") return Left(`instance "${instanceId}" is serving`);
-        return Right({ ...placed, state: "serving", moveTo: undefined });
+        if (placed.state === "serving" && supersedes === undefined) {
+          return Left(`instance "${instanceId}" is serving`);
+        }
+        const [own = changeId, ...earlier] = placed.recentChanges;
+        const recentChanges = [own, ...(supersedes === undefined ? [] : [supersedes]), ...earlier];
+        return Right({ ...placed, recentChanges, state: "serving", moveTo: undefined });
       }),
   };
 }
--- a/src/pools/index.ts
+++ b/src/pools/index.ts
@@ -21,4 +21,13 @@
 } from "./placement-writer.js";
 export { createPlacementCommands, type PlacementCommands } from "./commands.js";
 export { createMover, type Mover, type MoverParts } from "./mover.js";
-export { adoptInstances, type AdoptionParts } from "./adoption.js";
+export { createAdoption, type Adoption, type AdoptionParts } from "./adoption.js";
+export { createDepartureCheck, type DepartureCheck, type DepartureCheckParts } from "./departure.js";
+export { createKnownEntries, type KnownEntries, type KnownEntriesParts } from "./known-entries.js";
+export {
+  createViewConfidence,
+  viewBoundMilliseconds,
+  type ViewConfidence,
+  type ViewConfidenceParts,
+} from "./view-confidence.js";
+export { placementRevisionReport, startPlacementExchange } from "./placement-exchange.js";
--- /dev/null
+++ b/src/pools/known-entries.ts
@@ -0,0 +1,88 @@
+/**
+ * The entries that may send to targets: those of the roster and those that were heard. An entry is remembered beyond
+ * its roster record, since the record's lease also lapses in an outage of the store that the entry survives.
+ * @packageDocumentation
+ */
+import type { PeerNetwork } from "../membership/index.js";
+
+/** Remembers entries and when each was last heard. */
+export interface KnownEntries {
+  /** Identifiers of all entries that may send, this one included. */
+  all(): readonly string[];
+  /** Whether the store's roster lists an entry now. */
+  isListed(entryId: string): boolean;
+  /** For how long this entry has not heard another one, in milliseconds. */
+  silence(entryId: string): number;
+  /** Whether no process listens at the entry's address. */
+  isGone(entryId: string): boolean;
+  /** Notes that an entry was heard now. */
+  noteHeard(entryId: string): void;
+}
+
+/** What the memory works with. */
+export interface KnownEntriesParts {
+  readonly entryId: string;
+  readonly peers: PeerNetwork;
+  /** Identifiers in the store's roster as last read. */
+  readonly listed: () => readonly string[];
+  /** The time in milliseconds since the epoch. */
+  readonly now: () => number;
+}
+
+/** Silence after which an entry without roster record is forgotten. */
+export const forgetMilliseconds = 30_000;
+
+/**
+ * Creates the memory and starts to listen for heartbeats.
+ * @param parts - what it works with
+ * @returns the memory
+ */
+export function createKnownEntries(parts: KnownEntriesParts): KnownEntries {
+  const { entryId: self, peers, now } = parts;
+  const startedAt = now();
+  const heardAt = new Map<string, number>();
+  const refused = new Set<string>();
+
+  const noteHeard = (entryId: string): void => {
+    refused.delete(entryId);
+    heardAt.set(entryId, now());
+  };
+  const silence = (entryId: string): number => now() - (heardAt.get(entryId) ?? startedAt);
+
+  const isGone = (entryId: string): boolean => {
+    // A link to a new address says more than a refusal of the old one; without a link the last refusal counts.
+    const link = peers.peers().find(({ peerId }) => peerId === entryId);
+    return link === undefined ? refused.has(entryId) : link.state === "gone";
+  };
+
+  const forgetSilent = (listed: readonly string[]): void => {
+    // A roster without this entry itself is one that the outage emptied.
+    if (!listed.includes(self)) return;
+    for (const entryId of [...heardAt.keys()]) {
+      if (listed.includes(entryId)) continue;
+      if (isGone(entryId) || silence(entryId) > forgetMilliseconds) heardAt.delete(entryId);
+    }
+  };
+
+  peers.events.on("heartbeat", ({ peerId }) => {
+    noteHeard(peerId);
+  });
+  peers.events.on("peerState", ({ peerId, state }) => {
+    if (state === "gone") refused.add(peerId);
+    else refused.delete(peerId);
+  });
+  return {
+    noteHeard,
+    silence,
+    isGone,
+    isListed: (entryId) => parts.listed().includes(entryId),
+    all: () => {
+      const listed = parts.listed();
+      for (const entryId of listed) {
+        if (!heardAt.has(entryId)) heardAt.set(entryId, startedAt);
+      }
+      forgetSilent(listed);
+      return [...new Set([self, ...listed, ...heardAt.keys()])];
+    },
+  };
+}
--- a/src/pools/messages.ts
+++ b/src/pools/messages.ts
@@ -14,5 +14,26 @@
     seen: z.boolean(),
     /** Requests that the peer still has in progress on the instance. */
     inProgress: z.int(),
+    /** All entries that the peer knows, so that none is missed that only some have heard. */
+    knownEntries: z.array(z.string()),
+  }),
+);
+
+/** Asks a peer for how long it has not heard an entry. */
+export const askSilence = definePeerCall(
+  "pools.silence",
+  z.object({ entryId: z.string() }),
+  z.object({ milliseconds: z.number() }),
+);
+
+/** Proves to the asking entry that messages pass in both directions. */
+export const probeView = definePeerCall("pools.probe-view", z.object({}), z.object({}));
+
+/** Asks a peer for its copies of the placement records. */
+export const fetchPlacement = definePeerCall(
+  "pools.fetch-placement",
+  z.object({}),
+  z.object({
+    records: z.array(z.object({ key: z.string(), value: z.unknown(), revision: z.number() })),
   }),
 );
--- a/src/pools/mover.ts
+++ b/src/pools/mover.ts
@@ -4,10 +4,12 @@
  * @packageDocumentation
  */
 import { Left, Right } from "purify-ts";
+import type { OperatorText } from "../configuration/index.js";
 import type { PeerNetwork } from "../membership/index.js";
 import type { Log } from "../telemetry/index.js";
-import { confirmLeaving } from "./messages.js";
-import type { PlacedInstance, Target } from "./placement-record.js";
+import { createDepartureCheck } from "./departure.js";
+import type { KnownEntries } from "./known-entries.js";
+import { nextSince, type PlacedInstance, type Target } from "./placement-record.js";
 import type { PlacementView } from "./placement-view.js";
 import type { PlacementWriter } from "./placement-writer.js";
 
@@ -23,52 +25,39 @@
   readonly view: PlacementView;
   readonly writer: PlacementWriter;
   readonly peers: PeerNetwork;
+  readonly entries: KnownEntries;
   readonly log: Log;
-  /** Identifiers of all entries that may still send to an instance, this one included. */
-  roster(): readonly string[];
+  /** The text in force, undefined before the first. */
+  text(): OperatorText | undefined;
+  /** The time in milliseconds since the epoch. */
+  readonly now: () => number;
   /** Requests that this entry has in progress on an instance. */
   inProgress(instanceId: string): number;
 }
 
-const confirmTimeoutMilliseconds = 1_000;
-
 /**
  * Creates a mover and answers peers' questions about this entry's own work.
  * @param parts - what it works with
  * @returns the mover
  */
 export function createMover(parts: MoverParts): Mover {
-  const { view, writer, peers, log } = parts;
-
-  peers.answer(confirmLeaving, ({ zone, instanceId, revision }) => ({
-    seen: view.revision(zone) >= revision,
-    inProgress: parts.inProgress(instanceId),
-  }));
-
-  const isConfirmedBy = async (entryId: string, target: Target, revision: number): Promise<boolean> => {
-    if (entryId === parts.entryId) return parts.inProgress(target.instanceId) === 0;
-    const question = { zone: target.zone, instanceId: target.instanceId, revision };
-    const reply = await peers.call(entryId, confirmLeaving, question, confirmTimeoutMilliseconds);
-    return reply.map(({ seen, inProgress }) => seen && inProgress === 0).orDefault(false);
-  };
+  const { view, writer, log } = parts;
+  const departure = createDepartureCheck(parts);
 
   const complete = async (target: Target): Promise<void> => {
-    const revision = view.revision(target.zone);
-    const answers = await Promise.all(
-      parts.roster().map(async (entryId) => isConfirmedBy(entryId, target, revision)),
-    );
-    if (!answers.every(Boolean)) return;
-    const writeId = `complete/${target.instanceId}/${revision}`;
+    if (!(await departure.isConfirmed(target))) return;
+    const pool = findNextPool(target, parts.text());
+    const writeId = `complete/${parts.entryId}/${target.instanceId}/${target.since}`;
     const result = await writer.change(target.zone, writeId, (instances) => {
       const placed = instances[target.instanceId];
-      if (placed?.state !== "leaving" || placed.since !== target.since) return Left("the instance changed");
-      return Right({ ...instances, [target.instanceId]: completePlacement(placed) });
+      if (placed === undefined || !isSameDeparture(placed, target)) return Left("the instance changed");
+      return Right({ ...instances, [target.instanceId]: completePlacement(placed, pool) });
     });
     result.ifRight(() => {
-      log.write("info", target.moveTo === undefined ? "drain-finished" : "move-finished", {
+      log.write("info", pool === undefined ? "drain-finished" : "move-finished", {
         instance: target.instanceId,
         from: target.pool,
-        to: target.moveTo,
+        to: pool,
         milliseconds: Date.now() - target.since,
       });
     });
@@ -82,8 +71,25 @@
   };
 }
 
-function completePlacement(placed: PlacedInstance): PlacedInstance {
-  const since = Date.now();
-  if (placed.moveTo === undefined) return { ...placed, state: "stopped", since };
-  return { ...placed, pool: placed.moveTo, moveTo: undefined, state: "serving", since };
+/** Confirmations hold for the departure that they were asked for and for no later one. */
+function isSameDeparture(placed: PlacedInstance, target: Target): boolean {
+  return (
+    placed.state === "leaving" &&
+    placed.since === target.since &&
+    placed.changeId === target.changeId &&
+    placed.moveTo === target.moveTo
+  );
+}
+
+/** A pool that the text lost in the meantime is replaced by the spare pool. */
+function findNextPool({ moveTo }: Target, text: OperatorText | undefined): string | undefined {
+  if (moveTo === undefined || text === undefined) return moveTo;
+  if (text.pools.some(({ name }) => name === moveTo)) return moveTo;
+  return text.pools.find(({ spare }) => spare)?.name ?? moveTo;
+}
+
+function completePlacement(placed: PlacedInstance, pool: string | undefined): PlacedInstance {
+  const since = nextSince(placed);
+  if (pool === undefined) return { ...placed, state: "stopped", since };
+  return { ...placed, pool, moveTo: undefined, state: "serving", since };
 }
--- /dev/null
+++ b/src/pools/placement-exchange.ts
@@ -0,0 +1,40 @@
+/**
+ * Copies of the placement between entries: a peer that reports a higher revision is asked for its records.
+ * @packageDocumentation
+ */
+import type { PeerNetwork } from "../membership/index.js";
+import type { StoreMirror } from "../platform/index.js";
+import { fetchPlacement } from "./messages.js";
+import { placementPrefix } from "./placement-record.js";
+
+/** Name of the heartbeat report with the highest revision of an entry's placement records. */
+export const placementRevisionReport = "placementRevision";
+
+const fetchTimeoutMilliseconds = 2_000;
+
+/**
+ * Starts to report this entry's revision, to answer peers and to fetch what is newer.
+ * @param peers - the other entries
+ * @param mirror - mirror of the placement's prefix
+ */
+export function startPlacementExchange(peers: PeerNetwork, mirror: StoreMirror): void {
+  let fetching = false;
+  const revision = (): number => Math.max(0, ...[...mirror.records().values()].map((held) => held.revision));
+
+  const fetchFrom = async (peerId: string): Promise<void> => {
+    fetching = true;
+    const reply = await peers.call(peerId, fetchPlacement, {}, fetchTimeoutMilliseconds);
+    fetching = false;
+    reply.ifRight(({ records }) => {
+      for (const record of records) {
+        if (record.key.startsWith(placementPrefix)) mirror.offer(record);
+      }
+    });
+  };
+
+  peers.report(placementRevisionReport, revision);
+  peers.answer(fetchPlacement, () => ({ records: [...mirror.records().values()] }));
+  peers.events.on("heartbeat", async ({ peerId }) => {
+    if (!fetching && peers.reported(peerId, placementRevisionReport) > revision()) await fetchFrom(peerId);
+  });
+}
--- a/src/pools/placement-record.ts
+++ b/src/pools/placement-record.ts
@@ -26,7 +26,9 @@
   moveTo: z.string().optional(),
   /** Identifier of the command that caused the present state. */
   changeId: z.string().optional(),
-  /** When the present state began, in milliseconds since the epoch. */
+  /** Identifiers of the last commands, newest first; repeating one of them changes nothing. */
+  recentChanges: z.array(z.string()).default([]),
+  /** When the present state began, in milliseconds since the epoch; higher after each change. */
   since: z.number(),
 });
 
@@ -57,3 +59,12 @@
 export function placementKey(zone: string): string {
   return `${placementPrefix}${zone}`;
 }
+
+/**
+ * Finds the time of a change. It rises even when the clock does not, so that it tells states apart.
+ * @param placed - the instance before the change
+ * @returns milliseconds since the epoch
+ */
+export function nextSince(placed: PlacedInstance): number {
+  return Math.max(Date.now(), placed.since + 1);
+}
--- a/src/pools/placement-view.ts
+++ b/src/pools/placement-view.ts
@@ -47,7 +47,10 @@
   const rebuild = (): void => {
     instances.clear();
     pools.clear();
-    for (const target of [...zones.values()].flatMap(({ targets }) => targets)) {
+    const ordered = [...zones].sort(([left], [right]) => (left < right ? -1 : 1));
+    for (const target of ordered.flatMap(([, { targets }]) => targets)) {
+      // An instance that the platform listed in two zones counts once, for the same zone in every entry.
+      if (instances.has(target.instanceId)) continue;
       instances.set(target.instanceId, target);
       pools.set(target.pool, [...(pools.get(target.pool) ?? []), target]);
     }
@@ -55,6 +58,7 @@
 
   const take = ({ value, revision }: StoreRecord): void => {
     parseWith(placementRecordSchema, value).ifRight((record) => {
+      if (revision <= (zones.get(record.zone)?.revision ?? 0)) return;
       const targets = Object.values(record.instances).map((placed) => ({ ...placed, zone: record.zone }));
       zones.set(record.zone, { revision, targets });
       rebuild();
--- a/src/pools/placement-writer.ts
+++ b/src/pools/placement-writer.ts
@@ -21,7 +21,10 @@
 /** The instances of a zone by identifier. */
 export type ZoneInstances = Readonly<Record<string, PlacedInstance>>;
 
-/** Computes a zone's new instances, or says why the change is refused. */
+/**
+ * Computes a zone's new instances, or says why the change is refused. It is called again after a conflict and has to
+ * see when it took effect before; returning the very instances that it was given writes nothing.
+ */
 export type PlacementChange = (instances: ZoneInstances) => Either<string, ZoneInstances>;
 
 /** Writes changes of the placement. */
@@ -56,11 +59,14 @@
     const record = read.orDefault(undefined);
     const before = decodePlacement(record);
     if (before?.writeId === writeId) return Right(record?.revision ?? 0);
-    const changed = change(before?.instances ?? {});
+    const instances = before?.instances ?? {};
+    const changed = change(instances);
     if (changed.isLeft()) {
       return Left({ kind: "refused", message: changed.swap().orDefault("the change is not possible") });
     }
-    const value: PlacementRecord = { zone, writeId, instances: { ...changed.orDefault({}) } };
+    const next = changed.orDefault(instances);
+    if (next === instances) return Right(record?.revision ?? 0);
+    const value: PlacementRecord = { zone, writeId, instances: { ...next } };
     const expectedRevision = record?.revision ?? 0;
     const isOwn = (held: unknown): boolean => (held as PlacementRecord | undefined)?.writeId === writeId;
     const result = await writeAndSettle(store, { key, value, expectedRevision }, isOwn);
--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -31,15 +31,20 @@
   type StoreMirror,
 } from "./platform/index.js";
 import {
-  adoptInstances,
+  createAdoption,
+  createKnownEntries,
   createMover,
   createPlacementCommands,
   createPlacementView,
   createPlacementWriter,
+  createViewConfidence,
   placementPrefix,
+  startPlacementExchange,
+  type KnownEntries,
   type PlacementCommands,
   type PlacementView,
   type PlacementWriter,
+  type ViewConfidence,
 } from "./pools/index.js";
 import { IndependentAllocator, type SlotAllocator } from "./routing/index.js";
 import type { EntrySettings } from "./settings/index.js";
@@ -91,8 +96,8 @@
   const configuration = wireConfiguration(foundation);
   const membership = await wireMembership(foundation);
   startRollOut(configuration, membership.peers);
-  const placement = wirePlacement(foundation);
-  const requestPath = wireRequestPath(foundation, configuration, placement.view);
+  const placement = wirePlacement(foundation, membership);
+  const requestPath = wireRequestPath(foundation, configuration, placement);
   const duties = wireDuties(foundation, configuration, membership, placement, requestPath.allocator);
   const status = (): EntryStatus => readStatus(foundation, configuration, membership, placement, requestPath);
   const operators = wireOperators(foundation, configuration, placement, status);
@@ -106,6 +111,7 @@
 
   const closeParts = async (): Promise<void> => {
     requestPath.allocator.close();
+    placement.close();
     operators.abort();
     await Promise.all([operators.close(), membership.peers.close(), requestPath.exchange.close()]);
     await foundation.close();
@@ -199,12 +205,29 @@
   readonly view: PlacementView;
   readonly writer: PlacementWriter;
   readonly commands: PlacementCommands;
+  readonly entries: KnownEntries;
+  readonly confidence: ViewConfidence;
+  close(): void;
 }
 
-function wirePlacement({ store, mirrors }: Foundation): PlacementParts {
+function wirePlacement(
+  { store, mirrors }: Foundation,
+  { peers, roster, self }: MembershipParts,
+): PlacementParts {
+  const { entryId } = self;
   const view = createPlacementView(mirrors.placement);
   const writer = createPlacementWriter(store, mirrors.placement);
-  return { view, writer, commands: createPlacementCommands(view, writer) };
+  const listed = (): string[] => roster.entries().map((record) => record.entryId);
+  const entries = createKnownEntries({ entryId, peers, listed, now: Date.now });
+  const confirmedAt = (): number => mirrors.placement.confirmedAt();
+  const confidence = createViewConfidence({ entryId, entries, peers, confirmedAt, now: Date.now });
+  startPlacementExchange(peers, mirrors.placement);
+  const stop = new AbortController();
+  void confidence.run(stop.signal);
+  const close = (): void => {
+    stop.abort();
+  };
+  return { view, writer, commands: createPlacementCommands(view, writer), entries, confidence, close };
 }
 
 interface RequestPathParts {
@@ -217,7 +240,7 @@
 function wireRequestPath(
   foundation: Foundation,
   configuration: ConfigurationKeeper,
-  view: PlacementView,
+  { view, confidence }: PlacementParts,
 ): RequestPathParts {
   const { settings, metrics, tracing } = foundation;
   const random = createRandom(settings.seed);
@@ -225,7 +248,8 @@
   const maximumAnswerBytes = settings.limits.answerBytes;
   const exchange = createTargetExchange({ connectionsPerTarget, maximumAnswerBytes });
   const executor = createExecutor({ allocator, exchange, metrics, tracing });
-  const isReady = (): boolean => configuration.revision() > 0 && view.all().length > 0;
+  const isReady = (): boolean =>
+    configuration.revision() > 0 && view.all().length > 0 && confidence.isConfident();
   const ingress = createIngress({
     configuration,
     executor,
@@ -244,23 +268,26 @@
 function wireDuties(
   foundation: Foundation,
   configuration: ConfigurationKeeper,
-  { peers, roster, self }: MembershipParts,
-  { view, writer }: PlacementParts,
+  { peers, self }: MembershipParts,
+  { view, writer, entries }: PlacementParts,
   allocator: SlotAllocator,
 ): Duty[] {
   const { log, store, settings } = foundation;
   const { entryId } = self;
+  const text = (): OperatorText | undefined => configuration.current()?.text;
   const mover = createMover({
     entryId,
     view,
     writer,
     peers,
+    entries,
     log,
-    roster: () => roster.entries().map((record) => record.entryId),
+    text,
+    now: Date.now,
     inProgress: (instanceId) => allocator.inProgress(instanceId),
   });
   const instanceList = createInstanceList(settings.instanceList.address);
-  const text = (): OperatorText | undefined => configuration.current()?.text;
+  const adoption = createAdoption({ instanceList, view, writer, log, text, now: Date.now });
   const placementDuty = createDuty({
     store,
     name: "placement",
@@ -268,7 +295,7 @@
     log,
     periodMilliseconds: dutyPeriodMilliseconds,
     step: async () => {
-      await adoptInstances({ instanceList, view, writer, log, text });
+      await adoption.step();
       await mover.step();
     },
   });
