--- a/examples/embedder/main.ts
+++ b/examples/embedder/main.ts
@@ -52,6 +52,7 @@
       rack: "rack-1",
       pool: "quotes",
       state: "serving",
+      recentChanges: [],
       since: Date.now(),
     },
   }),
--- a/src/routing/test/home-fixture.ts
+++ b/src/routing/test/home-fixture.ts
@@ -32,6 +32,7 @@
     rack: `rack-${Math.floor(index / 4) + 1}`,
     pool: "quotes",
     state: "serving" as const,
+    recentChanges: [],
     since: 0,
   }));
 }
