Measure the slopes of an entry's parts

Cause: docs/CAPACITY.md needs costs per instance, pool, team, peer and request. Change: measurement slopes, least squares over three or four sizes in one process.

--- a/src/measures/registry.ts
+++ b/src/measures/registry.ts
@@ -3,6 +3,7 @@
  * @packageDocumentation
  */
 import type { Measure } from "./measure.js";
+import { slopes } from "./slopes/index.js";
 
 /** The measurements, one line each. */
-export const measures: readonly Measure[] = [];
+export const measures: readonly Measure[] = [slopes];
--- /dev/null
+++ b/src/measures/slopes/requests.ts
@@ -0,0 +1,95 @@
+/**
+ * Slopes of the request path of an entry: processor time of one request by the pool's instances.
+ * @packageDocumentation
+ */
+import { ROOT_CONTEXT } from "@opentelemetry/api";
+import { checkText } from "../../configuration/index.js";
+import { createExecutor, type CallerRequest, type Executor } from "../../execution/index.js";
+import type { TargetExchange } from "../../forwarding/index.js";
+import { IndependentAllocator } from "../../routing/index.js";
+import { createRandom } from "../../shared/index.js";
+import { createMetrics, createTracing } from "../../telemetry/index.js";
+import type { Figure } from "../measure.js";
+import { measureProcessorTime } from "./cost.js";
+import { describeSeries, type Point } from "./fit.js";
+import { fillView } from "./placement.js";
+
+const poolInstances = [8, 64, 413] as const;
+const requests = 10_000;
+const slotsPerTarget = 8;
+const deadlineMilliseconds = 60_000;
+const ok = 200;
+
+/**
+ * Measures slot choice, tracing and metrics of a request; HTTP on both sides is left out.
+ * @param seed - seed of the routing
+ * @returns the figures
+ */
+export async function measureRequestSlopes(seed: number): Promise<Figure[]> {
+  const points: Point[] = [];
+  for (const size of poolInstances) {
+    const { mirror, view } = await fillView(size, 1);
+    const allocator = new IndependentAllocator({ view, random: createRandom(seed), slotsPerTarget });
+    const parts = { metrics: createMetrics(), tracing: createTracing(undefined) };
+    const executor = createExecutor({ allocator, exchange: createInstantExchange(), ...parts });
+    points.push({ size, cost: await measureExecutor(executor) });
+    allocator.close();
+    await parts.tracing.close();
+    mirror.close();
+  }
+  return describeSeries(
+    { name: "request without HTTP, processor time", unit: "µs", per: "instance of its pool" },
+    points,
+  );
+}
+
+async function measureExecutor(executor: Executor): Promise<number> {
+  const { signal } = new AbortController();
+  const request = createRequest();
+  return measureProcessorTime(requests, async () => {
+    await executor.run({ ...request, deadlineAt: Date.now() + deadlineMilliseconds }, signal);
+  });
+}
+
+function createInstantExchange(): TargetExchange {
+  const answer = { status: ok, headers: {}, body: Buffer.from("{}") };
+  return {
+    send: async () => Promise.resolve({ kind: "answered", answer }),
+    close: async () => Promise.resolve(),
+  };
+}
+
+function createRequest(): CallerRequest {
+  const text = checkText({
+    version: 1,
+    pools: [{ name: "pool-0", minimumInstances: 1 }],
+    services: [
+      {
+        name: "quotes",
+        pool: "pool-0",
+        availability: { objective: 0.999 },
+        deadlineMilliseconds,
+        operations: [{ name: "quote", idempotent: true }],
+      },
+    ],
+  }).unsafeCoerce();
+  const [service] = text.services;
+  const [operation] = service?.operations ?? [];
+  if (service === undefined || operation === undefined) throw new Error("the text has no operation");
+  const target = {
+    requestId: "request-1",
+    method: "POST" as const,
+    path: "/",
+    headers: {},
+    body: Buffer.from("{}"),
+  };
+  return {
+    service,
+    operation,
+    team: "plants",
+    urgency: "normal",
+    deadlineAt: 0,
+    target,
+    trace: ROOT_CONTEXT,
+  };
+}
