Measure whole requests over HTTP and peers before the fleet

Cause: the request path's slope left HTTP out, and the fleet's garbage hid the peers' heap. Change: one entry with targets in the process at three request rates; peers measured first.

--- a/src/measures/slopes/index.ts
+++ b/src/measures/slopes/index.ts
@@ -6,7 +6,7 @@
 import { measureConfigurationSlopes } from "./configuration.js";
 import { measurePeerSlopes } from "./peers.js";
 import { measurePlacementSlopes } from "./placement.js";
-import { measureRequestSlopes } from "./requests.js";
+import { measureFleetSlopes, measureRequestSlopes } from "./requests.js";
 import { measureMirrorSlopes } from "./store.js";
 
 /** Slope and intercept of each part's cost, by least squares. */
@@ -19,5 +19,6 @@
     ...(await measureMirrorSlopes()),
     ...(await measureRequestSlopes(seed)),
     ...(await measurePeerSlopes()),
+    ...(await measureFleetSlopes(seed)),
   ],
 };
--- a/src/measures/slopes/requests.ts
+++ b/src/measures/slopes/requests.ts
@@ -2,12 +2,15 @@
  * Slopes of the request path of an entry: processor time of one request by the pool's instances.
  * @packageDocumentation
  */
+import { readFile } from "node:fs/promises";
 import { ROOT_CONTEXT } from "@opentelemetry/api";
 import { checkText } from "../../configuration/index.js";
 import { createExecutor, type CallerRequest, type Executor } from "../../execution/index.js";
 import type { TargetExchange } from "../../forwarding/index.js";
 import { IndependentAllocator } from "../../routing/index.js";
+import { sendTurn } from "../../demo/demand.js";
 import { createRandom } from "../../shared/index.js";
+import { startFleet } from "../../stand-ins/index.js";
 import { createMetrics, createTracing } from "../../telemetry/index.js";
 import type { Figure } from "../measure.js";
 import { measureProcessorTime } from "./cost.js";
@@ -17,6 +20,10 @@
 const poolInstances = [8, 64, 413] as const;
 const requests = 10_000;
 const slotsPerTarget = 8;
+const fleetTargets = 8;
+const meanRunMilliseconds = 20;
+const requestRates = [100, 200, 400] as const;
+const turn = { seconds: 3, timeoutMilliseconds: 5_000 };
 const deadlineMilliseconds = 60_000;
 const ok = 200;
 
@@ -43,6 +50,32 @@
   );
 }
 
+/**
+ * Measures whole requests over HTTP through one entry. Callers, balancer, targets and store run in the same process
+ * and are counted, so that the slope is an upper bound for the entry.
+ * @param seed - seed of the demand
+ * @returns the figures
+ */
+export async function measureFleetSlopes(seed: number): Promise<Figure[]> {
+  const example = new URL("../../../examples/agency/text.json", import.meta.url);
+  const text: unknown = JSON.parse(await readFile(example, "utf8"));
+  const targets = { quotes: fleetTargets };
+  const fleet = await startFleet({ text, targets, entries: 1, zones: 1, meanRunMilliseconds, seed });
+  const points: Point[] = [];
+  await sendTurn(fleet.balancer.address, { ...turn, requestsPerSecond: 400, seed });
+  for (const requestsPerSecond of requestRates) {
+    const before = process.cpuUsage();
+    await sendTurn(fleet.balancer.address, { ...turn, requestsPerSecond, seed });
+    const { user, system } = process.cpuUsage(before);
+    points.push({ size: requestsPerSecond, cost: (user + system) / turn.seconds });
+  }
+  await fleet.close();
+  return describeSeries(
+    { name: "requests over HTTP, whole process, processor time each second", unit: "µs", per: "request/s" },
+    points,
+  );
+}
+
 async function measureExecutor(executor: Executor): Promise<number> {
   const { signal } = new AbortController();
   const request = createRequest();
