Planner of moves and the buffer measurement

Change: demand tracker (usual load told apart from turns), Erlang C and turn requirement, planMoves with rack and zone reserves, hysteresis and a bound on moves in flight; npm run measure -- buffer.

--- /dev/null
+++ b/src/capacity/index.ts
@@ -0,0 +1,24 @@
+/**
+ * Demand of pools and the planner of moves.
+ * @packageDocumentation
+ */
+export {
+  createDemandTracker,
+  type DemandSample,
+  type DemandTracker,
+  type PoolDemand,
+} from "./demand-tracker.js";
+export { fewestServers, lateShare, type WaitObjective } from "./erlang.js";
+export { planMoves } from "./plan.js";
+export {
+  defaultPlannerLimits,
+  type PlanDecision,
+  type PlannedInstance,
+  type PlannedPool,
+  type PlannerInput,
+  type PlannerLimits,
+} from "./plan-messages.js";
+export { requireInstances, type PoolObjective, type PoolRequirement } from "./requirement.js";
+export { createRunTimeEstimator, type RunTimeEstimator } from "./run-time-estimator.js";
+export { findSpareReserve, type PoolLoad, type SpareReserve } from "./spare-reserve.js";
+export { createTurnDetector, expectedTurn, type TurnDetector, type TurnShape } from "./turn-detector.js";
--- /dev/null
+++ b/src/capacity/plan.ts
@@ -0,0 +1,210 @@
+/**
+ * The planner: how much each pool must hold and which instance moves where. It computes values and changes nothing.
+ * @packageDocumentation
+ */
+import { createAllocation, largestDomain, type Allocation } from "./allocation.js";
+import { chooseInstance } from "./choose-instance.js";
+import type { PlanDecision, PlannedInstance, PlannedPool, PlannerInput } from "./plan-messages.js";
+import { requireInstances, type PoolRequirement } from "./requirement.js";
+import { findSpareReserve } from "./spare-reserve.js";
+
+const millisecondsPerSecond = 1_000;
+/** From this share of a spent budget on, a pool holds one instance more. */
+const budgetAlarmShare = 0.5;
+
+/** Needs of a pool for the whole plan; the reserve for a rack depends on the placement and is added later. */
+interface PoolNeeds {
+  readonly pool: PlannedPool;
+  /** For the demand to come; undefined while nothing is known. */
+  readonly growth: PoolRequirement | undefined;
+  /** For the recent peak and a margin: what the pool keeps when instances are given up. */
+  readonly release: PoolRequirement | undefined;
+}
+
+/**
+ * Decides on moves.
+ * @param input - pools with their demand, instances and bounds
+ * @returns a decision for each pool, then the moves to start now
+ */
+export function planMoves(input: PlannerInput): PlanDecision[] {
+  const allocation = createAllocation(input);
+  const needs = input.pools.filter(({ spare }) => !spare).map((pool) => computeNeeds(pool, input));
+  const spare = input.pools.find((pool) => pool.spare);
+  const moves = [
+    ...fillPools(input, needs, spare, allocation),
+    ...releaseInstances(input, needs, spare, allocation),
+  ];
+  const states = needs.map((need) => describePool(need, allocation));
+  const reserve = spare === undefined ? [] : [describeSpare(spare, needs, allocation)];
+  return [...states, ...reserve, ...moves];
+}
+
+function computeNeeds(pool: PlannedPool, { limits }: PlannerInput): PoolNeeds {
+  const { demand } = pool;
+  if (demand === undefined) return { pool, growth: undefined, release: undefined };
+  const releaseLoad = Math.max(demand.load, demand.recentPeakLoad) * (1 + limits.releaseMarginShare);
+  return {
+    pool,
+    growth: requireInstances(demand.load, demand, pool),
+    release: requireInstances(releaseLoad, demand, pool),
+  };
+}
+
+/** Adds what the loss of the pool's fullest rack takes and what a spent budget asks for. */
+function countRequired(
+  { pool }: PoolNeeds,
+  requirement: PoolRequirement | undefined,
+  held: readonly PlannedInstance[],
+): number {
+  if (requirement === undefined) return Math.max(pool.minimumInstances, held.length);
+  const caution = pool.spentBudgetShare > budgetAlarmShare ? 1 : 0;
+  return Math.max(
+    pool.minimumInstances,
+    requirement.workingInstances + Math.max(1, largestDomain(held, "rack")) + caution,
+  );
+}
+
+function countMissing(need: PoolNeeds, allocation: Allocation): number {
+  const held = allocation.held(need.pool.name);
+  if (need.growth === undefined) return need.pool.minimumInstances - held.length;
+  return countRequired(need, need.growth, held) - held.length;
+}
+
+function countSurplus(need: PoolNeeds, allocation: Allocation): number {
+  const held = allocation.held(need.pool.name);
+  return held.length - countRequired(need, need.release, held);
+}
+
+function fillPools(
+  input: PlannerInput,
+  needs: readonly PoolNeeds[],
+  spare: PlannedPool | undefined,
+  allocation: Allocation,
+): PlanDecision[] {
+  const moves: PlanDecision[] = [];
+  while (allocation.movesLeft() > 0) {
+    const neediest = findNeediest(needs, allocation);
+    if (neediest === undefined) break;
+    const instance = findLent(input, needs, spare, allocation, neediest.pool);
+    if (instance === undefined) break;
+    const missing = countMissing(neediest, allocation);
+    allocation.move(instance, neediest.pool.name);
+    const reason = `pool ${neediest.pool.name} lacks ${missing} for the demand to come`;
+    moves.push(createMove(instance, neediest.pool.name, reason));
+  }
+  return moves;
+}
+
+function findNeediest(needs: readonly PoolNeeds[], allocation: Allocation): PoolNeeds | undefined {
+  const lacking = needs
+    .map((need) => ({ need, missing: countMissing(need, allocation) }))
+    .filter(({ missing }) => missing > 0);
+  lacking.sort(
+    (left, right) =>
+      right.need.pool.objective - left.need.pool.objective ||
+      right.missing - left.missing ||
+      (left.need.pool.name < right.need.pool.name ? -1 : 1),
+  );
+  return lacking[0]?.need;
+}
+
+function findLent(
+  input: PlannerInput,
+  needs: readonly PoolNeeds[],
+  spare: PlannedPool | undefined,
+  allocation: Allocation,
+  to: PlannedPool,
+): PlannedInstance | undefined {
+  const choose = (from: string, candidates: readonly PlannedInstance[]): PlannedInstance | undefined =>
+    chooseInstance({
+      candidates,
+      source: allocation.held(from),
+      destination: allocation.held(to.name),
+      drainPlanned: input.drainPlanned,
+      urgent: true,
+    });
+  if (spare !== undefined && allocation.held(spare.name).length > spare.minimumInstances) {
+    const lent = choose(spare.name, allocation.movable(spare.name));
+    if (lent !== undefined) return lent;
+  }
+  for (const need of sortBySurplus(needs, allocation)) {
+    const { name } = need.pool;
+    const given = name === to.name ? undefined : choose(name, findSettled(input, allocation, name));
+    if (given !== undefined) return given;
+  }
+  return undefined;
+}
+
+function releaseInstances(
+  input: PlannerInput,
+  needs: readonly PoolNeeds[],
+  spare: PlannedPool | undefined,
+  allocation: Allocation,
+): PlanDecision[] {
+  if (spare === undefined) return [];
+  const moves: PlanDecision[] = [];
+  for (const { pool } of sortBySurplus(needs, allocation)) {
+    if (allocation.movesLeft() === 0) break;
+    const instance = chooseInstance({
+      candidates: findSettled(input, allocation, pool.name),
+      source: allocation.held(pool.name),
+      destination: allocation.held(spare.name),
+      drainPlanned: input.drainPlanned,
+      urgent: false,
+    });
+    if (instance === undefined) continue;
+    allocation.move(instance, spare.name);
+    moves.push(createMove(instance, spare.name, `pool ${pool.name} keeps its objective without it`));
+  }
+  return moves;
+}
+
+function sortBySurplus(needs: readonly PoolNeeds[], allocation: Allocation): PoolNeeds[] {
+  return needs
+    .filter((need) => countSurplus(need, allocation) > 0)
+    .toSorted((left, right) => countSurplus(right, allocation) - countSurplus(left, allocation));
+}
+
+/** Instances that have been in the pool long enough to leave it again. */
+function findSettled(input: PlannerInput, allocation: Allocation, pool: string): PlannedInstance[] {
+  const latest = input.atMilliseconds - input.limits.minimumStaySeconds * millisecondsPerSecond;
+  return allocation.movable(pool).filter(({ since }) => since <= latest);
+}
+
+function createMove(instance: PlannedInstance, to: string, reason: string): PlanDecision {
+  return { action: "move", instanceId: instance.instanceId, from: instance.pool, to, reason };
+}
+
+function describePool(need: PoolNeeds, allocation: Allocation): PlanDecision {
+  const held = allocation.held(need.pool.name);
+  const required = countRequired(need, need.growth, held);
+  const state = { pool: need.pool.name, held: held.length, required, requirement: need.growth };
+  if (held.length < required) {
+    return { action: "shortage", ...state, reason: "no instance can be lent now" };
+  }
+  if (need.growth === undefined) return { action: "hold", ...state, reason: "demand is not known yet" };
+  const { steadyInstances, turnInstances } = need.growth;
+  const reason = `${steadyInstances} for the usual load, ${turnInstances} for a turn, the rest for the loss of a rack`;
+  return { action: "hold", ...state, reason };
+}
+
+function describeSpare(
+  spare: PlannedPool,
+  needs: readonly PoolNeeds[],
+  allocation: Allocation,
+): PlanDecision {
+  const loads = needs.map(({ pool, growth }) => ({
+    held: allocation.held(pool.name),
+    steadyInstances: growth?.steadyInstances ?? 0,
+  }));
+  const held = allocation.held(spare.name);
+  const { zone, required, covered } = findSpareReserve(loads, held);
+  return {
+    action: covered ? "hold" : "shortage",
+    pool: spare.name,
+    held: held.length,
+    required: Math.max(required, spare.minimumInstances),
+    requirement: undefined,
+    reason: `${required} outside zone ${zone} would carry the usual load after its loss`,
+  };
+}
--- a/src/measures/registry.ts
+++ b/src/measures/registry.ts
@@ -3,7 +3,8 @@
  * @packageDocumentation
  */
 import type { Measure } from "./measure.js";
+import { buffer } from "./buffer/index.js";
 import { slopes } from "./slopes/index.js";
 
 /** The measurements, one line each. */
-export const measures: readonly Measure[] = [slopes];
+export const measures: readonly Measure[] = [buffer, slopes];
