Tests of the planner and two faults that they found

Cause: a pool could give up an instance while others were only on their way to it, and the turn detector took the first usual seconds after a turn for a turn. Change: a pool gives up only what serves beyond its need; turns are learned after 120 s. After: 16 tests pass (npx vitest run src/capacity).

--- a/src/capacity/allocation.ts
+++ b/src/capacity/allocation.ts
@@ -10,6 +10,7 @@
   held(pool: string): readonly PlannedInstance[];
   /** Instances that serve the pool and that the plan has not moved. */
   movable(pool: string): readonly PlannedInstance[];
+  /** Moves an instance in the plan. */
   move(instance: PlannedInstance, to: string): void;
   /** How many more moves may start. */
   movesLeft(): number;
--- a/src/capacity/demand-tracker.ts
+++ b/src/capacity/demand-tracker.ts
@@ -43,6 +43,7 @@
 const peakSteps = 60;
 const trendSteps = 60;
 const lookAheadSteps = 12;
+const turnWarmUpSeconds = 120;
 
 /**
  * Creates a tracker.
@@ -74,7 +75,8 @@
         keepLast(busySlots, sample.reportedBusySlots, windowSeconds);
       }
       queued = sample.queued ?? 0;
-      turns.observe(sample.arrivals, usualArrivals);
+      // The usual arrivals of the first seconds are not known well enough to tell a turn from them.
+      if (observed >= turnWarmUpSeconds) turns.observe(sample.arrivals, usualArrivals);
       observed += 1;
       if (observed % historyStepSeconds === 0) refresh();
     },
--- a/src/capacity/plan.ts
+++ b/src/capacity/plan.ts
@@ -70,9 +70,10 @@
   return countRequired(need, need.growth, held) - held.length;
 }
 
+/** Counts what a pool may give up now; instances on their way to it do not replace those that serve. */
 function countSurplus(need: PoolNeeds, allocation: Allocation): number {
-  const held = allocation.held(need.pool.name);
-  return held.length - countRequired(need, need.release, held);
+  const serving = allocation.movable(need.pool.name);
+  return serving.length - countRequired(need, need.release, serving);
 }
 
 function fillPools(
@@ -123,7 +124,7 @@
       drainPlanned: input.drainPlanned,
       urgent: true,
     });
-  if (spare !== undefined && allocation.held(spare.name).length > spare.minimumInstances) {
+  if (spare !== undefined && allocation.movable(spare.name).length > spare.minimumInstances) {
     const lent = choose(spare.name, allocation.movable(spare.name));
     if (lent !== undefined) return lent;
   }
