--- a/src/measures/slopes/placement.ts
+++ b/src/measures/slopes/placement.ts
@@ -107,6 +107,7 @@
     rack: `${zone}-rack-${Math.floor(index / rackSize)}`,
     pool: `pool-${index % poolCount}`,
     state: "serving",
+    recentChanges: [],
     since: 1_700_000_000_000 + index,
   };
 }
--- a/src/measures/slopes/requests.ts
+++ b/src/measures/slopes/requests.ts
@@ -5,7 +5,7 @@
 import { readFile } from "node:fs/promises";
 import { ROOT_CONTEXT } from "@opentelemetry/api";
 import { checkText } from "../../configuration/index.js";
-import { createExecutor, type CallerRequest, type Executor } from "../../execution/index.js";
+import { createExecutor, type CallerRequest, type Claims, type Executor } from "../../execution/index.js";
 import type { TargetExchange } from "../../forwarding/index.js";
 import { IndependentAllocator } from "../../routing/index.js";
 import { sendTurn } from "../../demo/demand.js";
@@ -26,6 +26,12 @@
 const turn = { seconds: 3, timeoutMilliseconds: 5_000 };
 const deadlineMilliseconds = 60_000;
 const ok = 200;
+/** Idempotent operations take no claim. */
+const noClaims: Claims = {
+  entryId: "entry-1",
+  take: async () => Promise.resolve({ kind: "unavailable" }),
+  settle: async () => Promise.resolve(),
+};
 
 /**
  * Measures slot choice, tracing and metrics of a request; HTTP on both sides is left out.
@@ -38,7 +44,12 @@
     const { mirror, view } = await fillView(size, 1);
     const allocator = new IndependentAllocator({ view, random: createRandom(seed), slotsPerTarget });
     const parts = { metrics: createMetrics(), tracing: createTracing(undefined) };
-    const executor = createExecutor({ allocator, exchange: createInstantExchange(), ...parts });
+    const executor = createExecutor({
+      allocator,
+      exchange: createInstantExchange(),
+      claims: noClaims,
+      ...parts,
+    });
     points.push({ size, cost: await measureExecutor(executor) });
     allocator.close();
     await parts.tracing.close();
@@ -122,6 +133,7 @@
     team: "plants",
     urgency: "normal",
     deadlineAt: 0,
+    idempotencyKey: undefined,
     target,
     trace: ROOT_CONTEXT,
   };
