--- a/src/test/processes.test.ts
+++ b/src/test/processes.test.ts
@@ -3,87 +3,14 @@
  * @packageDocumentation
  */
 import { createHash } from "node:crypto";
-import { mkdtemp, readFile, rm, writeFile } from "node:fs/promises";
-import { tmpdir } from "node:os";
-import { join } from "node:path";
+import { readFile } from "node:fs/promises";
 import { afterAll, expect, test } from "vitest";
 import type { TargetCounts } from "../stand-ins/index.js";
-import { startProcess, type TestProcess } from "./processes.js";
+import { getJson, postJson, startSession, waitFor, type Session } from "./processes.js";
 
-const running: TestProcess[] = [];
 const requestCount = 200;
-const zoneCount = 2;
 const batchSize = 16;
-
-async function start(args: readonly string[]): Promise<TestProcess> {
-  const started = await startProcess(args);
-  running.push(started);
-  return started;
-}
-
-async function getJson(url: string): Promise<unknown> {
-  return (await fetch(url)).json();
-}
-
-async function postJson(url: string, body: unknown): Promise<{ status: number; body: unknown }> {
-  const response = await fetch(url, { method: "POST", body: JSON.stringify(body) });
-  return { status: response.status, body: await response.json() };
-}
-
-async function waitFor(condition: () => Promise<boolean>): Promise<void> {
-  for (let tries = 0; tries < 200; tries += 1) {
-    if (await condition().catch(() => false)) return;
-    await new Promise((resolve) => setTimeout(resolve, 50));
-  }
-  throw new Error("the condition never held");
-}
-
-async function startSession(folder: string) {
-  const [store, list, ...targets] = await Promise.all([
-    start(["stand-in", "--kind", "store"]),
-    start(["stand-in", "--kind", "instance-list", "--lag-ms", "20"]),
-    ...[1, 2, 3, 4].map(async (index) =>
-      start(["stand-in", "--kind", "target", "--instance-id", `target-${index}`, "--seed", `${index}`]),
-    ),
-  ]);
-  const entries = await Promise.all(
-    [1, 2].map(async (index) => {
-      const path = join(folder, `entry-${index}.json`);
-      const anyPort = { host: "127.0.0.1", port: 0 };
-      const settings = {
-        entryId: `entry-${index}`,
-        availabilityZone: `zone-${index}`,
-        requests: anyPort,
-        peers: anyPort,
-        operators: anyPort,
-        store: { address: store.started.address },
-        instanceList: { address: list.started.address },
-        seed: index,
-      };
-      await writeFile(path, JSON.stringify(settings));
-      return start(["entry", "--settings", path]);
-    }),
-  );
-  const balancer = await start([
-    "stand-in",
-    "--kind",
-    "balancer",
-    "--entries",
-    entries.map(({ started }) => started.requests).join(","),
-  ]);
-  await postJson(
-    `${list.started.address ?? ""}/instances`,
-    targets.map(({ started }, index) => ({
-      instanceId: `target-${index + 1}`,
-      address: started.address,
-      zone: `zone-${(index % zoneCount) + 1}`,
-      rack: `rack-${index + 1}`,
-      state: "live",
-      pool: index < 3 ? "quotes" : "spare",
-    })),
-  );
-  return { entries, targets, balancer };
-}
+let session: Session | undefined;
 
 async function sendRequest(balancer: string, index: number): Promise<string> {
   const body = `request number ${index}`;
@@ -96,15 +23,15 @@
 }
 
 afterAll(async () => {
-  await Promise.all(running.map(async (each) => each.end("SIGKILL")));
+  await session?.end();
 });
 
 test(
   "a session of separate processes gives each request its own whole answer",
   { timeout: 60_000 },
   async () => {
-    const folder = await mkdtemp(join(tmpdir(), "dogwoodhoist-"));
-    const { entries, targets, balancer } = await startSession(folder);
+    session = await startSession(2, 4);
+    const { entries, targets, balancer } = session;
     const [first, second] = entries.map(({ started }) => `http://${started.operators ?? ""}/operator`);
     const text = JSON.parse(
       await readFile(new URL("../../examples/agency/text.json", import.meta.url), "utf8"),
@@ -170,7 +97,6 @@
     const runs = counts.flatMap((count) => Object.values(count.runs));
     // One more request than the session sent: the one that found the balancer ready.
     lines.push(`runs: ${runs.length - 1}, most for one request ${Math.max(...runs)}`);
-    await rm(folder, { recursive: true });
 
     expect(lines.filter((line) => line.startsWith("request "))).toHaveLength(requestCount);
     lines.sort((left, right) => left.localeCompare(right, "en", { numeric: true }));
