Peer links: identity, own pauses, vanished records, bounded links, seeds

Change: a listener says who it is at once and calls wait for that; silence is measured by the monotonic clock less own pauses; links to vanished records are kept while the peer speaks; choosePeers bounds links, calls to others open one on demand; heartbeats travel one way per connection; fetchRoster from seeds.

--- /dev/null
+++ b/src/membership/frame-codec.ts
@@ -0,0 +1,23 @@
+/**
+ * Decoding of the frames between entries.
+ * @packageDocumentation
+ */
+import { Left, type Either } from "purify-ts";
+import { unpack } from "msgpackr";
+import type WebSocket from "ws";
+import { parseWith } from "../shared/index.js";
+import { frameSchema, type Frame } from "./messages.js";
+
+/**
+ * Decodes a frame.
+ * @param data - bytes from the connection
+ * @returns the frame, or why it cannot be read
+ */
+export function decodeFrame(data: WebSocket.RawData): Either<string, Frame> {
+  try {
+    const decoded: unknown = unpack(data as Buffer);
+    return parseWith(frameSchema, decoded).mapLeft((faults) => faults[0]?.message ?? "bad frame");
+  } catch (error) {
+    return Left((error as Error).message);
+  }
+}
--- a/src/membership/index.ts
+++ b/src/membership/index.ts
@@ -2,15 +2,11 @@
  * The entries: roster, peers, failure detection and control duties.
  * @packageDocumentation
  */
-export { definePeerCall, type PeerCall } from "./messages.js";
+export { definePeerCall, type PeerCall, type RosterRecord } from "./messages.js";
 export type { PeerFailure, PeerFailureKind, PeerState } from "./peer-link.js";
 export type { PeerAnswer } from "./peer-listener.js";
-export {
-  createPeerNetwork,
-  type PeerIdentity,
-  type PeerNetwork,
-  type PeerNetworkEvents,
-} from "./peer-network.js";
-export { createRoster, leaseSecondsFor, rosterPrefix, type Roster, type RosterRecord } from "./roster.js";
+export type { PeerIdentity } from "./peer-links.js";
+export { createPeerNetwork, type PeerNetwork, type PeerNetworkEvents } from "./peer-network.js";
+export { createRoster, leaseSecondsFor, rosterPrefix, type Roster } from "./roster.js";
 export { choosePeers, isChosenInZone, maximumPeerLinks, type SelectableEntry } from "./selection.js";
 export { createDuty, type Duty, type DutyOptions } from "./duty.js";
--- a/src/membership/messages.ts
+++ b/src/membership/messages.ts
@@ -26,6 +26,26 @@
   return { name, request, reply };
 }
 
+/** Checks one entry's record in the roster. */
+export const rosterRecordSchema = z.object({
+  entryId: z.string(),
+  /** Start time of the process, higher after each restart. */
+  incarnation: z.number(),
+  /** `IP:port` where peers connect. */
+  peerAddress: z.string(),
+  zone: z.string(),
+});
+
+/** One entry's record. */
+export type RosterRecord = z.infer<typeof rosterRecordSchema>;
+
+/** Asks an entry for the roster that it knows. */
+export const rosterCall = definePeerCall(
+  "membership.roster",
+  z.object({}),
+  z.object({ records: z.array(rosterRecordSchema) }),
+);
+
 /** Checks a frame on a connection between entries. */
 export const frameSchema = z.discriminatedUnion("kind", [
   z.object({ kind: z.literal("hello"), entryId: z.string(), incarnation: z.number(), zone: z.string() }),
--- a/src/membership/peer-link.ts
+++ b/src/membership/peer-link.ts
@@ -2,11 +2,14 @@
  * One connection that this entry opened to a peer, for the calls that it makes.
  * @packageDocumentation
  */
-import { Left, Right, type Either } from "purify-ts";
-import { pack, unpack } from "msgpackr";
+import { Left, type Either } from "purify-ts";
+import { pack } from "msgpackr";
 import WebSocket from "ws";
 import { delay, parseWith } from "../shared/index.js";
-import { frameSchema, type Frame, type PeerCall } from "./messages.js";
+import { decodeFrame } from "./frame-codec.js";
+import type { Frame, PeerCall } from "./messages.js";
+import { createPendingCalls, type PendingCalls } from "./pending-calls.js";
+import { createSilenceClock } from "./silence-clock.js";
 
 /** Why a call to a peer brought no reply. */
 export type PeerFailureKind = "not-connected" | "timeout" | "cut" | "refused" | "bad-reply";
@@ -29,8 +32,8 @@
   state(): PeerState;
   /** Time of the last frame from the peer in milliseconds since the epoch. */
   heardAt(): number;
-  /** Sends a frame if connected. */
-  send(frame: Frame): void;
+  /** Bytes of all frames sent so far. */
+  bytesSent(): number;
   /** Calls the peer. */
   call<Request, Reply>(
     definition: PeerCall<Request, Reply>,
@@ -43,11 +46,15 @@
 /** Settings of a link. */
 export interface PeerLinkOptions {
   readonly peerId: string;
+  /** Whether any entry may answer at the address, as with addresses from the settings. */
+  readonly acceptsAnyEntry?: boolean;
   /** `IP:port`. */
   readonly address: string;
   readonly hello: Frame;
   /** Called when the state changed. */
   onState(state: PeerState): void;
+  /** Called for each heartbeat of the peer. */
+  onHeartbeat(reports: Readonly<Record<string, number>>): void;
 }
 
 const handshakeMilliseconds = 1_000;
@@ -56,7 +63,10 @@
 export const suspectMilliseconds = 1_000;
 /** Silence after which a connection is given up. */
 const giveUpMilliseconds = 3_000;
+const checkMilliseconds = suspectMilliseconds / 4;
 const maximumFrameBytes = 4_194_304;
+/** Header and mask of a WebSocket frame from a client. */
+const frameOverheadBytes = 6;
 
 /**
  * Creates a link and starts to connect.
@@ -64,84 +74,138 @@
  * @returns the link
  */
 export function createPeerLink(options: PeerLinkOptions): PeerLink {
-  const stop = new AbortController();
-  const pending = createPendingCalls(options.peerId);
-  let socket: WebSocket | undefined;
-  let state: PeerState = "connecting";
-  let heardAt = 0;
-
-  const setState = (next: PeerState): void => {
-    if (state === next) return;
-    state = next;
-    options.onState(next);
-  };
-
-  const send = (frame: Frame): void => {
-    if (socket?.readyState === WebSocket.OPEN) socket.send(pack(frame));
-  };
-
-  const receive = (data: WebSocket.RawData): void => {
-    heardAt = Date.now();
-    setState("up");
-    decodeFrame(data).ifRight(pending.settle);
-  };
-
-  const checkSilence = (opened: WebSocket): void => {
-    if (opened.readyState !== WebSocket.OPEN) return;
-    const silence = Date.now() - heardAt;
-    if (silence > giveUpMilliseconds) opened.terminate();
-    else if (silence > suspectMilliseconds && state === "up") setState("suspect");
-  };
-
-  const connectOnce = async (): Promise<void> => {
-    const opened = openSocket(options.address);
-    socket = opened;
-    const silence = setInterval(checkSilence, suspectMilliseconds / 4, opened);
-    opened.on("open", () => {
-      send(options.hello);
+  return new WebSocketPeerLink(options);
+}
+
+/** A link over WebSocket that connects again whenever it was cut. */
+class WebSocketPeerLink implements PeerLink {
+  readonly peerId: string;
+  readonly #options: PeerLinkOptions;
+  readonly #stop = new AbortController();
+  readonly #pending: PendingCalls;
+  readonly #silence = createSilenceClock(suspectMilliseconds);
+  #socket: WebSocket | undefined;
+  /** Whether the peer itself has spoken on the present connection. */
+  #isIdentified = false;
+  #state: PeerState = "connecting";
+  #heardAt = 0;
+  #bytesSent = 0;
+
+  constructor(options: PeerLinkOptions) {
+    this.peerId = options.peerId;
+    this.#options = options;
+    this.#pending = createPendingCalls(options.peerId);
+    void this.#run();
+  }
+
+  state(): PeerState {
+    return this.#state;
+  }
+
+  heardAt(): number {
+    return this.#heardAt;
+  }
+
+  bytesSent(): number {
+    return this.#bytesSent;
+  }
+
+  async call<Request, Reply>(
+    definition: PeerCall<Request, Reply>,
+    request: Request,
+    timeoutMilliseconds: number,
+  ): Promise<Either<PeerFailure, Reply>> {
+    if (this.#socket?.readyState !== WebSocket.OPEN || !this.#isIdentified) {
+      return Left({ kind: "not-connected", message: `${this.peerId} is not connected` });
+    }
+    const { id, result } = this.#pending.open(timeoutMilliseconds);
+    this.#send({ kind: "call", id, name: definition.name, body: request });
+    return decodeReply(definition, await result);
+  }
+
+  close(): void {
+    this.#stop.abort();
+    this.#socket?.terminate();
+    this.#pending.failAll();
+  }
+
+  async #run(): Promise<void> {
+    while (!this.#stop.signal.aborted) {
+      await this.#connectOnce();
+      await delay(reconnectMilliseconds, this.#stop.signal);
+    }
+  }
+
+  async #connectOnce(): Promise<void> {
+    const socket = openSocket(this.#options.address);
+    this.#socket = socket;
+    this.#isIdentified = false;
+    this.#silence.reset();
+    const checks = setInterval(() => {
+      this.#checkSilence(socket);
+    }, checkMilliseconds);
+    socket.on("open", () => {
+      this.#silence.reset();
+      this.#send(this.#options.hello);
+    });
+    socket.on("message", (data) => {
+      this.#receive(socket, data);
     });
-    opened.on("message", receive);
-    opened.on("error", (error: Error & { code?: string }) => {
-      setState(error.code === "ECONNREFUSED" ? "gone" : "unreachable");
+    socket.on("error", (error: Error & { code?: string }) => {
+      this.#setState(error.code === "ECONNREFUSED" ? "gone" : "unreachable");
     });
     await new Promise<void>((resolve) => {
-      opened.on("close", () => {
+      socket.on("close", () => {
         resolve();
       });
     });
-    clearInterval(silence);
-    pending.failAll();
-    if (state === "up" || state === "suspect") setState("unreachable");
-  };
-
-  const run = async (): Promise<void> => {
-    while (!stop.signal.aborted) {
-      heardAt = Math.max(heardAt, Date.now() - suspectMilliseconds);
-      await connectOnce();
-      await delay(reconnectMilliseconds, stop.signal);
+    clearInterval(checks);
+    this.#pending.failAll();
+    if (this.#state === "up" || this.#state === "suspect") this.#setState("unreachable");
+  }
+
+  #send(frame: Frame): void {
+    if (this.#socket?.readyState !== WebSocket.OPEN) return;
+    const bytes = pack(frame);
+    this.#bytesSent += bytes.length + frameOverheadBytes;
+    this.#socket.send(bytes);
+  }
+
+  #receive(socket: WebSocket, data: WebSocket.RawData): void {
+    const decoded = decodeFrame(data);
+    decoded.ifRight((frame) => {
+      if (frame.kind === "heartbeat") this.#takeHeartbeat(socket, frame);
+    });
+    if (!this.#isIdentified || socket.readyState !== WebSocket.OPEN) return;
+    this.#heardAt = Date.now();
+    this.#silence.reset();
+    this.#setState("up");
+    decoded.ifRight(this.#pending.settle);
+  }
+
+  #takeHeartbeat(socket: WebSocket, frame: Frame & { kind: "heartbeat" }): void {
+    if (frame.entryId !== this.peerId && this.#options.acceptsAnyEntry !== true) {
+      // Another process listens at the address now, so that the peer's own has ended.
+      this.#setState("gone");
+      socket.terminate();
+      return;
     }
-  };
-
-  void run();
-  return {
-    peerId: options.peerId,
-    state: () => state,
-    heardAt: () => heardAt,
-    send,
-    call: async (definition, request, timeoutMilliseconds) => {
-      if (socket?.readyState !== WebSocket.OPEN) {
-        return Left({ kind: "not-connected", message: `${options.peerId} is not connected` });
-      }
-      const { id, result } = pending.open(timeoutMilliseconds);
-      send({ kind: "call", id, name: definition.name, body: request });
-      return decodeReply(definition, await result);
-    },
-    close: () => {
-      stop.abort();
-      socket?.terminate();
-      pending.failAll();
-    },
-  };
+    this.#isIdentified = true;
+    this.#options.onHeartbeat(frame.reports);
+  }
+
+  #checkSilence(socket: WebSocket): void {
+    const silentMilliseconds = this.#silence.check();
+    if (socket.readyState !== WebSocket.OPEN) return;
+    if (silentMilliseconds > giveUpMilliseconds) socket.terminate();
+    else if (silentMilliseconds > suspectMilliseconds && this.#state === "up") this.#setState("suspect");
+  }
+
+  #setState(next: PeerState): void {
+    if (this.#state === next) return;
+    this.#state = next;
+    this.#options.onState(next);
+  }
 }
 
 function openSocket(address: string): WebSocket {
@@ -163,57 +227,3 @@
     })),
   );
 }
-
-interface PendingCalls {
-  /** Opens a call that ends by a reply, a failure, a cut or its timeout. */
-  open(timeoutMilliseconds: number): { id: number; result: Promise<Either<PeerFailure, unknown>> };
-  /** Ends the call that a frame answers. */
-  readonly settle: (frame: Frame) => void;
-  /** Ends all calls because the connection was cut. */
-  failAll(): void;
-}
-
-function createPendingCalls(peerId: string): PendingCalls {
-  const calls = new Map<number, (result: Either<PeerFailure, unknown>) => void>();
-  let nextCall = 1;
-  return {
-    open: (timeoutMilliseconds) => {
-      const id = nextCall;
-      nextCall += 1;
-      const result = new Promise<Either<PeerFailure, unknown>>((resolve) => {
-        const timer = setTimeout(() => {
-          calls.get(id)?.(Left({ kind: "timeout", message: `${peerId} did not reply in time` }));
-        }, timeoutMilliseconds);
-        calls.set(id, (outcome) => {
-          clearTimeout(timer);
-          calls.delete(id);
-          resolve(outcome);
-        });
-      });
-      return { id, result };
-    },
-    settle: (frame) => {
-      if (frame.kind === "reply") calls.get(frame.id)?.(Right(frame.body));
-      if (frame.kind === "failure") calls.get(frame.id)?.(Left({ kind: "refused", message: frame.reason }));
-    },
-    failAll: () => {
-      for (const finish of [...calls.values()]) {
-        finish(Left({ kind: "cut", message: `the connection to ${peerId} was cut` }));
-      }
-    },
-  };
-}
-
-/**
- * Decodes a frame.
- * @param data - bytes from the connection
- * @returns the frame, or why it cannot be read
- */
-export function decodeFrame(data: WebSocket.RawData): Either<string, Frame> {
-  try {
-    const decoded: unknown = unpack(data as Buffer);
-    return parseWith(frameSchema, decoded).mapLeft((faults) => faults[0]?.message ?? "bad frame");
-  } catch (error) {
-    return Left((error as Error).message);
-  }
-}
--- /dev/null
+++ b/src/membership/peer-links.ts
@@ -0,0 +1,159 @@
+/**
+ * The links of this entry: to the peers chosen from the roster, and for a while to those that were called.
+ * @packageDocumentation
+ */
+import { Left, type Either } from "purify-ts";
+import { delay } from "../shared/index.js";
+import type { PeerCall, RosterRecord } from "./messages.js";
+import { createPeerLink, type PeerFailure, type PeerLink, type PeerState } from "./peer-link.js";
+import { choosePeers, maximumPeerLinks } from "./selection.js";
+
+/** Who this entry is towards its peers. */
+export interface PeerIdentity {
+  readonly entryId: string;
+  readonly incarnation: number;
+  readonly zone: string;
+}
+
+/** What the links call. */
+export interface PeerLinksHandlers {
+  onState(peerId: string, state: PeerState): void;
+  onHeartbeat(peerId: string, reports: Readonly<Record<string, number>>): void;
+  /** Called when a link was closed for good. */
+  onDropped(peerId: string): void;
+}
+
+/** The links of this entry. */
+export interface PeerLinks {
+  all(): PeerLink[];
+  /** Records of the entries in the roster. */
+  known(): RosterRecord[];
+  /** Opens and closes links by a new roster. */
+  follow(roster: readonly RosterRecord[]): void;
+  /** Closes links that nothing needs any more. */
+  dropUnused(): void;
+  /** Calls a peer, over a new link when there is none. */
+  call<Request, Reply>(
+    peerId: string,
+    definition: PeerCall<Request, Reply>,
+    request: Request,
+    timeoutMilliseconds: number,
+  ): Promise<Either<PeerFailure, Reply>>;
+  bytesSent(): number;
+  close(): void;
+}
+
+interface OpenLink {
+  readonly link: PeerLink;
+  readonly record: RosterRecord;
+  /** When a call last needed the link, by the monotonic clock. */
+  calledAt: number;
+}
+
+const idleMilliseconds = 30_000;
+const connectPollMilliseconds = 20;
+
+/**
+ * Creates an empty set of links.
+ * @param self - who this entry is
+ * @param handlers - what is called
+ * @returns the links
+ */
+export function createPeerLinks(self: PeerIdentity, handlers: PeerLinksHandlers): PeerLinks {
+  const links = new Map<string, OpenLink>();
+  let known = new Map<string, RosterRecord>();
+  let chosen = new Set<string>();
+  let droppedBytes = 0;
+  let isClosed = false;
+
+  const open = (record: RosterRecord): OpenLink => {
+    const peerId = record.entryId;
+    const link = createPeerLink({
+      peerId,
+      address: record.peerAddress,
+      hello: { kind: "hello", ...self },
+      onState: (state) => {
+        handlers.onState(peerId, state);
+      },
+      onHeartbeat: (reports) => {
+        handlers.onHeartbeat(peerId, reports);
+      },
+    });
+    const opened = { link, record, calledAt: 0 };
+    links.set(peerId, opened);
+    return opened;
+  };
+
+  const drop = (peerId: string): void => {
+    const dropped = links.get(peerId);
+    links.delete(peerId);
+    if (dropped === undefined) return;
+    droppedBytes += dropped.link.bytesSent();
+    dropped.link.close();
+    handlers.onDropped(peerId);
+  };
+
+  const dropUnused = (): void => {
+    for (const [peerId, { link, calledAt }] of [...links]) {
+      const speaks = link.state() === "up" || link.state() === "suspect";
+      const isIdle = performance.now() - calledAt > idleMilliseconds;
+      if (known.has(peerId) ? !chosen.has(peerId) && isIdle : !speaks) drop(peerId);
+    }
+  };
+
+  const follow = (roster: readonly RosterRecord[]): void => {
+    if (isClosed) return;
+    known = new Map(roster.map((record) => [record.entryId, record]));
+    chosen = new Set(choosePeers(roster, self, maximumPeerLinks));
+    for (const [peerId, { record }] of [...links]) {
+      const next = known.get(peerId);
+      if (next !== undefined && isSuccessor(next, record)) drop(peerId);
+    }
+    dropUnused();
+    for (const peerId of chosen) {
+      const record = known.get(peerId);
+      if (record !== undefined && !links.has(peerId)) open(record);
+    }
+  };
+
+  return {
+    all: () => [...links.values()].map(({ link }) => link),
+    known: () => [...known.values()],
+    follow,
+    dropUnused,
+    call: async (peerId, definition, request, timeoutMilliseconds) => {
+      const existing = links.get(peerId);
+      if (existing !== undefined) {
+        existing.calledAt = performance.now();
+        return existing.link.call(definition, request, timeoutMilliseconds);
+      }
+      const record = known.get(peerId);
+      if (record === undefined || peerId === self.entryId) {
+        return Left({ kind: "not-connected", message: `${peerId} is not in the roster` });
+      }
+      const opened = open(record);
+      opened.calledAt = performance.now();
+      const left = await waitUntilUp(opened.link, timeoutMilliseconds);
+      return opened.link.call(definition, request, left);
+    },
+    bytesSent: () => [...links.values()].reduce((sum, { link }) => sum + link.bytesSent(), droppedBytes),
+    close: () => {
+      isClosed = true;
+      known = new Map();
+      for (const peerId of [...links.keys()]) drop(peerId);
+    },
+  };
+}
+
+/** Waits until a link is up; returns what is left of the bound. */
+async function waitUntilUp(link: PeerLink, timeoutMilliseconds: number): Promise<number> {
+  const deadlineAt = performance.now() + timeoutMilliseconds;
+  while (link.state() !== "up" && performance.now() < deadlineAt) await delay(connectPollMilliseconds);
+  return Math.max(0, deadlineAt - performance.now());
+}
+
+/** Tells whether a record is of a later process, or of the same one at another address. */
+function isSuccessor(next: RosterRecord, current: RosterRecord): boolean {
+  if (next.incarnation !== current.incarnation) return next.incarnation > current.incarnation;
+  return next.peerAddress !== current.peerAddress;
+}
--- a/src/membership/peer-listener.ts
+++ b/src/membership/peer-listener.ts
@@ -9,7 +9,7 @@
 import { parseWith } from "../shared/index.js";
 import type { Log } from "../telemetry/index.js";
 import type { Frame, PeerCall } from "./messages.js";
-import { decodeFrame } from "./peer-link.js";
+import { decodeFrame } from "./frame-codec.js";
 
 /** Answers a call; the peer's identifier tells who asked. */
 export type PeerAnswer<Request, Reply> = (request: Request, peerId: string) => Reply | Promise<Reply>;
@@ -26,23 +26,24 @@
   listen(host: string, port: number): Promise<number>;
   /** Sends a frame on every open connection. */
   broadcast(frame: Frame): void;
+  /** Bytes of all frames sent so far. */
+  bytesSent(): number;
   close(): Promise<void>;
 }
 
-/** Called for each heartbeat of a peer. */
-export type HeartbeatHandler = (peerId: string, reports: Readonly<Record<string, number>>) => void;
-
 type RawAnswer = (body: unknown, peerId: string) => Promise<unknown>;
 
 const maximumFrameBytes = 4_194_304;
+/** Header of a WebSocket frame from a server. */
+const frameOverheadBytes = 2;
 
 /**
  * Creates a listener.
- * @param onHeartbeat - called for each heartbeat
+ * @param greeting - creates the first frame on each connection, which tells who listens here
  * @param log - takes events
  * @returns the listener, not yet listening
  */
-export function createPeerListener(onHeartbeat: HeartbeatHandler, log: Log): PeerListener {
+export function createPeerListener(greeting: () => Frame, log: Log): PeerListener {
   const listener = http.createServer();
   const sockets = new WebSocketServer({
     server: listener,
@@ -50,6 +51,15 @@
     perMessageDeflate: false,
   });
   const answers = new Map<string, RawAnswer>();
+  let bytesSent = 0;
+
+  const sendBytes = (socket: WebSocket, bytes: Buffer): void => {
+    bytesSent += bytes.length + frameOverheadBytes;
+    socket.send(bytes);
+  };
+  const send = (socket: WebSocket, frame: Frame): void => {
+    sendBytes(socket, pack(frame));
+  };
 
   const answerCall = async (
     socket: WebSocket,
@@ -70,13 +80,13 @@
 
   sockets.on("connection", (socket) => {
     let peerId = "";
+    send(socket, greeting());
     socket.on("error", (error) => {
       log.write("debug", "peer-connection-failed", { peer: peerId, message: error.message });
     });
     socket.on("message", (data) => {
       decodeFrame(data).ifRight((frame) => {
         if (frame.kind === "hello") peerId = frame.entryId;
-        if (frame.kind === "heartbeat") onHeartbeat(frame.entryId, frame.reports);
         if (frame.kind === "call") void answerCall(socket, peerId, frame);
       });
     });
@@ -99,8 +109,9 @@
     },
     broadcast: (frame) => {
       const bytes = pack(frame);
-      for (const socket of sockets.clients) socket.send(bytes);
+      for (const socket of sockets.clients) sendBytes(socket, bytes);
     },
+    bytesSent: () => bytesSent,
     close: async () => {
       for (const socket of sockets.clients) socket.terminate();
       await new Promise<void>((resolve) => {
@@ -112,7 +123,3 @@
     },
   };
 }
-
-function send(socket: WebSocket, frame: Frame): void {
-  socket.send(pack(frame));
-}
--- a/src/membership/peer-network.ts
+++ b/src/membership/peer-network.ts
@@ -1,14 +1,15 @@
 /**
- * The other entries: connections to all of the roster, heartbeats, calls and failure detection.
+ * The other entries: connections to them, heartbeats, calls and failure detection.
  * @packageDocumentation
  */
 import Emittery from "emittery";
-import { Left, type Either } from "purify-ts";
+import type { Either } from "purify-ts";
 import type { Log } from "../telemetry/index.js";
-import type { PeerCall } from "./messages.js";
-import { createPeerLink, type PeerFailure, type PeerLink, type PeerState } from "./peer-link.js";
+import { rosterCall, type Frame, type PeerCall, type RosterRecord } from "./messages.js";
+import type { PeerFailure, PeerState } from "./peer-link.js";
+import { createPeerLinks, type PeerIdentity } from "./peer-links.js";
 import { createPeerListener, type PeerAnswer } from "./peer-listener.js";
-import type { RosterRecord } from "./roster.js";
+import { createSeedDialler } from "./seeds.js";
 
 /** What the network reports. */
 export interface PeerNetworkEvents {
@@ -40,20 +41,20 @@
   peers(): { peerId: string; state: PeerState; heardAt: number }[];
   /** Starts to listen; returns the port in use. */
   listen(host: string, port: number): Promise<number>;
-  /** Opens links to the entries of the roster and closes those to others. */
+  /** Bytes of all frames sent to peers so far. */
+  bytesSent(): number;
+  /** Asks the entry at an address for the roster that it knows; empty when nobody answers. */
+  fetchRoster(address: string): Promise<RosterRecord[]>;
+  /**
+   * Opens links to the entries of the roster, to chosen ones when they are many. A link to an entry that is no longer
+   * in the roster is kept while the entry speaks, since its lease may have ended in an outage of the store.
+   */
   follow(roster: readonly RosterRecord[]): void;
   close(): Promise<void>;
 }
 
 const heartbeatMilliseconds = 250;
 
-/** Who this entry is towards its peers. */
-export interface PeerIdentity {
-  readonly entryId: string;
-  readonly incarnation: number;
-  readonly zone: string;
-}
-
 /**
  * Creates the network of this entry.
  * @param self - who this entry is
@@ -62,82 +63,64 @@
  */
 export function createPeerNetwork(self: PeerIdentity, log: Log): PeerNetwork {
   const events = new Emittery<PeerNetworkEvents>();
-  const links = new Map<string, { link: PeerLink; record: RosterRecord }>();
   const reports = new Map<string, () => number>();
   const heard = new Map<string, Readonly<Record<string, number>>>();
 
-  const onHeartbeat = (peerId: string, values: Readonly<Record<string, number>>): void => {
-    heard.set(peerId, values);
-    void events.emit("heartbeat", { peerId });
-  };
-  const listener = createPeerListener(onHeartbeat, log);
-
-  const sendHeartbeat = (): void => {
+  const createHeartbeat = (): Frame => {
     const values = Object.fromEntries([...reports].map(([name, read]) => [name, read()]));
-    const frame = { kind: "heartbeat" as const, entryId: self.entryId, reports: values };
-    for (const { link } of links.values()) link.send(frame);
-    // The peers' own links hear of this entry through what it sends back on them.
-    listener.broadcast(frame);
-  };
-
-  const open = (record: RosterRecord): void => {
-    const link = createPeerLink({
-      peerId: record.entryId,
-      address: record.peerAddress,
-      hello: { kind: "hello", ...self },
-      onState: (state) => {
-        log.write("info", "peer-state", { peer: record.entryId, state });
-        void events.emit("peerState", { peerId: record.entryId, state });
-      },
-    });
-    links.set(record.entryId, { link, record });
-  };
-
-  const drop = (peerId: string): void => {
-    links.get(peerId)?.link.close();
-    links.delete(peerId);
-    heard.delete(peerId);
+    return { kind: "heartbeat", entryId: self.entryId, reports: values };
   };
+  const listener = createPeerListener(createHeartbeat, log);
+  const links = createPeerLinks(self, {
+    onState: (peerId, state) => {
+      log.write("info", "peer-state", { peer: peerId, state });
+      void events.emit("peerState", { peerId, state });
+    },
+    onHeartbeat: (peerId, values) => {
+      heard.set(peerId, values);
+      void events.emit("heartbeat", { peerId });
+    },
+    onDropped: (peerId) => {
+      heard.delete(peerId);
+    },
+  });
+  const seeds = createSeedDialler(self);
 
-  const follow = (roster: readonly RosterRecord[]): void => {
-    const others = roster.filter(({ entryId }) => entryId !== self.entryId);
-    const wanted = new Map(others.map((record) => [record.entryId, record]));
-    for (const [peerId, { record }] of [...links]) {
-      const next = wanted.get(peerId);
-      if (next?.incarnation !== record.incarnation || next.peerAddress !== record.peerAddress) drop(peerId);
-    }
-    for (const record of others) {
-      if (!links.has(record.entryId)) open(record);
-    }
+  const tick = (): void => {
+    // Peers hear of this entry on the links that they opened to it.
+    listener.broadcast(createHeartbeat());
+    links.dropUnused();
   };
 
-  const timer = setInterval(sendHeartbeat, heartbeatMilliseconds);
+  listener.answer(rosterCall, () => ({ records: links.known() }));
+  const timer = setInterval(tick, heartbeatMilliseconds);
   return {
     events,
     answer: (definition, answer) => {
       listener.answer(definition, answer);
     },
-    call: async (peerId, definition, request, timeoutMilliseconds) => {
-      const found = links.get(peerId);
-      if (found !== undefined) return found.link.call(definition, request, timeoutMilliseconds);
-      return Left({ kind: "not-connected", message: `${peerId} is not in the roster` });
-    },
+    call: async (peerId, definition, request, timeoutMilliseconds) =>
+      links.call(peerId, definition, request, timeoutMilliseconds),
     report: (name, read) => {
       reports.set(name, read);
     },
     reported: (peerId, name) => heard.get(peerId)?.[name] ?? 0,
-    upPeers: () => [...links].filter(([, { link }]) => link.state() === "up").map(([peerId]) => peerId),
+    upPeers: () =>
+      links
+        .all()
+        .filter((link) => link.state() === "up")
+        .map(({ peerId }) => peerId),
     peers: () =>
-      [...links.values()].map(({ link }) => ({
-        peerId: link.peerId,
-        state: link.state(),
-        heardAt: link.heardAt(),
-      })),
+      links.all().map((link) => ({ peerId: link.peerId, state: link.state(), heardAt: link.heardAt() })),
+    bytesSent: () => links.bytesSent() + listener.bytesSent(),
+    fetchRoster: async (address) => seeds.fetchRoster(address),
     listen: async (host, port) => listener.listen(host, port),
-    follow,
+    follow: (roster) => {
+      links.follow(roster);
+    },
     close: async () => {
       clearInterval(timer);
-      for (const peerId of [...links.keys()]) drop(peerId);
+      links.close();
       events.clearListeners();
       await listener.close();
     },
--- a/src/membership/roster.ts
+++ b/src/membership/roster.ts
@@ -2,27 +2,14 @@
  * The roster of entries in the store. Each entry keeps its own record under a lease.
  * @packageDocumentation
  */
-import { z } from "zod";
 import { writeAndSettle, type StoreClient, type StoreMirror } from "../platform/index.js";
 import { delay, parseWith } from "../shared/index.js";
 import type { Log } from "../telemetry/index.js";
+import { rosterRecordSchema, type RosterRecord } from "./messages.js";
 
 /** Prefix of the entries' records. */
 export const rosterPrefix = "entries/";
 
-/** Checks one entry's record. */
-export const rosterRecordSchema = z.object({
-  entryId: z.string(),
-  /** Start time of the process, higher after each restart. */
-  incarnation: z.number(),
-  /** `IP:port` where peers connect. */
-  peerAddress: z.string(),
-  zone: z.string(),
-});
-
-/** One entry's record. */
-export type RosterRecord = z.infer<typeof rosterRecordSchema>;
-
 /** The roster of entries. */
 export interface Roster {
   /** All entries with a record, this one included once registered. */
--- /dev/null
+++ b/src/membership/silence-clock.ts
@@ -0,0 +1,34 @@
+/**
+ * Measures the silence of a peer.
+ * @packageDocumentation
+ */
+
+/** Measures how long nothing was heard. */
+export interface SilenceClock {
+  /** Starts anew, since something was heard. */
+  reset(): void;
+  /** Returns the time without a frame, not counting the time in which this process itself stood still. */
+  check(): number;
+}
+
+/**
+ * Creates a clock on the monotonic time of this process. It is to be checked at even intervals.
+ * @param pauseMilliseconds - a longer time between two checks means that this process itself stood still
+ * @returns the clock
+ */
+export function createSilenceClock(pauseMilliseconds: number): SilenceClock {
+  let silentSince = performance.now();
+  let checkedAt = silentSince;
+  return {
+    reset: () => {
+      silentSince = performance.now();
+    },
+    check: () => {
+      const now = performance.now();
+      // Frames may wait unread after a pause of this process.
+      if (now - checkedAt > pauseMilliseconds) silentSince = now;
+      checkedAt = now;
+      return now - silentSince;
+    },
+  };
+}
