Roll-out by announced revisions, few watchers for each zone, seeds, in-force report

Cause: each entry sent the whole text to each peer that had not yet reported it (up to 72 copies among 9 entries), all entries held the watch, a fresh entry needed the store, and nothing told how long a change took everywhere. Change: entries announce the revision and fetch the text once; two rendezvous- chosen living entries in a zone hold the store's watch, the others list once a minute; seedPeers give the roster while the store is down; the report tells the revision of each entry and the time of each change.

--- a/src/configuration/index.ts
+++ b/src/configuration/index.ts
@@ -28,4 +28,10 @@
 } from "./apply.js";
 export { findDifferences, type TextDifference } from "./difference.js";
 export { readHistory, readRevision } from "./history.js";
+export {
+  createInForceReport,
+  type ChangeProgress,
+  type InForceReport,
+  type RollOutStatus,
+} from "./in-force-report.js";
 export { startRollOut } from "./roll-out.js";
--- a/src/configuration/messages.ts
+++ b/src/configuration/messages.ts
@@ -12,9 +12,9 @@
   z.object({ configuration: z.unknown() }),
 );
 
-/** Tells a peer of a configuration that came into force. */
-export const offerConfiguration = definePeerCall(
-  "configuration.offer",
-  z.object({ configuration: z.unknown() }),
+/** Tells a peer of a revision that came into force; the reply tells the peer's own once it has fetched it. */
+export const announceRevision = definePeerCall(
+  "configuration.announce",
+  z.object({ revision: z.int() }),
   z.object({ revision: z.int() }),
 );
--- a/src/configuration/roll-out.ts
+++ b/src/configuration/roll-out.ts
@@ -1,36 +1,72 @@
 /**
- * Spreads the configuration among entries: offers what came into force, fetches what is missing.
+ * Spreads the configuration among entries: announces what came into force, fetches what is missing.
  * @packageDocumentation
  */
 import type { PeerNetwork } from "../membership/index.js";
+import type { InForceReport } from "./in-force-report.js";
 import type { ConfigurationKeeper } from "./keeper.js";
-import { fetchConfiguration, offerConfiguration } from "./messages.js";
+import { announceRevision, fetchConfiguration } from "./messages.js";
+
+/** Name of the revision in heartbeats. */
+export const revisionReport = "configurationRevision";
 
 const callTimeoutMilliseconds = 1_000;
 
 /**
- * Starts the roll-out among peers.
+ * Starts the roll-out among peers. Only an accepted configuration ever comes into force, since peers hand on copies of
+ * what the store accepted, and never a lower revision.
  * @param keeper - the configuration in force here
  * @param peers - the other entries
+ * @param report - takes what peers say they have in force
  */
-export function startRollOut(keeper: ConfigurationKeeper, peers: PeerNetwork): void {
+export function startRollOut(keeper: ConfigurationKeeper, peers: PeerNetwork, report?: InForceReport): void {
+  const fetchFrom = createFetcher(keeper, peers);
+
+  const announceTo = async (peerId: string, revision: number): Promise<void> => {
+    if (peers.reported(peerId, revisionReport) >= revision) return;
+    const reply = await peers.call(peerId, announceRevision, { revision }, callTimeoutMilliseconds);
+    reply.ifRight((answer) => report?.heard(peerId, answer.revision));
+  };
+
   peers.answer(fetchConfiguration, () => ({ configuration: keeper.current() ?? null }));
-  peers.answer(offerConfiguration, ({ configuration }) => {
-    keeper.adopt(configuration);
+  peers.answer(announceRevision, async ({ revision }, peerId) => {
+    await fetchFrom(peerId, revision);
     return { revision: keeper.revision() };
   });
-  peers.report("configurationRevision", () => keeper.revision());
-  keeper.events.on("inForce", (accepted) => {
-    for (const peerId of peers.upPeers()) {
-      if (peers.reported(peerId, "configurationRevision") >= accepted.revision) continue;
-      void peers.call(peerId, offerConfiguration, { configuration: accepted }, callTimeoutMilliseconds);
-    }
+  peers.report(revisionReport, () => keeper.revision());
+  keeper.events.on("inForce", async ({ revision }) => {
+    await Promise.all(peers.upPeers().map(async (peerId) => announceTo(peerId, revision)));
   });
   peers.events.on("heartbeat", async ({ peerId }) => {
-    if (peers.reported(peerId, "configurationRevision") <= keeper.revision()) return;
+    const revision = peers.reported(peerId, revisionReport);
+    report?.heard(peerId, revision);
+    await fetchFrom(peerId, revision);
+  });
+}
+
+/** Creates a function that fetches a revision from a peer unless it is held or on its way from that peer. */
+function createFetcher(
+  keeper: ConfigurationKeeper,
+  peers: PeerNetwork,
+): (peerId: string, revision: number) => Promise<void> {
+  const running = new Map<string, Promise<void>>();
+
+  const fetchOnce = async (peerId: string): Promise<void> => {
     const answer = await peers.call(peerId, fetchConfiguration, {}, callTimeoutMilliseconds);
     answer.ifRight(({ configuration }) => {
       if (configuration !== null) keeper.adopt(configuration);
     });
-  });
+  };
+
+  return async (peerId, revision) => {
+    if (revision <= keeper.revision()) return;
+    const started = running.get(peerId);
+    if (started !== undefined) {
+      await started;
+      return;
+    }
+    const fetching = fetchOnce(peerId).finally(() => running.delete(peerId));
+    running.set(peerId, fetching);
+    await fetching;
+  };
 }
--- a/src/membership/index.ts
+++ b/src/membership/index.ts
@@ -10,3 +10,4 @@
 export { createRoster, leaseSecondsFor, rosterPrefix, type Roster } from "./roster.js";
 export { choosePeers, isChosenInZone, maximumPeerLinks, type SelectableEntry } from "./selection.js";
 export { createDuty, type Duty, type DutyOptions } from "./duty.js";
+export { followSeeds, type SeedFollowing } from "./seeds.js";
--- a/src/membership/seeds.ts
+++ b/src/membership/seeds.ts
@@ -48,3 +48,31 @@
     },
   };
 }
+
+/** What following seeds works with. */
+export interface SeedFollowing {
+  readonly addresses: readonly string[];
+  readonly peers: { fetchRoster(address: string): Promise<RosterRecord[]> };
+  /** Whether the store has answered, so that seeds are needed no more. */
+  isStoreKnown(): boolean;
+  /** Takes the records that a seed knows. */
+  learn(records: readonly RosterRecord[]): void;
+}
+
+const seedPeriodMilliseconds = 1_000;
+
+/**
+ * Asks the seeds in turn until the store answers.
+ * @param following - the seeds and what is called
+ * @param signal - ends the asking
+ * @returns a promise that resolves when seeds are needed no more
+ */
+export async function followSeeds(following: SeedFollowing, signal: AbortSignal): Promise<void> {
+  const { addresses, peers } = following;
+  for (let turn = 0; addresses.length > 0 && !signal.aborted; turn += 1) {
+    await delay(seedPeriodMilliseconds, signal);
+    if (following.isStoreKnown()) return;
+    const records = await peers.fetchRoster(addresses[turn % addresses.length] ?? "");
+    if (records.length > 0 && !following.isStoreKnown()) following.learn(records);
+  }
+}
--- a/src/platform/store-mirror.ts
+++ b/src/platform/store-mirror.ts
@@ -7,6 +7,9 @@
 import { createMirroredRecords } from "./mirrored-records.js";
 import type { StoreClient, StoreRecord, StoreWatch } from "./store.js";
 
+/** How many refresh periods pass between two lists while no watch is held. */
+const unwatchedRefreshPeriods = 12;
+
 /** What a mirror reports. */
 export interface StoreMirrorEvents {
   /** A record was added or replaced. */
@@ -110,12 +113,18 @@
     if (broken.signal.aborted) await delay(options.retryMilliseconds, stop.signal);
   };
 
+  const waitUnwatched = async (): Promise<void> => {
+    for (let period = 0; period < unwatchedRefreshPeriods && !isWatching(); period += 1) {
+      await delay(options.refreshMilliseconds, stop.signal);
+    }
+  };
+
   const run = async (): Promise<void> => {
     while (!stop.signal.aborted) {
       const compared = await refresh();
       if (compared === undefined) await delay(options.retryMilliseconds, stop.signal);
       else if (isWatching()) await watchUntilBroken(compared.revision + 1);
-      else await delay(options.refreshMilliseconds, stop.signal);
+      else await waitUnwatched();
     }
   };
 
--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -4,10 +4,12 @@
  */
 import {
   createConfigurationKeeper,
+  createInForceReport,
   currentConfigurationKey,
   followStore,
   startRollOut,
   type ConfigurationKeeper,
+  type InForceReport,
   type OperatorText,
 } from "./configuration/index.js";
 import { createExecutor } from "./execution/index.js";
@@ -17,6 +19,8 @@
   createDuty,
   createPeerNetwork,
   createRoster,
+  followSeeds,
+  isChosenInZone,
   rosterPrefix,
   type Duty,
   type PeerNetwork,
@@ -64,6 +68,7 @@
   readonly configuration: ConfigurationKeeper;
   readonly placement: PlacementView;
   readonly peers: PeerNetwork;
+  readonly rollOut: InForceReport;
   readonly metrics: Metrics;
   status(): EntryStatus;
   /** Finishes the requests in progress, leaves the roster and stops. */
@@ -75,6 +80,7 @@
 const mirrorRefreshMilliseconds = 5_000;
 const mirrorRetryMilliseconds = 500;
 const dutyPeriodMilliseconds = 200;
+const configurationWatchersPerZone = 2;
 const leaveMilliseconds = 300;
 const slotsPerTarget = 8;
 const connectionsPerTarget = 7;
@@ -92,7 +98,7 @@
   const foundation = wireFoundation(settings, log);
   const configuration = wireConfiguration(foundation);
   const membership = await wireMembership(foundation);
-  startRollOut(configuration, membership.peers);
+  const rollOut = wireRollOut(foundation, configuration, membership);
   const placement = wirePlacement(foundation);
   const requestPath = wireRequestPath(foundation, configuration, placement.view);
   const duties = wireDuties(foundation, configuration, membership, placement, requestPath.allocator);
@@ -118,6 +124,7 @@
     configuration,
     placement: placement.view,
     peers: membership.peers,
+    rollOut,
     metrics: foundation.metrics,
     status,
     stop: async () => {
@@ -144,6 +151,8 @@
   readonly tracing: Tracing;
   readonly store: StoreClient;
   readonly mirrors: Readonly<Record<"configuration" | "placement" | "roster", StoreMirror>>;
+  /** Aborted when the entry closes. */
+  readonly stop: AbortController;
   close(): Promise<void>;
 }
 
@@ -167,11 +176,13 @@
     placement: mirror(placementPrefix),
     roster: mirror(rosterPrefix),
   };
+  const stop = new AbortController();
   const close = async (): Promise<void> => {
+    stop.abort();
     for (const each of Object.values(mirrors)) each.close();
     await Promise.all([client.close(), tracing.close()]);
   };
-  return { settings, log: entryLog, metrics, tracing, store, mirrors, close };
+  return { settings, log: entryLog, metrics, tracing, store, mirrors, stop, close };
 }
 
 function wireConfiguration({ log, mirrors }: Foundation): ConfigurationKeeper {
@@ -198,9 +209,40 @@
   };
   mirrors.roster.events.on("changed", followRoster);
   mirrors.roster.events.on("deleted", followRoster);
+  const seeding = {
+    addresses: settings.seedPeers,
+    peers,
+    isStoreKnown: () => mirrors.roster.confirmedAt() > 0,
+    learn: (records: readonly RosterRecord[]) => {
+      roster.learn(records);
+      followRoster();
+    },
+  };
+  void followSeeds(seeding, foundation.stop.signal);
   return { peers, roster, self };
 }
 
+function wireRollOut(
+  { mirrors }: Foundation,
+  configuration: ConfigurationKeeper,
+  { peers, roster, self }: MembershipParts,
+): InForceReport {
+  const stopped = (): Set<string> => {
+    const silent = peers.peers().filter(({ state }) => state === "gone" || state === "unreachable");
+    return new Set(silent.map(({ peerId }) => peerId));
+  };
+  const expected = (): string[] => peers.peers().map(({ peerId }) => peerId);
+  const report = createInForceReport(configuration, self.entryId, expected);
+  startRollOut(configuration, peers, report);
+  mirrors.configuration.watchWhile(() => {
+    const silent = stopped();
+    const living = roster.entries().filter(({ entryId }) => !silent.has(entryId));
+    if (living.every(({ entryId }) => entryId !== self.entryId)) return true;
+    return isChosenInZone("configuration-watch", living, self, configurationWatchersPerZone);
+  });
+  return report;
+}
+
 interface PlacementParts {
   readonly view: PlacementView;
   readonly writer: PlacementWriter;
