Deletions through the etcd client, shorter heartbeats

Change: a put is encoded only for puts; a heartbeat whose reports are those of the last one is 14 bytes, a full one goes out after each new connection.

--- a/src/membership/messages.ts
+++ b/src/membership/messages.ts
@@ -55,6 +55,8 @@
     /** Numbers that slices report, by name. */
     reports: z.record(z.string(), z.number()),
   }),
+  /** A heartbeat whose reports are those of the last one on the connection. */
+  z.object({ kind: z.literal("alive") }),
   z.object({ kind: z.literal("call"), id: z.number(), name: z.string(), body: z.unknown() }),
   z.object({ kind: z.literal("reply"), id: z.number(), body: z.unknown() }),
   z.object({ kind: z.literal("failure"), id: z.number(), reason: z.string() }),
--- a/src/membership/peer-link.ts
+++ b/src/membership/peer-link.ts
@@ -53,8 +53,8 @@
   readonly hello: Frame;
   /** Called when the state changed. */
   onState(state: PeerState): void;
-  /** Called for each heartbeat of the peer. */
-  onHeartbeat(reports: Readonly<Record<string, number>>): void;
+  /** Called for each heartbeat of the peer; without reports when they are those of the last one. */
+  onHeartbeat(reports?: Readonly<Record<string, number>>): void;
 }
 
 const handshakeMilliseconds = 1_000;
@@ -177,6 +177,7 @@
       if (frame.kind === "heartbeat") this.#takeHeartbeat(socket, frame);
     });
     if (!this.#isIdentified || socket.readyState !== WebSocket.OPEN) return;
+    if (decoded.map(({ kind }) => kind).extract() === "alive") this.#options.onHeartbeat();
     this.#heardAt = Date.now();
     this.#silence.reset();
     this.#setState("up");
--- a/src/membership/peer-links.ts
+++ b/src/membership/peer-links.ts
@@ -18,7 +18,7 @@
 /** What the links call. */
 export interface PeerLinksHandlers {
   onState(peerId: string, state: PeerState): void;
-  onHeartbeat(peerId: string, reports: Readonly<Record<string, number>>): void;
+  onHeartbeat(peerId: string, reports?: Readonly<Record<string, number>>): void;
   /** Called when a link was closed for good. */
   onDropped(peerId: string): void;
 }
--- a/src/membership/peer-network.ts
+++ b/src/membership/peer-network.ts
@@ -70,14 +70,20 @@
     const values = Object.fromEntries([...reports].map(([name, read]) => [name, read()]));
     return { kind: "heartbeat", entryId: self.entryId, reports: values };
   };
-  const listener = createPeerListener(createHeartbeat, log);
+  let lastHeartbeat = "";
+  const createGreeting = (): Frame => {
+    // The next heartbeat repeats the reports, since they may differ from this greeting's.
+    lastHeartbeat = "";
+    return createHeartbeat();
+  };
+  const listener = createPeerListener(createGreeting, log);
   const links = createPeerLinks(self, {
     onState: (peerId, state) => {
       log.write("info", "peer-state", { peer: peerId, state });
       void events.emit("peerState", { peerId, state });
     },
     onHeartbeat: (peerId, values) => {
-      heard.set(peerId, values);
+      if (values !== undefined) heard.set(peerId, values);
       void events.emit("heartbeat", { peerId });
     },
     onDropped: (peerId) => {
@@ -87,8 +93,11 @@
   const seeds = createSeedDialler(self);
 
   const tick = (): void => {
-    // Peers hear of this entry on the links that they opened to it.
-    listener.broadcast(createHeartbeat());
+    const heartbeat = createHeartbeat();
+    const current = JSON.stringify(heartbeat);
+    // Peers hear of this entry on the links that they opened to it, each of which began with all reports.
+    listener.broadcast(current === lastHeartbeat ? { kind: "alive" } : heartbeat);
+    lastHeartbeat = current;
     links.dropUnused();
   };
 
--- a/src/platform/etcd-store-client.ts
+++ b/src/platform/etcd-store-client.ts
@@ -199,18 +199,18 @@
 
 function encodeWrite(write: ConditionalWrite): unknown {
   const key = encodeText(write.key);
-  const put = {
-    key,
-    value: encodeText(JSON.stringify(write.value)),
-    ...(write.leaseId === undefined ? {} : { lease: write.leaseId }),
-  };
   return {
     compare: [{ key, target: "MOD", result: "EQUAL", mod_revision: String(write.expectedRevision) }],
-    success: [write.value === undefined ? { request_delete_range: { key } } : { request_put: put }],
+    success: [write.value === undefined ? { request_delete_range: { key } } : encodePut(key, write)],
     failure: [{ request_range: { key } }],
   };
 }
 
+function encodePut(key: string, { value, leaseId }: ConditionalWrite): unknown {
+  const lease = leaseId === undefined ? {} : { lease: leaseId };
+  return { request_put: { key, value: encodeText(JSON.stringify(value)), ...lease } };
+}
+
 function decodeRecord(kv: KeyValue): StoreRecord {
   const value = parseJson(decodeText(kv.value)).orDefault(undefined);
   return { key: decodeText(kv.key), value, revision: kv.mod_revision };
