--- a/src/membership/selection.ts
+++ b/src/membership/selection.ts
@@ -11,7 +11,7 @@
 }
 
 /** Up to this many peers, an entry keeps a link to each of them. */
-export const maximumPeerLinks = 32;
+export const maximumPeerLinks = 24;
 
 /**
  * Chooses the peers that an entry keeps links to: all of them while they are few; else one half in its own zone and
--- a/src/membership/test/selection.test.ts
+++ b/src/membership/test/selection.test.ts
@@ -3,7 +3,13 @@
  * @packageDocumentation
  */
 import { expect, test } from "vitest";
-import { choosePeers, isChosenInZone, leaseSecondsFor, type SelectableEntry } from "../index.js";
+import {
+  choosePeers,
+  isChosenInZone,
+  leaseSecondsFor,
+  maximumPeerLinks,
+  type SelectableEntry,
+} from "../index.js";
 
 function createEntries(count: number, zones: number): SelectableEntry[] {
   return Array.from({ length: count }, (_, index) => ({
@@ -27,16 +33,18 @@
 
 test("few entries form a full mesh", () => {
   const entries = createEntries(9, 3);
-  for (const self of entries) expect(choosePeers(entries, self, 32)).toHaveLength(8);
+  for (const self of entries) expect(choosePeers(entries, self, maximumPeerLinks)).toHaveLength(8);
 });
 
-test.each([81, 400, 1_000])("%i entries are joined within four hops by 32 links each", (count) => {
+test.each([81, 400, 1_000])("%i entries are joined within four hops by the bounded links", (count) => {
   const entries = createEntries(count, 17);
-  const links = new Map(entries.map((self) => [self.entryId, choosePeers(entries, self, 32)]));
-  expect(Math.max(...[...links.values()].map((peers) => new Set(peers).size))).toBeLessThanOrEqual(32);
+  const links = new Map(entries.map((self) => [self.entryId, choosePeers(entries, self, maximumPeerLinks)]));
+  expect(Math.max(...[...links.values()].map((peers) => new Set(peers).size))).toBeLessThanOrEqual(
+    maximumPeerLinks,
+  );
   const incoming = new Map<string, number>();
   for (const peer of [...links.values()].flat()) incoming.set(peer, (incoming.get(peer) ?? 0) + 1);
-  expect(Math.max(...incoming.values())).toBeLessThanOrEqual(96);
+  expect(Math.max(...incoming.values())).toBeLessThanOrEqual(3 * maximumPeerLinks);
   expect(countHops(links, "entry-0")).toBeLessThanOrEqual(4);
 });
 
