--- a/src/membership/messages.ts
+++ b/src/membership/messages.ts
@@ -26,6 +26,26 @@
   return { name, request, reply };
 }
 
+/** Checks one entry's record in the roster. */
+export const rosterRecordSchema = z.object({
+  entryId: z.string(),
+  /** Start time of the process, higher after each restart. */
+  incarnation: z.number(),
+  /** `IP:port` where peers connect. */
+  peerAddress: z.string(),
+  zone: z.string(),
+});
+
+/** One entry's record. */
+export type RosterRecord = z.infer<typeof rosterRecordSchema>;
+
+/** Asks an entry for the roster that it knows. */
+export const rosterCall = definePeerCall(
+  "membership.roster",
+  z.object({}),
+  z.object({ records: z.array(rosterRecordSchema) }),
+);
+
 /** Checks a frame on a connection between entries. */
 export const frameSchema = z.discriminatedUnion("kind", [
   z.object({ kind: z.literal("hello"), entryId: z.string(), incarnation: z.number(), zone: z.string() }),
@@ -35,6 +55,8 @@
     /** Numbers that slices report, by name. */
     reports: z.record(z.string(), z.number()),
   }),
+  /** A heartbeat whose reports are those of the last one on the connection. */
+  z.object({ kind: z.literal("alive") }),
   z.object({ kind: z.literal("call"), id: z.number(), name: z.string(), body: z.unknown() }),
   z.object({ kind: z.literal("reply"), id: z.number(), body: z.unknown() }),
   z.object({ kind: z.literal("failure"), id: z.number(), reason: z.string() }),
--- a/src/pools/test/fake-entries.ts
+++ b/src/pools/test/fake-entries.ts
@@ -212,6 +212,8 @@
     reported: (peerId, name) => world.entries.get(peerId)?.reports.get(name)?.() ?? 0,
     upPeers: () => others().filter((other) => stateOf(other) === "up"),
     peers: () => others().map((peerId) => ({ peerId, state: stateOf(peerId), heardAt: 0 })),
+    bytesSent: () => 0,
+    fetchRoster: async () => Promise.resolve([]),
     listen: async () => Promise.resolve(0),
     follow: () => undefined,
     close: async () => Promise.resolve(),
