--- a/src/platform/test/store-mirror.test.ts
+++ b/src/platform/test/store-mirror.test.ts
@@ -101,3 +101,21 @@
   await vi.advanceTimersByTimeAsync(1_200);
   expect(held("a")).toBe(1);
 });
+
+test("a mirror that need not watch lists seldom, and watches as soon as it must", async () => {
+  const { engine, put } = createParts();
+  let isChosen = false;
+  mirror.watchWhile(() => isChosen);
+  await vi.advanceTimersByTimeAsync(10);
+  const readsBefore = engine.counts.reads;
+  await put("a", 1, 0);
+  await vi.advanceTimersByTimeAsync(11_000);
+  expect([engine.counts.watches, engine.counts.reads - readsBefore, held("a")]).toEqual([0, 0, undefined]);
+  await vi.advanceTimersByTimeAsync(1_500);
+  expect(held("a")).toBe(1);
+  isChosen = true;
+  await vi.advanceTimersByTimeAsync(1_100);
+  expect(engine.counts.watches).toBe(1);
+  await put("b", 2, 0);
+  expect(held("b")).toBe(2);
+});
