An own close of a link reports no state of the peer

Cause: a stopping entry logged and reported its living peers as unreachable. Change: a closed link reports nothing. Conclusion: listeners of peerState see only what the peer did.

--- a/src/membership/peer-link.ts
+++ b/src/membership/peer-link.ts
@@ -205,7 +205,8 @@
   #setState(next: PeerState): void {
     if (this.#state === next) return;
     this.#state = next;
-    this.#options.onState(next);
+    // That this entry closed the link tells nothing about the peer.
+    if (!this.#stop.signal.aborted) this.#options.onState(next);
   }
 }
 
