--- a/src/execution/claims/claims.ts
+++ b/src/execution/claims/claims.ts
@@ -38,11 +38,13 @@
   readonly peers: Pick<PeerNetwork, "answer" | "call" | "upPeers">;
   readonly owner: ClaimOwner;
   readonly shards: number;
+  /** The wait before an ask that brought no answer is repeated; 100 ms by default. */
+  readonly retryMilliseconds?: number;
 }
 
 const callMilliseconds = 1_500;
 const settleMilliseconds = 500;
-const retryMilliseconds = 100;
+const defaultRetryMilliseconds = 100;
 const maximumTries = 3;
 
 /**
@@ -51,7 +53,7 @@
  * @returns the claims
  */
 export function createClaims(options: ClaimsOptions): Claims {
-  const { entryId, peers, owner } = options;
+  const { entryId, peers, owner, retryMilliseconds = defaultRetryMilliseconds } = options;
   peers.answer(takeClaimCall, async (ask) => owner.take(ask));
   peers.answer(settleClaimCall, (settlement) => Promise.resolve({ held: owner.settle(settlement) }));
 
--- /dev/null
+++ b/src/execution/test/executor.test.ts
@@ -0,0 +1,208 @@
+/**
+ * When a request is sent again, and what its caller is told.
+ * @packageDocumentation
+ */
+import { ROOT_CONTEXT } from "@opentelemetry/api";
+import { Left, Right } from "purify-ts";
+import { describe, expect, test } from "vitest";
+import type { ExchangeResult } from "../../forwarding/index.js";
+import type { SlotAllocator, SlotUse } from "../../routing/index.js";
+import { createMetrics, createTracing } from "../../telemetry/index.js";
+import {
+  createExecutor,
+  type CallerRequest,
+  type ClaimAnswer,
+  type ClaimSettlement,
+  type Executor,
+} from "../index.js";
+
+const never = new AbortController().signal;
+const ok: ExchangeResult = {
+  kind: "answered",
+  answer: { status: 200, headers: {}, body: Buffer.from("ok") },
+};
+const fault: ExchangeResult = {
+  kind: "answered",
+  answer: { status: 500, headers: {}, body: Buffer.from("no") },
+};
+const cut: ExchangeResult = { kind: "unknown", reason: "cut" };
+const timeout: ExchangeResult = { kind: "unknown", reason: "timeout" };
+const busy: ExchangeResult = { kind: "not-started", reason: "refused-by-target" };
+
+interface Bench {
+  readonly executor: Executor;
+  readonly sentTo: string[];
+  readonly verdicts: SlotUse["verdict"][];
+  readonly settlements: ClaimSettlement[];
+}
+
+/** An executor whose targets give the stated results in turn. */
+function createBench(
+  results: ExchangeResult[],
+  targets = 5,
+  claim: ClaimAnswer = { kind: "granted" },
+): Bench {
+  const sentTo: string[] = [];
+  const verdicts: SlotUse["verdict"][] = [];
+  const settlements: ClaimSettlement[] = [];
+  let next = 0;
+  const allocator: SlotAllocator = {
+    acquire: async (ask) => {
+      await Promise.resolve();
+      const all = Array.from({ length: targets }, (_, index) => `target-${((next + index) % targets) + 1}`);
+      const instanceId = all.find((each) => !ask.excludedInstances.includes(each));
+      next += 1;
+      if (instanceId === undefined) return Left({ reason: "no-target", retryAfterMilliseconds: 1_000 });
+      const place = { pool: "pool", zone: "zone-1", rack: "rack-1", state: "serving" as const, since: 0 };
+      return Right({ grantId: "1", target: { instanceId, address: instanceId, ...place } });
+    },
+    release: (_grant, { verdict }) => {
+      verdicts.push(verdict);
+    },
+    inProgress: () => 0,
+    close: () => undefined,
+  };
+  const exchange = {
+    send: async (address: string): Promise<ExchangeResult> => {
+      sentTo.push(address);
+      return Promise.resolve(results.shift() ?? ok);
+    },
+    close: async () => Promise.resolve(),
+  };
+  const claims = {
+    entryId: "entry-1",
+    take: async () => Promise.resolve(claim),
+    settle: async (settlement: ClaimSettlement) => {
+      settlements.push(settlement);
+      return Promise.resolve();
+    },
+  };
+  const executor = createExecutor({
+    allocator,
+    exchange,
+    claims,
+    metrics: createMetrics(),
+    tracing: createTracing(undefined),
+  });
+  return { executor, sentTo, verdicts, settlements };
+}
+
+function createRequest(idempotent: boolean, overrides: Partial<CallerRequest> = {}): CallerRequest {
+  const operation = { name: "run", idempotent, expectedMilliseconds: 10 };
+  return {
+    service: {
+      name: "service",
+      pool: "pool",
+      dependsOn: [],
+      availability: { objective: 0.999, windowSeconds: 3_600 },
+      deadlineMilliseconds: 1_000,
+      operations: [operation],
+    },
+    operation,
+    team: "default",
+    urgency: "normal",
+    deadlineAt: Date.now() + 5_000,
+    idempotencyKey: undefined,
+    target: { requestId: "request-1", method: "POST", path: "/", headers: {}, body: Buffer.from("job") },
+    trace: ROOT_CONTEXT,
+    ...overrides,
+  };
+}
+
+describe("attempts", () => {
+  test.each([
+    ["nothing ran", false, [busy, ok], "answered", 2],
+    ["cut, not idempotent", false, [cut, ok], "unknown", 1],
+    ["cut, idempotent", true, [cut, ok], "answered", 2],
+    ["failed, not idempotent", false, [fault, ok], "failed", 1],
+    ["failed, idempotent", true, [fault, ok], "answered", 2],
+    ["timed out, idempotent", true, [timeout, ok], "unknown", 1],
+    ["refused after it may have run", true, [cut, busy, busy], "unknown", 3],
+    ["refused after it failed", true, [fault, busy, busy], "failed", 3],
+    ["refused everywhere", false, [busy, busy, busy], "refused", 3],
+  ] as const)("%s", async (_name, idempotent, results, kind, sent) => {
+    const bench = createBench([...results]);
+    expect((await bench.executor.run(createRequest(idempotent), never)).kind).toBe(kind);
+    expect(bench.sentTo).toHaveLength(sent);
+    expect(new Set(bench.sentTo).size).toBe(sent);
+  });
+
+  test("a request that may have run is unknown when no further target is left", async () => {
+    const bench = createBench([cut], 1);
+    expect(await bench.executor.run(createRequest(true), never)).toMatchObject({
+      kind: "unknown",
+      reason: "cut",
+    });
+  });
+
+  test("nothing is sent after the deadline or a cancellation", async () => {
+    const bench = createBench([]);
+    const late = await bench.executor.run(createRequest(true, { deadlineAt: Date.now() - 1 }), never);
+    expect(late).toMatchObject({ kind: "refused", reason: "deadline-passed" });
+    const cancelled = await bench.executor.run(createRequest(true), AbortSignal.abort());
+    expect(cancelled).toMatchObject({ kind: "refused", reason: "cancelled" });
+    expect(bench.sentTo).toEqual([]);
+    expect(bench.verdicts).toEqual(["neutral", "neutral"]);
+  });
+
+  test("retries stay within a tenth of the first attempts", async () => {
+    const requests = 500;
+    const initialTokens = 10;
+    const bench = createBench(Array.from({ length: 3 * requests }, () => busy));
+    for (let index = 0; index < requests; index += 1) await bench.executor.run(createRequest(true), never);
+    expect(bench.sentTo.length - requests).toBeGreaterThan(0);
+    expect(bench.sentTo.length - requests).toBeLessThanOrEqual(initialTokens + requests / 10);
+  });
+});
+
+describe("jobs that can never run", () => {
+  test("two healthy targets make the failure final, and it is not held against the second", async () => {
+    const bench = createBench([fault, fault, fault]);
+    expect((await bench.executor.run(createRequest(true), never)).kind).toBe("failed");
+    const sent = bench.sentTo.length;
+    expect(bench.verdicts.slice(0, 2)).toEqual(["target-fault", "neutral"]);
+    const again = await bench.executor.run(createRequest(true), never);
+    expect(again).toMatchObject({ kind: "refused", reason: "job-fails" });
+    expect(bench.sentTo).toHaveLength(sent);
+  });
+
+  test("a target that fails everything does not condemn jobs", async () => {
+    const bench = createBench(
+      Array.from({ length: 40 }, () => fault),
+      1,
+    );
+    for (let index = 0; index < 20; index += 1) {
+      const body = Buffer.from(`job ${index % 5}`);
+      const target = { ...createRequest(true).target, body };
+      expect((await bench.executor.run(createRequest(true, { target }), never)).kind).toBe("failed");
+    }
+    expect(new Set(bench.verdicts)).toEqual(new Set(["target-fault"]));
+  });
+});
+
+describe("claims", () => {
+  const keyed = createRequest(false, { idempotencyKey: "key" });
+  test.each([
+    [{ kind: "already-running" }, "unknown", "already-running"],
+    [{ kind: "already-run" }, "unknown", "already-run"],
+    [{ kind: "unknown" }, "unknown", "earlier-run-unknown"],
+    [{ kind: "key-reused" }, "refused", "key-reused"],
+    [{ kind: "unavailable" }, "refused", "claims-unavailable"],
+  ] as const)("without a grant nothing is sent: %o", async (claim, kind, reason) => {
+    const bench = createBench([], 5, claim);
+    expect(await bench.executor.run(keyed, never)).toMatchObject({ kind, reason });
+    expect(bench.sentTo).toEqual([]);
+    expect(bench.settlements).toEqual([]);
+  });
+
+  test.each([
+    ["finished", [ok]],
+    ["finished", [fault]],
+    ["released", [busy, busy, busy]],
+    ["unknown", [busy, cut]],
+  ] as const)("the end is reported as %s", async (state, results) => {
+    const bench = createBench([...results]);
+    await bench.executor.run(createRequest(false, { idempotencyKey: "key" }), never);
+    expect(bench.settlements).toMatchObject([{ claimId: "request-1", state }]);
+  });
+});
--- /dev/null
+++ b/src/ingress/test/request-path.test.ts
@@ -0,0 +1,220 @@
+/**
+ * What callers are told by a whole small fleet, compared with what the targets counted.
+ * @packageDocumentation
+ */
+import { connect } from "node:net";
+import { readFile } from "node:fs/promises";
+import { once } from "node:events";
+import { afterAll, beforeAll, beforeEach, describe, expect, test } from "vitest";
+import { startFleet, waitUntil, type Fleet } from "../../stand-ins/index.js";
+import type { OutcomeBody } from "../index.js";
+
+const maximumBodyBytes = 4_096;
+const operation = "/services/releases/release";
+let fleet: Fleet;
+let nextKey = 0;
+
+beforeAll(async () => {
+  const text: unknown = JSON.parse(
+    await readFile(new URL("../../../examples/agency/text.json", import.meta.url), "utf8"),
+  );
+  fleet = await startFleet({
+    text,
+    targets: { quotes: 2, releases: 3 },
+    entries: 4,
+    zones: 2,
+    meanRunMilliseconds: 5,
+    seed: 7,
+    settings: { limits: { bodyBytes: maximumBodyBytes, bodyMemoryBytes: 3 * maximumBodyBytes } },
+  });
+});
+
+afterAll(async () => {
+  await fleet.close();
+});
+
+beforeEach(() => {
+  fleet.store.faults.mode = "up";
+  fleet.store.faults.delayMilliseconds = 0;
+  for (const { faults } of fleet.targets)
+    Object.assign(faults, { lateMilliseconds: 0, cutAnswers: 0, refuseAll: false });
+  nextKey += 1;
+});
+
+interface Told {
+  readonly status: number;
+  readonly headers: Headers;
+  readonly body: Partial<OutcomeBody> & { readonly instanceId?: string };
+}
+
+function urlOf(index: number, path = operation): string {
+  return `http://${fleet.entries[index]?.addresses.requests ?? ""}${path}`;
+}
+
+async function post(
+  index: number,
+  headers: Record<string, string> = {},
+  body = "coil",
+  path = operation,
+): Promise<Told> {
+  const response = await fetch(urlOf(index, path), { method: "POST", headers, body });
+  return {
+    status: response.status,
+    headers: response.headers,
+    body: (await response.json()) as Told["body"],
+  };
+}
+
+function runsOfKey(key: string): number {
+  return fleet.targets.reduce((sum, target) => sum + (target.counts().runsByKey[key] ?? 0), 0);
+}
+
+function started(): number {
+  return fleet.targets.reduce((sum, target) => sum + target.counts().started, 0);
+}
+
+async function sendRaw(bytes: string): Promise<string> {
+  const [host = "", port = ""] = (fleet.entries[0]?.addresses.requests ?? "").split(":");
+  const socket = connect(Number(port), host);
+  let received = "";
+  socket.on("data", (data) => {
+    received += data.toString();
+  });
+  socket.on("error", () => undefined);
+  socket.write(bytes);
+  await once(socket, "close");
+  return received;
+}
+
+describe("bad input is answered with a reason and nothing is forwarded", () => {
+  test.each([
+    [{ "x-timeout-ms": "soon" }, operation, 400, "bad-timeout"],
+    [{ "x-timeout-ms": "0" }, operation, 400, "bad-timeout"],
+    [{ "idempotency-key": "two words" }, operation, 400, "bad-idempotency-key"],
+    [{ "idempotency-key": "k".repeat(256) }, operation, 400, "bad-idempotency-key"],
+    [{ "x-team": "nobody" }, operation, 400, "bad-team"],
+    [{ "x-urgency": "very" }, operation, 400, "bad-urgency"],
+    [{}, "/services/nothing/release", 404, "unknown-service"],
+    [{}, "/services/releases/nothing", 404, "unknown-operation"],
+  ])("%o %s", async (headers, path, status, reason) => {
+    const before = started();
+    const told = await post(0, headers, "coil", path);
+    expect(told).toMatchObject({ status, body: { outcome: "rejected", reason, notRun: true } });
+    expect(told.headers.get("x-request-id")).toBe(told.body.requestId);
+    expect(started()).toBe(before);
+  });
+
+  test.each([
+    ["a body beyond the bound", `content-length: ${maximumBodyBytes + 1}\r\n\r\nx`, "413", "body-too-large"],
+    [
+      "chunks beyond the bound",
+      `transfer-encoding: chunked\r\n\r\n1388\r\n${"x".repeat(5_000)}\r\n`,
+      "413",
+      "body-too-large",
+    ],
+    ["a header beyond the bound", `x-long: ${"x".repeat(20_000)}\r\n\r\n`, "431", "header-too-large"],
+    ["a malformed header", "no colon\r\n\r\n", "400", "malformed-request"],
+  ])("%s", async (_name, rest, status, reason) => {
+    const before = started();
+    const received = await sendRaw(`POST ${operation} HTTP/1.1\r\nhost: entry\r\n${rest}`);
+    expect(received).toContain(`HTTP/1.1 ${status}`);
+    expect(received).toContain(`"reason":"${reason}"`);
+    expect(started()).toBe(before);
+  });
+
+  test("bodies beyond the entry's memory are refused at once", async () => {
+    const sockets = Array.from({ length: 3 }, () => {
+      const [host = "", port = ""] = (fleet.entries[0]?.addresses.requests ?? "").split(":");
+      const socket = connect(Number(port), host).on("error", () => undefined);
+      socket.write(
+        `POST ${operation} HTTP/1.1\r\nhost: entry\r\ncontent-length: ${maximumBodyBytes}\r\n\r\nslow`,
+      );
+      return socket;
+    });
+    await waitUntil(() => fleet.entries[0]?.status().requestsInProgress === 3);
+    const told = await post(0);
+    expect(told).toMatchObject({ status: 503, body: { reason: "body-memory", notRun: true } });
+    expect(told.headers.get("retry-after")).not.toBeNull();
+    for (const socket of sockets) socket.destroy();
+    await waitUntil(() => fleet.entries[0]?.status().requestsInProgress === 0);
+    expect((await post(0)).status).toBe(200);
+  });
+});
+
+describe("at most once", () => {
+  test("a key asked through every entry at once runs once, and each gets the first answer in the end", async () => {
+    const key = `once-${nextKey}`;
+    const indexes = [0, 1, 2, 3, 0, 1, 2, 3];
+    await Promise.all(indexes.map(async (index) => post(index, { "idempotency-key": key })));
+    expect(runsOfKey(key)).toBe(1);
+    const told = await Promise.all(indexes.map(async (index) => post(index, { "idempotency-key": key })));
+    expect(told.map(({ status }) => status)).toEqual(indexes.map(() => 200));
+    expect(told.every(({ headers }) => headers.get("idempotent-replayed") === "true")).toBe(true);
+    expect(runsOfKey(key)).toBe(1);
+  });
+
+  test("an answer cut in the middle is unknown and does not run again", async () => {
+    const key = `cut-${nextKey}`;
+    for (const { faults } of fleet.targets) faults.cutAnswers = 1;
+    const told = await post(0, { "idempotency-key": key });
+    expect(told).toMatchObject({ status: 502, body: { outcome: "unknown", reason: "cut" } });
+    expect(told.body.notRun).toBeUndefined();
+    expect(await post(1, { "idempotency-key": key })).toMatchObject({
+      status: 409,
+      body: { reason: "earlier-run-unknown" },
+    });
+    expect(runsOfKey(key)).toBe(1);
+  });
+
+  test("a refusal by every target frees the key", async () => {
+    const key = `refused-${nextKey}`;
+    for (const { faults } of fleet.targets) faults.refuseAll = true;
+    expect(await post(0, { "idempotency-key": key })).toMatchObject({ status: 503, body: { notRun: true } });
+    expect(runsOfKey(key)).toBe(0);
+    for (const { faults } of fleet.targets) faults.refuseAll = false;
+    expect((await post(1, { "idempotency-key": key })).status).toBe(200);
+    expect(runsOfKey(key)).toBe(1);
+  });
+
+  test("while the store is down a new key is refused and was not run; idempotent work goes on", async () => {
+    const key = `outage-${nextKey}`;
+    fleet.store.faults.mode = "refusing";
+    const told = await post(0, { "idempotency-key": key });
+    expect(told).toMatchObject({ status: 503, body: { reason: "claims-unavailable", notRun: true } });
+    expect(told.headers.get("retry-after")).not.toBeNull();
+    expect(runsOfKey(key)).toBe(0);
+    expect((await post(0, {}, "coil", "/services/quotes/quote")).status).toBe(200);
+  });
+
+  test("lost answers of a slow store do not refuse or double a run", async () => {
+    const key = `lost-${nextKey}`;
+    fleet.store.faults.delayMilliseconds = 20;
+    fleet.store.faults.loseAnswers = 1;
+    const told = await Promise.all([0, 1].map(async (index) => post(index, { "idempotency-key": key })));
+    expect(told.filter(({ status }) => status === 200).length).toBeGreaterThanOrEqual(1);
+    expect(runsOfKey(key)).toBe(1);
+    fleet.store.faults.loseAnswers = 0;
+  });
+
+  // Last, because it ends entries.
+  test("keys keep their one run when entries are killed while answers are late and the store loses answers", async () => {
+    const keys = Array.from({ length: 24 }, (_, index) => `kill-${nextKey}-${index}`);
+    for (const { faults } of fleet.targets) faults.lateMilliseconds = 150;
+    fleet.store.faults.loseAnswers = 2;
+    const first = keys.map(async (key, index) =>
+      post(index % 4, { "idempotency-key": key }).catch(() => undefined),
+    );
+    await waitUntil(() => keys.some((key) => runsOfKey(key) > 0));
+    await Promise.all([fleet.entries[2]?.kill(), fleet.entries[3]?.kill()]);
+    await Promise.all(first);
+    fleet.store.faults.loseAnswers = 0;
+    const told = await Promise.all(
+      keys.map(async (key, index) => post(index % 2, { "idempotency-key": key })),
+    );
+    for (const [index, key] of keys.entries()) {
+      expect(runsOfKey(key)).toBeLessThanOrEqual(1);
+      if (told[index]?.body.notRun === true) expect(runsOfKey(key)).toBe(0);
+      if (told[index]?.status === 200) expect(runsOfKey(key)).toBe(1);
+    }
+  });
+});
