--- a/src/execution/index.ts
+++ b/src/execution/index.ts
@@ -18,6 +18,7 @@
   createClaimOwner,
   createClaims,
   createRetentionLease,
+  digestParts,
   type ClaimAnswer,
   type ClaimAsk,
   type ClaimMemoryOptions,
