Ends of claims are written at a planned stop; tests of a cancelled wave and a target that dies

Cause: a finished claim whose end had not gone out with a later commit was unknown after its owner's planned stop. Change: an entry that stops writes the noted ends of its shards; a fleet test cancels 60 callers at once, another kills a target in mid-answer.

--- a/src/execution/claims/claim-log.ts
+++ b/src/execution/claims/claim-log.ts
@@ -43,6 +43,8 @@
   record(claim: StoredClaim, isGrantable: () => boolean): Promise<RecordResult>;
   /** Records the end of a claim along with the next group commit that a claim causes. */
   note(settlement: StoredSettlement): void;
+  /** Writes the noted ends now, if the log is known. */
+  flush(): Promise<void>;
   /** How many keys are known. */
   size(): number;
 }
@@ -128,6 +130,14 @@
     if (this.#notes.length > notesPerSegment) this.#notes.shift();
   }
 
+  async flush(): Promise<void> {
+    await this.#exclusively(async () => {
+      if (this.#notes.length === 0 || !this.isLoaded()) return;
+      const leaseId = await this.#options.lease.current();
+      if (leaseId !== undefined) await this.#commit([], leaseId);
+    });
+  }
+
   size(): number {
     return this.#index.size();
   }
--- a/src/execution/claims/claim-owner.ts
+++ b/src/execution/claims/claim-owner.ts
@@ -14,6 +14,8 @@
   take(ask: ClaimAsk): Promise<ClaimAnswer>;
   /** Takes a report of a claim's end; returns whether it is held. */
   settle(settlement: ClaimSettlement): boolean;
+  /** Writes the ends of claims that no later commit has taken along. */
+  flush(): Promise<void>;
 }
 
 /** What an owner works with. */
@@ -125,5 +127,8 @@
       if (state !== "unknown") openLog(key).note({ key, claimId, state });
       return true;
     },
+    flush: async () => {
+      await Promise.all([...logs.values()].map(async (log) => log.flush()));
+    },
   };
 }
--- a/src/execution/claims/claims.ts
+++ b/src/execution/claims/claims.ts
@@ -30,6 +30,8 @@
    * @returns a promise that resolves when the owner holds the report or could not be reached
    */
   settle(settlement: ClaimSettlement): Promise<void>;
+  /** Waits for the reports under way and writes what this entry knows as owner, before a planned stop. */
+  flush(): Promise<void>;
 }
 
 /** What claims work with. */
@@ -68,6 +70,13 @@
     return reply.orDefault({ kind: "unavailable" });
   };
 
+  const settling = new Set<Promise<void>>();
+  const settle = async (settlement: ClaimSettlement): Promise<void> => {
+    const ownerId = findOwner(settlement.key);
+    if (ownerId === entryId) owner.settle(settlement);
+    else await peers.call(ownerId, settleClaimCall, settlement, settleMilliseconds);
+  };
+
   return {
     entryId,
     take: async (ask, signal) => {
@@ -81,9 +90,14 @@
       return askOwner(ask);
     },
     settle: async (settlement) => {
-      const ownerId = findOwner(settlement.key);
-      if (ownerId === entryId) owner.settle(settlement);
-      else await peers.call(ownerId, settleClaimCall, settlement, settleMilliseconds);
+      const settled = settle(settlement);
+      settling.add(settled);
+      await settled;
+      settling.delete(settled);
+    },
+    flush: async () => {
+      await Promise.all(settling);
+      await owner.flush();
     },
   };
 }
--- a/src/execution/test/claims.test.ts
+++ b/src/execution/test/claims.test.ts
@@ -59,6 +59,15 @@
   expect(await ask(cluster, 0, "second")).toBe("granted");
 });
 
+test("a planned stop leaves the ends of claims in the log", async () => {
+  const cluster = createCluster(1);
+  expect(await ask(cluster, 0, "first")).toBe("granted");
+  await finish(cluster, 0, "first");
+  await cluster.entries[0]?.claims.flush();
+  cluster.replace(0);
+  expect(await ask(cluster, 0, "second")).toBe("already-run");
+});
+
 test("while the store is down nothing is granted, and what is known is still said", async () => {
   const cluster = createCluster(2);
   expect(await ask(cluster, 0, "first")).toBe("granted");
--- a/src/execution/test/executor.test.ts
+++ b/src/execution/test/executor.test.ts
@@ -76,6 +76,7 @@
       settlements.push(settlement);
       return Promise.resolve();
     },
+    flush: async () => Promise.resolve(),
   };
   const executor = createExecutor({
     allocator,
--- a/src/ingress/test/request-path.test.ts
+++ b/src/ingress/test/request-path.test.ts
@@ -196,7 +196,46 @@
     fleet.store.faults.loseAnswers = 0;
   });
 
-  // Last, because it ends entries.
+  test("a wave of cancellations frees every slot, and cancelled keys are never run again", async () => {
+    const keys = Array.from({ length: 60 }, (_, index) => `cancel-${nextKey}-${index}`);
+    for (const { faults } of fleet.targets) faults.lateMilliseconds = 2_000;
+    const abort = new AbortController();
+    const wave = keys.map(async (key) =>
+      fetch(urlOf(0), {
+        method: "POST",
+        body: "coil",
+        headers: { "idempotency-key": key },
+        signal: abort.signal,
+      }).catch(() => undefined),
+    );
+    await waitUntil(() => keys.some((key) => runsOfKey(key) > 0));
+    abort.abort();
+    await Promise.all(wave);
+    for (const { faults } of fleet.targets) faults.lateMilliseconds = 0;
+    await waitUntil(() => fleet.entries[0]?.status().requestsInProgress === 0);
+    const told = await Promise.all(keys.slice(0, 20).map(async (key) => post(1, { "idempotency-key": key })));
+    expect(Math.max(...keys.map(runsOfKey))).toBe(1);
+    for (const [index, { status, body }] of told.entries()) {
+      if (body.notRun === true) expect(runsOfKey(keys[index] ?? "")).toBe(0);
+      expect([200, 409, 503]).toContain(status);
+    }
+    expect((await post(0)).status).toBe(200);
+  });
+
+  // Last, because it ends targets and entries.
+  test("a target that dies in mid-answer leaves its request unknown, and other targets go on", async () => {
+    const key = `dead-${nextKey}`;
+    for (const { faults } of fleet.targets) faults.lateMilliseconds = 1_000;
+    const first = post(0, { "idempotency-key": key });
+    await waitUntil(() => runsOfKey(key) > 0);
+    await fleet.targets.find((target) => (target.counts().runsByKey[key] ?? 0) > 0)?.close();
+    expect(await first).toMatchObject({ status: 502, body: { outcome: "unknown", reason: "cut" } });
+    for (const { faults } of fleet.targets) faults.lateMilliseconds = 0;
+    expect((await post(1, { "idempotency-key": key })).status).toBe(409);
+    expect((await post(1)).status).toBe(200);
+    expect(runsOfKey(key)).toBe(1);
+  });
+
   test("keys keep their one run when entries are killed while answers are late and the store loses answers", async () => {
     const keys = Array.from({ length: 24 }, (_, index) => `kill-${nextKey}-${index}`);
     for (const { faults } of fleet.targets) faults.lateMilliseconds = 150;
--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -134,6 +134,7 @@
     stop: async () => {
       foundation.log.write("info", "entry-stopping", { requests: requestPath.ingress.inProgress() });
       await requestPath.ingress.close();
+      await requestPath.claims.flush();
       await Promise.all(duties.map(async (duty) => duty.close()));
       await membership.roster.leave();
       await closeParts();
@@ -223,6 +224,7 @@
 interface RequestPathParts {
   readonly allocator: SlotAllocator;
   readonly exchange: TargetExchange;
+  readonly claims: Claims;
   readonly ingress: Ingress;
   readonly isReady: () => boolean;
 }
@@ -238,10 +240,11 @@
   const allocator = new IndependentAllocator({ view, random, slotsPerTarget });
   const maximumAnswerBytes = settings.limits.answerBytes;
   const exchange = createTargetExchange({ connectionsPerTarget, maximumAnswerBytes });
+  const claims = wireClaims(foundation, peers);
   const executor = createExecutor({
     allocator,
     exchange,
-    claims: wireClaims(foundation, peers),
+    claims,
     metrics,
     tracing,
   });
@@ -259,7 +262,7 @@
     },
     isReady,
   });
-  return { allocator, exchange, ingress, isReady };
+  return { allocator, exchange, claims, ingress, isReady };
 }
 
 function wireClaims({ settings, store }: Foundation, peers: PeerNetwork): Claims {
