--- a/src/measures/registry.ts
+++ b/src/measures/registry.ts
@@ -2,11 +2,20 @@
  * All measurements by name.
  * @packageDocumentation
  */
-import type { Measure } from "./measure.js";
 import { buffer } from "./buffer/index.js";
+import { claimsMeasure } from "./claims.js";
+import type { Measure } from "./measure.js";
 import { membershipMeasure } from "./membership.js";
+import { overheadMeasure } from "./overhead.js";
 import { rolloutMeasure } from "./rollout.js";
 import { slopes } from "./slopes/index.js";
 
-/** The measurements, one line each. */
-export const measures: readonly Measure[] = [rolloutMeasure, membershipMeasure, buffer, slopes];
+/** The measurements by the order of the promises that they speak for. */
+export const measures: readonly Measure[] = [
+  claimsMeasure,
+  overheadMeasure,
+  rolloutMeasure,
+  membershipMeasure,
+  buffer,
+  slopes,
+];
