Maintenance waves bounded by availability budgets

Cause: there was no way to reboot the fleet without an operator draining each instance by hand, and nothing kept a service's budget while instances were taken out.

Change: waves/current with a state for each instance, a runner that can be replaced at any step, a gate (pool minimum, share, zone, budget), halting by a binomial threshold, commands that race by compare-and-swap, budgets summed over entries, operators' routes and commands. An instance that a wave reboots is reserved, so that no operator lets it serve between its stop and its reboot.

Not done: the instance list's stand-in has no reboot route yet, so that a wave in a running fleet gets no further than rebooting.

--- /dev/null
+++ b/src/maintenance/budget-exchange.ts
@@ -0,0 +1,117 @@
+/**
+ * Sums the entries' counts of ended requests, so that the holder of a duty knows each service's budget.
+ * @packageDocumentation
+ */
+import { z } from "zod";
+import type { OperatorText } from "../configuration/index.js";
+import type { EndedRequest } from "../ingress/index.js";
+import { definePeerCall, type PeerNetwork } from "../membership/index.js";
+import {
+  addCounts,
+  computeBudget,
+  createBudgetWindow,
+  isGoodOutcome,
+  type BudgetState,
+  type BudgetWindow,
+  type WindowCounts,
+} from "./availability-budget.js";
+
+const countsSchema = z.object({ good: z.int(), bad: z.int() });
+
+/** Asks a peer for its counts of each service. */
+export const fetchBudgetCounts = definePeerCall(
+  "maintenance.budget-counts",
+  z.object({}),
+  z.object({ services: z.record(z.string(), z.object({ window: countsSchema, recent: countsSchema })) }),
+);
+
+/** The budgets of all services. */
+export interface AvailabilityBudgets {
+  /** Counts an ended request of this entry. */
+  record(ended: EndedRequest): void;
+  /** Asks the peers for their counts; called again and again by the holder of a duty. */
+  refresh(): Promise<void>;
+  /**
+   * Works out a service's budget.
+   * @param service - its name
+   * @returns undefined when the service is unknown or not every entry's counts are
+   */
+  read(service: string): BudgetState | undefined;
+}
+
+/** What the budgets work with. */
+export interface AvailabilityBudgetsParts {
+  readonly peers: PeerNetwork;
+  readonly text: () => OperatorText | undefined;
+  /** The time in milliseconds since the epoch. */
+  readonly now: () => number;
+}
+
+type ServiceCounts = Readonly<Record<string, WindowCounts>>;
+
+const fetchTimeoutMilliseconds = 1_000;
+/** Counts that are older say nothing of what happens now. */
+const maximumAgeMilliseconds = 10_000;
+const noCounts: WindowCounts = { window: { good: 0, bad: 0 }, recent: { good: 0, bad: 0 } };
+
+/**
+ * Creates the budgets and answers the peers' questions.
+ * @param parts - what they work with
+ * @returns the budgets
+ */
+export function createAvailabilityBudgets(parts: AvailabilityBudgetsParts): AvailabilityBudgets {
+  const { peers, text, now } = parts;
+  const own = new Map<string, { readonly windowSeconds: number; readonly window: BudgetWindow }>();
+  const ofPeers = new Map<string, { readonly at: number; readonly services: ServiceCounts }>();
+
+  const serviceOf = (name: string): OperatorText["services"][number] | undefined =>
+    text()?.services.find((service) => service.name === name);
+
+  const windowOf = (name: string, windowSeconds: number): BudgetWindow => {
+    const held = own.get(name);
+    if (held?.windowSeconds === windowSeconds) return held.window;
+    const window = createBudgetWindow(windowSeconds, now);
+    own.set(name, { windowSeconds, window });
+    return window;
+  };
+
+  peers.answer(fetchBudgetCounts, () => ({
+    services: Object.fromEntries([...own].map(([name, { window }]) => [name, window.counts()])),
+  }));
+
+  const fetchFrom = async (peerId: string): Promise<void> => {
+    const reply = await peers.call(peerId, fetchBudgetCounts, {}, fetchTimeoutMilliseconds);
+    reply.ifRight(({ services }) => {
+      ofPeers.set(peerId, { at: now(), services });
+    });
+  };
+
+  const isComplete = (): boolean =>
+    peers.upPeers().every((peerId) => now() - (ofPeers.get(peerId)?.at ?? 0) <= maximumAgeMilliseconds);
+
+  return {
+    record: ({ service: name, outcome, milliseconds }) => {
+      const service = serviceOf(name);
+      if (service === undefined) return;
+      const isGood = isGoodOutcome(outcome, milliseconds, service.deadlineMilliseconds);
+      windowOf(name, service.availability.windowSeconds).record(isGood);
+    },
+    refresh: async () => {
+      await Promise.all(peers.upPeers().map(fetchFrom));
+    },
+    read: (name) => {
+      const service = serviceOf(name);
+      if (service === undefined || !isComplete()) return undefined;
+      const { objective, windowSeconds } = service.availability;
+      // What a dead entry last reported counts until it has left the window.
+      const reported = [...ofPeers.values()]
+        .filter(({ at }) => now() - at <= windowSeconds * 1_000)
+        .map(({ services }) => services[name] ?? noCounts);
+      const counts = [windowOf(name, windowSeconds).counts(), ...reported].reduce((sum, each) => ({
+        window: addCounts(sum.window, each.window),
+        recent: addCounts(sum.recent, each.recent),
+      }));
+      return computeBudget(counts, objective);
+    },
+  };
+}
--- /dev/null
+++ b/src/maintenance/wave-commands.ts
@@ -0,0 +1,129 @@
+/**
+ * Operators' commands on waves.
+ * @packageDocumentation
+ */
+import { randomUUID } from "node:crypto";
+import { Left, Right, type Either } from "purify-ts";
+import type { PlacementView } from "../pools/index.js";
+import { planBatches } from "./wave-plan.js";
+import { isOver, type WaveLimits, type WaveRecord, type WaveState } from "./wave-record.js";
+import type { StoredWave, WaveFailure, WaveStore } from "./wave-store.js";
+
+/** Which instances a wave takes and how. */
+export interface WaveRequest {
+  /** Identifier of the wave; the same one starts once. */
+  readonly waveId: string;
+  /** The pools whose instances are rebooted; all when empty. */
+  readonly pools: readonly string[];
+  /** The availability zones whose instances are rebooted; all when empty. */
+  readonly zones: readonly string[];
+  readonly limits: WaveLimits;
+}
+
+/** Commands on waves. */
+export interface WaveCommands {
+  /** Starts a wave; refused while another one is not over. */
+  start(request: WaveRequest): Promise<Either<WaveFailure, WaveRecord>>;
+  /** Starts no more drains; what has begun goes on. */
+  pause(waveId: string, changeId: string): Promise<Either<WaveFailure, WaveRecord>>;
+  /** Lets a paused or halted wave go on. */
+  resume(waveId: string, changeId: string): Promise<Either<WaveFailure, WaveRecord>>;
+  /** Ends a wave: drains are taken back, reboots that began go on to their end. */
+  abort(waveId: string, changeId: string): Promise<Either<WaveFailure, WaveRecord>>;
+  /** Reads the current or last wave. */
+  show(): Promise<Either<WaveFailure, WaveRecord | undefined>>;
+}
+
+/** Instances that the record of one wave can hold within the store's largest value. */
+const maximumWaveInstances = 4_000;
+const maximumRecentChanges = 8;
+
+/**
+ * Creates the commands.
+ * @param waves - the wave's record
+ * @param view - finds the instances
+ * @returns the commands
+ */
+export function createWaveCommands(waves: WaveStore, view: PlacementView): WaveCommands {
+  const change = async (
+    waveId: string,
+    changeId: string,
+    allowed: readonly WaveState[],
+    next: WaveState,
+  ): Promise<Either<WaveFailure, WaveRecord>> => {
+    const read = await waves.read();
+    if (read.isLeft()) return Left(read.swap().unsafeCoerce());
+    const held = read.unsafeCoerce();
+    const { wave } = held;
+    if (wave?.waveId !== waveId) return refuse(`wave "${waveId}" is not the current one`);
+    if (wave.recentChanges.includes(changeId)) return Right(wave);
+    if (!allowed.includes(wave.state)) return refuse(`wave "${waveId}" is ${wave.state}`);
+    const recentChanges = [changeId, ...wave.recentChanges].slice(0, maximumRecentChanges);
+    return waves.write(held, {
+      ...wave,
+      state: next,
+      reason: undefined,
+      recentChanges,
+      writeId: randomUUID(),
+    });
+  };
+
+  return {
+    start: async (request) => {
+      const read = await waves.read();
+      if (read.isLeft()) return Left(read.swap().unsafeCoerce());
+      const held = read.unsafeCoerce();
+      if (held.wave?.waveId === request.waveId) return Right(held.wave);
+      return startWave(waves, view, held, request);
+    },
+    pause: async (waveId, changeId) => change(waveId, changeId, ["running"], "paused"),
+    resume: async (waveId, changeId) => change(waveId, changeId, ["paused", "halted"], "running"),
+    abort: async (waveId, changeId) => change(waveId, changeId, ["running", "paused", "halted"], "aborted"),
+    show: async () => (await waves.read()).map(({ wave }) => wave),
+  };
+}
+
+async function startWave(
+  waves: WaveStore,
+  view: PlacementView,
+  held: StoredWave,
+  request: WaveRequest,
+): Promise<Either<WaveFailure, WaveRecord>> {
+  if (held.wave !== undefined) {
+    if (!isOver(held.wave)) return refuse(`wave "${held.wave.waveId}" is ${held.wave.state}`);
+    const archived = await waves.archive(held.wave);
+    if (archived.isLeft()) return archived;
+  }
+  const { pools, zones, limits, waveId } = request;
+  const targets = view
+    .all()
+    .filter(({ pool, zone }) => isChosen(pools, pool) && isChosen(zones, zone))
+    .filter(({ state }) => state === "serving");
+  if (targets.length === 0) return refuse("no serving instance is chosen");
+  if (targets.length > maximumWaveInstances) {
+    return refuse(`${targets.length} instances are chosen, at most ${maximumWaveInstances} fit in one wave`);
+  }
+  const startedAt = Date.now();
+  const pending = targets.map(
+    ({ instanceId }) => [instanceId, { state: "pending", since: startedAt }] as const,
+  );
+  return waves.write(held, {
+    waveId,
+    writeId: randomUUID(),
+    state: "running",
+    startedAt,
+    recentChanges: [],
+    limits,
+    batches: planBatches(targets, limits),
+    currentBatch: 0,
+    instances: Object.fromEntries(pending),
+  });
+}
+
+function isChosen(names: readonly string[], name: string): boolean {
+  return names.length === 0 || names.includes(name);
+}
+
+function refuse(message: string): Either<WaveFailure, WaveRecord> {
+  return Left({ kind: "refused", message });
+}
--- a/src/operations/index.ts
+++ b/src/operations/index.ts
@@ -9,3 +9,4 @@
   type OperatorServiceParts,
 } from "./operator-service.js";
 export type { EntryStatus } from "./status.js";
+export { addWaveRoutes, type OperatorRoutes, type WaveRoutesParts } from "./wave-routes.js";
--- /dev/null
+++ b/src/operations/wave-routes.ts
@@ -0,0 +1,93 @@
+/**
+ * Operators' HTTP routes of maintenance waves.
+ * @packageDocumentation
+ */
+import type { Either } from "purify-ts";
+import { z } from "zod";
+import {
+  waveLimitsSchema,
+  type AvailabilityBudgets,
+  type WaveCommands,
+  type WaveFailure,
+  type WaveRecord,
+} from "../maintenance/index.js";
+import type { CommandAnswer } from "./operator-service.js";
+
+/** Adds authorized routes to the operators' interface. */
+export interface OperatorRoutes {
+  /** Adds a route that reads. */
+  read(path: string, produce: () => unknown): void;
+  /** Adds a route that runs a command. */
+  command<Input>(path: string, schema: z.ZodType<Input>, run: (input: Input) => Promise<CommandAnswer>): void;
+}
+
+/** What the routes work with. */
+export interface WaveRoutesParts {
+  readonly waves: WaveCommands;
+  readonly budgets: AvailabilityBudgets;
+  /** Names of the services in force. */
+  readonly services: () => readonly string[];
+}
+
+const startSchema = z.strictObject({
+  waveId: z.string().regex(/^[a-z0-9][a-z0-9-]{0,62}$/),
+  pools: z.array(z.string()).default([]),
+  zones: z.array(z.string()).default([]),
+  limits: waveLimitsSchema.prefault({}),
+});
+const changeSchema = z.strictObject({ waveId: z.string(), changeId: z.string().min(1) });
+const showSchema = z.strictObject({});
+
+/**
+ * Adds the routes `/operator/wave/start`, `pause`, `resume`, `abort`, `show` and `/operator/budgets`.
+ * @param routes - the operators' interface
+ * @param parts - what the routes work with
+ */
+export function addWaveRoutes(routes: OperatorRoutes, { waves, budgets, services }: WaveRoutesParts): void {
+  routes.command("/operator/wave/start", startSchema, async (request) =>
+    describeWave(await waves.start(request)),
+  );
+  routes.command("/operator/wave/pause", changeSchema, async ({ waveId, changeId }) =>
+    describeWave(await waves.pause(waveId, changeId)),
+  );
+  routes.command("/operator/wave/resume", changeSchema, async ({ waveId, changeId }) =>
+    describeWave(await waves.resume(waveId, changeId)),
+  );
+  routes.command("/operator/wave/abort", changeSchema, async ({ waveId, changeId }) =>
+    describeWave(await waves.abort(waveId, changeId)),
+  );
+  routes.command("/operator/wave/show", showSchema, async () => describeWave(await waves.show()));
+  routes.read("/operator/budgets", () =>
+    Object.fromEntries(services().map((service) => [service, budgets.read(service) ?? null])),
+  );
+}
+
+function describeWave(result: Either<WaveFailure, WaveRecord | undefined>): CommandAnswer {
+  return result.caseOf<CommandAnswer>({
+    Left: ({ kind, message }) => {
+      switch (kind) {
+        case "refused":
+        case "conflict":
+          return { result: "conflict", message };
+        case "not-done":
+          return { result: "failed", message };
+        case "unknown":
+          return { result: "unknown", message };
+      }
+    },
+    Right: (wave) =>
+      wave === undefined
+        ? { result: "done", message: "there was no wave yet" }
+        : { result: "done", message: summarize(wave), details: wave },
+  });
+}
+
+function summarize({ waveId, state, reason, instances, currentBatch, batches }: WaveRecord): string {
+  const counts = new Map<string, number>();
+  for (const instance of Object.values(instances)) {
+    counts.set(instance.state, (counts.get(instance.state) ?? 0) + 1);
+  }
+  const parts = [...counts].map(([name, count]) => `${count} ${name}`).join(", ");
+  const batch = `batch ${Math.min(currentBatch + 1, batches.length)} of ${batches.length}`;
+  return `wave "${waveId}" is ${state}, ${batch}: ${parts}${reason === undefined ? "" : `; ${reason}`}`;
+}
--- a/src/pools/adoption.ts
+++ b/src/pools/adoption.ts
@@ -79,8 +79,7 @@
   ): PlannedChange[] => {
     const { zone, instanceId } = target;
     if (listed === undefined && isAbsent(instanceId)) {
-      const isRemoved = target.state === "stopped";
-      return isRemoved
+      return isRemovable(target)
         ? [{ zone, instanceId, reason: "removed", change: removeStopped(target) }]
         : takeAway(target);
     }
@@ -163,7 +162,12 @@
 }
 
 function removeStopped(target: Target): InstanceChange {
-  return (placed) => (placed?.state === "stopped" && placed.since === target.since ? undefined : placed);
+  return (placed) => (isRemovable(placed) && placed.since === target.since ? undefined : placed);
+}
+
+/** A reserved instance may be missing from the list while it reboots. */
+function isRemovable(placed: PlacedInstance | undefined): placed is PlacedInstance {
+  return placed?.state === "stopped" && placed.reservedBy === undefined;
 }
 
 function takeAway(target: Target): PlannedChange[] {
--- a/src/pools/commands.ts
+++ b/src/pools/commands.ts
@@ -18,17 +18,29 @@
   move(instanceId: string, pool: string, changeId: string): Promise<Either<PlacementFailure, number>>;
   /** Starts to drain an instance: it takes no new work and is stopped once it has none. */
   drain(instanceId: string, changeId: string): Promise<Either<PlacementFailure, number>>;
-  /**
-   * Lets a leaving or stopped instance serve its pool again.
-   * @param instanceId - the instance
-   * @param changeId - identifier of the command
-   * @param supersedes - a command that must have no effect from now on, also if it arrives later
-   */
+  /** Lets a leaving or stopped instance serve its pool again. */
   restore(
     instanceId: string,
     changeId: string,
-    supersedes?: string,
+    options?: RestoreOptions,
   ): Promise<Either<PlacementFailure, number>>;
+  /**
+   * Reserves a stopped instance, so that only the holder can let it serve again.
+   * @param instanceId - the instance
+   * @param changeId - identifier of the command
+   * @param holder - who reserves it
+   */
+  reserve(instanceId: string, changeId: string, holder: string): Promise<Either<PlacementFailure, number>>;
+  /** Ends a reservation; the instance stays stopped. */
+  release(instanceId: string, changeId: string, holder: string): Promise<Either<PlacementFailure, number>>;
+}
+
+/** What a restore may do beyond its usual work. */
+export interface RestoreOptions {
+  /** A command that must have no effect from now on, also if it arrives later. */
+  readonly supersedes?: string;
+  /** Who reserved the instance. */
+  readonly holder?: string;
 }
 
 /** A command repeated after this many others on the same instance counts as a new one. */
@@ -74,14 +86,37 @@
         if (placed.state !== "serving") return Left(`instance "${instanceId}" is ${placed.state}`);
         return Right({ ...placed, state: "leaving", moveTo: undefined });
       }),
-    restore: async (instanceId, changeId, supersedes) =>
+    restore: async (instanceId, changeId, options = {}) =>
+      change(instanceId, changeId, (placed) => restorePlacement(placed, options)),
+    reserve: async (instanceId, changeId, holder) =>
+      change(instanceId, changeId, (placed) => {
+        if (placed.state !== "stopped") return Left(`instance "${instanceId}" is ${placed.state}`);
+        if (placed.reservedBy !== undefined && placed.reservedBy !== holder)
+          return Left(reservedMessage(placed));
+        return Right({ ...placed, reservedBy: holder });
+      }),
+    release: async (instanceId, changeId, holder) =>
       change(instanceId, changeId, (placed) => {
-        if (placed.state === "serving" && supersedes === undefined) {
-          return Left(`instance "${instanceId}" is serving`);
-        }
-        const [own = changeId, ...earlier] = placed.recentChanges;
-        const recentChanges = [own, ...(supersedes === undefined ? [] : [supersedes]), ...earlier];
-        return Right({ ...placed, recentChanges, state: "serving", moveTo: undefined });
+        if (placed.reservedBy !== holder)
+          return Left(`instance "${instanceId}" is not reserved by ${holder}`);
+        return Right({ ...placed, reservedBy: undefined });
       }),
   };
 }
+
+function restorePlacement(
+  placed: PlacedInstance,
+  { supersedes, holder }: RestoreOptions,
+): Either<string, PlacedInstance> {
+  if (placed.state === "serving" && supersedes === undefined) {
+    return Left(`instance "${placed.instanceId}" is serving`);
+  }
+  if (placed.reservedBy !== undefined && placed.reservedBy !== holder) return Left(reservedMessage(placed));
+  const [own, ...earlier] = placed.recentChanges;
+  const recentChanges = [own, supersedes, ...earlier].filter((each) => each !== undefined);
+  return Right({ ...placed, recentChanges, state: "serving", moveTo: undefined, reservedBy: undefined });
+}
+
+function reservedMessage({ instanceId, reservedBy }: PlacedInstance): string {
+  return `instance "${instanceId}" is reserved by ${reservedBy ?? ""}`;
+}
--- a/src/pools/index.ts
+++ b/src/pools/index.ts
@@ -19,7 +19,7 @@
   type PlacementWriter,
   type ZoneInstances,
 } from "./placement-writer.js";
-export { createPlacementCommands, type PlacementCommands } from "./commands.js";
+export { createPlacementCommands, type PlacementCommands, type RestoreOptions } from "./commands.js";
 export { createMover, type Mover, type MoverParts } from "./mover.js";
 export { createAdoption, type Adoption, type AdoptionParts } from "./adoption.js";
 export { createDepartureCheck, type DepartureCheck, type DepartureCheckParts } from "./departure.js";
--- a/src/pools/placement-record.ts
+++ b/src/pools/placement-record.ts
@@ -28,6 +28,8 @@
   changeId: z.string().optional(),
   /** Identifiers of the last commands, newest first; repeating one of them changes nothing. */
   recentChanges: z.array(z.string()).default([]),
+  /** Who alone may let a stopped instance serve again, such as a maintenance wave that reboots it. */
+  reservedBy: z.string().optional(),
   /** When the present state began, in milliseconds since the epoch; higher after each change. */
   since: z.number(),
 });
--- a/src/pools/test/moves.test.ts
+++ b/src/pools/test/moves.test.ts
@@ -79,7 +79,7 @@
 
 test("a superseded command that arrives later has no effect", async () => {
   const { world, first, second } = await startThree();
-  await first.commands.restore(spare, "r-1", "d-1");
+  await first.commands.restore(spare, "r-1", { supersedes: "d-1" });
   await second.commands.drain(spare, "d-1");
   expect(stored(world, spare)?.state).toBe("serving");
   closeWorld(world);
@@ -98,15 +98,20 @@
 });
 
 test("confirmations of an earlier departure do not complete a later one", async () => {
-  const { world, first, second } = await startThree();
+  const { world, first, second, third } = await startThree();
   await first.commands.drain(spare, "d-1");
   await refreshAll(world);
-  // The first entry's confirmations are under way when an operator restores the instance and drains it again.
-  const paused = first.mover.step();
-  await second.commands.restore(spare, "r-1");
-  await second.commands.drain(spare, "d-2");
-  second.inProgress.set(spare, 1);
-  await paused;
+  const name = "pools.confirm-leaving";
+  const answer = second.answers.get(name);
+  // Between the confirmations and the write an operator restores the instance, it gets work, and is drained again.
+  second.answers.set(name, async (body, peerId) => {
+    const reply = await answer?.(body, peerId);
+    await second.commands.restore(spare, "r-1");
+    third.inProgress.set(spare, 1);
+    await second.commands.drain(spare, "d-2");
+    return reply;
+  });
+  await first.mover.step();
   expect(stored(world, spare)).toMatchObject({ state: "leaving", changeId: "d-2" });
   closeWorld(world);
 });
--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -23,6 +23,18 @@
   type Roster,
   type RosterRecord,
 } from "./membership/index.js";
+import {
+  createAvailabilityBudgets,
+  createHttpInstanceControl,
+  createMaintenanceGate,
+  createWaveCommands,
+  createWaveRunner,
+  createWaveStore,
+  type AvailabilityBudgets,
+  type MaintenanceGate,
+  type WaveCommands,
+  type WaveRunner,
+} from "./maintenance/index.js";
 import { createOperatorService, type EntryStatus } from "./operations/index.js";
 import {
   createInstanceList,
@@ -78,6 +90,7 @@
 const mirrorRefreshMilliseconds = 5_000;
 const mirrorRetryMilliseconds = 500;
 const dutyPeriodMilliseconds = 200;
+const maintenancePeriodMilliseconds = 1_000;
 const leaveMilliseconds = 300;
 const slotsPerTarget = 8;
 const connectionsPerTarget = 7;
@@ -97,8 +110,16 @@
   const membership = await wireMembership(foundation);
   startRollOut(configuration, membership.peers);
   const placement = wirePlacement(foundation, membership);
-  const requestPath = wireRequestPath(foundation, configuration, placement);
-  const duties = wireDuties(foundation, configuration, membership, placement, requestPath.allocator);
+  const maintenance = wireMaintenance(foundation, configuration, membership, placement);
+  const requestPath = wireRequestPath(foundation, configuration, placement, maintenance.budgets);
+  const duties = wireDuties(
+    foundation,
+    configuration,
+    membership,
+    placement,
+    maintenance,
+    requestPath.allocator,
+  );
   const status = (): EntryStatus => readStatus(foundation, configuration, membership, placement, requestPath);
   const operators = wireOperators(foundation, configuration, placement, status);
 
@@ -230,6 +251,29 @@
   return { view, writer, commands: createPlacementCommands(view, writer), entries, confidence, close };
 }
 
+interface MaintenanceParts {
+  readonly budgets: AvailabilityBudgets;
+  readonly gate: MaintenanceGate;
+  readonly commands: WaveCommands;
+  readonly runner: WaveRunner;
+}
+
+function wireMaintenance(
+  { settings, store, log }: Foundation,
+  configuration: ConfigurationKeeper,
+  { peers }: MembershipParts,
+  { view, commands }: PlacementParts,
+): MaintenanceParts {
+  const text = (): OperatorText | undefined => configuration.current()?.text;
+  const budgets = createAvailabilityBudgets({ peers, text, now: Date.now });
+  const budgetLeft = (service: string): number | undefined => budgets.read(service)?.left;
+  const gate = createMaintenanceGate({ view, text, budgetLeft });
+  const waves = createWaveStore(store);
+  const control = createHttpInstanceControl(settings.instanceList.address);
+  const runner = createWaveRunner({ waves, view, commands, control, gate, log, now: Date.now });
+  return { budgets, gate, commands: createWaveCommands(waves, view), runner };
+}
+
 interface RequestPathParts {
   readonly allocator: SlotAllocator;
   readonly exchange: TargetExchange;
@@ -241,6 +285,7 @@
   foundation: Foundation,
   configuration: ConfigurationKeeper,
   { view, confidence }: PlacementParts,
+  budgets: AvailabilityBudgets,
 ): RequestPathParts {
   const { settings, metrics, tracing } = foundation;
   const random = createRandom(settings.seed);
@@ -257,7 +302,9 @@
     tracing,
     maximumBodyBytes: settings.limits.bodyBytes,
     leaveMilliseconds,
-    onOutcome: ({ service, milliseconds }) => {
+    onOutcome: (ended) => {
+      const { service, milliseconds } = ended;
+      budgets.record(ended);
       metrics.observe("answer_milliseconds", milliseconds, { service });
     },
     isReady,
@@ -270,6 +317,7 @@
   configuration: ConfigurationKeeper,
   { peers, self }: MembershipParts,
   { view, writer, entries }: PlacementParts,
+  { budgets, runner }: MaintenanceParts,
   allocator: SlotAllocator,
 ): Duty[] {
   const { log, store, settings } = foundation;
@@ -299,7 +347,18 @@
       await mover.step();
     },
   });
-  return [placementDuty];
+  const maintenanceDuty = createDuty({
+    store,
+    name: "maintenance",
+    entryId,
+    log,
+    periodMilliseconds: maintenancePeriodMilliseconds,
+    step: async () => {
+      await budgets.refresh();
+      await runner.step();
+    },
+  });
+  return [placementDuty, maintenanceDuty];
 }
 
 function wireOperators(
