Entries with long requests are not forgotten; model-based test of the placement

Counterexample: requests start at entry-2, pause entry-2, 30 s, 1 s, drain by entry-1, mover step of entry-3.

Change: an entry is forgotten after 620 s, longer than the longest request; majorities go on counting entries that were heard within 30 s.

--- a/src/pools/departure.ts
+++ b/src/pools/departure.ts
@@ -107,11 +107,12 @@
     return 0;
   };
 
-  const hasStopped = async (entryId: string, all: readonly string[], required: number): Promise<boolean> => {
+  const hasStopped = async (entryId: string, required: number): Promise<boolean> => {
     if (entries.isListed(entryId)) return false;
-    const silences = await Promise.all(all.map(async (witness) => askWitness(witness, entryId)));
+    const voters = entries.voters();
+    const silences = await Promise.all(voters.map(async (witness) => askWitness(witness, entryId)));
     const agreeing = silences.filter((silence) => silence > required);
-    return agreeing.length * 2 > all.length;
+    return agreeing.length * 2 > voters.length;
   };
 
   const askWitness = async (witness: string, entryId: string): Promise<number> => {
@@ -123,7 +124,6 @@
   return {
     isConfirmed: async (target) => {
       const answers = await askAll(target, view.revision(target.zone));
-      const all = [...answers.keys()];
       const open = [...answers].filter(([, { confirmed }]) => !confirmed);
       if (open.some(([, { reached }]) => reached)) return false;
       const unreached = open.map(([entryId]) => entryId).filter((entryId) => !entries.isGone(entryId));
@@ -132,7 +132,7 @@
       // An instance that only changes pools may finish old work; one that stops must have none.
       const required = target.moveTo === undefined ? silentRequestMilliseconds : silentRouteMilliseconds;
       if (age <= required) return false;
-      const stopped = await Promise.all(unreached.map(async (entryId) => hasStopped(entryId, all, required)));
+      const stopped = await Promise.all(unreached.map(async (entryId) => hasStopped(entryId, required)));
       return stopped.every(Boolean);
     },
   };
--- a/src/pools/known-entries.ts
+++ b/src/pools/known-entries.ts
@@ -9,6 +9,8 @@
 export interface KnownEntries {
   /** Identifiers of all entries that may send, this one included. */
   all(): readonly string[];
+  /** Identifiers of the entries that majorities are counted of, this one included. */
+  voters(): readonly string[];
   /** Whether the store's roster lists an entry now. */
   isListed(entryId: string): boolean;
   /** For how long this entry has not heard another one, in milliseconds. */
@@ -29,8 +31,10 @@
   readonly now: () => number;
 }
 
-/** Silence after which an entry without roster record is forgotten. */
-export const forgetMilliseconds = 30_000;
+/** Silence after which an entry without roster record no longer counts in majorities. */
+export const voterSilenceMilliseconds = 30_000;
+/** Silence after which it is forgotten; longer than any request that it may still have in progress. */
+export const forgetMilliseconds = 620_000;
 
 /**
  * Creates the memory and starts to listen for heartbeats.
@@ -55,13 +59,22 @@
     return link === undefined ? refused.has(entryId) : link.state === "gone";
   };
 
-  const forgetSilent = (listed: readonly string[]): void => {
-    // A roster without this entry itself is one that the outage emptied.
-    if (!listed.includes(self)) return;
+  const isExpired = (entryId: string, silenceMilliseconds: number): boolean => {
+    const listed = parts.listed();
+    // A roster without this entry itself is one that an outage emptied.
+    if (!listed.includes(self) || listed.includes(entryId)) return false;
+    return isGone(entryId) || silence(entryId) > silenceMilliseconds;
+  };
+
+  const all = (): string[] => {
+    const listed = parts.listed();
+    for (const entryId of listed) {
+      if (!heardAt.has(entryId)) heardAt.set(entryId, startedAt);
+    }
     for (const entryId of [...heardAt.keys()]) {
-      if (listed.includes(entryId)) continue;
-      if (isGone(entryId) || silence(entryId) > forgetMilliseconds) heardAt.delete(entryId);
+      if (isExpired(entryId, forgetMilliseconds)) heardAt.delete(entryId);
     }
+    return [...new Set([self, ...listed, ...heardAt.keys()])];
   };
 
   peers.events.on("heartbeat", ({ peerId }) => {
@@ -76,13 +89,7 @@
     silence,
     isGone,
     isListed: (entryId) => parts.listed().includes(entryId),
-    all: () => {
-      const listed = parts.listed();
-      for (const entryId of listed) {
-        if (!heardAt.has(entryId)) heardAt.set(entryId, startedAt);
-      }
-      forgetSilent(listed);
-      return [...new Set([self, ...listed, ...heardAt.keys()])];
-    },
+    all,
+    voters: () => all().filter((entryId) => !isExpired(entryId, voterSilenceMilliseconds)),
   };
 }
--- a/src/pools/view-confidence.ts
+++ b/src/pools/view-confidence.ts
@@ -57,9 +57,9 @@
   const isRecent = (time: number): boolean => now() - time <= viewBoundMilliseconds;
 
   const hearsMajority = (): boolean => {
-    const all = entries.all();
-    const replying = all.filter((entryId) => entryId === self || isRecent(repliedAt.get(entryId) ?? 0));
-    return replying.length * 2 > all.length;
+    const voters = entries.voters();
+    const replying = voters.filter((entryId) => entryId === self || isRecent(repliedAt.get(entryId) ?? 0));
+    return replying.length * 2 > voters.length;
   };
 
   const probe = async (entryId: string): Promise<void> => {
