--- a/src/pools/test/model.test.ts
+++ b/src/pools/test/model.test.ts
@@ -79,7 +79,8 @@
 
 class Fault extends Step {
   constructor(
-    readonly fault: "kill" | "pause" | "wake" | "cut" | "heal" | "outage" | "return" | "lose-answer",
+    readonly fault:
+      "kill" | "pause" | "wake" | "cut" | "isolate" | "heal" | "outage" | "return" | "lose-answer",
     readonly entryId: string,
   ) {
     super();
@@ -104,6 +105,10 @@
       case "cut":
         isolate(world, this.entryId);
         break;
+      case "isolate":
+        isolate(world, this.entryId);
+        faults.mode = "down";
+        break;
       case "heal":
         world.cuts.clear();
         break;
@@ -240,7 +245,7 @@
   fc
     .tuple(
       fc.constantFrom(
-        ...(["kill", "pause", "wake", "cut", "heal", "outage", "return", "lose-answer"] as const),
+        ...(["kill", "pause", "wake", "cut", "isolate", "heal", "outage", "return", "lose-answer"] as const),
       ),
       entryId,
     )
@@ -260,7 +265,7 @@
         closeWorld(real.world);
       }
     }),
-    { seed, numRuns: 400 },
+    { seed, numRuns: 800 },
   );
 });
 
