Instances that the platform gives back serve again

Cause: the list lags; an instance that had just rebooted could be listed as leaving, be drained and stay stopped.

--- a/src/pools/adoption.ts
+++ b/src/pools/adoption.ts
@@ -34,12 +34,14 @@
 /** A list that misses a larger share of the placed instances is not believed. */
 const maximumAbsentShare = 0.5;
 
+const takenAwayChangeId = "platform/taken-away";
+
 type InstanceChange = (placed: PlacedInstance | undefined) => PlacedInstance | undefined;
 
 interface PlannedChange {
   readonly zone: string;
   readonly instanceId: string;
-  readonly reason: "adopted" | "replaced" | "taken-away" | "pool-gone" | "removed";
+  readonly reason: "adopted" | "replaced" | "taken-away" | "given-back" | "pool-gone" | "removed";
   readonly change: InstanceChange;
 }
 
@@ -87,6 +89,9 @@
     if (listed?.state === "live" && listed.address !== target.address && listed.zone === zone) {
       return [{ zone, instanceId, reason: "replaced", change: replaceAddress(target, listed) }];
     }
+    if (listed?.state === "live" && isGivenBack(target)) {
+      return [{ zone, instanceId, reason: "given-back", change: serveAgain(target) }];
+    }
     return leaveLostPool(target, text);
   };
 
@@ -174,10 +179,22 @@
   const { zone, instanceId } = target;
   const isLeavingForGood = target.state === "leaving" && target.moveTo === undefined;
   if (isLeavingForGood || target.state === "stopped") return [];
-  const change = startLeaving(target, undefined, "platform/taken-away");
+  const change = startLeaving(target, undefined, takenAwayChangeId);
   return [{ zone, instanceId, reason: "taken-away", change }];
 }
 
+/** The list lags and may show an instance as leaving that has just rebooted. */
+function isGivenBack(target: Target): boolean {
+  return target.state === "stopped" && target.changeId === takenAwayChangeId;
+}
+
+function serveAgain(target: Target): InstanceChange {
+  return (placed) => {
+    if (placed?.since !== target.since) return placed;
+    return { ...placed, state: "serving", changeId: undefined, since: nextSince(placed) };
+  };
+}
+
 function leaveLostPool(target: Target, text: OperatorText): PlannedChange[] {
   const { zone, instanceId } = target;
   const spare = text.pools.find((pool) => pool.spare);
--- a/src/pools/test/adoption.test.ts
+++ b/src/pools/test/adoption.test.ts
@@ -81,6 +81,18 @@
   closeWorld(world);
 });
 
+test("an instance that the platform took away and lists as live again serves again", async () => {
+  const { world, first, step, change } = await startAdoption();
+  change(target, { state: "leaving" });
+  await step();
+  await first.mover.step();
+  await refreshAll(world);
+  change(target, { state: "live" });
+  await step();
+  expect(stored(world, target)).toMatchObject({ pool: "quotes", state: "serving" });
+  closeWorld(world);
+});
+
 test("an instance replaced under its identifier gets its new address", async () => {
   const { world, change, step } = await startAdoption();
   change(target, { address: "10.0.9.9:80" });
