--- a/src/execution/test/executor.test.ts
+++ b/src/execution/test/executor.test.ts
@@ -53,7 +53,14 @@
       const instanceId = all.find((each) => !ask.excludedInstances.includes(each));
       next += 1;
       if (instanceId === undefined) return Left({ reason: "no-target", retryAfterMilliseconds: 1_000 });
-      const place = { pool: "pool", zone: "zone-1", rack: "rack-1", state: "serving" as const, since: 0 };
+      const place = {
+        pool: "pool",
+        zone: "zone-1",
+        rack: "rack-1",
+        state: "serving" as const,
+        since: 0,
+        recentChanges: [],
+      };
       return Right({ grantId: "1", target: { instanceId, address: instanceId, ...place } });
     },
     release: (_grant, { verdict }) => {
--- a/src/measures/registry.ts
+++ b/src/measures/registry.ts
@@ -6,6 +6,7 @@
 import { claimsMeasure } from "./claims.js";
 import type { Measure } from "./measure.js";
 import { membershipMeasure } from "./membership.js";
+import { drainMeasure, movesMeasure } from "./moves.js";
 import { overheadMeasure } from "./overhead.js";
 import { rolloutMeasure } from "./rollout.js";
 import { slopes } from "./slopes/index.js";
@@ -16,6 +17,8 @@
   overheadMeasure,
   rolloutMeasure,
   membershipMeasure,
+  movesMeasure,
+  drainMeasure,
   buffer,
   slopes,
 ];
--- a/src/measures/slopes/requests.ts
+++ b/src/measures/slopes/requests.ts
@@ -31,6 +31,7 @@
   entryId: "entry-1",
   take: async () => Promise.resolve({ kind: "unavailable" }),
   settle: async () => Promise.resolve(),
+  flush: async () => Promise.resolve(),
 };
 
 /**
--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -34,6 +34,18 @@
   type Roster,
   type RosterRecord,
 } from "./membership/index.js";
+import {
+  createAvailabilityBudgets,
+  createHttpInstanceControl,
+  createMaintenanceGate,
+  createWaveCommands,
+  createWaveRunner,
+  createWaveStore,
+  type AvailabilityBudgets,
+  type MaintenanceGate,
+  type WaveCommands,
+  type WaveRunner,
+} from "./maintenance/index.js";
 import { createOperatorService, type EntryStatus } from "./operations/index.js";
 import {
   createInstanceList,
@@ -93,6 +105,7 @@
 const mirrorRetryMilliseconds = 500;
 const dutyPeriodMilliseconds = 200;
 const configurationWatchersPerZone = 2;
+const maintenancePeriodMilliseconds = 1_000;
 const leaveMilliseconds = 300;
 const slotsPerTarget = 8;
 const connectionsPerTarget = 7;
@@ -118,8 +131,22 @@
   const membership = await wireMembership(foundation);
   const rollOut = wireRollOut(foundation, configuration, membership);
   const placement = wirePlacement(foundation, membership);
-  const requestPath = wireRequestPath(foundation, configuration, placement, membership.peers);
-  const duties = wireDuties(foundation, configuration, membership, placement, requestPath.allocator);
+  const maintenance = wireMaintenance(foundation, configuration, membership, placement);
+  const requestPath = wireRequestPath(
+    foundation,
+    configuration,
+    placement,
+    membership.peers,
+    maintenance.budgets,
+  );
+  const duties = wireDuties(
+    foundation,
+    configuration,
+    membership,
+    placement,
+    maintenance,
+    requestPath.allocator,
+  );
   const status = (): EntryStatus => readStatus(foundation, configuration, membership, placement, requestPath);
   const operators = wireOperators(foundation, configuration, placement, status);
 
@@ -292,6 +319,29 @@
   return { view, writer, commands: createPlacementCommands(view, writer), entries, confidence, close };
 }
 
+interface MaintenanceParts {
+  readonly budgets: AvailabilityBudgets;
+  readonly gate: MaintenanceGate;
+  readonly commands: WaveCommands;
+  readonly runner: WaveRunner;
+}
+
+function wireMaintenance(
+  { settings, store, log }: Foundation,
+  configuration: ConfigurationKeeper,
+  { peers }: MembershipParts,
+  { view, commands }: PlacementParts,
+): MaintenanceParts {
+  const text = (): OperatorText | undefined => configuration.current()?.text;
+  const budgets = createAvailabilityBudgets({ peers, text, now: Date.now });
+  const budgetLeft = (service: string): number | undefined => budgets.read(service)?.left;
+  const gate = createMaintenanceGate({ view, text, budgetLeft });
+  const waves = createWaveStore(store);
+  const control = createHttpInstanceControl(settings.instanceList.address);
+  const runner = createWaveRunner({ waves, view, commands, control, gate, log, now: Date.now });
+  return { budgets, gate, commands: createWaveCommands(waves, view), runner };
+}
+
 interface RequestPathParts {
   readonly allocator: SlotAllocator;
   readonly exchange: TargetExchange;
@@ -305,6 +355,7 @@
   configuration: ConfigurationKeeper,
   { view, confidence }: PlacementParts,
   peers: PeerNetwork,
+  budgets: AvailabilityBudgets,
 ): RequestPathParts {
   const { settings, metrics, tracing } = foundation;
   const random = createRandom(settings.seed);
@@ -329,7 +380,9 @@
     maximumBodyBytes: settings.limits.bodyBytes,
     bodyMemoryBytes: settings.limits.bodyMemoryBytes,
     leaveMilliseconds,
-    onOutcome: ({ service, milliseconds }) => {
+    onOutcome: (ended) => {
+      const { service, milliseconds } = ended;
+      budgets.record(ended);
       metrics.observe("answer_milliseconds", milliseconds, { service });
     },
     isReady,
@@ -362,6 +415,7 @@
   configuration: ConfigurationKeeper,
   { peers, self }: MembershipParts,
   { view, writer, entries }: PlacementParts,
+  { budgets, runner }: MaintenanceParts,
   allocator: SlotAllocator,
 ): Duty[] {
   const { log, store, settings } = foundation;
@@ -391,7 +445,18 @@
       await mover.step();
     },
   });
-  return [placementDuty];
+  const maintenanceDuty = createDuty({
+    store,
+    name: "maintenance",
+    entryId,
+    log,
+    periodMilliseconds: maintenancePeriodMilliseconds,
+    step: async () => {
+      await budgets.refresh();
+      await runner.step();
+    },
+  });
+  return [placementDuty, maintenanceDuty];
 }
 
 function wireOperators(
