--- a/src/measures/slopes/index.ts
+++ b/src/measures/slopes/index.ts
@@ -6,6 +6,7 @@
 import { measureConfigurationSlopes } from "./configuration.js";
 import { measurePeerSlopes } from "./peers.js";
 import { measurePlacementSlopes } from "./placement.js";
+import { measurePlannerSlopes } from "./planner.js";
 import { measureFleetSlopes, measureRequestSlopes } from "./requests.js";
 import { measureMirrorSlopes } from "./store.js";
 
@@ -18,6 +19,7 @@
     ...(await measureConfigurationSlopes()),
     ...(await measureMirrorSlopes()),
     ...(await measureRequestSlopes(seed)),
+    ...(await measurePlannerSlopes()),
     ...(await measurePeerSlopes()),
     ...(await measureFleetSlopes(seed)),
   ],
