--- a/src/operations/index.ts
+++ b/src/operations/index.ts
@@ -10,3 +10,4 @@
 } from "./operator-service.js";
 export type { EntryStatus } from "./status.js";
 export { addWaveRoutes, type OperatorRoutes, type WaveRoutesParts } from "./wave-routes.js";
+export { createPlanReader, planPath } from "./plan-routes.js";
--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -3,6 +3,13 @@
  * @packageDocumentation
  */
 import { randomUUID } from "node:crypto";
+import {
+  createCapacityManager,
+  createDemandCounter,
+  DemandCountingAllocator,
+  type CapacityManager,
+  type DemandCounter,
+} from "./capacity/index.js";
 import {
   createConfigurationKeeper,
   createInForceReport,
@@ -106,6 +113,7 @@
 const dutyPeriodMilliseconds = 200;
 const configurationWatchersPerZone = 2;
 const maintenancePeriodMilliseconds = 1_000;
+const capacityPeriodMilliseconds = 1_000;
 const leaveMilliseconds = 300;
 const slotsPerTarget = 8;
 const connectionsPerTarget = 7;
@@ -132,21 +140,20 @@
   const rollOut = wireRollOut(foundation, configuration, membership);
   const placement = wirePlacement(foundation, membership);
   const maintenance = wireMaintenance(foundation, configuration, membership, placement);
+  const demand = createDemandCounter();
   const requestPath = wireRequestPath(
     foundation,
     configuration,
     placement,
     membership.peers,
     maintenance.budgets,
+    demand,
   );
-  const duties = wireDuties(
-    foundation,
-    configuration,
-    membership,
-    placement,
-    maintenance,
-    requestPath.allocator,
-  );
+  const capacity = wireCapacity(foundation, configuration, membership, placement, demand);
+  const duties = [
+    ...wireDuties(foundation, configuration, membership, placement, maintenance, requestPath.allocator),
+    capacity.duty,
+  ];
   const status = (): EntryStatus => readStatus(foundation, configuration, membership, placement, requestPath);
   const operators = wireOperators(foundation, configuration, placement, status);
 
@@ -356,10 +363,12 @@
   { view, confidence }: PlacementParts,
   peers: PeerNetwork,
   budgets: AvailabilityBudgets,
+  demand: DemandCounter,
 ): RequestPathParts {
   const { settings, metrics, tracing } = foundation;
   const random = createRandom(settings.seed);
-  const allocator = new IndependentAllocator({ view, random, slotsPerTarget });
+  const granting = new IndependentAllocator({ view, random, slotsPerTarget });
+  const allocator = new DemandCountingAllocator(granting, demand);
   const maximumAnswerBytes = settings.limits.answerBytes;
   const exchange = createTargetExchange({ connectionsPerTarget, maximumAnswerBytes });
   const claims = wireClaims(foundation, peers);
@@ -459,6 +468,43 @@
   return [placementDuty, maintenanceDuty];
 }
 
+interface CapacityParts {
+  readonly manager: CapacityManager;
+  readonly duty: Duty;
+}
+
+function wireCapacity(
+  { log, store }: Foundation,
+  configuration: ConfigurationKeeper,
+  { peers, self }: MembershipParts,
+  { view, commands }: PlacementParts,
+  counter: DemandCounter,
+): CapacityParts {
+  const { entryId, incarnation } = self;
+  const manager = createCapacityManager({
+    entryId,
+    incarnation,
+    peers,
+    view,
+    commands,
+    counter,
+    log,
+    startsMoves: false,
+    text: () => configuration.current()?.text,
+    isHolder: () => duty.isHeld(),
+    drainPlanned: () => new Set(),
+  });
+  const duty = createDuty({
+    store,
+    name: "capacity",
+    entryId,
+    log,
+    periodMilliseconds: capacityPeriodMilliseconds,
+    step: async () => manager.step(),
+  });
+  return { manager, duty };
+}
+
 function wireOperators(
   { settings, store, metrics }: Foundation,
   configuration: ConfigurationKeeper,
