Wire HomeAllocator and measure a turn against independent entries

Cause: nothing used the home allocator, and the ways to share slots were not compared. Change: wireRequestPath builds HomeAllocator; startEntry and FleetOptions take another allocator for measurements; npm run measure -- turn.

--- a/src/measures/registry.ts
+++ b/src/measures/registry.ts
@@ -3,6 +3,7 @@
  * @packageDocumentation
  */
 import type { Measure } from "./measure.js";
+import { turnMeasure } from "./turn.js";
 
 /** The measurements, one line each. */
-export const measures: readonly Measure[] = [];
+export const measures: readonly Measure[] = [turnMeasure];
--- a/src/stand-ins/fleet/fleet.ts
+++ b/src/stand-ins/fleet/fleet.ts
@@ -6,7 +6,7 @@
 import { checkEntrySettings, type EntrySettings } from "../../settings/index.js";
 import { delay } from "../../shared/index.js";
 import { createLog, type Log } from "../../telemetry/index.js";
-import { startEntry, type Entry } from "../../wiring.js";
+import { startEntry, type CreateAllocator, type Entry } from "../../wiring.js";
 import { startBalancerStandIn, type BalancerStandIn } from "../balancer/index.js";
 import { startInstanceListStandIn, type InstanceListStandIn } from "../instance-list/index.js";
 import { startStoreStandIn, type StoreStandIn } from "../store/index.js";
@@ -25,6 +25,8 @@
   readonly log?: Log;
   /** Changes an entry's settings before it is checked. */
   readonly settings?: Readonly<Record<string, unknown>>;
+  /** Creates the entries' allocators; the one of production by default. */
+  readonly createAllocator?: CreateAllocator;
 }
 
 /** A running fleet. */
@@ -55,7 +57,11 @@
   instanceList.set(listed);
   const log = options.log ?? createLog("silent");
   const start = async (entryId: string, zone: string): Promise<Entry> =>
-    startEntry(createSettings(entryId, zone, store.address, instanceList.address, options), log);
+    startEntry(
+      createSettings(entryId, zone, store.address, instanceList.address, options),
+      log,
+      options.createAllocator,
+    );
   const entries = await Promise.all(
     Array.from({ length: options.entries }, async (_, index) =>
       start(`entry-${index + 1}`, `zone-${(index % options.zones) + 1}`),
--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -41,7 +41,7 @@
   type PlacementView,
   type PlacementWriter,
 } from "./pools/index.js";
-import { IndependentAllocator, type SlotAllocator } from "./routing/index.js";
+import { HomeAllocator, type HomeAllocatorOptions, type SlotAllocator } from "./routing/index.js";
 import type { EntrySettings } from "./settings/index.js";
 import { createRandom, type HttpService } from "./shared/index.js";
 import {
@@ -74,25 +74,39 @@
 const mirrorRetryMilliseconds = 500;
 const dutyPeriodMilliseconds = 200;
 const leaveMilliseconds = 300;
-const slotsPerTarget = 8;
+const defaultSlotsPerTarget = 8;
+const defaultExpectedMilliseconds = 100;
 const connectionsPerTarget = 7;
 
+/** Creates the allocator of an entry; measurements put another in its place. */
+export type CreateAllocator = (options: HomeAllocatorOptions) => SlotAllocator;
+
+const createHomeAllocator: CreateAllocator = (options) => new HomeAllocator(options);
+
 /**
  * Starts an entry.
  * @param settings - checked settings
  * @param log - takes events; standard error by default
+ * @param createAllocator - creates the allocator of slots
  * @returns the running entry
  */
 export async function startEntry(
   settings: EntrySettings,
   log: Log = createLog(settings.logLevel),
+  createAllocator: CreateAllocator = createHomeAllocator,
 ): Promise<Entry> {
   const foundation = wireFoundation(settings, log);
   const configuration = wireConfiguration(foundation);
   const membership = await wireMembership(foundation);
   startRollOut(configuration, membership.peers);
   const placement = wirePlacement(foundation);
-  const requestPath = wireRequestPath(foundation, configuration, placement.view);
+  const requestPath = wireRequestPath(
+    foundation,
+    configuration,
+    membership.peers,
+    placement.view,
+    createAllocator,
+  );
   const duties = wireDuties(foundation, configuration, membership, placement, requestPath.allocator);
   const status = (): EntryStatus => readStatus(foundation, configuration, membership, placement, requestPath);
   const operators = wireOperators(foundation, configuration, placement, status);
@@ -217,11 +231,24 @@
 function wireRequestPath(
   foundation: Foundation,
   configuration: ConfigurationKeeper,
+  peers: PeerNetwork,
   view: PlacementView,
+  createAllocator: CreateAllocator,
 ): RequestPathParts {
   const { settings, metrics, tracing } = foundation;
-  const random = createRandom(settings.seed);
-  const allocator = new IndependentAllocator({ view, random, slotsPerTarget });
+  const teamQuota = (name: string): number | undefined =>
+    configuration.current()?.text.teams.find((team) => team.name === name)?.quota;
+  const allocator = createAllocator({
+    entryId: settings.entryId,
+    zone: settings.availabilityZone,
+    view,
+    peers,
+    random: createRandom(settings.seed),
+    maximumQueued: settings.limits.queuedRequests,
+    slotsPerTarget: (pool) => configuration.pool(pool)?.slotsPerInstance ?? defaultSlotsPerTarget,
+    quota: (team) => teamQuota(team) ?? 1,
+    declaredMilliseconds: (operationKey) => declaredMilliseconds(configuration, operationKey),
+  });
   const maximumAnswerBytes = settings.limits.answerBytes;
   const exchange = createTargetExchange({ connectionsPerTarget, maximumAnswerBytes });
   const executor = createExecutor({ allocator, exchange, metrics, tracing });
@@ -241,6 +268,13 @@
   return { allocator, exchange, ingress, isReady };
 }
 
+function declaredMilliseconds(configuration: ConfigurationKeeper, operationKey: string): number {
+  const [serviceName = "", operationName = ""] = operationKey.split("/");
+  const service = configuration.service(serviceName);
+  const operation = service === undefined ? undefined : configuration.operation(service, operationName);
+  return operation?.expectedMilliseconds ?? defaultExpectedMilliseconds;
+}
+
 function wireDuties(
   foundation: Foundation,
   configuration: ConfigurationKeeper,
