--- a/src/admission/admission-queue.ts
+++ b/src/admission/admission-queue.ts
@@ -43,6 +43,8 @@
 
 /** Share of runs that end within the time kept free for a run. */
 const runQuantile = 0.999;
+/** Multiple of the estimated wait that must fit before the deadline, since run times vary. */
+const waitMargin = 1.25;
 /** A caller's patience is spent on waiting by at most this share when runs are long against it. */
 const maximumWaitShare = 0.5;
 const maximumRetryAfterMilliseconds = 60_000;
@@ -82,7 +84,7 @@
    * @returns nothing, or a refusal when it cannot start in time
    */
   offer(item: Item, now: number, slots: number): Either<AdmissionRefusal, undefined> {
-    const startsAt = now + this.#waitMilliseconds(item, slots);
+    const startsAt = now + waitMargin * this.#waitMilliseconds(item, slots);
     if (this.#size >= this.#parts.maximumQueued || startsAt > this.#latestStart(item)) {
       return Left(this.refusal(now, slots));
     }
--- a/src/routing/outbox.ts
+++ b/src/routing/outbox.ts
@@ -1,5 +1,6 @@
 /**
- * Messages to one peer: sent in order and in batches, one batch at a time, again until acknowledged.
+ * Messages to one peer: sent in batches, again until acknowledged. A batch that is sent again may come after a
+ * later one, so that every message must be harmless when it comes late or twice.
  * @packageDocumentation
  */
 import { delay } from "../shared/index.js";
@@ -21,6 +22,7 @@
 }
 
 const maximumBatch = 500;
+const maximumInFlight = 4;
 const retryMilliseconds = 50;
 
 /**
@@ -33,29 +35,37 @@
 ): Outbox<Message> {
   const stop = new AbortController();
   let waiting: Message[] = [];
-  let running = false;
+  let isScheduled = false;
+  let inFlight = 0;
 
-  const run = async (): Promise<void> => {
-    running = true;
-    // What the present turn of the event loop still adds goes with the same batch.
-    await new Promise<void>((resolve) => {
-      setImmediate(resolve);
-    });
-    while (waiting.length > 0 && !stop.signal.aborted) {
-      const batch = waiting.slice(0, maximumBatch);
-      if (await send(batch)) waiting = waiting.slice(batch.length);
-      else await delay(retryMilliseconds, stop.signal);
+  const sendBatch = async (batch: readonly Message[]): Promise<void> => {
+    inFlight += 1;
+    while (!stop.signal.aborted && !(await send(batch))) await delay(retryMilliseconds, stop.signal);
+    inFlight -= 1;
+    schedule();
+  };
+
+  const flush = (): void => {
+    isScheduled = false;
+    while (waiting.length > 0 && inFlight < maximumInFlight && !stop.signal.aborted) {
+      void sendBatch(waiting.splice(0, maximumBatch));
     }
-    running = false;
+  };
+
+  const schedule = (): void => {
+    if (isScheduled || waiting.length === 0) return;
+    isScheduled = true;
+    // What the present turn of the event loop still adds goes with the same batch.
+    setImmediate(flush);
   };
 
   return {
     push: (message) => {
       if (stop.signal.aborted) return;
       waiting.push(message);
-      if (!running) void run();
+      schedule();
     },
-    isIdle: () => waiting.length === 0,
+    isIdle: () => waiting.length === 0 && inFlight === 0,
     close: () => {
       stop.abort();
       waiting = [];
--- a/src/routing/test/home-allocator.test.ts
+++ b/src/routing/test/home-allocator.test.ts
@@ -218,6 +218,17 @@
     expect(countEnded(fleet, "granted", 0, second)).toBe(1);
   });
 
+  it("grants nothing after a pause until the other entries have reported again", async () => {
+    vi.setSystemTime(Date.now() + 2_000);
+    const pausedAt = Date.now();
+    void request(fleet, homeId);
+    void request(fleet, asker);
+    await vi.advanceTimersByTimeAsync(5);
+    expect(countEnded(fleet, "granted", pausedAt)).toBe(0);
+    await vi.advanceTimersByTimeAsync(300);
+    expect(countEnded(fleet, "granted", pausedAt)).toBe(2);
+  });
+
   it("ends an ask at its deadline when no home answers", async () => {
     for (const entryId of entryIds) fleet.hub.cut(entryId, asker, true);
     const askedAt = Date.now();
