--- a/src/routing/target-health.ts
+++ b/src/routing/target-health.ts
@@ -75,8 +75,9 @@
     const { failureShare, uses } = find(instanceId);
     if (uses < minimumUses || failureShare < ejectionFailureShare) return false;
     const others = pool.filter((each) => each.instanceId !== instanceId && !isOut(each.instanceId));
-    const compared = others.filter((each) => find(each.instanceId).uses >= minimumUses);
-    if (compared.length === 0) return false;
+    const compared = others.filter((each) => find(each.instanceId).uses > 0);
+    const comparedUses = compared.reduce((total, each) => total + find(each.instanceId).uses, 0);
+    if (comparedUses < minimumUses) return false;
     const sum = compared.reduce((total, each) => total + find(each.instanceId).failureShare, 0);
     return failureShare > sum / compared.length + ejectionMargin;
   };
@@ -87,7 +88,9 @@
       const record = find(instanceId);
       record.uses += 1;
       const failure = verdict === "target-fault" ? 1 : 0;
-      record.failureShare += smoothing * (failure - record.failureShare);
+      // The plain mean of the first uses, then a moving one.
+      const weight = Math.max(smoothing, 1 / record.uses);
+      record.failureShare += weight * (failure - record.failureShare);
       if (record.probesNeeded > 0) recordProbe(record, verdict, now);
       else if (isOutlier(instanceId, pool) && mayEject(instanceId, pool)) eject(record, now);
     },
--- a/src/routing/test/slot-home.test.ts
+++ b/src/routing/test/slot-home.test.ts
@@ -102,6 +102,21 @@
     expect(run(200)).toBeGreaterThan(20);
   });
 
+  it("ejects a target that fails fast before each of the others has had many uses", () => {
+    const fixture = createHomeFixture(4);
+    fill(fixture, 32);
+    const on = (instanceId: string): string[] =>
+      fixture.grants.filter(({ target }) => target.instanceId === instanceId).map(({ grantId }) => grantId);
+    for (const grantId of [...on("target-3").slice(0, 3), ...on("target-4").slice(0, 3)]) {
+      fixture.home.release(grantId, ok);
+    }
+    for (const grantId of on("target-1")) fixture.home.release(grantId, fault);
+    const before = fixture.grants.length;
+    fill(fixture, 12);
+    const given = fixture.grants.slice(before).map(({ target }) => target.instanceId);
+    expect(given).not.toContain("target-1");
+  });
+
   it("ejects nobody when the whole pool fails, and at most a third of a pool and half of a rack", () => {
     const fixture = createHomeFixture(8);
     const runAll = (isBad: (instanceId: string) => boolean): Set<string> => {
