--- a/src/capacity/capacity-manager.ts
+++ b/src/capacity/capacity-manager.ts
@@ -122,7 +122,7 @@
     return;
   }
   const { action, pool, held, required, requirement, reason } = decision;
-  const believed = requirement?.believedShareInTime;
-  const level = action === "shortage" ? "warn" : "debug";
-  log.write(level, `plan-${action}`, { pool, held, required, believedShareInTime: believed, reason });
+  const fields = { pool, held, required, believedShareInTime: requirement?.believedShareInTime, reason };
+  if (action === "shortage") log.write("warn", "plan-shortage", fields);
+  else log.write("debug", "plan-hold", fields);
 }
--- a/src/configuration/test/roll-out.test.ts
+++ b/src/configuration/test/roll-out.test.ts
@@ -8,7 +8,7 @@
 import { startFleet, waitUntil, type Fleet } from "../../stand-ins/fleet/index.js";
 import { createStoreEngine, createStoreFaults, MemoryStoreClient } from "../../stand-ins/store/index.js";
 import { createLog } from "../../telemetry/index.js";
-import { startEntry, type Entry } from "../../wiring.js";
+import { startEntry, type Entry } from "../../wiring/index.js";
 import { applyChange, createConfigurationKeeper } from "../index.js";
 
 const text: unknown = JSON.parse(
--- a/src/daemons/entry-daemon.ts
+++ b/src/daemons/entry-daemon.ts
@@ -4,7 +4,7 @@
  */
 import { once } from "node:events";
 import { readEntrySettings } from "../settings/index.js";
-import { startEntry } from "../wiring.js";
+import { startEntry } from "../wiring/index.js";
 
 const failed = 1;
 const badUsage = 2;
--- a/src/index.ts
+++ b/src/index.ts
@@ -2,10 +2,13 @@
  * dogwoodhoist as a library: the parts that an embedder can use one by one, and the whole entry.
  * @packageDocumentation
  */
+export * from "./admission/index.js";
+export * from "./capacity/index.js";
 export * from "./configuration/index.js";
 export * from "./execution/index.js";
 export * from "./forwarding/index.js";
 export * from "./ingress/index.js";
+export * from "./maintenance/index.js";
 export * from "./membership/index.js";
 export * from "./operations/index.js";
 export * from "./platform/index.js";
@@ -13,4 +16,4 @@
 export * from "./routing/index.js";
 export * from "./settings/index.js";
 export * from "./telemetry/index.js";
-export { startEntry, type Entry } from "./wiring.js";
+export { startEntry, type Entry } from "./wiring/index.js";
--- a/src/measures/registry.ts
+++ b/src/measures/registry.ts
@@ -10,9 +10,11 @@
 import { overheadMeasure } from "./overhead.js";
 import { rolloutMeasure } from "./rollout.js";
 import { slopes } from "./slopes/index.js";
+import { turnMeasure } from "./turn.js";
 
 /** The measurements by the order of the promises that they speak for. */
 export const measures: readonly Measure[] = [
+  turnMeasure,
   claimsMeasure,
   overheadMeasure,
   rolloutMeasure,
--- a/src/operations/index.ts
+++ b/src/operations/index.ts
@@ -6,8 +6,9 @@
   createOperatorService,
   type CommandAnswer,
   type CommandResult,
+  type OperatorRoutes,
   type OperatorServiceParts,
 } from "./operator-service.js";
 export type { EntryStatus } from "./status.js";
-export { addWaveRoutes, type OperatorRoutes, type WaveRoutesParts } from "./wave-routes.js";
+export { addWaveRoutes, type WaveRoutesParts } from "./wave-routes.js";
 export { createPlanReader, planPath } from "./plan-routes.js";
--- a/src/operations/operator-service.ts
+++ b/src/operations/operator-service.ts
@@ -6,24 +6,51 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Either } from "purify-ts";
 import { z } from "zod";
-import { applyChange, type AcceptedConfiguration, type ConfigurationKeeper } from "../configuration/index.js";
+import type { CapacityManager } from "../capacity/index.js";
+import {
+  applyChange,
+  type AcceptedConfiguration,
+  type ConfigurationKeeper,
+  type InForceReport,
+} from "../configuration/index.js";
+import type { AvailabilityBudgets, WaveCommands } from "../maintenance/index.js";
 import type { StoreClient } from "../platform/index.js";
 import type { PlacementCommands, PlacementFailure } from "../pools/index.js";
 import { createHttpService, parseWith, readBody, sendJson, type HttpService } from "../shared/index.js";
 import type { Metrics } from "../telemetry/index.js";
+import {
+  createHistoryOperations,
+  describeApplyFailure,
+  historyPaths,
+  rollBackSchema,
+} from "./history-routes.js";
+import { createPlanReader, planPath } from "./plan-routes.js";
 import type { EntryStatus } from "./status.js";
+import { addWaveRoutes } from "./wave-routes.js";
 
 /** What the interface works with. */
 export interface OperatorServiceParts {
   readonly store: StoreClient;
   readonly configuration: ConfigurationKeeper;
+  readonly rollOut: InForceReport;
   readonly placement: PlacementCommands;
+  readonly waves: WaveCommands;
+  readonly budgets: AvailabilityBudgets;
+  readonly capacity: CapacityManager;
   readonly metrics: Metrics;
   /** Shared secret of operators' calls; undefined asks for none. */
   readonly token: string | undefined;
   status(): EntryStatus;
 }
 
+/** Adds authorized routes to the operators' interface. */
+export interface OperatorRoutes {
+  /** Adds a route that reads. */
+  read(path: string, produce: () => unknown): void;
+  /** Adds a route that runs a command. */
+  command<Input>(path: string, schema: z.ZodType<Input>, run: (input: Input) => Promise<CommandAnswer>): void;
+}
+
 /** How an operator's command ended, for scripts. */
 export type CommandResult = "done" | "failed" | "invalid" | "conflict" | "unknown";
 
@@ -62,53 +89,74 @@
  */
 export function createOperatorService(parts: OperatorServiceParts): HttpService {
   const service = createHttpService();
-  const { placement, configuration } = parts;
+  const routes = createRoutes(service, parts.token);
+  const { configuration, metrics, waves, budgets } = parts;
+  const services = (): readonly string[] =>
+    configuration.current()?.text.services.map(({ name }) => name) ?? [];
 
-  const read = (path: string, produce: () => unknown): void => {
-    service.routes.get(path, (request, response) => {
-      if (isAuthorized(request, parts.token)) sendJson(response, ok, produce());
-      else sendUnauthorized(response);
-    });
-  };
-  const command = <Input>(
-    path: string,
-    schema: z.ZodType<Input>,
-    run: (input: Input) => Promise<CommandAnswer>,
-  ): void => {
-    service.routes.post(path, async (request, response) => {
-      if (isAuthorized(request, parts.token)) await runCommand(request, response, schema, run);
-      else sendUnauthorized(response);
-    });
+  routes.read("/operator/status", () => parts.status());
+  addConfigurationRoutes(routes, parts);
+  addPlacementRoutes(routes, parts);
+  addWaveRoutes(routes, { waves, budgets, services });
+  routes.read(planPath, createPlanReader(parts.capacity));
+  service.routes.get("/metrics", (request, response) => {
+    if (!isAuthorized(request, parts.token)) {
+      sendUnauthorized(response);
+      return;
+    }
+    response.writeHead(ok, { "content-type": "text/plain; version=0.0.4" });
+    response.end(metrics.expose());
+  });
+  return service;
+}
+
+function createRoutes(service: HttpService, token: string | undefined): OperatorRoutes {
+  return {
+    read: (path, produce) => {
+      service.routes.get(path, async (request, response) => {
+        if (isAuthorized(request, token)) sendJson(response, ok, await produce());
+        else sendUnauthorized(response);
+      });
+    },
+    command: (path, schema, run) => {
+      service.routes.post(path, async (request, response) => {
+        if (isAuthorized(request, token)) await runCommand(request, response, schema, run);
+        else sendUnauthorized(response);
+      });
+    },
   };
+}
 
-  read("/operator/status", () => parts.status());
-  read("/operator/configuration", () => configuration.current() ?? null);
-  command("/operator/configuration", applySchema, async (change) => {
-    const result = await applyChange(parts.store, change);
+function addConfigurationRoutes(routes: OperatorRoutes, parts: OperatorServiceParts): void {
+  const { store, configuration } = parts;
+  const history = createHistoryOperations(parts);
+  routes.read("/operator/configuration", () => configuration.current() ?? null);
+  routes.command("/operator/configuration", applySchema, async (change) => {
+    const result = await applyChange(store, change);
     result.ifRight((accepted) => configuration.adopt(accepted));
     return describeApply(result);
   });
-  command("/operator/move", moveSchema, async ({ instanceId, pool, changeId }) => {
+  routes.read(historyPaths.history, async () => history.history());
+  routes.read(historyPaths.rollOut, () => history.rollOut());
+  routes.command(historyPaths.rollBack, rollBackSchema, async (request) => history.rollBack(request));
+}
+
+function addPlacementRoutes(
+  routes: OperatorRoutes,
+  { placement, configuration }: OperatorServiceParts,
+): void {
+  routes.command("/operator/move", moveSchema, async ({ instanceId, pool, changeId }) => {
     if (configuration.pool(pool) === undefined) {
       return { result: "invalid", message: `pool "${pool}" does not exist` };
     }
     return describePlacement(await placement.move(instanceId, pool, changeId));
   });
-  command("/operator/drain", instanceSchema, async ({ instanceId, changeId }) =>
+  routes.command("/operator/drain", instanceSchema, async ({ instanceId, changeId }) =>
     describePlacement(await placement.drain(instanceId, changeId)),
   );
-  command("/operator/restore", instanceSchema, async ({ instanceId, changeId }) =>
+  routes.command("/operator/restore", instanceSchema, async ({ instanceId, changeId }) =>
     describePlacement(await placement.restore(instanceId, changeId)),
   );
-  service.routes.get("/metrics", (request, response) => {
-    if (!isAuthorized(request, parts.token)) {
-      sendUnauthorized(response);
-      return;
-    }
-    response.writeHead(ok, { "content-type": "text/plain; version=0.0.4" });
-    response.end(parts.metrics.expose());
-  });
-  return service;
 }
 
 async function runCommand<Input>(
@@ -152,22 +200,7 @@
 
 function describeApply(result: Awaited<ReturnType<typeof applyChange>>): CommandAnswer {
   return result.caseOf<CommandAnswer>({
-    Left: (failure) => {
-      switch (failure.kind) {
-        case "invalid":
-          return { result: "invalid", message: "the text is not valid", details: failure.faults };
-        case "conflict":
-          return {
-            result: "conflict",
-            message: `the revision in force is ${failure.current?.revision ?? 0}`,
-            details: { current: failure.current },
-          };
-        case "not-done":
-          return { result: "failed", message: failure.message };
-        case "unknown":
-          return { result: "unknown", message: failure.message };
-      }
-    },
+    Left: describeApplyFailure,
     Right: (accepted: AcceptedConfiguration) => ({
       result: "done",
       message: `revision ${accepted.revision} was accepted`,
--- a/src/operations/wave-routes.ts
+++ b/src/operations/wave-routes.ts
@@ -11,15 +11,7 @@
   type WaveFailure,
   type WaveRecord,
 } from "../maintenance/index.js";
-import type { CommandAnswer } from "./operator-service.js";
-
-/** Adds authorized routes to the operators' interface. */
-export interface OperatorRoutes {
-  /** Adds a route that reads. */
-  read(path: string, produce: () => unknown): void;
-  /** Adds a route that runs a command. */
-  command<Input>(path: string, schema: z.ZodType<Input>, run: (input: Input) => Promise<CommandAnswer>): void;
-}
+import type { CommandAnswer, OperatorRoutes } from "./operator-service.js";
 
 /** What the routes work with. */
 export interface WaveRoutesParts {
--- a/src/routing/index.ts
+++ b/src/routing/index.ts
@@ -13,3 +13,4 @@
 } from "./slot-allocator.js";
 export { IndependentAllocator, type IndependentAllocatorOptions } from "./independent-allocator.js";
 export { HomeAllocator, type HomeAllocatorOptions } from "./home-allocator.js";
+export { ConfirmedViewAllocator } from "./confirmed-view-allocator.js";
--- a/src/settings/entry-settings.ts
+++ b/src/settings/entry-settings.ts
@@ -53,6 +53,8 @@
       z.strictObject({ exporter: z.literal("otlp"), address: z.url() }),
     ])
     .default({ exporter: "none" }),
+  /** Whether the planner moves instances or only logs and shows its plan. */
+  planner: z.enum(["log", "move"]).default("log"),
   /** Seed of this entry's random choices. */
   seed: z.int().default(1),
 });
--- /dev/null
+++ b/src/wiring/duties.ts
@@ -0,0 +1,134 @@
+/**
+ * Wires the control duties: placement, maintenance and capacity.
+ * @packageDocumentation
+ */
+import { Left } from "purify-ts";
+import { createCapacityManager, type CapacityManager } from "../capacity/index.js";
+import type { ConfigurationKeeper, OperatorText } from "../configuration/index.js";
+import { createDuty, type Duty } from "../membership/index.js";
+import { createInstanceList } from "../platform/index.js";
+import { createAdoption, createMover, type PlacementCommands } from "../pools/index.js";
+import type { Foundation } from "./foundation.js";
+import type { MembershipParts } from "./membership.js";
+import type { MaintenanceParts, PlacementParts } from "./placement.js";
+import type { RequestPathParts } from "./request-path.js";
+
+const dutyPeriodMilliseconds = 200;
+const maintenancePeriodMilliseconds = 1_000;
+const capacityPeriodMilliseconds = 1_000;
+
+/**
+ * Starts to compete for the duties on instances.
+ * @param foundation - settings, store and log
+ * @param configuration - the text in force
+ * @param membership - the other entries
+ * @param placement - the instances
+ * @param maintenance - waves and budgets
+ * @param requestPath - tells which targets have this entry's requests
+ * @returns the duties
+ */
+export function wireDuties(
+  foundation: Foundation,
+  configuration: ConfigurationKeeper,
+  { peers, self }: MembershipParts,
+  { view, writer, entries }: PlacementParts,
+  { budgets, runner }: MaintenanceParts,
+  { allocator }: RequestPathParts,
+): Duty[] {
+  const { log, store, settings } = foundation;
+  const { entryId } = self;
+  const text = (): OperatorText | undefined => configuration.current()?.text;
+  const mover = createMover({
+    entryId,
+    view,
+    writer,
+    peers,
+    entries,
+    log,
+    text,
+    now: Date.now,
+    inProgress: (instanceId) => allocator.inProgress(instanceId),
+  });
+  const instanceList = createInstanceList(settings.instanceList.address);
+  const adoption = createAdoption({ instanceList, view, writer, log, text, now: Date.now });
+  const placementDuty = createDuty({
+    store,
+    name: "placement",
+    entryId,
+    log,
+    periodMilliseconds: dutyPeriodMilliseconds,
+    step: async () => {
+      await adoption.step();
+      await mover.step();
+    },
+  });
+  const maintenanceDuty = createDuty({
+    store,
+    name: "maintenance",
+    entryId,
+    log,
+    periodMilliseconds: maintenancePeriodMilliseconds,
+    step: async () => {
+      await budgets.refresh();
+      await runner.step();
+    },
+  });
+  return [placementDuty, maintenanceDuty];
+}
+
+/** The planner and the duty that runs it. */
+export interface CapacityParts {
+  readonly manager: CapacityManager;
+  readonly duty: Duty;
+}
+
+/**
+ * Creates the planner and starts to compete for its duty.
+ * @param foundation - settings, store and log
+ * @param configuration - the text in force
+ * @param membership - the other entries
+ * @param placement - the instances
+ * @param maintenance - blocks moves while a budget is low
+ * @param requestPath - counts the demand
+ * @returns the parts
+ */
+export function wireCapacity(
+  { log, store, settings }: Foundation,
+  configuration: ConfigurationKeeper,
+  { peers, self }: MembershipParts,
+  { view, commands }: PlacementParts,
+  { budgets, gate }: MaintenanceParts,
+  { demand }: RequestPathParts,
+): CapacityParts {
+  const { entryId, incarnation } = self;
+  const move: PlacementCommands["move"] = async (instanceId, pool, changeId) => {
+    const blocked = gate.blocksMove(view.find(instanceId)?.pool ?? pool);
+    if (blocked !== undefined) return Left({ kind: "refused", message: blocked });
+    return commands.move(instanceId, pool, changeId);
+  };
+  const manager = createCapacityManager({
+    entryId,
+    incarnation,
+    peers,
+    view,
+    commands: { ...commands, move },
+    counter: demand,
+    log,
+    startsMoves: settings.planner === "move",
+    text: () => configuration.current()?.text,
+    isHolder: () => duty.isHeld(),
+    drainPlanned: () => new Set(),
+  });
+  const duty = createDuty({
+    store,
+    name: "capacity",
+    entryId,
+    log,
+    periodMilliseconds: capacityPeriodMilliseconds,
+    step: async () => {
+      await budgets.refresh();
+      await manager.step();
+    },
+  });
+  return { manager, duty };
+}
--- /dev/null
+++ b/src/wiring/entry.ts
@@ -0,0 +1,117 @@
+/**
+ * Builds an entry from its parts.
+ * @packageDocumentation
+ */
+import type { ConfigurationKeeper, InForceReport } from "../configuration/index.js";
+import type { PeerNetwork } from "../membership/index.js";
+import type { EntryStatus } from "../operations/index.js";
+import type { PlacementView } from "../pools/index.js";
+import { HomeAllocator } from "../routing/index.js";
+import type { EntrySettings } from "../settings/index.js";
+import { createLog, type Log, type Metrics } from "../telemetry/index.js";
+import { wireCapacity, wireDuties } from "./duties.js";
+import { listenOn, wireFoundation } from "./foundation.js";
+import { wireConfiguration, wireMembership, wireRollOut } from "./membership.js";
+import { readStatus, wireOperators } from "./operators.js";
+import { wireMaintenance, wirePlacement } from "./placement.js";
+import { wireRequestPath, type CreateAllocator } from "./request-path.js";
+
+/** A running entry. */
+export interface Entry {
+  readonly entryId: string;
+  /** Addresses in use, as `IP:port`. */
+  readonly addresses: { readonly requests: string; readonly peers: string; readonly operators: string };
+  readonly configuration: ConfigurationKeeper;
+  readonly placement: PlacementView;
+  readonly peers: PeerNetwork;
+  readonly rollOut: InForceReport;
+  readonly metrics: Metrics;
+  status(): EntryStatus;
+  /** Finishes the requests in progress, leaves the roster and stops. */
+  stop(): Promise<void>;
+  /** Stops at once and cuts everything, as a crash would. */
+  kill(): Promise<void>;
+}
+
+const createHomeAllocator: CreateAllocator = (options) => new HomeAllocator(options);
+
+/**
+ * Starts an entry.
+ * @param settings - checked settings
+ * @param log - takes events; standard error by default
+ * @param createAllocator - creates the allocator of slots
+ * @returns the running entry
+ */
+export async function startEntry(
+  settings: EntrySettings,
+  log: Log = createLog(settings.logLevel),
+  createAllocator: CreateAllocator = createHomeAllocator,
+): Promise<Entry> {
+  const foundation = wireFoundation(settings, log);
+  const configuration = wireConfiguration(foundation);
+  const membership = await wireMembership(foundation);
+  const rollOut = wireRollOut(foundation, configuration, membership);
+  const placement = wirePlacement(foundation, membership);
+  const maintenance = wireMaintenance(foundation, configuration, membership, placement);
+  const requestPath = wireRequestPath(
+    foundation,
+    configuration,
+    membership,
+    placement,
+    maintenance,
+    createAllocator,
+  );
+  const control = [configuration, membership, placement, maintenance, requestPath] as const;
+  const capacity = wireCapacity(foundation, ...control);
+  const duties = [...wireDuties(foundation, ...control), capacity.duty];
+  const parts = {
+    foundation,
+    configuration,
+    membership,
+    rollOut,
+    placement,
+    maintenance,
+    requestPath,
+    capacity,
+  };
+  const operators = wireOperators(parts);
+  const addresses = {
+    requests: await listenOn(requestPath.ingress, settings.requests),
+    peers: membership.self.peerAddress,
+    operators: await listenOn(operators, settings.operators),
+  };
+  foundation.log.write("info", "entry-started", addresses);
+
+  const closeParts = async (): Promise<void> => {
+    requestPath.allocator.close();
+    placement.close();
+    operators.abort();
+    await Promise.all([operators.close(), membership.peers.close(), requestPath.exchange.close()]);
+    await foundation.close();
+  };
+  return {
+    entryId: settings.entryId,
+    addresses,
+    configuration,
+    placement: placement.view,
+    peers: membership.peers,
+    rollOut,
+    metrics: foundation.metrics,
+    status: () => readStatus(parts),
+    stop: async () => {
+      foundation.log.write("info", "entry-stopping", { requests: requestPath.ingress.inProgress() });
+      await requestPath.ingress.close();
+      await requestPath.claims.flush();
+      await Promise.all(duties.map(async (duty) => duty.close()));
+      await membership.roster.leave();
+      await closeParts();
+      foundation.log.write("info", "entry-stopped");
+    },
+    kill: async () => {
+      requestPath.ingress.abort();
+      membership.roster.abandon();
+      for (const duty of duties) duty.abandon();
+      await closeParts();
+    },
+  };
+}
--- /dev/null
+++ b/src/wiring/request-path.ts
@@ -0,0 +1,142 @@
+/**
+ * Wires the way of a request: ingress, claims, slots, targets.
+ * @packageDocumentation
+ */
+import { randomUUID } from "node:crypto";
+import { createDemandCounter, DemandCountingAllocator, type DemandCounter } from "../capacity/index.js";
+import type { ConfigurationKeeper } from "../configuration/index.js";
+import {
+  createClaimOwner,
+  createClaims,
+  createExecutor,
+  createRetentionLease,
+  type Claims,
+} from "../execution/index.js";
+import { createTargetExchange, type TargetExchange } from "../forwarding/index.js";
+import { createIngress, type Ingress } from "../ingress/index.js";
+import type { PeerNetwork } from "../membership/index.js";
+import type { PlacementView } from "../pools/index.js";
+import { ConfirmedViewAllocator, type HomeAllocatorOptions, type SlotAllocator } from "../routing/index.js";
+import { createRandom } from "../shared/index.js";
+import type { Foundation } from "./foundation.js";
+import type { MembershipParts } from "./membership.js";
+import type { MaintenanceParts, PlacementParts } from "./placement.js";
+
+const leaveMilliseconds = 300;
+const defaultSlotsPerTarget = 8;
+const defaultExpectedMilliseconds = 100;
+const connectionsPerTarget = 7;
+const claimShards = 16;
+const claimCommitMilliseconds = 100;
+const claimRetentionMilliseconds = 3_600_000;
+const claimAnswerBytes = 16_777_216;
+const claimLargestAnswerBytes = 262_144;
+const rememberedClaims = 100_000;
+
+/** The way of a request through this entry. */
+export interface RequestPathParts {
+  readonly allocator: SlotAllocator;
+  readonly demand: DemandCounter;
+  readonly exchange: TargetExchange;
+  readonly claims: Claims;
+  readonly ingress: Ingress;
+  readonly isReady: () => boolean;
+}
+
+/** Creates the allocator of an entry; measurements put another in its place. */
+export type CreateAllocator = (options: HomeAllocatorOptions) => SlotAllocator;
+
+/**
+ * Creates the way of a request from the caller to a target and back.
+ * @param foundation - settings, metrics and traces
+ * @param configuration - the text in force
+ * @param membership - the other entries
+ * @param placement - the instances
+ * @param maintenance - takes the outcomes for the budgets
+ * @param createAllocator - creates the allocator of slots
+ * @returns the parts, not yet listening
+ */
+export function wireRequestPath(
+  foundation: Foundation,
+  configuration: ConfigurationKeeper,
+  { peers }: MembershipParts,
+  { view, confidence }: PlacementParts,
+  { budgets }: MaintenanceParts,
+  createAllocator: CreateAllocator,
+): RequestPathParts {
+  const { settings, metrics, tracing } = foundation;
+  const demand = createDemandCounter();
+  const granting = createAllocator(describeAllocator(foundation, configuration, peers, view));
+  const confirmed = new ConfirmedViewAllocator(granting, () => confidence.isConfident());
+  const allocator = new DemandCountingAllocator(confirmed, demand);
+  const maximumAnswerBytes = settings.limits.answerBytes;
+  const exchange = createTargetExchange({ connectionsPerTarget, maximumAnswerBytes });
+  const claims = wireClaims(foundation, peers);
+  const executor = createExecutor({ allocator, exchange, claims, metrics, tracing });
+  const isReady = (): boolean =>
+    configuration.revision() > 0 && view.all().length > 0 && confidence.isConfident();
+  const ingress = createIngress({
+    configuration,
+    executor,
+    metrics,
+    tracing,
+    maximumBodyBytes: settings.limits.bodyBytes,
+    bodyMemoryBytes: settings.limits.bodyMemoryBytes,
+    leaveMilliseconds,
+    onOutcome: (ended) => {
+      const { service, milliseconds } = ended;
+      budgets.record(ended);
+      metrics.observe("answer_milliseconds", milliseconds, { service });
+    },
+    isReady,
+  });
+  return { allocator, demand, exchange, claims, ingress, isReady };
+}
+
+function describeAllocator(
+  { settings }: Foundation,
+  configuration: ConfigurationKeeper,
+  peers: PeerNetwork,
+  view: PlacementView,
+): HomeAllocatorOptions {
+  const teamQuota = (name: string): number | undefined =>
+    configuration.current()?.text.teams.find((team) => team.name === name)?.quota;
+  return {
+    entryId: settings.entryId,
+    zone: settings.availabilityZone,
+    view,
+    peers,
+    random: createRandom(settings.seed),
+    maximumQueued: settings.limits.queuedRequests,
+    slotsPerTarget: (pool) => configuration.pool(pool)?.slotsPerInstance ?? defaultSlotsPerTarget,
+    quota: (team) => teamQuota(team) ?? 1,
+    declaredMilliseconds: (operationKey) => declaredMilliseconds(configuration, operationKey),
+  };
+}
+
+function declaredMilliseconds(configuration: ConfigurationKeeper, operationKey: string): number {
+  const [serviceName = "", operationName = ""] = operationKey.split("/");
+  const service = configuration.service(serviceName);
+  const operation = service === undefined ? undefined : configuration.operation(service, operationName);
+  return operation?.expectedMilliseconds ?? defaultExpectedMilliseconds;
+}
+
+function wireClaims({ settings, store }: Foundation, peers: PeerNetwork): Claims {
+  const { entryId } = settings;
+  const owner = createClaimOwner({
+    store,
+    shards: claimShards,
+    writerId: `${entryId}/${randomUUID()}`,
+    lease: createRetentionLease(store, claimRetentionMilliseconds, Date.now),
+    commitMilliseconds: claimCommitMilliseconds,
+    retentionMilliseconds: claimRetentionMilliseconds,
+    now: Date.now,
+    memory: {
+      answerBytes: claimAnswerBytes,
+      largestAnswerBytes: claimLargestAnswerBytes,
+      claims: rememberedClaims,
+    },
+    isUp: (peerId) => peerId === entryId || peers.upPeers().includes(peerId),
+  });
+  return createClaims({ entryId, peers, owner, shards: claimShards });
+}
