Waves end to end: the platform's stand-in reboots, one answer for failed commands

Cause: no stand-in carried out reboots, so that a wave in a running fleet waited for its bound; two routes described the same failures. Change: reboots by identifier in the instance list's stand-in, a target that cuts every connection and counts the runs that it cuts; describeRecordFailure serves both routes.

--- a/src/operations/history-routes.ts
+++ b/src/operations/history-routes.ts
@@ -13,7 +13,7 @@
   type RollOutStatus,
 } from "../configuration/index.js";
 import type { StoreClient } from "../platform/index.js";
-import type { CommandAnswer } from "./operator-service.js";
+import type { CommandAnswer } from "./command-answer.js";
 
 /** What the routes work with. */
 export interface HistoryParts {
--- a/src/operations/operator-service.ts
+++ b/src/operations/operator-service.ts
@@ -18,6 +18,7 @@
 import type { PlacementCommands, PlacementFailure } from "../pools/index.js";
 import { createHttpService, parseWith, readBody, sendJson, type HttpService } from "../shared/index.js";
 import type { Metrics } from "../telemetry/index.js";
+import { describeRecordFailure, type CommandAnswer, type CommandResult } from "./command-answer.js";
 import {
   createHistoryOperations,
   describeApplyFailure,
@@ -51,16 +52,6 @@
   command<Input>(path: string, schema: z.ZodType<Input>, run: (input: Input) => Promise<CommandAnswer>): void;
 }
 
-/** How an operator's command ended, for scripts. */
-export type CommandResult = "done" | "failed" | "invalid" | "conflict" | "unknown";
-
-/** Body of the answer to an operator's command. */
-export interface CommandAnswer {
-  readonly result: CommandResult;
-  readonly message: string;
-  readonly details?: unknown;
-}
-
 const applySchema = z.strictObject({
   changeId: z.string().min(1).max(100),
   author: z.string().min(1).max(100),
@@ -211,17 +202,7 @@
 
 function describePlacement(result: Either<PlacementFailure, number>): CommandAnswer {
   return result.caseOf<CommandAnswer>({
-    Left: ({ kind, message }) => {
-      switch (kind) {
-        case "refused":
-        case "conflict":
-          return { result: "conflict", message };
-        case "not-done":
-          return { result: "failed", message };
-        case "unknown":
-          return { result: "unknown", message };
-      }
-    },
+    Left: describeRecordFailure,
     Right: (revision) => ({ result: "done", message: "recorded", details: { revision } }),
   });
 }
--- a/src/operations/wave-routes.ts
+++ b/src/operations/wave-routes.ts
@@ -11,7 +11,8 @@
   type WaveFailure,
   type WaveRecord,
 } from "../maintenance/index.js";
-import type { CommandAnswer, OperatorRoutes } from "./operator-service.js";
+import { describeRecordFailure, type CommandAnswer } from "./command-answer.js";
+import type { OperatorRoutes } from "./operator-service.js";
 
 /** What the routes work with. */
 export interface WaveRoutesParts {
@@ -56,17 +57,7 @@
 
 function describeWave(result: Either<WaveFailure, WaveRecord | undefined>): CommandAnswer {
   return result.caseOf<CommandAnswer>({
-    Left: ({ kind, message }) => {
-      switch (kind) {
-        case "refused":
-        case "conflict":
-          return { result: "conflict", message };
-        case "not-done":
-          return { result: "failed", message };
-        case "unknown":
-          return { result: "unknown", message };
-      }
-    },
+    Left: describeRecordFailure,
     Right: (wave) =>
       wave === undefined
         ? { result: "done", message: "there was no wave yet" }
--- a/src/stand-ins/instance-list/instance-list.ts
+++ b/src/stand-ins/instance-list/instance-list.ts
@@ -5,6 +5,7 @@
 import { z } from "zod";
 import type { ListedInstance } from "../../platform/index.js";
 import { createHttpService, parseWith, readBody, sendJson } from "../../shared/index.js";
+import { addRebootRoutes } from "./reboots.js";
 
 /** A running instance list. */
 export interface InstanceListStandIn {
@@ -40,8 +41,10 @@
   host = "127.0.0.1",
   port = 0,
 ): Promise<InstanceListStandIn> {
+  let known: readonly ListedInstance[] = [];
   let shown: readonly ListedInstance[] = [];
   const set = (instances: readonly ListedInstance[]): void => {
+    known = instances;
     setTimeout(() => {
       shown = instances;
     }, lagMilliseconds).unref();
@@ -63,6 +66,7 @@
       },
     });
   });
+  addRebootRoutes(service, (instanceId) => known.find((each) => each.instanceId === instanceId)?.address);
   const usedPort = await service.listen(host, port);
   return {
     address: `http://${host}:${usedPort}`,
--- a/src/stand-ins/target/target.ts
+++ b/src/stand-ins/target/target.ts
@@ -4,6 +4,7 @@
  */
 import { createHash } from "node:crypto";
 import type { IncomingMessage, ServerResponse } from "node:http";
+import type { Socket } from "node:net";
 import { notStartedHeader, requestIdHeader } from "../../forwarding/index.js";
 import {
   createHttpService,
@@ -39,6 +40,9 @@
   readonly overSlots: number;
   readonly highest: number;
   readonly lastStartedAt: number;
+  readonly reboots: number;
+  /** Runs that a reboot cut. */
+  readonly cutByReboots: number;
   /** Runs by request identifier. */
   readonly runs: Readonly<Record<string, number>>;
   /** Runs by idempotency key. */
@@ -60,6 +64,7 @@
 const defaultConnections = 64;
 const maximumBodyBytes = 16_777_216;
 const bodyTimeoutMilliseconds = 30_000;
+const rebootMilliseconds = 200;
 
 interface TargetState {
   readonly options: TargetStandInOptions;
@@ -68,10 +73,14 @@
   readonly faults: TargetFaults;
   readonly runs: Map<string, number>;
   readonly runsByKey: Map<string, number>;
+  readonly sockets: Set<Socket>;
   started: number;
   finished: number;
   abandoned: number;
   lastStartedAt: number;
+  reboots: number;
+  /** Runs that a reboot cut. */
+  cutByReboots: number;
 }
 
 /**
@@ -87,14 +96,22 @@
     faults: createTargetFaults(),
     runs: new Map(),
     runsByKey: new Map(),
+    sockets: new Set(),
     started: 0,
     finished: 0,
     abandoned: 0,
     lastStartedAt: 0,
+    reboots: 0,
+    cutByReboots: 0,
   };
   const service = createHttpService();
+  service.listener.on("connection", (socket) => {
+    state.sockets.add(socket);
+    socket.once("close", () => state.sockets.delete(socket));
+  });
   service.listener.maxConnections = options.connections ?? defaultConnections;
   addControlRoutes(service, state);
+  addRebootRoute(service, state);
   service.routes.all("/services/:service/:operation", async (request, response) => {
     await runRequest(state, request, response);
   });
@@ -204,9 +221,28 @@
   });
 }
 
+/** Cuts every connection, as a reboot does, and answers when the target serves again. */
+function addRebootRoute(service: HttpService, state: TargetState): void {
+  service.routes.post("/reboot", async (request, response) => {
+    state.reboots += 1;
+    state.cutByReboots += state.slots.running();
+    const own = request.socket;
+    const refuse = (socket: Socket): void => {
+      socket.destroy();
+    };
+    service.listener.on("connection", refuse);
+    for (const socket of state.sockets) if (socket !== own) socket.destroy();
+    await delay(rebootMilliseconds);
+    service.listener.off("connection", refuse);
+    sendJson(response, 200, { rebooted: true });
+  });
+}
+
 function readCounts(state: TargetState): TargetCounts {
-  const { started, finished, abandoned, lastStartedAt, slots } = state;
+  const { started, finished, abandoned, lastStartedAt, reboots, cutByReboots, slots } = state;
   return {
+    reboots,
+    cutByReboots,
     started,
     finished,
     abandoned,
