--- a/src/cli/operator-client.ts
+++ b/src/cli/operator-client.ts
@@ -29,6 +29,7 @@
 });
 
 const callTimeoutMilliseconds = 15_000;
+const unauthorized = 401;
 
 /**
  * Reads from the operator interface.
@@ -98,6 +99,10 @@
       body: body === undefined ? null : JSON.stringify(body),
       signal: AbortSignal.timeout(callTimeoutMilliseconds),
     });
+    if (response.statusCode === unauthorized) {
+      await response.body.dump();
+      return Left({ exitCode: exitCodes.badUsage, message: `${entry} asks for a valid operator token` });
+    }
     return Right(await response.body.json());
   } catch (error) {
     return Left(describeCallError(error, entry, method));
--- a/src/cli/test/commands.test.ts
+++ b/src/cli/test/commands.test.ts
@@ -69,6 +69,24 @@
   expect(late.output).toContain("conflict: the revision in force is 2");
 });
 
+test("a wrong token is bad usage, whatever the command", async () => {
+  const guarded = await startFleet({
+    text,
+    targets: { quotes: 1 },
+    entries: 1,
+    zones: 1,
+    meanRunMilliseconds: 5,
+    seed: 2,
+    settings: { operatorToken: "a-secret-of-the-operators" },
+  });
+  const entry = guarded.entries[0]?.addresses.operators ?? "";
+  const wrong = await run("status", "--entry", entry, "--token", "another-secret-of-theirs");
+  const right = await run("status", "--entry", entry, "--token", "a-secret-of-the-operators");
+  await guarded.close();
+  expect(wrong).toEqual({ code: 2, output: `${entry} asks for a valid operator token\n` });
+  expect(right.code).toBe(0);
+});
+
 test("a command without an entry fails and names the address", async () => {
   const { code, output } = await run("status", "--entry", "127.0.0.1:1");
   expect({ code, output }).toEqual({ code: 1, output: "no entry listens on 127.0.0.1:1\n" });
--- a/src/cli/text-commands.ts
+++ b/src/cli/text-commands.ts
@@ -7,7 +7,7 @@
 import { userInfo } from "node:os";
 import { defineCommand } from "citty";
 import { Left, Right, type Either } from "purify-ts";
-import { checkText } from "../configuration/index.js";
+import { checkText, warnAboutText } from "../configuration/index.js";
 import { exitCodes } from "./exit-codes.js";
 import { readFromEntry, sendCommand } from "./operator-client.js";
 import {
@@ -26,17 +26,18 @@
     json: operatorArguments.json,
   },
   run: async ({ args }) => {
-    const faults = (await readJson(args.text))
+    const checked = (await readJson(args.text))
       .mapLeft((message) => [{ path: "", message }])
-      .chain(checkText)
-      .swap()
-      .orDefault([]);
-    if (args.json) writeLine(JSON.stringify({ valid: faults.length === 0, faults }));
-    else if (faults.length === 0) writeLine("the text is valid");
-    if (!args.json)
-      faults.forEach(({ path, message }) => {
-        writeLine(`${path}: ${message}`);
-      });
+      .chain(checkText);
+    const faults = checked.swap().orDefault([]);
+    const warnings = checked.map(warnAboutText).orDefault([]);
+    if (args.json) {
+      writeLine(JSON.stringify({ valid: faults.length === 0, faults, warnings }));
+    } else {
+      for (const { path, message } of faults) writeLine(`${path}: ${message}`);
+      for (const { path, message } of warnings) writeLine(`warning: ${path}: ${message}`);
+      if (faults.length === 0) writeLine("the text is valid");
+    }
     process.exitCode = faults.length === 0 ? exitCodes.done : exitCodes.failed;
   },
 });
--- /dev/null
+++ b/src/routing/home-ask.ts
@@ -0,0 +1,20 @@
+/**
+ * An ask for a slot as the pool's home sees it.
+ * @packageDocumentation
+ */
+import type { Urgency } from "./slot-allocator.js";
+
+/** An ask as its home sees it. */
+export interface HomeAsk {
+  /** Unique over all entries. */
+  readonly askId: string;
+  readonly entryId: string;
+  /** Availability zone of the entry that asks. */
+  readonly zone: string;
+  readonly team: string;
+  readonly urgency: Urgency;
+  readonly operationKey: string;
+  readonly arrivedAt: number;
+  readonly deadlineAt: number;
+  readonly excludedInstances: readonly string[];
+}
--- a/src/routing/slot-home.ts
+++ b/src/routing/slot-home.ts
@@ -6,25 +6,12 @@
 import { AdmissionQueue, type RunTimes } from "../admission/index.js";
 import type { Target } from "../pools/index.js";
 import type { Random } from "../shared/index.js";
-import type { SlotRefusal, SlotUse, Urgency } from "./slot-allocator.js";
+import { chooseTarget, isUsable, type FreeTarget } from "./choose-target.js";
+import type { HomeAsk } from "./home-ask.js";
+import type { SlotRefusal, SlotUse } from "./slot-allocator.js";
 import { SlotLedger, type HeldSlot } from "./slot-ledger.js";
 import { createTargetHealth } from "./target-health.js";
 
-/** An ask as its home sees it. */
-export interface HomeAsk {
-  /** Unique over all entries. */
-  readonly askId: string;
-  readonly entryId: string;
-  /** Availability zone of the entry that asks. */
-  readonly zone: string;
-  readonly team: string;
-  readonly urgency: Urgency;
-  readonly operationKey: string;
-  readonly arrivedAt: number;
-  readonly deadlineAt: number;
-  readonly excludedInstances: readonly string[];
-}
-
 /** What a home works with. */
 export interface SlotHomeParts {
   readonly random: Random;
@@ -46,12 +33,6 @@
   onRefusal(ask: HomeAsk, refusal: SlotRefusal): void;
 }
 
-interface FreeTarget {
-  readonly target: Target;
-  readonly isProbe: boolean;
-  free: number;
-}
-
 const noTargetRetryMilliseconds = 1_000;
 /** Asks looked at for one free slot when those before exclude the free targets. */
 const maximumScannedAsks = 64;
@@ -257,7 +238,7 @@
     for (const ask of this.#queue.inOrder()) {
       scanned += 1;
       if (scanned > maximumScannedAsks) return false;
-      const chosen = this.#choose(ask, free);
+      const chosen = chooseTarget(ask, free, this.#parts.random);
       if (chosen === undefined) continue;
       this.#grant(ask, chosen);
       if (chosen.free === 0) free.splice(free.indexOf(chosen), 1);
@@ -266,19 +247,6 @@
     return false;
   }
 
-  #choose(ask: HomeAsk, free: readonly FreeTarget[]): FreeTarget | undefined {
-    const usable = free.filter(({ target }) => isUsable(ask, target));
-    // Without this a probe would wait until every healthy target is nearly full.
-    const probe = usable.find(({ isProbe }) => isProbe);
-    if (probe !== undefined && isFitForProbe(ask)) return probe;
-    const most = usable.reduce((highest, each) => Math.max(highest, each.free), 0);
-    const freest = usable.filter((each) => each.free === most);
-    const near = freest.filter(({ target }) => target.zone === ask.zone);
-    const candidates = near.length > 0 ? near : freest;
-    if (candidates.length === 0) return undefined;
-    return candidates[this.#parts.random.integer(0, candidates.length - 1)];
-  }
-
   #grant(ask: HomeAsk, chosen: FreeTarget): void {
     const { instanceId } = chosen.target;
     const { entryId, team, operationKey } = ask;
@@ -298,12 +266,3 @@
     this.#parts.onGrant(ask, grantId, chosen.target);
   }
 }
-
-/** A first attempt that is not urgent may try a target that failed before. */
-function isFitForProbe(ask: HomeAsk): boolean {
-  return ask.urgency === "normal" && ask.excludedInstances.length === 0;
-}
-
-function isUsable(ask: HomeAsk, target: Target): boolean {
-  return !ask.excludedInstances.includes(target.instanceId);
-}
--- a/src/routing/test/home-fixture.ts
+++ b/src/routing/test/home-fixture.ts
@@ -5,7 +5,8 @@
 import { createRunTimes } from "../../admission/index.js";
 import type { Target } from "../../pools/index.js";
 import { createRandom } from "../../shared/index.js";
-import { SlotHome, type HomeAsk } from "../slot-home.js";
+import type { HomeAsk } from "../home-ask.js";
+import { SlotHome } from "../slot-home.js";
 import type { SlotRefusal } from "../slot-allocator.js";
 
 /** A home under test. */
--- a/src/stand-ins/fleet/fleet.ts
+++ b/src/stand-ins/fleet/fleet.ts
@@ -68,7 +68,8 @@
     ),
   );
   const balancer = await startBalancerStandIn(entries.map(({ addresses }) => addresses.requests));
-  await applyFirstText(entries[0], options.text);
+  const token = options.settings?.operatorToken;
+  await applyFirstText(entries[0], options.text, typeof token === "string" ? token : undefined);
   await waitUntil(
     () =>
       entries.every(({ placement }) => placement.all().length === targets.length) &&
@@ -155,9 +156,10 @@
   }).unsafeCoerce();
 }
 
-async function applyFirstText(entry: Entry | undefined, text: unknown): Promise<void> {
+async function applyFirstText(entry: Entry | undefined, text: unknown, token?: string): Promise<void> {
   const response = await fetch(`http://${entry?.addresses.operators ?? ""}/operator/configuration`, {
     method: "POST",
+    headers: token === undefined ? {} : { authorization: `Bearer ${token}` },
     body: JSON.stringify({ changeId: "first", author: "fleet", baseRevision: 0, text }),
   });
   if (response.status !== 200) throw new Error(`the first text was not accepted: ${await response.text()}`);
