--- a/src/measures/slopes/peers.ts
+++ b/src/measures/slopes/peers.ts
@@ -2,7 +2,6 @@
  * Slopes of the links between entries: processor time, bytes and heap by peers, in one process.
  * @packageDocumentation
  */
-import { pack } from "msgpackr";
 import { createPeerNetwork, type PeerNetwork } from "../../membership/index.js";
 import { delay } from "../../shared/index.js";
 import { createLog } from "../../telemetry/index.js";
@@ -13,9 +12,7 @@
 const sizes = [3, 9, 27] as const;
 const settleMilliseconds = 1_500;
 const measuredMilliseconds = 3_000;
-const heartbeatsPerSecond = 4;
-// A frame from the connecting side is masked (6 bytes of header), one from the listening side is not (2).
-const frameHeaderBytes = 6 + 2;
+const millisecondsPerSecond = 1_000;
 
 /**
  * Measures a full mesh of entries at several sizes.
@@ -29,13 +26,14 @@
   for (const entries of sizes) {
     const peers = entries - 1;
     const { value: networks, bytes: held } = await measureHeap(async () => startMesh(entries));
+    const sentBefore = sumSent(networks);
     const before = process.cpuUsage();
     await delay(measuredMilliseconds);
     const { user, system } = process.cpuUsage(before);
     time.push({ size: peers, cost: perSecond(user + system) / entries });
-    // Each entry sends a heartbeat on its own link and on the peer's link, and hears as many.
-    const sentAndHeard = 2 * peers * (2 * heartbeatBytes() + frameHeaderBytes);
-    bytes.push({ size: peers, cost: sentAndHeard * heartbeatsPerSecond });
+    // What one entry sends another one hears.
+    const sentAndHeard = (2 * (sumSent(networks) - sentBefore)) / entries;
+    bytes.push({ size: peers, cost: (sentAndHeard * millisecondsPerSecond) / measuredMilliseconds });
     heap.push({ size: peers, cost: held / entries });
     await Promise.all(networks.map(async (network) => network.close()));
   }
@@ -76,8 +74,8 @@
   return networks;
 }
 
-function heartbeatBytes(): number {
-  return pack({ kind: "heartbeat", entryId: "entry-1", reports: { configurationRevision: 1 } }).length;
+function sumSent(networks: readonly PeerNetwork[]): number {
+  return networks.reduce((sum, network) => sum + network.bytesSent(), 0);
 }
 
 function perSecond(microseconds: number): number {
