--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -1,3 +1,7 @@
+/**
+ * Linter settings: the strict and stylistic sets of typescript-eslint, checked doc comments, short functions.
+ * @packageDocumentation
+ */
 import eslint from "@eslint/js";
 import tsdoc from "eslint-plugin-tsdoc";
 import tseslint from "typescript-eslint";
--- a/src/configuration/test/check.test.ts
+++ b/src/configuration/test/check.test.ts
@@ -115,7 +115,7 @@
 });
 
 test("an unknown key names the nearest known one", () => {
-  const text = structuredClone(example) as unknown as LooseText;
+  const text = JSON.parse(JSON.stringify(example)) as LooseText;
   set(text.services, 0, { dependOn: [] });
   const faults = checkText(text).swap().orDefault([]);
   expect(faults).toEqual([
@@ -124,7 +124,7 @@
 });
 
 test("what is legal but unwise is warned of", () => {
-  const text = structuredClone(example) as unknown as LooseText;
+  const text = JSON.parse(JSON.stringify(example)) as LooseText;
   set(text.pools, 0, { minimumInstances: 0 });
   set(text.services, 1, { availability: { objective: 0.99999, windowSeconds: 3600 } });
   set(text.services, 2, { deadlineMilliseconds: 50 });
