--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -7,7 +7,7 @@
 import tseslint from "typescript-eslint";
 
 export default tseslint.config(
-  { ignores: ["dist/", "node_modules/"] },
+  { ignores: ["dist/", "target/", "node_modules/"] },
   eslint.configs.recommended,
   tseslint.configs.strictTypeChecked,
   tseslint.configs.stylisticTypeChecked,
@@ -23,6 +23,13 @@
       "max-lines-per-function": ["error", { max: 80, skipComments: true, skipBlankLines: true }],
     },
   },
+  {
+    files: ["src/**", "examples/**"],
+    rules: {
+      // What is spoken on the users' platform stays in the adapter, which imports the product and not the reverse.
+      "no-restricted-imports": ["error", { patterns: [{ regex: "^(\\.\\./)+platform(/|$)" }] }],
+    },
+  },
   {
     files: ["**/test/**"],
     rules: { "max-lines-per-function": "off" },
--- a/src/configuration/apply.ts
+++ b/src/configuration/apply.ts
@@ -3,7 +3,7 @@
  * @packageDocumentation
  */
 import { Left, Right, type Either } from "purify-ts";
-import { writeAndSettle, type StoreClient, type StoreFailure } from "../platform/index.js";
+import { writeAndSettle, type StoreClient, type StoreFailure } from "../store/index.js";
 import { parseWith, type ParseFault } from "../shared/index.js";
 import { checkText } from "./check.js";
 import { findDifferences, type TextDifference } from "./difference.js";
--- a/src/configuration/history.ts
+++ b/src/configuration/history.ts
@@ -4,7 +4,7 @@
  * @packageDocumentation
  */
 import { Left, Right, type Either } from "purify-ts";
-import { writeAndSettle, type StoreClient, type StoreFailure } from "../platform/index.js";
+import { writeAndSettle, type StoreClient, type StoreFailure } from "../store/index.js";
 import { parseWith } from "../shared/index.js";
 import {
   configurationRecordSchema,
--- a/src/configuration/keeper.ts
+++ b/src/configuration/keeper.ts
@@ -3,7 +3,7 @@
  * @packageDocumentation
  */
 import Emittery from "emittery";
-import type { StoreMirror } from "../platform/index.js";
+import type { StoreMirror } from "../store/index.js";
 import { parseWith } from "../shared/index.js";
 import type { Log } from "../telemetry/index.js";
 import { configurationRecordSchema, currentConfigurationKey, type AcceptedConfiguration } from "./record.js";
--- a/src/configuration/test/apply.test.ts
+++ b/src/configuration/test/apply.test.ts
@@ -4,7 +4,7 @@
  */
 import { readFile } from "node:fs/promises";
 import { expect, test } from "vitest";
-import type { ConditionalWrite, WriteResult } from "../../platform/index.js";
+import type { ConditionalWrite, WriteResult } from "../../store/index.js";
 import { createStoreEngine, createStoreFaults, MemoryStoreClient } from "../../stand-ins/store/index.js";
 import {
   applyChange,
--- a/src/configuration/test/model.test.ts
+++ b/src/configuration/test/model.test.ts
@@ -5,7 +5,7 @@
 import { readFile } from "node:fs/promises";
 import fc from "fast-check";
 import { afterEach, beforeEach, expect, test, vi } from "vitest";
-import { createStoreMirror, type StoreMirror } from "../../platform/index.js";
+import { createStoreMirror, type StoreMirror } from "../../store/index.js";
 import {
   createStoreEngine,
   createStoreFaults,
--- a/src/execution/claims/claim-log.ts
+++ b/src/execution/claims/claim-log.ts
@@ -3,7 +3,7 @@
  * Whoever else has written the next segment owns the log now; the loser reads the log again before it grants.
  * @packageDocumentation
  */
-import { writeAndSettle, type StoreClient, type WriteResult } from "../../platform/index.js";
+import { writeAndSettle, type StoreClient, type WriteResult } from "../../store/index.js";
 import { delay, parseWith } from "../../shared/index.js";
 import { createClaimIndex, type ClaimIndex, type IndexedClaim } from "./claim-index.js";
 import {
--- a/src/execution/claims/retention-lease.ts
+++ b/src/execution/claims/retention-lease.ts
@@ -2,7 +2,7 @@
  * Store leases that segments are attached to, so that old segments end without deletes.
  * @packageDocumentation
  */
-import type { StoreClient } from "../../platform/index.js";
+import type { StoreClient } from "../../store/index.js";
 
 /** Gives the lease for the next segment. */
 export interface RetentionLease {
--- a/src/execution/test/claim-cluster.ts
+++ b/src/execution/test/claim-cluster.ts
@@ -4,7 +4,7 @@
  */
 import { Left, Right, type Either } from "purify-ts";
 import type { PeerAnswer, PeerCall, PeerFailure } from "../../membership/index.js";
-import type { ConditionalWrite, WriteResult } from "../../platform/index.js";
+import type { ConditionalWrite, WriteResult } from "../../store/index.js";
 import { delay } from "../../shared/index.js";
 import { createStoreFaults, MemoryStoreClient, type StoreFaults } from "../../stand-ins/store/index.js";
 import { createStoreEngine, type StoreEngine } from "../../stand-ins/store/engine.js";
--- /dev/null
+++ b/src/fleet/index.ts
@@ -0,0 +1,13 @@
+/**
+ * The machines behind the targets: waves of maintenance, and who gives the orders.
+ * @packageDocumentation
+ */
+export type {
+  Machine,
+  MachineControl,
+  MachineOrderHeader,
+  MachineOrderOutcome,
+  MaintenanceWave,
+} from "./machine-control.js";
+export { FleetManager, waveProgressPrefix, type FleetManagerOptions } from "./fleet-manager.js";
+export { planWaveStep, type WaveCandidate, type WavePressure, type WaveStep } from "./wave-plan.js";
--- /dev/null
+++ b/src/fleet/wave-plan.ts
@@ -0,0 +1,69 @@
+/**
+ * Chooses the machines of a wave that are emptied and taken down next. Answers a wave that comes while pools are busy: idle
+ * machines in idle pools go first, and no more are emptied than may be down.
+ * @packageDocumentation
+ */
+
+/** A machine of the wave that still has to be maintained. */
+export interface WaveCandidate {
+  readonly machineId: string;
+  /** Undefined for a machine without a target. */
+  readonly targetId: string | undefined;
+  readonly pool: string;
+  readonly runs: number;
+  readonly lastingRuns: number;
+  readonly isVacating: boolean;
+  /** How long the pool's backlog lasts, in milliseconds. */
+  readonly poolBacklogMilliseconds: number;
+}
+
+/** What is done next. */
+export interface WaveStep {
+  /** Machines that nothing runs on any more: their maintenance begins. */
+  readonly maintain: readonly WaveCandidate[];
+  /** Machines that are emptied, those that were before among them. */
+  readonly vacate: readonly WaveCandidate[];
+}
+
+/** How urgent the wave is. */
+export interface WavePressure {
+  /** Machines that may still be taken down now. */
+  readonly freeSlots: number;
+  /** Share of the wave's time that has passed. */
+  readonly elapsedShare: number;
+  /** Share of the wave's machines that are done or down. */
+  readonly doneShare: number;
+}
+
+/** A lasting task has to move first, which takes a while and costs its users something. */
+const lastingRunCost = 2_000;
+const runCost = 400;
+/** A machine that is being emptied is kept. */
+const vacatingBonus = 5_000;
+/** Until the wave falls behind, machines of pools with a longer backlog are left alone. */
+const patientBacklogMilliseconds = 300;
+
+/**
+ * Chooses the next step.
+ * @param candidates - machines that still have to be maintained and are up
+ * @param pressure - how urgent the wave is
+ * @returns what is done next
+ */
+export function planWaveStep(candidates: readonly WaveCandidate[], pressure: WavePressure): WaveStep {
+  const isBehind = pressure.elapsedShare > pressure.doneShare;
+  const patient = candidates.filter(
+    ({ poolBacklogMilliseconds, isVacating, runs }) =>
+      isBehind || isVacating || runs === 0 || poolBacklogMilliseconds <= patientBacklogMilliseconds,
+  );
+  const ordered = [...patient].sort((left, right) => cost(left) - cost(right));
+  const chosen = ordered.slice(0, Math.max(0, pressure.freeSlots));
+  // A machine with a target is emptied first, so that nothing is started on it meanwhile.
+  const isEmpty = ({ targetId, runs, isVacating }: WaveCandidate): boolean =>
+    targetId === undefined || (runs === 0 && isVacating);
+  return { maintain: chosen.filter(isEmpty), vacate: chosen.filter((candidate) => !isEmpty(candidate)) };
+}
+
+function cost({ runs, lastingRuns, isVacating, poolBacklogMilliseconds }: WaveCandidate): number {
+  const work = lastingRuns * lastingRunCost + (runs - lastingRuns) * runCost;
+  return work + poolBacklogMilliseconds - (isVacating ? vacatingBonus : 0);
+}
--- a/src/index.ts
+++ b/src/index.ts
@@ -11,7 +11,7 @@
 export * from "./maintenance/index.js";
 export * from "./membership/index.js";
 export * from "./operations/index.js";
-export * from "./platform/index.js";
+export * from "./store/index.js";
 export * from "./pools/index.js";
 export * from "./routing/index.js";
 export * from "./settings/index.js";
--- /dev/null
+++ b/src/job-homes/entry-session.ts
@@ -0,0 +1,137 @@
+/**
+ * This entry's lease in the store: its record in the roster and the homes that it holds all hang on it.
+ * @packageDocumentation
+ */
+import Emittery from "emittery";
+import { Left, type Either } from "purify-ts";
+import type { RosterRecord } from "../membership/index.js";
+import { delay, withTimeout } from "../shared/index.js";
+import type { StoreFailure, TransactionalStore } from "../store/index.js";
+import type { Log } from "../telemetry/index.js";
+
+/** Prefix of all that the entries say of themselves. */
+export const membersPrefix = "members/";
+/** Prefix of the entries' records. */
+export const entryPrefix = `${membersPrefix}entries/`;
+
+/** What the session reports. */
+export interface EntrySessionEvents {
+  /** A new lease stands and the entry's record is written. */
+  opened: { readonly leaseId: string };
+  /** The lease has ended or may have ended. */
+  lost: { readonly leaseId: string; readonly reason: string };
+}
+
+/** This entry's lease in the store. */
+export interface EntrySession {
+  readonly events: Emittery<EntrySessionEvents>;
+  /** The lease that surely stands now; undefined while there is none. */
+  leaseId(): string | undefined;
+  /** Until when the lease surely stands, by the monotonic clock. */
+  standsUntil(): number;
+  /** Ends the lease, so that others need not wait for it. */
+  close(): Promise<void>;
+}
+
+/** Settings of a session. */
+export interface EntrySessionOptions {
+  readonly store: TransactionalStore;
+  readonly self: RosterRecord;
+  readonly log: Log;
+  readonly leaseMilliseconds: number;
+}
+
+const renewalsPerLease = 4;
+/** The lease counts as ended this much earlier here, for clocks that run at different rates. */
+const marginMilliseconds = 300;
+const retryMilliseconds = 200;
+const millisecondsPerSecond = 1_000;
+
+interface StandingLease {
+  readonly leaseId: string;
+  until: number;
+}
+
+/**
+ * Opens a session and keeps it open while the process runs.
+ * @param options - the store and who this entry is
+ * @returns the session, without a lease at first
+ */
+export function openEntrySession(options: EntrySessionOptions): EntrySession {
+  const { store, self, log, leaseMilliseconds } = options;
+  const events = new Emittery<EntrySessionEvents>();
+  const stop = new AbortController();
+  let lease: StandingLease | undefined;
+
+  const isStopped = (): boolean => stop.signal.aborted;
+  const endOfLease = (askedAt: number): number => askedAt + leaseMilliseconds - marginMilliseconds;
+  const isStanding = (): boolean => lease !== undefined && performance.now() < lease.until;
+
+  const open = async (): Promise<boolean> => {
+    const askedAt = performance.now();
+    const granted = await store.grantLease(leaseMilliseconds / millisecondsPerSecond);
+    if (granted.isLeft()) return false;
+    const { leaseId } = granted.unsafeCoerce();
+    const key = `${entryPrefix}${self.entryId}`;
+    // The last process of this entry may have left a record; it is replaced whatever it holds.
+    const result = await store.transact({ expected: [], writes: [{ key, value: self, leaseId }] });
+    if (result.kind !== "done") return false;
+    lease = { leaseId, until: endOfLease(askedAt) };
+    log.write("info", "entry-session-opened", { leaseId, leaseMilliseconds });
+    void events.emit("opened", { leaseId });
+    return true;
+  };
+
+  const renewOnce = async (standing: StandingLease): Promise<"renewed" | "failed" | "ended"> => {
+    const askedAt = performance.now();
+    const late: Either<StoreFailure, boolean> = Left({
+      kind: "timeout",
+      message: "the lease may have ended",
+    });
+    const left = Math.max(0, standing.until - askedAt);
+    const renewed = await withTimeout(store.renewLease(standing.leaseId), left, late);
+    if (renewed.isLeft()) return "failed";
+    if (!renewed.orDefault(false)) return "ended";
+    standing.until = endOfLease(askedAt);
+    return "renewed";
+  };
+
+  const keep = async (standing: StandingLease): Promise<string> => {
+    let wait = leaseMilliseconds / renewalsPerLease;
+    while (!isStopped() && isStanding()) {
+      await delay(Math.min(wait, standing.until - performance.now()), stop.signal);
+      if (isStopped()) return "closed";
+      const result = await renewOnce(standing);
+      if (result === "ended") return "the store has ended it";
+      wait = result === "renewed" ? leaseMilliseconds / renewalsPerLease : retryMilliseconds;
+    }
+    return "not renewed in time";
+  };
+
+  const run = async (): Promise<void> => {
+    while (!isStopped()) {
+      if (!(await open()) || lease === undefined) {
+        await delay(retryMilliseconds, stop.signal);
+        continue;
+      }
+      const standing = lease;
+      const reason = await keep(standing);
+      if (isStopped()) return;
+      lease = undefined;
+      log.write("warn", "entry-session-lost", { leaseId: standing.leaseId, reason });
+      void events.emit("lost", { leaseId: standing.leaseId, reason });
+    }
+  };
+
+  void run();
+  return {
+    events,
+    leaseId: () => (isStanding() ? lease?.leaseId : undefined),
+    standsUntil: () => lease?.until ?? Number.NEGATIVE_INFINITY,
+    close: async () => {
+      stop.abort();
+      if (lease !== undefined) await store.revokeLease(lease.leaseId);
+      lease = undefined;
+    },
+  };
+}
--- /dev/null
+++ b/src/job-homes/home-journal.ts
@@ -0,0 +1,288 @@
+/**
+ * A home's writes to the store: one transaction at a time, each bound to the home's own record, so that nothing is
+ * written once another entry holds the pool, and nothing that was given up takes effect over a later write.
+ * @packageDocumentation
+ */
+import { delay } from "../shared/index.js";
+import {
+  maximumTransactionEntries,
+  type StoreRecord,
+  type TransactionalStore,
+  type TransactionResult,
+} from "../store/index.js";
+import type { Log, Metrics } from "../telemetry/index.js";
+import { decodeHomeRecord, type HomeRecord } from "./home-record.js";
+
+/** How a write ended. */
+export type JournalResult =
+  | "stored"
+  /** Surely not stored, and it never will be. */
+  | "withdrawn"
+  /** Not stored: the key, which had to be absent, is there already. */
+  | "exists"
+  /** Another entry holds the pool; the write may have been stored before. */
+  | "superseded";
+
+/** A write that is on its way. */
+export interface JournalWrite {
+  readonly result: Promise<JournalResult>;
+  /** Takes the write back if no transaction has carried it yet; its result is then `withdrawn`. */
+  withdraw(): void;
+}
+
+/** How a key is written. */
+export interface JournalWriteOptions {
+  /** `soon` lets writes gather for a while; `now` is the default. */
+  readonly urgency?: "now" | "soon";
+  /** Whether the key must be absent before. */
+  readonly mustBeAbsent?: boolean;
+}
+
+/** A home's writes to the store. */
+export interface HomeJournal {
+  /**
+   * Writes a key. A value replaces one of the same key that still waits.
+   * @param key - the key
+   * @param value - the JSON value; undefined deletes it
+   * @param options - how soon, and whether the key must be absent
+   * @returns the write, whose result comes when it is stored
+   */
+  write(key: string, value: unknown, options?: JournalWriteOptions): JournalWrite;
+  /** Writes that are not stored yet. */
+  waiting(): number;
+  /** Waits until all writes so far have ended. */
+  flush(): Promise<void>;
+  /** Gives up all writes. */
+  close(): void;
+}
+
+/** Settings of a journal. */
+export interface HomeJournalOptions {
+  readonly store: TransactionalStore;
+  readonly homeKey: string;
+  /** The home's record as it was written when the pool was taken. */
+  readonly record: HomeRecord;
+  /** The revision of that record. */
+  readonly revision: number;
+  readonly leaseId: string;
+  readonly log: Log;
+  readonly metrics: Metrics;
+  /** Called once when another entry holds the pool. */
+  onSuperseded(reason: string): void;
+}
+
+const retryMilliseconds = 60;
+/** A transaction stops growing at this size, far below what the store takes. */
+const bytesPerTransaction = 400_000;
+
+/** How long urgent writes wait for others that share their transaction. */
+const gatherNowMilliseconds = 15;
+/** How long other writes wait. */
+const gatherSoonMilliseconds = 400;
+
+interface Waiting {
+  readonly key: string;
+  value: unknown;
+  readonly mustBeAbsent: boolean;
+  readonly settles: ((result: JournalResult) => void)[];
+  /** Whether a transaction that may have been carried out held it. */
+  isSent: boolean;
+}
+
+/** Writes through transactions that expect the home's own record unchanged. */
+export class StoredHomeJournal implements HomeJournal {
+  readonly #options: HomeJournalOptions;
+  #waiting: Waiting[] = [];
+  #revision: number;
+  #record: HomeRecord;
+  #isClosed = false;
+  #running: Promise<void> | undefined;
+  #hasUrgent = false;
+  #gathering = new AbortController();
+
+  /**
+   * Creates a journal.
+   * @param options - the home's record and the store
+   */
+  constructor(options: HomeJournalOptions) {
+    this.#options = options;
+    this.#revision = options.revision;
+    this.#record = options.record;
+  }
+
+  write(key: string, value: unknown, options: JournalWriteOptions = {}): JournalWrite {
+    const { urgency = "now", mustBeAbsent = false } = options;
+    let settle: (result: JournalResult) => void = () => undefined;
+    const result = new Promise<JournalResult>((resolve) => {
+      settle = resolve;
+    });
+    if (this.#isClosed) {
+      settle("superseded");
+      return { result, withdraw: () => undefined };
+    }
+    const item = this.#add(key, value, mustBeAbsent, settle);
+    this.#begin(urgency);
+    const withdraw = (): void => {
+      if (!item.isSent && this.#waiting.includes(item)) this.#settle([item], "withdrawn");
+    };
+    return { result, withdraw };
+  }
+
+  waiting(): number {
+    return this.#waiting.length;
+  }
+
+  async flush(): Promise<void> {
+    while (this.#running !== undefined && !this.#isClosed) {
+      this.#gathering.abort();
+      await this.#running;
+    }
+  }
+
+  close(): void {
+    this.#isClosed = true;
+    this.#settle(this.#waiting, "superseded");
+  }
+
+  #add(key: string, value: unknown, mustBeAbsent: boolean, settle: (result: JournalResult) => void): Waiting {
+    const earlier = this.#waiting.find((item) => !item.isSent && item.key === key);
+    if (earlier !== undefined) {
+      earlier.value = value;
+      earlier.settles.push(settle);
+      return earlier;
+    }
+    const item: Waiting = { key, value, mustBeAbsent, settles: [settle], isSent: false };
+    this.#waiting.push(item);
+    return item;
+  }
+
+  #begin(urgency: "now" | "soon"): void {
+    if (urgency === "now" && !this.#hasUrgent) {
+      this.#hasUrgent = true;
+      setTimeout(() => {
+        this.#gathering.abort();
+      }, gatherNowMilliseconds);
+    }
+    this.#running ??= this.#run();
+  }
+
+  async #run(): Promise<void> {
+    while (this.#waiting.length > 0 && !this.#isClosed) {
+      const isUrgent = this.#hasUrgent || this.#waiting.some(({ isSent }) => isSent);
+      await delay(isUrgent ? gatherNowMilliseconds : gatherSoonMilliseconds, this.#gathering.signal);
+      this.#gathering = new AbortController();
+      this.#hasUrgent = false;
+      await this.#writeOnce();
+    }
+    this.#running = undefined;
+  }
+
+  async #writeOnce(): Promise<void> {
+    const batch = this.#takeBatch();
+    const result = await this.#transact(batch);
+    if (result.kind === "done") {
+      this.#settle(batch, "stored");
+      return;
+    }
+    if (result.kind === "unknown") await this.#settleUnknown();
+    // The barrier, or the answer itself, proves that the transaction will not be carried out any more; one without an
+    // answer may have been before.
+    for (const item of batch) item.isSent = result.kind === "unknown";
+    if (result.kind === "conflict") await this.#settleConflict(batch, result.current);
+    if (result.kind === "not-done") await delay(retryMilliseconds);
+  }
+
+  #takeBatch(): Waiting[] {
+    let bytes = 0;
+    let entries = 1;
+    const batch: Waiting[] = [];
+    for (const item of this.#waiting) {
+      // A transaction holds a key once.
+      if (batch.some(({ key }) => key === item.key)) break;
+      bytes += item.value === undefined ? 0 : JSON.stringify(item.value).length;
+      entries += item.mustBeAbsent ? 2 : 1;
+      const isFull = entries > maximumTransactionEntries || bytes > bytesPerTransaction;
+      if (isFull && batch.length > 0) break;
+      item.isSent = true;
+      batch.push(item);
+    }
+    return batch;
+  }
+
+  async #transact(batch: readonly Waiting[]): Promise<TransactionResult> {
+    const { store, homeKey, metrics, log } = this.#options;
+    const startedAt = performance.now();
+    const absent = batch.filter(({ mustBeAbsent }) => mustBeAbsent);
+    const result = await store.transact({
+      expected: [
+        { key: homeKey, revision: this.#revision },
+        ...absent.map(({ key }) => ({ key, revision: 0 })),
+      ],
+      writes: batch.map(({ key, value }) => ({ key, value })),
+    });
+    const labels = { result: result.kind };
+    metrics.observe("journal_transaction_milliseconds", performance.now() - startedAt, labels);
+    metrics.count("journal_writes_total", labels, batch.length);
+    if (result.kind !== "done") {
+      const failure = "failure" in result ? result.failure.message : undefined;
+      log.write("warn", "journal-failed", { homeKey, result: result.kind, writes: batch.length, failure });
+    }
+    return result;
+  }
+
+  async #settleUnknown(): Promise<void> {
+    while (!this.#isClosed && !(await this.#raiseBarrier())) await delay(retryMilliseconds);
+  }
+
+  /** Rewrites the home's record, so that a transaction without an answer can no longer take effect. */
+  async #raiseBarrier(): Promise<boolean> {
+    const { store, homeKey, leaseId, log } = this.#options;
+    this.#record = { ...this.#record, barrier: this.#record.barrier + 1 };
+    const { barrier } = this.#record;
+    const result = await store.transact({
+      expected: [{ key: homeKey, revision: this.#revision }],
+      writes: [{ key: homeKey, value: this.#record, leaseId }],
+    });
+    if (result.kind === "done") {
+      this.#revision = result.revision;
+      log.write("info", "journal-barrier", { homeKey, barrier, revision: result.revision });
+      return true;
+    }
+    if (result.kind === "conflict") await this.#readOwnRecord();
+    return false;
+  }
+
+  /** Settles what a conflict explains; one about the home's own record is looked into. */
+  async #settleConflict(batch: readonly Waiting[], current: readonly StoreRecord[]): Promise<void> {
+    const present = new Set(current.map(({ key }) => key));
+    const existing = batch.filter(({ key, mustBeAbsent }) => mustBeAbsent && present.has(key));
+    if (existing.length > 0) this.#settle(existing, "exists");
+    else await this.#readOwnRecord();
+  }
+
+  /** Reads the home's record; takes over its revision when it is still this home's. */
+  async #readOwnRecord(): Promise<void> {
+    const found = await this.#options.store.get(this.#options.homeKey);
+    if (found.isLeft()) {
+      await delay(retryMilliseconds);
+      return;
+    }
+    const current = found.orDefault(undefined);
+    const held = decodeHomeRecord(current?.value);
+    if (current === undefined || held?.term !== this.#record.term) this.#supersede();
+    else this.#revision = current.revision;
+  }
+
+  #supersede(): void {
+    if (this.#isClosed) return;
+    this.close();
+    this.#options.onSuperseded("another entry holds the pool");
+  }
+
+  #settle(items: readonly Waiting[], result: JournalResult): void {
+    this.#waiting = this.#waiting.filter((item) => !items.includes(item));
+    for (const { settles } of items) {
+      for (const settle of settles) settle(result);
+    }
+  }
+}
--- /dev/null
+++ b/src/job-homes/home-keeper.ts
@@ -0,0 +1,291 @@
+/**
+ * Competes for the homes of pools and runs those that this entry holds.
+ * @packageDocumentation
+ */
+import { randomUUID } from "node:crypto";
+import { delay, rendezvousOrder } from "../shared/index.js";
+import { createRunTimeRatios } from "../scheduling/index.js";
+import type { TransactionalStore } from "../store/index.js";
+import type { RegisteredTarget, TargetOrders } from "../task-runs/index.js";
+import type { Log, Metrics } from "../telemetry/index.js";
+import type { AdviceService } from "./advice-book.js";
+import type { EntrySession } from "./entry-session.js";
+import { StoredHomeJournal } from "./home-journal.js";
+import { homePrefix, type HomeRecord } from "./home-record.js";
+import type { HomeState } from "./home-state.js";
+import { HomeTargets } from "./home-targets.js";
+import { readPoolJobs, takePool, type StoredJobs, type TakenPool } from "./home-takeover.js";
+import { JobHome, loadJobs } from "./job-home.js";
+
+/** What the keeper knows of the fleet of entries. */
+export interface HomeDirectory {
+  /** Entries with a record. */
+  readonly entries: () => readonly string[];
+  /** The home of each pool that has one. */
+  homes(): ReadonlyMap<string, HomeRecord & { readonly revision: number }>;
+  /** Milliseconds since this was known to be current. */
+  ageMilliseconds(): number;
+}
+
+/** Settings of a keeper. */
+export interface HomeKeeperOptions {
+  readonly entryId: string;
+  readonly store: TransactionalStore;
+  readonly session: EntrySession;
+  readonly directory: HomeDirectory;
+  /** Pools that need a home. */
+  readonly pools: () => readonly string[];
+  /** Targets of a pool as the registry lists them; undefined while the registry was not read. */
+  readonly listedTargets: (pool: string) => ReadonlyMap<string, RegisteredTarget> | undefined;
+  readonly orders: TargetOrders;
+  readonly advice: AdviceService | undefined;
+  readonly log: Log;
+  readonly metrics: Metrics;
+  /** How long a lease on runs lasts. */
+  readonly runLeaseMilliseconds: number;
+  /** How long the entries' leases last. */
+  readonly entryLeaseMilliseconds: number;
+  readonly retentionMilliseconds: number;
+}
+
+interface HeldHome {
+  readonly home: JobHome;
+  readonly state: HomeState;
+  readonly targets: HomeTargets;
+  readonly leaseId: string;
+  close(): void;
+}
+
+const competeMilliseconds = 100;
+/** Entries behind the first in a pool's order wait so much longer each, so that the first gets it. */
+const turnMilliseconds = 250;
+/** The directory must be this young to show that a pool has no home. */
+const directoryAgeMilliseconds = 2_500;
+/** Run numbers that each home of a pool has for itself. */
+const runsPerHome = 64;
+const slowestClockRate = 0.98;
+const inheritedMarginMilliseconds = 500;
+const loadRetryMilliseconds = 100;
+
+/** Competes for the homes of pools and runs those that this entry holds. */
+export class HomeKeeper {
+  readonly #options: HomeKeeperOptions;
+  readonly #stop = new AbortController();
+  readonly #held = new Map<string, HeldHome>();
+  readonly #vacantSince = new Map<string, number>();
+  readonly #taking = new Set<string>();
+
+  /**
+   * Creates a keeper; `run` begins to compete.
+   * @param options - what the homes work with
+   */
+  constructor(options: HomeKeeperOptions) {
+    this.#options = options;
+    options.session.events.on("lost", ({ leaseId, reason }) => {
+      for (const [pool, held] of this.#held) if (held.leaseId === leaseId) this.#drop(pool, reason);
+    });
+  }
+
+  /** The running home of a pool, if this entry holds it. */
+  home(pool: string): JobHome | undefined {
+    return this.#held.get(pool)?.home;
+  }
+
+  /** The running homes of this entry. */
+  homes(): JobHome[] {
+    return [...this.#held.values()].map(({ home }) => home);
+  }
+
+  /** Takes over news of the registry. */
+  followTargets(): void {
+    for (const [pool, { targets }] of this.#held) {
+      const listed = this.#options.listedTargets(pool);
+      if (listed !== undefined) targets.follow(listed);
+    }
+  }
+
+  /** Competes until the keeper is closed. */
+  async run(): Promise<void> {
+    while (!this.#stop.signal.aborted) {
+      this.#compete();
+      await delay(competeMilliseconds, this.#stop.signal);
+    }
+  }
+
+  /** Writes what is open and gives the homes up. */
+  async close(): Promise<void> {
+    this.#stop.abort();
+    const held = [...this.#held.values()];
+    await Promise.all(held.map(async ({ state }) => state.journal.flush()));
+    for (const home of held) home.close();
+    this.#held.clear();
+  }
+
+  #drop(pool: string, reason: string): void {
+    const home = this.#held.get(pool);
+    if (home === undefined) return;
+    this.#held.delete(pool);
+    home.close();
+    this.#options.log.write("warn", "home-lost", { pool, reason });
+  }
+
+  #compete(): void {
+    const { session, directory, pools } = this.#options;
+    if (session.leaseId() === undefined || directory.ageMilliseconds() > directoryAgeMilliseconds) return;
+    for (const pool of pools()) {
+      if (this.#held.has(pool) || this.#taking.has(pool)) continue;
+      this.#taking.add(pool);
+      void this.#consider(pool).finally(() => this.#taking.delete(pool));
+    }
+  }
+
+  async #consider(pool: string): Promise<void> {
+    const record = this.#options.directory.homes().get(pool);
+    if (record === undefined) {
+      if (this.#isMyTurn(pool)) await this.#take(pool);
+      return;
+    }
+    this.#vacantSince.delete(pool);
+    if (record.entryId === this.#options.entryId) await this.#clearOrphan(pool, record.revision);
+  }
+
+  #isMyTurn(pool: string): boolean {
+    const now = performance.now();
+    const since = this.#vacantSince.get(pool) ?? now;
+    this.#vacantSince.set(pool, since);
+    const place = this.#placeInOrder(pool);
+    return place >= 0 && now - since >= place * turnMilliseconds;
+  }
+
+  /** This entry's place among those that could take a pool, 0 for the first: those with fewer homes go first. */
+  #placeInOrder(pool: string): number {
+    const { directory, entryId } = this.#options;
+    const counts = new Map<string, number>();
+    for (const { entryId: holder } of directory.homes().values())
+      counts.set(holder, (counts.get(holder) ?? 0) + 1);
+    const order = rendezvousOrder(pool, directory.entries());
+    order.sort((left, right) => (counts.get(left) ?? 0) - (counts.get(right) ?? 0));
+    return order.indexOf(entryId);
+  }
+
+  async #take(pool: string): Promise<void> {
+    const { session, store, entryId, log } = this.#options;
+    const leaseId = session.leaseId();
+    if (leaseId === undefined) return;
+    const startedAt = performance.now();
+    const taken = await takePool(store, pool, entryId, leaseId, randomUUID());
+    if (taken.isLeft()) {
+      log.write("info", "home-not-taken", { pool, reason: taken.swap().unsafeCoerce() });
+      return;
+    }
+    const found = taken.unsafeCoerce();
+    const goesOn = (): boolean => session.leaseId() === leaseId && !this.#stop.signal.aborted;
+    const jobs = await loadUntilRead(this.#options, pool, goesOn);
+    if (jobs === undefined) return;
+    const onSuperseded = (reason: string): void => {
+      this.#drop(pool, reason);
+    };
+    this.#held.set(pool, startHome(this.#options, pool, found, jobs, onSuperseded));
+    log.write("info", "home-taken", {
+      pool,
+      fencingToken: found.revision,
+      homes: found.inheritance.homes,
+      jobs: jobs.records.length,
+      inheritedTargets: Object.keys(found.inheritance.targets).length,
+      milliseconds: Math.round(performance.now() - startedAt),
+    });
+  }
+
+  /** Removes a record of this entry that no running home stands for: a write whose answer was lost. */
+  async #clearOrphan(pool: string, revision: number): Promise<void> {
+    const key = `${homePrefix}${pool}`;
+    const writes = [{ key, value: undefined }];
+    const result = await this.#options.store.transact({ expected: [{ key, revision }], writes });
+    this.#options.log.write("info", "home-orphan-cleared", { pool, revision, result: result.kind });
+  }
+}
+
+async function loadUntilRead(
+  { store, log }: HomeKeeperOptions,
+  pool: string,
+  goesOn: () => boolean,
+): Promise<StoredJobs | undefined> {
+  while (goesOn()) {
+    const jobs = await readPoolJobs(store, pool, log);
+    if (jobs.isRight()) return jobs.unsafeCoerce();
+    log.write("warn", "home-load-failed", { pool, reason: jobs.swap().unsafeCoerce() });
+    await delay(loadRetryMilliseconds);
+  }
+  return undefined;
+}
+
+function startHome(
+  options: HomeKeeperOptions,
+  pool: string,
+  { record, revision, leaseId, inheritance }: TakenPool,
+  jobs: StoredJobs,
+  onSuperseded: (reason: string) => void,
+): HeldHome {
+  const { store, session, orders, log, metrics, runLeaseMilliseconds } = options;
+  const homeKey = `${homePrefix}${pool}`;
+  let isClosed = false;
+  const supersede = (reason: string): void => {
+    if (!isClosed) onSuperseded(reason);
+  };
+  const journal = new StoredHomeJournal({
+    store,
+    homeKey,
+    record,
+    revision,
+    leaseId,
+    log,
+    metrics,
+    onSuperseded: supersede,
+  });
+  const state: HomeState = {
+    pool,
+    fencingToken: revision,
+    firstRun: (inheritance.homes - 1) * runsPerHome + 1,
+    orders,
+    journal,
+    log,
+    metrics,
+    runTimes: createRunTimeRatios(),
+    jobs: new Map(),
+    endings: new Map(),
+    tasks: new Map(),
+    targets: new Map(),
+    isActive: () => !isClosed && session.leaseId() === leaseId,
+    wake: () => undefined,
+    supersede,
+    listed: new Map(),
+    awaited: new Set(),
+  };
+  loadJobs(state, jobs.records, jobs.progress);
+  const targets = new HomeTargets(state, {
+    leaseMilliseconds: runLeaseMilliseconds,
+    homes: inheritance.homes,
+  });
+  const leaseUntil =
+    performance.now() +
+    runLeaseMilliseconds / slowestClockRate +
+    options.entryLeaseMilliseconds +
+    inheritedMarginMilliseconds;
+  targets.inherit(inheritance, leaseUntil);
+  const home = new JobHome({
+    state,
+    store,
+    advice: options.advice,
+    retentionMilliseconds: options.retentionMilliseconds,
+  });
+  const listed = options.listedTargets(pool);
+  if (listed !== undefined) targets.follow(listed);
+  home.start();
+  const close = (): void => {
+    isClosed = true;
+    home.close();
+    targets.close();
+    journal.close();
+  };
+  return { home, state, targets, leaseId, close };
+}
--- /dev/null
+++ b/src/job-homes/home-state.ts
@@ -0,0 +1,146 @@
+/**
+ * What a home holds in memory: the pool's jobs, its targets and the runs on them.
+ * @packageDocumentation
+ */
+import {
+  allTasks,
+  countDue,
+  createJob,
+  openOccurrences,
+  type Job,
+  type JobRecord,
+  type ProgressRecord,
+  type Task,
+  type TaskRun,
+} from "../jobs/index.js";
+import type { RunTimeRatios } from "../scheduling/index.js";
+import type { RegisteredTarget, TargetOrders, TargetSession } from "../task-runs/index.js";
+import type { Log, Metrics } from "../telemetry/index.js";
+import type { HomeJournal } from "./home-journal.js";
+
+/** A run together with its task. */
+export interface TargetRun {
+  readonly task: Task;
+  readonly run: TaskRun;
+}
+
+/** A target of the pool. */
+export interface HomeTarget {
+  readonly session: TargetSession;
+  /** Runs that may be present, by task. */
+  readonly runs: Map<string, TargetRun>;
+  /** Whether the store says that this target may run something; a next home looks there. */
+  isRecorded: boolean;
+  /** Whether it is being emptied. */
+  isVacating: boolean;
+  /** Not used before this time, by the monotonic clock. */
+  blockedUntil: number;
+  /** Rises with failures and refusals, falls with successes. */
+  distrust: number;
+  /** Pace of its fillers. */
+  pacePercent: number;
+  /** Highest sequence among its ends that have been handled. */
+  handledSequence: number;
+  /** Ends when all ends so far are stored and acknowledged. */
+  acknowledging: Promise<void>;
+}
+
+/** What every part of a home works with. */
+export interface HomeState {
+  readonly pool: string;
+  readonly fencingToken: number;
+  /** Runs are numbered from here, above those of earlier homes. */
+  readonly firstRun: number;
+  readonly orders: TargetOrders;
+  readonly journal: HomeJournal;
+  readonly log: Log;
+  readonly metrics: Metrics;
+  readonly runTimes: RunTimeRatios;
+  readonly jobs: Map<string, Job>;
+  /** Ends of jobs that are being stored, by job. */
+  readonly endings: Map<string, Promise<boolean>>;
+  /** Tasks of jobs that go on, by name. */
+  readonly tasks: Map<string, Task>;
+  readonly targets: Map<string, HomeTarget>;
+  /** Whether this home may still give orders, by its own clock. */
+  isActive(): boolean;
+  /** Asks for a round of placing. */
+  wake(): void;
+  /** Another home has taken over. */
+  supersede(reason: string): void;
+  /** The registry's targets of this pool, as last read. */
+  listed: ReadonlyMap<string, RegisteredTarget>;
+  /** Tasks of earlier homes wait until all of their targets have reported or lost their leases. */
+  awaited: Set<string>;
+}
+
+/**
+ * Adds a job to the home.
+ * @param state - the home
+ * @param record - the accepted job
+ * @param progress - what the store holds of its progress
+ * @param unixMilliseconds - the time of day
+ * @param isInherited - whether an earlier home accepted it
+ * @returns the job
+ */
+export function addJob(
+  state: HomeState,
+  record: JobRecord,
+  progress: ProgressRecord | undefined,
+  unixMilliseconds: number,
+  isInherited: boolean,
+): Job {
+  const age = Math.max(0, unixMilliseconds - record.acceptedAt);
+  const job = createJob(record, progress, performance.now() - age, isInherited);
+  state.jobs.set(job.id, job);
+  if (job.finalState === undefined) openDue(state, job, unixMilliseconds, progress);
+  return job;
+}
+
+/**
+ * Creates the tasks of occurrences that have become due.
+ * @param state - the home
+ * @param job - the job
+ * @param unixMilliseconds - the time of day
+ * @param progress - stored progress that the new tasks begin with
+ */
+export function openDue(
+  state: HomeState,
+  job: Job,
+  unixMilliseconds: number,
+  progress?: ProgressRecord,
+): void {
+  const due = countDue(job.record, unixMilliseconds);
+  if (due <= job.dueCount) return;
+  openOccurrences(job, due, progress);
+  for (const task of allTasks(job)) state.tasks.set(task.name, task);
+}
+
+/**
+ * Drops the tasks of a job that has ended; runs that are still present stay with their targets.
+ * @param state - the home
+ * @param job - the job
+ */
+export function dropTasks(state: HomeState, job: Job): void {
+  for (const task of allTasks(job)) {
+    if (task.runs.length === 0) state.tasks.delete(task.name);
+  }
+}
+
+/**
+ * Notes that a run is no longer present on a target.
+ * @param state - the home
+ * @param target - the target
+ * @param present - the run
+ */
+export function removeRun(state: HomeState, target: HomeTarget, { task, run }: TargetRun): void {
+  if (target.runs.get(task.name)?.run === run) target.runs.delete(task.name);
+  const position = task.runs.indexOf(run);
+  if (position >= 0) task.runs.splice(position, 1);
+  if (task.job.finalState !== undefined && task.runs.length === 0) state.tasks.delete(task.name);
+}
+
+/** Tells whether nothing more is to run for a task. */
+export function isTaskOver({ job, succeeded }: Task): boolean {
+  return succeeded || job.isEnding || job.finalState !== undefined;
+}
--- /dev/null
+++ b/src/job-homes/home-takeover.ts
@@ -0,0 +1,120 @@
+/**
+ * Takes a pool: writes the home's record, and reads what the store holds of the pool.
+ * @packageDocumentation
+ */
+import { Left, Right, type Either } from "purify-ts";
+import {
+  decodeJobRecord,
+  decodeProgressRecord,
+  jobPrefix,
+  progressPrefix,
+  type JobRecord,
+  type ProgressRecord,
+} from "../jobs/index.js";
+import type { StoreRecord, TransactionalStore } from "../store/index.js";
+import type { Log } from "../telemetry/index.js";
+import {
+  decodeHomeRecord,
+  decodeInheritance,
+  homePrefix,
+  inheritancePrefix,
+  type HomeInheritance,
+  type HomeRecord,
+} from "./home-record.js";
+
+/** A pool that was taken. */
+export interface TakenPool {
+  readonly record: HomeRecord;
+  /** The revision of the home's record, which is also its fencing token. */
+  readonly revision: number;
+  readonly leaseId: string;
+  readonly inheritance: HomeInheritance;
+}
+
+/**
+ * Tries to become a pool's home.
+ * @param store - the store
+ * @param pool - the pool
+ * @param entryId - this entry
+ * @param leaseId - the entry's lease, with which the home ends
+ * @param term - names this holding, unlike any other
+ * @returns the pool, or why it was not taken
+ */
+export async function takePool(
+  store: TransactionalStore,
+  pool: string,
+  entryId: string,
+  leaseId: string,
+  term: string,
+): Promise<Either<string, TakenPool>> {
+  const inheritanceKey = `${inheritancePrefix}${pool}`;
+  const left = await store.get(inheritanceKey);
+  if (left.isLeft()) return Left("the inheritance was not read");
+  const earlier = left.orDefault(undefined);
+  const before = decodeInheritance(earlier?.value);
+  const inheritance = { ...before, homes: before.homes + 1 };
+  const key = `${homePrefix}${pool}`;
+  const record: HomeRecord = { entryId, term, barrier: 0 };
+  const result = await store.transact({
+    expected: [
+      { key, revision: 0 },
+      { key: inheritanceKey, revision: earlier?.revision ?? 0 },
+    ],
+    writes: [
+      { key, value: record, leaseId },
+      { key: inheritanceKey, value: inheritance },
+    ],
+  });
+  if (result.kind === "done") return Right({ record, revision: result.revision, leaseId, inheritance });
+  if (result.kind !== "unknown") return Left(result.kind);
+  const found = (await store.get(key)).orDefault(undefined);
+  if (found === undefined || decodeHomeRecord(found.value)?.term !== term) return Left("unknown");
+  return Right({ record, revision: found.revision, leaseId, inheritance });
+}
+
+/** What the store holds of a pool's jobs. */
+export interface StoredJobs {
+  readonly records: readonly JobRecord[];
+  readonly progress: ReadonlyMap<string, ProgressRecord>;
+}
+
+/**
+ * Reads the jobs of a pool.
+ * @param store - the store
+ * @param pool - the pool
+ * @param log - takes records that cannot be read
+ * @returns the jobs, or why they were not read
+ */
+export async function readPoolJobs(
+  store: TransactionalStore,
+  pool: string,
+  log: Log,
+): Promise<Either<string, StoredJobs>> {
+  const [jobs, progress] = await Promise.all([store.list(jobPrefix), store.list(progressPrefix)]);
+  return jobs
+    .chain(({ records }) => progress.map((found) => ({ records, progressRecords: found.records })))
+    .mapLeft(({ kind, message }) => `${kind}: ${message}`)
+    .map(({ records, progressRecords }) => {
+      const decoded = records.flatMap((record) => decodeOrLog(record, decodeJobRecord, log) ?? []);
+      const own = decoded.filter(({ terms }) => terms.pool === pool);
+      const ids = new Set(own.map(({ jobId }) => jobId));
+      const byJob = new Map<string, ProgressRecord>();
+      for (const record of progressRecords) {
+        const jobId = record.key.slice(progressPrefix.length);
+        if (!ids.has(jobId)) continue;
+        const found = decodeOrLog(record, decodeProgressRecord, log);
+        if (found !== undefined) byJob.set(jobId, found);
+      }
+      return { records: own, progress: byJob };
+    });
+}
+
+function decodeOrLog<Decoded>(
+  { key, value }: StoreRecord,
+  decode: (value: unknown) => Decoded | undefined,
+  log: Log,
+): Decoded | undefined {
+  const decoded = decode(value);
+  if (decoded === undefined) log.write("error", "record-unreadable", { key });
+  return decoded;
+}
--- /dev/null
+++ b/src/job-homes/home-targets.ts
@@ -0,0 +1,254 @@
+/**
+ * The sessions of a home with the targets of its pool, kept in step with the registry.
+ * @packageDocumentation
+ */
+import { choosePace } from "../scheduling/index.js";
+import { TargetSession, type RegisteredTarget, type TargetSessionHandlers } from "../task-runs/index.js";
+import { inheritancePrefix, type HomeInheritance } from "./home-record.js";
+import { removeRun, type HomeState, type HomeTarget } from "./home-state.js";
+import { takeReport } from "./run-ends.js";
+
+/** How long renewals wait for an end, by what the target runs. */
+const idleWaitMilliseconds = 2_000;
+const busyWaitMilliseconds = 1_000;
+/** Fillers beside lasting tasks are looked at more often. */
+const pacedWaitMilliseconds = 400;
+const paceTimeoutMilliseconds = 500;
+const fullPercent = 100;
+
+/** Settings of a home's sessions. */
+export interface HomeTargetsOptions {
+  readonly leaseMilliseconds: number;
+  /** How many homes the pool has had, this one included. */
+  readonly homes: number;
+}
+
+/** The sessions of a home with the targets of its pool. */
+export class HomeTargets {
+  readonly #state: HomeState;
+  readonly #options: HomeTargetsOptions;
+  readonly #handlers: TargetSessionHandlers;
+
+  /**
+   * Creates the sessions of a home, none open yet.
+   * @param state - the home
+   * @param options - leases
+   */
+  constructor(state: HomeState, options: HomeTargetsOptions) {
+    this.#state = state;
+    this.#options = options;
+    this.#handlers = {
+      onReport: (session, report, freshEnds, askedAt) => {
+        const target = this.#find(session);
+        if (target === undefined) return;
+        takeReport(state, target, report, freshEnds, askedAt);
+        paceFillers(state, target);
+      },
+      onGone: (session, reason) => {
+        const target = this.#find(session);
+        if (target === undefined) return;
+        dropTarget(state, target, reason);
+        // The next life under the identifier, or a target that was only cut off, gets a session of its own.
+        this.follow(state.listed);
+      },
+      onFenced: () => {
+        state.supersede("a target has seen a higher fencing token");
+      },
+      isActive: () => state.isActive(),
+      chooseWait: (session) => chooseWait(this.#find(session)),
+    };
+  }
+
+  /**
+   * Takes the registry's targets of the pool.
+   * @param listed - the targets by identifier
+   */
+  follow(listed: ReadonlyMap<string, RegisteredTarget>): void {
+    const state = this.#state;
+    state.listed = listed;
+    for (const target of listed.values()) this.#followTarget(target);
+    for (const { session } of state.targets.values()) session.setListed(listed.has(session.targetId));
+    closeUnlisted(state);
+    const targets = [...state.targets.values()];
+    if (targets.some(({ isRecorded, session }) => !isRecorded && session.isListed())) this.#recordTargets();
+  }
+
+  /**
+   * Opens sessions with targets that an earlier home used, listed or not.
+   * @param inheritance - what the earlier home left
+   * @param leaseUntil - when its leases have surely ended, by the monotonic clock
+   */
+  inherit(inheritance: HomeInheritance, leaseUntil: number): void {
+    const { pool, awaited, targets } = this.#state;
+    for (const [targetId, { address, startedAtUnix }] of Object.entries(inheritance.targets)) {
+      awaited.add(targetId);
+      this.#open(unlistedTarget(pool, targetId, address, startedAtUnix), leaseUntil);
+      targets.get(targetId)?.session.setListed(false);
+    }
+  }
+
+  /** Closes all sessions. */
+  close(): void {
+    for (const { session } of this.#state.targets.values()) session.close();
+  }
+
+  #find(session: TargetSession): HomeTarget | undefined {
+    const target = this.#state.targets.get(session.targetId);
+    return target?.session === session ? target : undefined;
+  }
+
+  #followTarget(target: RegisteredTarget): void {
+    const state = this.#state;
+    const known = state.targets.get(target.targetId);
+    if (known !== undefined && known.session.target().startedAtUnix >= target.startedAtUnix) {
+      noteState(state, known, target);
+      return;
+    }
+    if (known !== undefined) {
+      known.session.close();
+      dropTarget(state, known, "replaced");
+    }
+    this.#open(target, 0);
+  }
+
+  #open(target: RegisteredTarget, inheritedLeaseUntil: number): void {
+    const { pool, targets, orders, fencingToken, metrics, log } = this.#state;
+    const session = new TargetSession({
+      target,
+      orders,
+      fencingToken,
+      leaseMilliseconds: this.#options.leaseMilliseconds,
+      metrics,
+      handlers: this.#handlers,
+      inheritedLeaseUntil,
+    });
+    targets.set(target.targetId, {
+      session,
+      runs: new Map(),
+      isRecorded: false,
+      isVacating: false,
+      blockedUntil: 0,
+      distrust: 0,
+      pacePercent: fullPercent,
+      handledSequence: 0,
+      acknowledging: Promise.resolve(),
+    });
+    log.write("info", "target-session-opened", { pool, target: target.targetId, address: target.address });
+    void session.run();
+  }
+
+  /** Stores which targets may run something, and lets new ones be used once that is stored. */
+  #recordTargets(): void {
+    const state = this.#state;
+    const open = [...state.targets.values()];
+    const targets = Object.fromEntries(
+      open.map(({ session }) => {
+        const { address, startedAtUnix } = session.target();
+        return [session.targetId, { address, startedAtUnix }] as const;
+      }),
+    );
+    const value: HomeInheritance = { homes: this.#options.homes, targets };
+    const write = state.journal.write(`${inheritancePrefix}${state.pool}`, value);
+    void write.result.then((result) => {
+      if (result !== "stored") return;
+      for (const target of open) target.isRecorded = true;
+      state.wake();
+    });
+  }
+}
+
+/** A target that is only known by what an earlier home left of it. */
+function unlistedTarget(
+  pool: string,
+  targetId: string,
+  address: string,
+  startedAtUnix: number,
+): RegisteredTarget {
+  return {
+    targetId,
+    address,
+    startedAtUnix,
+    pool,
+    availabilityZone: "",
+    state: "draining",
+    capacity: { cpuMillicores: 0, memoryMegabytes: 0, accelerators: 0 },
+    labels: [],
+    remainingMilliseconds: undefined,
+  };
+}
+
+function noteState(state: HomeState, known: HomeTarget, target: RegisteredTarget): void {
+  if (known.session.target().state !== target.state) {
+    state.log.write("info", "target-state", {
+      pool: state.pool,
+      target: target.targetId,
+      state: target.state,
+    });
+    state.wake();
+  }
+  known.session.updateTarget(target);
+}
+
+/** A target that left the registry keeps its session while it runs something. */
+function closeUnlisted(state: HomeState): void {
+  for (const target of [...state.targets.values()]) {
+    const { session, runs } = target;
+    if (session.isListed() || runs.size > 0 || state.awaited.has(session.targetId)) continue;
+    session.close();
+    dropTarget(state, target, "closed");
+  }
+}
+
+function dropTarget(state: HomeState, target: HomeTarget, reason: string): void {
+  const { session, runs } = target;
+  state.targets.delete(session.targetId);
+  const lost = [...runs.values()];
+  for (const each of lost) removeRun(state, target, each);
+  state.awaited.delete(session.targetId);
+  state.log.write("info", "target-session-closed", {
+    pool: state.pool,
+    target: session.targetId,
+    reason,
+    lostRuns: lost.length,
+  });
+  state.wake();
+}
+
+function chooseWait(target: HomeTarget | undefined): number {
+  if (target === undefined || target.runs.size === 0) return idleWaitMilliseconds;
+  return hasFillers(target) ? pacedWaitMilliseconds : busyWaitMilliseconds;
+}
+
+function hasFillers({ runs }: HomeTarget): boolean {
+  return [...runs.values()].some(({ task }) => task.definition.isFiller);
+}
+
+/** Sets the pace of the fillers on a target by the tails of the lasting tasks beside them. */
+function paceFillers(state: HomeState, target: HomeTarget): void {
+  const runs = [...target.runs.values()];
+  const fillers = runs.filter(({ task, run }) => task.definition.isFiller && run.status === "running");
+  if (fillers.length === 0) return;
+  const tails = runs.flatMap(({ task, run }) => {
+    const { goalMilliseconds } = task.definition;
+    return goalMilliseconds === undefined ? [] : [{ tailMilliseconds: run.usage, goalMilliseconds }];
+  });
+  const next = choosePace(target.pacePercent, tails);
+  target.pacePercent = next;
+  for (const { task, run } of fillers) {
+    if (run.pacePercent === next) continue;
+    const before = run.pacePercent;
+    run.pacePercent = next;
+    const order = {
+      target: target.session.target(),
+      fencingToken: state.fencingToken,
+      timeoutMilliseconds: paceTimeoutMilliseconds,
+      task: task.name,
+      run: run.run,
+      percent: next,
+    };
+    void state.orders.pace(order).then((outcome) => {
+      if (outcome.kind !== "done" && run.pacePercent === next) run.pacePercent = before;
+    });
+    state.log.write("info", "run-paced", { task: task.name, target: run.targetId, percent: next });
+  }
+}
--- /dev/null
+++ b/src/job-homes/job-gateway.ts
@@ -0,0 +1,269 @@
+/**
+ * What any entry does with a caller's request about a job: it asks the home of the job's pool, here or elsewhere, and
+ * asks again when the home changes meanwhile.
+ * @packageDocumentation
+ */
+import { Right, type Either } from "purify-ts";
+import type { z } from "zod";
+import { decodeJobRecord, jobPrefix, type JobState } from "../jobs/index.js";
+import type { PeerCall, PeerFailure, PeerNetwork } from "../membership/index.js";
+import { delay } from "../shared/index.js";
+import type { StoreFailure, TransactionalStore } from "../store/index.js";
+import type { HomeDirectory, HomeKeeper } from "./home-keeper.js";
+import type { CancelOutcome, JobHome, JobSubmission, StateOutcome, SubmitOutcome } from "./job-home.js";
+import type { PoolReport } from "./pool-report.js";
+import { cancelCall, pendingCall, stateCall, submitCall, vacateCall } from "./messages.js";
+
+/** What a question of a caller brought. */
+export type GatewayOutcome<Found> =
+  | { readonly kind: "found"; readonly value: Found }
+  | { readonly kind: "not-known" }
+  | { readonly kind: "unavailable"; readonly reason: string };
+
+/** Takes callers' requests about jobs. */
+export interface JobGateway {
+  submit(submission: JobSubmission): Promise<SubmitOutcome>;
+  readState(pool: string, jobId: string, deadlineMilliseconds: number): Promise<GatewayOutcome<JobState>>;
+  cancel(pool: string, jobId: string, deadlineMilliseconds: number): Promise<GatewayOutcome<"cancelled">>;
+  countPending(pool: string, queue: string, deadlineMilliseconds: number): Promise<GatewayOutcome<number>>;
+}
+
+/** What a gateway works with. */
+export interface JobGatewayOptions {
+  readonly entryId: string;
+  readonly keeper: HomeKeeper;
+  readonly directory: HomeDirectory;
+  readonly peers: PeerNetwork;
+  readonly store: TransactionalStore;
+}
+
+const retryMilliseconds = 60;
+const callTimeoutMilliseconds = 1_000;
+/** Part of a caller's time that is kept for the answer's way back. */
+const answerMarginMilliseconds = 150;
+const retryAfterNoHomeMilliseconds = 1_500;
+
+/** Asks the home of a pool, here or over the links between entries. */
+export class HomeGateway implements JobGateway {
+  readonly #options: JobGatewayOptions;
+
+  /**
+   * Creates a gateway and answers the calls of other entries.
+   * @param options - the homes here and elsewhere
+   */
+  constructor(options: JobGatewayOptions) {
+    this.#options = options;
+    answerPeers(options.keeper, options.peers);
+  }
+
+  async submit(submission: JobSubmission): Promise<SubmitOutcome> {
+    const { terms, deadlineMilliseconds } = submission;
+    const local = async (home: JobHome): Promise<SubmitOutcome> => home.submit(submission);
+    const answer = await this.#askHome<JobSubmission, SubmitOutcome | NotHome>(
+      terms.pool,
+      submitCall,
+      submission,
+      local,
+      deadlineMilliseconds,
+    );
+    if (answer.kind === "reply") return answer.reply;
+    const { reason, mayHaveArrived } = answer;
+    if (mayHaveArrived) return { kind: "unknown", reason };
+    return { kind: "refused", reason, retryAfterMilliseconds: retryAfterNoHomeMilliseconds };
+  }
+
+  async readState(
+    pool: string,
+    jobId: string,
+    deadlineMilliseconds: number,
+  ): Promise<GatewayOutcome<JobState>> {
+    const local = (home: JobHome): StateOutcome => home.readState(jobId);
+    const answer = await this.#askAboutJob<StateOutcome>(pool, jobId, stateCall, local, deadlineMilliseconds);
+    if (answer.kind === "none") return { kind: "unavailable", reason: answer.reason };
+    if (answer.reply.kind === "state") return { kind: "found", value: answer.reply.state };
+    return { kind: "not-known" };
+  }
+
+  async cancel(
+    pool: string,
+    jobId: string,
+    deadlineMilliseconds: number,
+  ): Promise<GatewayOutcome<"cancelled">> {
+    const local = async (home: JobHome): Promise<CancelOutcome> => home.cancel(jobId);
+    const answer = await this.#askAboutJob<CancelOutcome>(
+      pool,
+      jobId,
+      cancelCall,
+      local,
+      deadlineMilliseconds,
+    );
+    if (answer.kind === "none") return { kind: "unavailable", reason: answer.reason };
+    const { reply } = answer;
+    if (reply.kind === "cancelled") return { kind: "found", value: "cancelled" };
+    return reply.kind === "unknown" ? { kind: "unavailable", reason: reply.reason } : { kind: "not-known" };
+  }
+
+  async countPending(
+    pool: string,
+    queue: string,
+    deadlineMilliseconds: number,
+  ): Promise<GatewayOutcome<number>> {
+    const local = (home: JobHome): PendingReply => ({ kind: "pending", count: home.countPending(queue) });
+    const request = { pool, queue };
+    const answer = await this.#askHome<typeof request, PendingReply | NotHome>(
+      pool,
+      pendingCall,
+      request,
+      local,
+      deadlineMilliseconds,
+    );
+    if (answer.kind === "none") return { kind: "unavailable", reason: answer.reason };
+    return { kind: "found", value: answer.reply.count };
+  }
+
+  /**
+   * Empties targets of a pool, wherever its home is.
+   * @param pool - the pool
+   * @param targetIds - the targets to empty
+   * @param deadlineMilliseconds - bound for the call
+   * @returns the pool's load; undefined when its home did not answer
+   */
+  async vacate(
+    pool: string,
+    targetIds: readonly string[],
+    deadlineMilliseconds: number,
+  ): Promise<PoolReport | undefined> {
+    const local = (home: JobHome): VacateReply => ({ kind: "report", ...home.vacate(targetIds) });
+    const request = { pool, targetIds: [...targetIds] };
+    const answer = await this.#askHome<typeof request, VacateReply | NotHome>(
+      pool,
+      vacateCall,
+      request,
+      local,
+      deadlineMilliseconds,
+    );
+    return answer.kind === "reply" ? answer.reply : undefined;
+  }
+
+  /** Makes one call to the home of a pool, wherever it is. */
+  async #callHome<Request, Reply>(
+    pool: string,
+    definition: PeerCall<Request, Reply>,
+    request: Request,
+    local: (home: JobHome) => Promise<Reply> | Reply,
+    timeoutMilliseconds: number,
+  ): Promise<Either<PeerFailure, Reply> | "no-home"> {
+    const { keeper, directory, entryId, peers } = this.#options;
+    const home = keeper.home(pool);
+    if (home !== undefined) return Right(await local(home));
+    const holder = directory.homes().get(pool)?.entryId;
+    if (holder === undefined || holder === entryId) return "no-home";
+    return peers.call(holder, definition, request, timeoutMilliseconds);
+  }
+
+  /** Asks the home until it answers or the caller's time is over. */
+  async #askHome<Request, Reply extends { readonly kind: string }>(
+    pool: string,
+    definition: PeerCall<Request, Reply>,
+    request: Request,
+    local: (home: JobHome) => Promise<Reply> | Reply,
+    deadlineMilliseconds: number,
+  ): Promise<HomeAnswer<Exclude<Reply, NotHome>>> {
+    const deadlineAt = performance.now() + deadlineMilliseconds - answerMarginMilliseconds;
+    let mayHaveArrived = false;
+    let reason = "the pool has no home";
+    for (let left = deadlineMilliseconds; left > 0; left = deadlineAt - performance.now()) {
+      const timeout = Math.min(left, callTimeoutMilliseconds);
+      const answer = await this.#callHome(pool, definition, request, local, timeout);
+      if (answer === "no-home") {
+        if (!mayHaveArrived) break;
+      } else if (answer.isRight()) {
+        const reply = answer.unsafeCoerce();
+        if (isFromHome<Reply>(reply)) return { kind: "reply", reply };
+      } else {
+        const failure = answer.swap().unsafeCoerce();
+        reason = `the home does not answer: ${failure.kind}`;
+        mayHaveArrived ||= failure.kind !== "not-connected";
+      }
+      await delay(retryMilliseconds);
+    }
+    return { kind: "none", mayHaveArrived, reason };
+  }
+
+  /** Asks a job's home, and the home that the store names when the first does not know the job. */
+  async #askAboutJob<Reply extends { readonly kind: string }>(
+    pool: string,
+    jobId: string,
+    definition: PeerCall<{ pool: string; jobId: string }, Reply | NotHome>,
+    local: (home: JobHome) => Promise<Reply> | Reply,
+    deadlineMilliseconds: number,
+  ): Promise<HomeAnswer<Exclude<Reply, NotHome>>> {
+    const startedAt = performance.now();
+    const ask = async (asked: string, left: number): Promise<HomeAnswer<Exclude<Reply, NotHome>>> =>
+      this.#askHome<{ pool: string; jobId: string }, Reply | NotHome>(
+        asked,
+        definition,
+        { pool: asked, jobId },
+        local,
+        left,
+      );
+    const first = await ask(pool, deadlineMilliseconds);
+    if (first.kind === "none" || first.reply.kind !== "not-known") return first;
+    const stored = await this.#findPool(jobId);
+    if (stored.isLeft()) return { kind: "none", mayHaveArrived: true, reason: "the store does not answer" };
+    const storedPool = stored.orDefault(undefined);
+    if (storedPool === undefined) return first;
+    return ask(storedPool, deadlineMilliseconds - (performance.now() - startedAt));
+  }
+
+  /** Where the store says that a job belongs; undefined when it holds no such job. */
+  async #findPool(jobId: string): Promise<Either<StoreFailure, string | undefined>> {
+    const found = await this.#options.store.get(`${jobPrefix}${jobId}`);
+    return found.map((record) => decodeJobRecord(record?.value)?.terms.pool);
+  }
+}
+
+interface NotHome {
+  readonly kind: "not-home";
+}
+
+type VacateReply = { readonly kind: "report" } & PoolReport;
+
+interface PendingReply {
+  readonly kind: "pending";
+  readonly count: number;
+}
+
+function isFromHome<Reply extends { readonly kind: string }>(reply: Reply): reply is Exclude<Reply, NotHome> {
+  return reply.kind !== "not-home";
+}
+
+type HomeAnswer<Reply> =
+  | { readonly kind: "reply"; readonly reply: Reply }
+  /** No home answered; `mayHaveArrived` tells whether a call may have been carried out. */
+  | { readonly kind: "none"; readonly mayHaveArrived: boolean; readonly reason: string };
+
+function answerPeers(keeper: HomeKeeper, peers: PeerNetwork): void {
+  const notHome = { kind: "not-home" } as const;
+  peers.answer(
+    submitCall,
+    async (request) => (await keeper.home(request.terms.pool)?.submit(request)) ?? notHome,
+  );
+  peers.answer(stateCall, ({ pool, jobId }) => keeper.home(pool)?.readState(jobId) ?? notHome);
+  peers.answer(cancelCall, async ({ pool, jobId }) => (await keeper.home(pool)?.cancel(jobId)) ?? notHome);
+  peers.answer(vacateCall, ({ pool, targetIds }) => {
+    const home = keeper.home(pool);
+    return home === undefined ? notHome : toReply(home.vacate(targetIds));
+  });
+  peers.answer(pendingCall, ({ pool, queue }) => {
+    const home = keeper.home(pool);
+    return home === undefined ? notHome : { kind: "pending", count: home.countPending(queue) };
+  });
+}
+
+/** What `vacateCall` replies: a report whose lists may be changed. */
+type VacateFrame = z.infer<(typeof vacateCall)["reply"]>;
+
+function toReply({ targets, ...report }: PoolReport): VacateFrame {
+  return { kind: "report", ...report, targets: [...targets] };
+}
--- /dev/null
+++ b/src/job-homes/job-home.ts
@@ -0,0 +1,304 @@
+/**
+ * The home of a pool: accepts its jobs, runs them on its targets and answers for them.
+ * @packageDocumentation
+ */
+import {
+  decodeJobRecord,
+  jobPrefix,
+  progressPrefix,
+  readJobState,
+  type Job,
+  type JobDefinition,
+  type JobRecord,
+  type JobState,
+  type ProgressRecord,
+  type QueueTerms,
+} from "../jobs/index.js";
+import { admitJob, isLastingJob, jobCoreSeconds, longestChainMilliseconds } from "../scheduling/index.js";
+import { delay } from "../shared/index.js";
+import type { TransactionalStore } from "../store/index.js";
+import { createAdviceBook, type AdviceBook, type AdviceService } from "./advice-book.js";
+import { dispatch } from "./dispatcher.js";
+import { addJob, openDue, type HomeState, type HomeTarget } from "./home-state.js";
+import { moveLastingTasks, readLoad, reportPool, type PoolReport } from "./pool-report.js";
+import { endJob, storeProgress } from "./run-ends.js";
+import { stopUnwanted } from "./stopper.js";
+
+/** A job that a caller hands in. */
+export interface JobSubmission {
+  readonly jobId: string;
+  readonly terms: QueueTerms;
+  readonly definition: JobDefinition;
+  /** How long the caller waits for the answer. */
+  readonly deadlineMilliseconds: number;
+}
+
+/** What a submission brought. */
+export type SubmitOutcome =
+  | { readonly kind: "accepted" }
+  /** The job was not accepted and will not run. */
+  | { readonly kind: "refused"; readonly reason: string; readonly retryAfterMilliseconds: number }
+  /** The job may or may not have been accepted. */
+  | { readonly kind: "unknown"; readonly reason: string };
+
+/** What a question about a job brought; `not-known` when this home holds no such job. */
+export type StateOutcome =
+  { readonly kind: "state"; readonly state: JobState } | { readonly kind: "not-known" };
+
+/** What a cancellation brought. */
+export type CancelOutcome =
+  | { readonly kind: "cancelled" }
+  | { readonly kind: "not-known" }
+  | { readonly kind: "unknown"; readonly reason: string };
+
+/** Settings of a home. */
+export interface JobHomeOptions {
+  readonly state: HomeState;
+  readonly store: TransactionalStore;
+  readonly advice: AdviceService | undefined;
+  /** How long an ended job is still answered for. */
+  readonly retentionMilliseconds: number;
+}
+
+const tickMilliseconds = 100;
+/** Placing waits this long for news that comes together. */
+const gatherMilliseconds = 4;
+/** Part of a caller's time that is kept for the answer's way back. */
+const answerMarginMilliseconds = 250;
+/** Targets are used again when nobody asked for so long to empty them. */
+const vacateMilliseconds = 2_000;
+const retryAfterStoreMilliseconds = 2_000;
+
+/** The home of a pool. */
+export class JobHome {
+  readonly pool: string;
+  readonly #state: HomeState;
+  readonly #options: JobHomeOptions;
+  readonly #stop = new AbortController();
+  readonly #advice: AdviceBook;
+  readonly #accepting = new Map<string, Promise<SubmitOutcome>>();
+  #round: NodeJS.Timeout | undefined;
+  #isStarted = false;
+  /** When emptied targets were last asked for, by the monotonic clock. */
+  #vacatedAt = 0;
+
+  /**
+   * Creates a home, which does not place anything before it is started.
+   * @param options - its state and settings
+   */
+  constructor(options: JobHomeOptions) {
+    const { state } = options;
+    this.pool = state.pool;
+    this.#state = state;
+    this.#options = options;
+    this.#advice = createAdviceBook(options.advice, state.log, () => {
+      this.#wake();
+    });
+    state.wake = () => {
+      this.#wake();
+    };
+  }
+
+  /**
+   * Takes a job: decides, stores it, and only then accepts it.
+   * @param submission - the job
+   * @returns what can be told to the caller
+   */
+  async submit(submission: JobSubmission): Promise<SubmitOutcome> {
+    const { jobId } = submission;
+    if (this.#state.jobs.has(jobId)) return { kind: "accepted" };
+    const running = this.#accepting.get(jobId) ?? this.#accept(submission);
+    this.#accepting.set(jobId, running);
+    const outcome = await running;
+    this.#accepting.delete(jobId);
+    return outcome;
+  }
+
+  /**
+   * Reads a job's state.
+   * @param jobId - the job
+   * @returns its state, or that this home does not know it
+   */
+  readState(jobId: string): StateOutcome {
+    const job = this.#state.jobs.get(jobId);
+    return job === undefined ? { kind: "not-known" } : { kind: "state", state: readJobState(job) };
+  }
+
+  /**
+   * Cancels a job and stops what runs of it.
+   * @param jobId - the job
+   * @returns `cancelled` once that is stored
+   */
+  async cancel(jobId: string): Promise<CancelOutcome> {
+    const job = this.#state.jobs.get(jobId);
+    if (job === undefined) return { kind: "not-known" };
+    if (job.finalState !== undefined) return { kind: "cancelled" };
+    const isStored = await endJob(this.#state, job, "cancelled");
+    stopUnwanted(this.#state);
+    return isStored ? { kind: "cancelled" } : { kind: "unknown", reason: "the end is not stored" };
+  }
+
+  /**
+   * Counts the accepted jobs of a queue of which nothing has started.
+   * @param queue - the queue
+   * @returns how many there are
+   */
+  countPending(queue: string): number {
+    const jobs = [...this.#state.jobs.values()];
+    return jobs.filter((job) => job.record.terms.queue === queue && isPending(job)).length;
+  }
+
+  /**
+   * Empties targets: nothing is started on them, and lasting tasks move away as far as their steps can spare them.
+   * @param targetIds - the targets; others that were being emptied are used again
+   * @returns the pool's load
+   */
+  vacate(targetIds: readonly string[]): PoolReport {
+    const chosen = new Set(targetIds);
+    this.#vacatedAt = performance.now();
+    for (const [targetId, target] of this.#state.targets)
+      this.#setVacating(targetId, target, chosen.has(targetId));
+    return reportPool(this.#state);
+  }
+
+  /** Begins rounds of placing. */
+  start(): void {
+    this.#isStarted = true;
+    // Work that was done before the takeover may have been all that was left.
+    for (const job of this.#state.jobs.values()) {
+      if (job.finalState === undefined) void storeProgress(this.#state, job);
+    }
+    void this.#run();
+  }
+
+  /** Stops placing. */
+  close(): void {
+    this.#stop.abort();
+    clearTimeout(this.#round);
+  }
+
+  #setVacating(targetId: string, target: HomeTarget, isVacating: boolean): void {
+    if (target.isVacating === isVacating) return;
+    target.isVacating = isVacating;
+    const runs = target.runs.size;
+    this.#state.log.write("info", "target-vacating", { pool: this.pool, target: targetId, isVacating, runs });
+    this.#wake();
+  }
+
+  #wake(): void {
+    if (!this.#isStarted || this.#stop.signal.aborted) return;
+    this.#round ??= setTimeout(() => {
+      this.#round = undefined;
+      dispatch(this.#state, this.#advice);
+    }, gatherMilliseconds);
+  }
+
+  async #run(): Promise<void> {
+    while (!this.#stop.signal.aborted) {
+      this.#tick();
+      await delay(tickMilliseconds, this.#stop.signal);
+    }
+  }
+
+  #tick(): void {
+    const now = performance.now();
+    const unixNow = Date.now();
+    for (const job of this.#state.jobs.values()) {
+      if (job.finalState === undefined) openDue(this.#state, job, unixNow);
+      else if (unixNow - (job.endedAt ?? unixNow) > this.#options.retentionMilliseconds)
+        forget(this.#state, job);
+    }
+    // Whoever asked for emptied targets asks again while it needs them.
+    if (now - this.#vacatedAt > vacateMilliseconds) this.vacate([]);
+    moveLastingTasks(this.#state);
+    stopUnwanted(this.#state);
+    this.#wake();
+  }
+
+  async #accept(submission: JobSubmission): Promise<SubmitOutcome> {
+    const { jobId, terms, definition, deadlineMilliseconds } = submission;
+    const load = readLoad(this.#state);
+    const demand = readDemand(this.#state, submission);
+    const admission = admitJob(load, demand);
+    if (admission.kind === "refuse" && !isLastingJob(definition)) {
+      const { retryAfterMilliseconds } = admission;
+      this.#state.log.write("info", "job-refused", {
+        job: jobId,
+        queue: terms.queue,
+        backlogCoreSeconds: Math.round(load.backlogCoreSeconds),
+        cores: Math.round(load.cores),
+        busyCores: Math.round(load.busyCores),
+        chainMilliseconds: Math.round(demand.chainMilliseconds),
+        objectiveMilliseconds: Math.round(demand.objectiveMilliseconds),
+        runTimeRatio: this.#state.runTimes.ratio(terms.queue).toFixed(2),
+        retryAfterMilliseconds: Math.round(retryAfterMilliseconds),
+      });
+      return { kind: "refused", reason: "the pool's backlog is too long", retryAfterMilliseconds };
+    }
+    const record: JobRecord = { jobId, terms, definition, acceptedAt: Date.now() };
+    const write = this.#state.journal.write(`${jobPrefix}${jobId}`, record, { mustBeAbsent: true });
+    const timer = setTimeout(() => {
+      write.withdraw();
+    }, deadlineMilliseconds - answerMarginMilliseconds);
+    const result = await write.result;
+    clearTimeout(timer);
+    if (result === "exists") return this.#findStored(jobId);
+    if (result === "superseded") return { kind: "unknown", reason: "another entry has taken the pool" };
+    if (result === "withdrawn") {
+      const retryAfterMilliseconds = retryAfterStoreMilliseconds;
+      return { kind: "refused", reason: "the store does not answer", retryAfterMilliseconds };
+    }
+    this.#add(record);
+    return { kind: "accepted" };
+  }
+
+  /** A job that the store holds already: accepted for another pool, or by a write of this home without an answer. */
+  async #findStored(jobId: string): Promise<SubmitOutcome> {
+    const found = await this.#options.store.get(`${jobPrefix}${jobId}`);
+    const record = decodeJobRecord(found.orDefault(undefined)?.value);
+    if (record === undefined) return { kind: "unknown", reason: "the stored job was not read" };
+    if (record.terms.pool === this.pool && !this.#state.jobs.has(jobId)) this.#add(record);
+    return { kind: "accepted" };
+  }
+
+  #add(record: JobRecord): void {
+    addJob(this.#state, record, undefined, Date.now(), false);
+    const { queue, pool } = record.terms;
+    this.#state.log.write("info", "job-accepted", { job: record.jobId, queue, pool });
+    this.#wake();
+  }
+}
+
+function isPending(job: Job): boolean {
+  return job.finalState === undefined && !job.hasStarted;
+}
+
+function forget(state: HomeState, job: Job): void {
+  state.jobs.delete(job.id);
+  state.journal.write(`${jobPrefix}${job.id}`, undefined, { urgency: "soon" });
+  state.journal.write(`${progressPrefix}${job.id}`, undefined, { urgency: "soon" });
+}
+
+function readDemand(state: HomeState, { definition, terms }: JobSubmission): Parameters<typeof admitJob>[1] {
+  const ratio = state.runTimes.ratio(terms.queue);
+  const chainMilliseconds = longestChainMilliseconds(definition, ratio);
+  return {
+    coreSeconds: jobCoreSeconds(definition, ratio),
+    chainMilliseconds,
+    objectiveMilliseconds: terms.slackFactor * chainMilliseconds + terms.objectiveMilliseconds,
+  };
+}
+
+/**
+ * Fills a home with what the store holds of its pool.
+ * @param state - the home
+ * @param records - accepted jobs of the pool
+ * @param progress - stored progress by job
+ */
+export function loadJobs(
+  state: HomeState,
+  records: readonly JobRecord[],
+  progress: ReadonlyMap<string, ProgressRecord>,
+): void {
+  for (const record of records) addJob(state, record, progress.get(record.jobId), Date.now(), true);
+}
--- /dev/null
+++ b/src/job-homes/messages.ts
@@ -0,0 +1,85 @@
+/**
+ * Calls between entries about jobs: each goes to the home of the job's pool.
+ * @packageDocumentation
+ */
+import { z } from "zod";
+import { jobDefinitionSchema, queueTermsSchema } from "../jobs/index.js";
+import { definePeerCall } from "../membership/index.js";
+
+const notHome = z.object({ kind: z.literal("not-home") });
+
+/** Hands a job in. */
+export const submitCall = definePeerCall(
+  "jobs.submit",
+  z.object({
+    jobId: z.string(),
+    terms: queueTermsSchema,
+    definition: jobDefinitionSchema,
+    deadlineMilliseconds: z.number(),
+  }),
+  z.discriminatedUnion("kind", [
+    z.object({ kind: z.literal("accepted") }),
+    z.object({ kind: z.literal("refused"), reason: z.string(), retryAfterMilliseconds: z.number() }),
+    z.object({ kind: z.literal("unknown"), reason: z.string() }),
+    notHome,
+  ]),
+);
+
+const jobRequest = z.object({ pool: z.string(), jobId: z.string() });
+
+/** Asks for a job's state. */
+export const stateCall = definePeerCall(
+  "jobs.state",
+  jobRequest,
+  z.discriminatedUnion("kind", [
+    z.object({
+      kind: z.literal("state"),
+      state: z.enum(["queued", "active", "complete", "failed", "cancelled"]),
+    }),
+    z.object({ kind: z.literal("not-known") }),
+    notHome,
+  ]),
+);
+
+/** Cancels a job. */
+export const cancelCall = definePeerCall(
+  "jobs.cancel",
+  jobRequest,
+  z.discriminatedUnion("kind", [
+    z.object({ kind: z.literal("cancelled") }),
+    z.object({ kind: z.literal("not-known") }),
+    z.object({ kind: z.literal("unknown"), reason: z.string() }),
+    notHome,
+  ]),
+);
+
+/** Counts the jobs of a queue of which nothing has started. */
+export const pendingCall = definePeerCall(
+  "jobs.pending",
+  z.object({ pool: z.string(), queue: z.string() }),
+  z.discriminatedUnion("kind", [z.object({ kind: z.literal("pending"), count: z.number() }), notHome]),
+);
+
+/** Empties targets of a pool and asks for its load. */
+export const vacateCall = definePeerCall(
+  "homes.vacate",
+  z.object({ pool: z.string(), targetIds: z.array(z.string()) }),
+  z.discriminatedUnion("kind", [
+    z.object({
+      kind: z.literal("report"),
+      pool: z.string(),
+      targets: z.array(
+        z.object({
+          targetId: z.string(),
+          runs: z.number(),
+          lastingRuns: z.number(),
+          isVacating: z.boolean(),
+        }),
+      ),
+      backlogCoreSeconds: z.number(),
+      cores: z.number(),
+      busyCores: z.number(),
+    }),
+    notHome,
+  ]),
+);
--- /dev/null
+++ b/src/job-homes/run-ends.ts
@@ -0,0 +1,271 @@
+/**
+ * Takes what targets report: progress, runs that nobody expected, and ends, which are stored before they are
+ * acknowledged.
+ * @packageDocumentation
+ */
+import {
+  allTasks,
+  encodeProgress,
+  isWorkDone,
+  noteSuccess,
+  progressPrefix,
+  type Job,
+  type Task,
+  type TaskRun,
+} from "../jobs/index.js";
+import type { PresentRun, RunEnd, TargetReport } from "../task-runs/index.js";
+import { dropTasks, isTaskOver, removeRun, type HomeState, type HomeTarget } from "./home-state.js";
+
+/** A target is trusted less after a failure, and more after a success. */
+const distrustPerFailure = 1;
+const distrustKeptBySuccess = 0.5;
+const strayStopTimeoutMilliseconds = 500;
+
+/**
+ * Takes a target's report.
+ * @param state - the home
+ * @param target - the target
+ * @param report - what it reported
+ * @param freshEnds - the ends that it had not reported before
+ * @param askedAt - when the report was asked for, by the monotonic clock
+ */
+export function takeReport(
+  state: HomeState,
+  target: HomeTarget,
+  report: TargetReport,
+  freshEnds: readonly RunEnd[],
+  askedAt: number,
+): void {
+  const present = new Set(report.present.map(({ task }) => task));
+  for (const each of report.present) takePresent(state, target, each);
+  const ended = new Set(freshEnds.map(({ task }) => task));
+  const touched = new Set<Job>();
+  for (const end of freshEnds) {
+    const job = takeEnd(state, target, end);
+    if (job !== undefined) touched.add(job);
+  }
+  dropVanished(state, target, (name) => present.has(name) || ended.has(name), askedAt);
+  acknowledgeStored(state, target, freshEnds, touched);
+  if (state.awaited.delete(target.session.targetId))
+    state.log.write("info", "inherited-target-known", {
+      pool: state.pool,
+      target: target.session.targetId,
+      present: present.size,
+      left: state.awaited.size,
+    });
+  if (freshEnds.length > 0 || present.size === 0) state.wake();
+}
+
+function takePresent(state: HomeState, target: HomeTarget, present: PresentRun): void {
+  const task = state.tasks.get(present.task);
+  const known = target.runs.get(present.task);
+  if (task !== undefined && known?.run.run === present.run) {
+    updateRun(task, known.run, present);
+    return;
+  }
+  if (task !== undefined && !isTaskOver(task) && task.runs.length === 0) {
+    adoptRun(state, target, task, present);
+    return;
+  }
+  stopStray(state, target, present);
+}
+
+function updateRun(task: Task, run: TaskRun, present: PresentRun): void {
+  if (run.status === "starting" || run.status === "unresolved") {
+    run.status = "running";
+    run.confirmedAt ??= performance.now();
+    task.job.hasStarted = true;
+  }
+  if (run.percent !== present.percent) run.progressedAt = performance.now();
+  run.percent = present.percent;
+  run.usage = present.usage;
+  if (present.checkpoint !== "") task.checkpoint = present.checkpoint;
+}
+
+/** Takes over a run that an earlier home started. */
+function adoptRun(state: HomeState, target: HomeTarget, task: Task, present: PresentRun): void {
+  const now = performance.now();
+  const run: TaskRun = {
+    targetId: target.session.targetId,
+    run: present.run,
+    startedAt: now,
+    isWhole: false,
+    status: "running",
+    confirmedAt: now,
+    stopAskedAt: undefined,
+    stopConfirmedAt: undefined,
+    percent: present.percent,
+    progressedAt: now,
+    pacePercent: 100,
+    usage: present.usage,
+  };
+  task.runs.push(run);
+  task.lastRun = Math.max(task.lastRun, present.run);
+  task.job.hasStarted = true;
+  if (present.checkpoint !== "") task.checkpoint = present.checkpoint;
+  target.runs.set(task.name, { task, run });
+  state.log.write("info", "run-adopted", { task: task.name, run: run.run, target: run.targetId });
+}
+
+/** Stops a run that must not be there. */
+function stopStray(state: HomeState, target: HomeTarget, { task, run }: PresentRun): void {
+  state.log.write("info", "run-stray", { task, run, target: target.session.targetId });
+  void state.orders.stop({
+    target: target.session.target(),
+    fencingToken: state.fencingToken,
+    timeoutMilliseconds: strayStopTimeoutMilliseconds,
+    task,
+    run,
+  });
+}
+
+/** Takes one end; returns the job whose progress has to be stored. */
+function takeEnd(state: HomeState, target: HomeTarget, end: RunEnd): Job | undefined {
+  const task = state.tasks.get(end.task);
+  const known = target.runs.get(end.task);
+  if (known?.run.run === end.run) removeRun(state, target, known);
+  state.metrics.count("run_ends_total", { pool: state.pool, kind: end.kind });
+  state.log.write("info", "run-ended", {
+    task: end.task,
+    run: end.run,
+    target: target.session.targetId,
+    kind: end.kind,
+    sequence: end.sequence,
+  });
+  if (task === undefined) return undefined;
+  task.lastRun = Math.max(task.lastRun, end.run);
+  if (end.checkpoint !== "") task.checkpoint = end.checkpoint;
+  if (end.kind === "succeeded") return takeSuccess(state, target, task, known?.run);
+  if (end.kind === "failed") return takeFailure(state, target, task);
+  return undefined;
+}
+
+function takeSuccess(
+  state: HomeState,
+  target: HomeTarget,
+  task: Task,
+  run: TaskRun | undefined,
+): Job | undefined {
+  const { job, definition } = task;
+  target.distrust *= distrustKeptBySuccess;
+  if (job.finalState !== undefined) return undefined;
+  if (run?.isWhole === true) {
+    const milliseconds = performance.now() - run.startedAt;
+    state.runTimes.learn(job.record.terms.queue, definition.estimateMilliseconds, milliseconds);
+  }
+  return noteSuccess(task).length > 0 ? job : undefined;
+}
+
+function takeFailure(state: HomeState, target: HomeTarget, task: Task): Job | undefined {
+  target.distrust += distrustPerFailure;
+  if (isTaskOver(task) || task.definition.isLasting) return undefined;
+  task.failures += 1;
+  return task.job;
+}
+
+/** Drops runs that a report would have to show if they were there. */
+function dropVanished(
+  state: HomeState,
+  target: HomeTarget,
+  isAccountedFor: (taskName: string) => boolean,
+  askedAt: number,
+): void {
+  for (const each of [...target.runs.values()]) {
+    if (isAccountedFor(each.task.name)) continue;
+    const { confirmedAt, stopConfirmedAt } = each.run;
+    const provedAt = Math.min(confirmedAt ?? Infinity, stopConfirmedAt ?? Infinity);
+    if (provedAt >= askedAt) continue;
+    state.log.write("info", "run-vanished", {
+      task: each.task.name,
+      run: each.run.run,
+      target: each.run.targetId,
+    });
+    removeRun(state, target, each);
+    state.wake();
+  }
+}
+
+/** Stores the progress of jobs and acknowledges the ends that brought it. */
+function acknowledgeStored(
+  state: HomeState,
+  target: HomeTarget,
+  ends: readonly RunEnd[],
+  touched: ReadonlySet<Job>,
+): void {
+  const writes = [...touched].map(async (job) => storeProgress(state, job));
+  const highest = ends.reduce((most, { sequence }) => Math.max(most, sequence), target.handledSequence);
+  if (highest === target.handledSequence) return;
+  target.handledSequence = highest;
+  const previous = target.session;
+  target.acknowledging = target.acknowledging.then(async () => {
+    const results = await Promise.all(writes);
+    if (results.every((isStored) => isStored)) previous.acknowledge(highest);
+  });
+}
+
+/**
+ * Stores a job's progress, and its end once all work is done or an attempt too many has failed.
+ * @param state - the home
+ * @param job - the job
+ * @returns whether it was stored
+ */
+export async function storeProgress(state: HomeState, job: Job): Promise<boolean> {
+  if (job.finalState !== undefined) return true;
+  if (isWorkDone(job)) return endJob(state, job, "complete");
+  if (allTasks(job).some(({ failures }) => failures >= job.record.terms.attempts)) {
+    return endJob(state, job, "failed");
+  }
+  const write = state.journal.write(progressKey(job), encodeProgress(job), { urgency: "soon" });
+  return (await write.result) === "stored";
+}
+
+/**
+ * Stores the end of a job, and lets callers see it once it is stored.
+ * @param state - the home
+ * @param job - the job
+ * @param finalState - how it ended
+ * @returns whether it was stored
+ */
+export async function endJob(
+  state: HomeState,
+  job: Job,
+  finalState: NonNullable<Job["finalState"]>,
+): Promise<boolean> {
+  const ending = state.endings.get(job.id) ?? storeEnd(state, job, finalState);
+  state.endings.set(job.id, ending);
+  const isStored = await ending;
+  state.endings.delete(job.id);
+  return isStored;
+}
+
+async function storeEnd(
+  state: HomeState,
+  job: Job,
+  finalState: NonNullable<Job["finalState"]>,
+): Promise<boolean> {
+  if (job.finalState !== undefined) return true;
+  const endedAt = Date.now();
+  // No further task is started while the end is on its way to the store.
+  job.isEnding = true;
+  const progress = encodeProgress({ ...job, finalState, endedAt });
+  const result = await state.journal.write(progressKey(job), progress).result;
+  if (result !== "stored") return false;
+  job.finalState = finalState;
+  job.endedAt = endedAt;
+  noteEnd(state, job, finalState);
+  dropTasks(state, job);
+  state.wake();
+  return true;
+}
+
+function noteEnd(state: HomeState, job: Job, finalState: NonNullable<Job["finalState"]>): void {
+  const milliseconds = Math.round(performance.now() - job.acceptedAt);
+  const { queue } = job.record.terms;
+  state.log.write("info", "job-ended", { job: job.id, queue, state: finalState, milliseconds });
+  state.metrics.count("jobs_ended_total", { pool: state.pool, state: finalState });
+  state.metrics.observe("job_milliseconds", milliseconds, { state: finalState });
+}
+
+function progressKey(job: Job): string {
+  return `${progressPrefix}${job.id}`;
+}
--- /dev/null
+++ b/src/job-homes/stopper.ts
@@ -0,0 +1,48 @@
+/**
+ * Stops runs that are no longer wanted, and settles starts that brought no answer, until the target has confirmed it.
+ * @packageDocumentation
+ */
+import { isTaskOver, type HomeState, type HomeTarget, type TargetRun } from "./home-state.js";
+
+const stopTimeoutMilliseconds = 700;
+const repeatMilliseconds = 500;
+
+/**
+ * Asks for every stop that is due.
+ * @param state - the home
+ */
+export function stopUnwanted(state: HomeState): void {
+  if (!state.isActive()) return;
+  const now = performance.now();
+  for (const target of state.targets.values()) {
+    for (const each of target.runs.values()) {
+      if (!needsStop(each)) continue;
+      const { stopAskedAt, stopConfirmedAt } = each.run;
+      if (stopConfirmedAt !== undefined || (stopAskedAt ?? -Infinity) + repeatMilliseconds > now) continue;
+      each.run.stopAskedAt = now;
+      void stopRun(state, target, each);
+    }
+  }
+}
+
+function needsStop({ task, run }: TargetRun): boolean {
+  if (run.status === "stopping" || run.status === "unresolved") return true;
+  return isTaskOver(task) && run.status === "running";
+}
+
+async function stopRun(state: HomeState, target: HomeTarget, { task, run }: TargetRun): Promise<void> {
+  const outcome = await state.orders.stop({
+    target: target.session.target(),
+    fencingToken: state.fencingToken,
+    timeoutMilliseconds: stopTimeoutMilliseconds,
+    task: task.name,
+    run: run.run,
+  });
+  const result = outcome.kind === "refused" ? outcome.reason : outcome.kind;
+  state.log.write("info", "run-stop", { task: task.name, run: run.run, target: run.targetId, result });
+  if (outcome.kind === "done") {
+    run.stopConfirmedAt = performance.now();
+    target.session.hurry();
+  }
+  if (result === "fenced") state.supersede("a target has seen a higher fencing token");
+}
--- /dev/null
+++ b/src/jobs/index.ts
@@ -0,0 +1,39 @@
+/**
+ * Jobs of steps and tasks: what callers hand in, what the store holds, and the state of a running job.
+ * @packageDocumentation
+ */
+export {
+  isFinalState,
+  jobDefinitionSchema,
+  queueTermsSchema,
+  type JobDefinition,
+  type JobState,
+  type QueueTerms,
+  type Repetition,
+  type Resources,
+  type StepDefinition,
+} from "./definition.js";
+export {
+  decodeJobRecord,
+  decodeProgressRecord,
+  jobPrefix,
+  progressPrefix,
+  type JobRecord,
+  type ProgressRecord,
+} from "./records.js";
+export {
+  allTasks,
+  countDue,
+  createJob,
+  encodeProgress,
+  isStepReady,
+  isWorkDone,
+  noteSuccess,
+  openOccurrences,
+  readJobState,
+  type Job,
+  type Occurrence,
+  type Task,
+  type TaskRun,
+} from "./job.js";
+export { findQueue, type PoolTerms, type Queue, type QueueTable, type RequestLimits } from "./queue-table.js";
--- /dev/null
+++ b/src/jobs/job.ts
@@ -0,0 +1,245 @@
+/**
+ * An accepted job while it runs: its tasks, their order, attempts and state. No clock and no network of its own.
+ * @packageDocumentation
+ */
+import { isFinalState, type JobState, type StepDefinition } from "./definition.js";
+import type { JobRecord, ProgressRecord } from "./records.js";
+
+/** Where one run of a task is. */
+export interface TaskRun {
+  readonly targetId: string;
+  readonly run: number;
+  /** When the start was asked for, by the process's monotonic clock. */
+  readonly startedAt: number;
+  /** Whether the run does all of the task's work, so that its time can be learned from. */
+  readonly isWhole: boolean;
+  /**
+   * `starting` until the target confirmed it, `unresolved` when no answer came, `stopping` once a stop was asked for.
+   */
+  status: "starting" | "running" | "stopping" | "unresolved";
+  /** When the target confirmed the start, by the monotonic clock; undefined before. */
+  confirmedAt: number | undefined;
+  /** When a stop was last asked for, by the monotonic clock. */
+  stopAskedAt: number | undefined;
+  /** When the target confirmed a stop, by the monotonic clock. */
+  stopConfirmedAt: number | undefined;
+  /** Percent of a lasting task's readiness or of a task's work, as the target reported last. */
+  percent: number;
+  /** When `percent` last changed, by the monotonic clock. */
+  progressedAt: number;
+  /** Share of its speed, 0 to 100. */
+  pacePercent: number;
+  /** A lasting task's tail latency, or the processor use of another, as reported last. */
+  usage: number;
+}
+
+/** One task of a job. */
+export interface Task {
+  /** `job.occurrence.step.index`. */
+  readonly name: string;
+  readonly job: Job;
+  readonly occurrence: number;
+  readonly step: number;
+  readonly index: number;
+  readonly definition: StepDefinition;
+  /** Runs that may still be present on targets. */
+  readonly runs: TaskRun[];
+  succeeded: boolean;
+  failures: number;
+  lastRun: number;
+  /** Where a next run goes on; empty for the beginning. */
+  checkpoint: string;
+  /** Not started before this time, by the monotonic clock. */
+  notBefore: number;
+}
+
+/** One occurrence of a job's steps. */
+export interface Occurrence {
+  readonly index: number;
+  /** Tasks by step. */
+  readonly steps: readonly (readonly Task[])[];
+}
+
+/** An accepted job. */
+export interface Job {
+  readonly id: string;
+  readonly record: JobRecord;
+  /** Occurrences that are due and not yet done. */
+  readonly occurrences: Map<number, Occurrence>;
+  /** How many occurrences have become due. */
+  dueCount: number;
+  /** Occurrences whose tasks have all succeeded. */
+  readonly finishedOccurrences: Set<number>;
+  hasStarted: boolean;
+  /** Whether an earlier home accepted it, which may have started its tasks. */
+  readonly isInherited: boolean;
+  /** Whether its end is being stored; nothing more is started. */
+  isEnding: boolean;
+  finalState: ProgressRecord["finalState"];
+  /** Unix time of the end. */
+  endedAt: number | undefined;
+  /** When it was accepted, by the monotonic clock; earlier than the process for jobs that were taken over. */
+  readonly acceptedAt: number;
+}
+
+/**
+ * Creates a job from its records.
+ * @param record - the accepted job
+ * @param progress - what was stored of its progress, if anything
+ * @param acceptedAt - when it was accepted, by the monotonic clock
+ * @param isInherited - whether an earlier home accepted it
+ * @returns the job, its due occurrences still to be created by `openOccurrences`
+ */
+export function createJob(
+  record: JobRecord,
+  progress: ProgressRecord | undefined,
+  acceptedAt: number,
+  isInherited: boolean,
+): Job {
+  const job: Job = {
+    id: record.jobId,
+    record,
+    occurrences: new Map(),
+    dueCount: 0,
+    finishedOccurrences: new Set(),
+    hasStarted: progress !== undefined,
+    isInherited,
+    isEnding: false,
+    finalState: progress?.finalState,
+    endedAt: progress?.endedAt,
+    acceptedAt,
+  };
+  return job;
+}
+
+/**
+ * Counts the occurrences that are due.
+ * @param record - the job
+ * @param unixMilliseconds - the time of day
+ * @returns how many occurrences have become due; 1 for a job that runs once
+ */
+export function countDue({ definition: { repetition } }: JobRecord, unixMilliseconds: number): number {
+  if (repetition === undefined) return 1;
+  const elapsed = unixMilliseconds - repetition.startAtMilliseconds;
+  if (elapsed < 0) return 0;
+  if (repetition.intervalMilliseconds <= 0) return repetition.occurrences;
+  return Math.min(repetition.occurrences, 1 + Math.floor(elapsed / repetition.intervalMilliseconds));
+}
+
+/**
+ * Creates the tasks of occurrences that have become due.
+ * @param job - the job
+ * @param dueCount - how many occurrences are due
+ * @param progress - stored progress that the new tasks begin with
+ */
+export function openOccurrences(job: Job, dueCount: number, progress?: ProgressRecord): void {
+  const succeeded = new Set(progress?.succeeded);
+  for (let index = job.dueCount; index < dueCount; index += 1) {
+    const occurrence = createOccurrence(job, index, succeeded, progress?.failures ?? {});
+    job.occurrences.set(index, occurrence);
+    settleOccurrence(job, occurrence);
+  }
+  job.dueCount = Math.max(job.dueCount, dueCount);
+}
+
+function createOccurrence(
+  job: Job,
+  index: number,
+  succeeded: ReadonlySet<string>,
+  failures: Readonly<Record<string, number>>,
+): Occurrence {
+  const steps = job.record.definition.steps.map((definition, step) =>
+    Array.from({ length: definition.taskCount }, (_, position): Task => {
+      const key = `${index}.${step}.${position}`;
+      return {
+        name: `${job.id}.${key}`,
+        job,
+        occurrence: index,
+        step,
+        index: position,
+        definition,
+        runs: [],
+        succeeded: succeeded.has(key),
+        failures: failures[key] ?? 0,
+        lastRun: 0,
+        checkpoint: "",
+        notBefore: 0,
+      };
+    }),
+  );
+  return { index, steps };
+}
+
+/**
+ * Tells whether the tasks of a step may run: all earlier steps that it names have succeeded.
+ * @param occurrence - the occurrence
+ * @param step - the step's position
+ * @returns true when they may
+ */
+export function isStepReady(occurrence: Occurrence, step: number): boolean {
+  const after = occurrence.steps[step]?.[0]?.definition.after ?? [];
+  return after.every((earlier) => occurrence.steps[earlier]?.every(({ succeeded }) => succeeded) === true);
+}
+
+/**
+ * Notes that a task has succeeded; one end stands for all members of a gang.
+ * @param task - the task
+ * @returns the tasks that have newly succeeded
+ */
+export function noteSuccess(task: Task): Task[] {
+  const occurrence = task.job.occurrences.get(task.occurrence);
+  if (occurrence === undefined || task.definition.isLasting) return [];
+  const members = task.definition.isGang ? (occurrence.steps[task.step] ?? []) : [task];
+  const fresh = members.filter(({ succeeded }) => !succeeded);
+  for (const member of fresh) member.succeeded = true;
+  settleOccurrence(task.job, occurrence);
+  return fresh;
+}
+
+function settleOccurrence(job: Job, occurrence: Occurrence): void {
+  const isDone = occurrence.steps.every((tasks) => tasks.every(({ succeeded }) => succeeded));
+  if (isDone) job.finishedOccurrences.add(occurrence.index);
+}
+
+/** Tells whether all work of a job has succeeded. */
+export function isWorkDone(job: Job): boolean {
+  const total = job.record.definition.repetition?.occurrences ?? 1;
+  return job.finishedOccurrences.size >= total;
+}
+
+/**
+ * Tells what callers see.
+ * @param job - the job
+ * @returns its state
+ */
+export function readJobState(job: Job): JobState {
+  if (job.finalState !== undefined) return job.finalState;
+  return job.hasStarted ? "active" : "queued";
+}
+
+/** All tasks of a job that exist now. */
+export function allTasks(job: Job): Task[] {
+  return [...job.occurrences.values()].flatMap(({ steps }) => steps.flat());
+}
+
+/**
+ * Writes a job's progress for the store.
+ * @param job - the job
+ * @returns the record
+ */
+export function encodeProgress(job: Job): ProgressRecord {
+  const { finalState, endedAt } = job;
+  // An ended job's tasks no longer matter.
+  if (finalState !== undefined && isFinalState(finalState)) {
+    return { finalState, endedAt, succeeded: [], failures: {} };
+  }
+  const tasks = allTasks(job);
+  const key = ({ occurrence, step, index }: Task): string => `${occurrence}.${step}.${index}`;
+  const failures = tasks
+    .filter((task) => task.failures > 0)
+    .map((task) => [key(task), task.failures] as const);
+  return {
+    succeeded: tasks.filter(({ succeeded }) => succeeded).map(key),
+    failures: Object.fromEntries(failures),
+  };
+}
--- /dev/null
+++ b/src/jobs/records.ts
@@ -0,0 +1,63 @@
+/**
+ * What the store holds of a job: a record that never changes, and a small one of its progress.
+ * @packageDocumentation
+ */
+import { z } from "zod";
+import { parseWith } from "../shared/index.js";
+import { jobDefinitionSchema, queueTermsSchema } from "./definition.js";
+
+/** Prefix of the records of accepted jobs. */
+export const jobPrefix = "jobs/";
+/** Prefix of the records of their progress. */
+export const progressPrefix = "progress/";
+
+/** Checks the record of an accepted job. */
+export const jobRecordSchema = z.object({
+  jobId: z.string(),
+  terms: queueTermsSchema,
+  definition: jobDefinitionSchema,
+  /** Unix time. */
+  acceptedAt: z.number(),
+});
+
+/** An accepted job. It never changes. */
+export type JobRecord = z.infer<typeof jobRecordSchema>;
+
+/** Checks the record of a job's progress. */
+export const progressRecordSchema = z.object({
+  /** Undefined while the job goes on. */
+  finalState: z.enum(["complete", "failed", "cancelled"]).optional(),
+  /** Unix time of the end. */
+  endedAt: z.number().optional(),
+  /** Tasks that have succeeded, as `occurrence.step.index`. */
+  succeeded: z.array(z.string()),
+  /** Runs that have failed, by task. */
+  failures: z.record(z.string(), z.number()),
+});
+
+/** A job's progress. */
+export type ProgressRecord = z.infer<typeof progressRecordSchema>;
+
+/**
+ * Reads the record of a job.
+ * @param value - the stored value
+ * @returns the record; undefined when the value is not one
+ */
+export function decodeJobRecord(value: unknown): JobRecord | undefined {
+  return parseWith(jobRecordSchema, value).caseOf<JobRecord | undefined>({
+    Left: () => undefined,
+    Right: (record) => record,
+  });
+}
+
+/**
+ * Reads the record of a job's progress.
+ * @param value - the stored value
+ * @returns the record; undefined when the value is not one
+ */
+export function decodeProgressRecord(value: unknown): ProgressRecord | undefined {
+  return parseWith(progressRecordSchema, value).caseOf<ProgressRecord | undefined>({
+    Left: () => undefined,
+    Right: (record) => record,
+  });
+}
--- a/src/maintenance/wave-store.ts
+++ b/src/maintenance/wave-store.ts
@@ -3,7 +3,7 @@
  * @packageDocumentation
  */
 import { Left, Right, type Either } from "purify-ts";
-import { writeAndSettle, type StoreClient, type StoreRecord } from "../platform/index.js";
+import { writeAndSettle, type StoreClient, type StoreRecord } from "../store/index.js";
 import { parseWith } from "../shared/index.js";
 import { currentWaveKey, wavePrefix, waveRecordSchema, type WaveRecord } from "./wave-record.js";
 
--- a/src/measures/slopes/placement.ts
+++ b/src/measures/slopes/placement.ts
@@ -2,7 +2,7 @@
  * Slopes of the placement view: heap, update time and record size by instances.
  * @packageDocumentation
  */
-import { createStoreMirror, type StoreMirror } from "../../platform/index.js";
+import { createStoreMirror, type StoreMirror } from "../../store/index.js";
 import {
   createPlacementView,
   placementKey,
--- a/src/measures/slopes/store.ts
+++ b/src/measures/slopes/store.ts
@@ -2,7 +2,7 @@
  * Slopes of a mirror of the store: processor time of one change by the size of its record.
  * @packageDocumentation
  */
-import { createStoreMirror } from "../../platform/index.js";
+import { createStoreMirror } from "../../store/index.js";
 import { createStoreEngine, createStoreFaults, MemoryStoreClient } from "../../stand-ins/store/index.js";
 import type { Figure } from "../measure.js";
 import { measureProcessorTime, nextRound } from "./cost.js";
--- a/src/membership/duty.ts
+++ b/src/membership/duty.ts
@@ -4,7 +4,7 @@
  * @packageDocumentation
  */
 import { Left, type Either } from "purify-ts";
-import { writeAndSettle, type StoreClient, type StoreFailure } from "../platform/index.js";
+import { writeAndSettle, type StoreClient, type StoreFailure } from "../store/index.js";
 import { delay, withTimeout } from "../shared/index.js";
 import type { Log } from "../telemetry/index.js";
 
--- a/src/membership/index.ts
+++ b/src/membership/index.ts
@@ -2,7 +2,7 @@
  * The entries: roster, peers, failure detection and control duties.
  * @packageDocumentation
  */
-export { definePeerCall, type PeerCall, type RosterRecord } from "./messages.js";
+export { definePeerCall, parseRosterRecord, type PeerCall, type RosterRecord } from "./messages.js";
 export type { PeerFailure, PeerFailureKind, PeerState } from "./peer-link.js";
 export type { PeerAnswer } from "./peer-listener.js";
 export type { PeerIdentity } from "./peer-links.js";
--- a/src/membership/messages.ts
+++ b/src/membership/messages.ts
@@ -3,6 +3,7 @@
  * @packageDocumentation
  */
 import { z } from "zod";
+import { parseWith } from "../shared/index.js";
 
 /** A call that one entry makes to another. */
 export interface PeerCall<Request, Reply> {
@@ -39,6 +40,18 @@
 /** One entry's record. */
 export type RosterRecord = z.infer<typeof rosterRecordSchema>;
 
+/**
+ * Reads one entry's record.
+ * @param value - the stored value
+ * @returns the record; undefined when the value is not one
+ */
+export function parseRosterRecord(value: unknown): RosterRecord | undefined {
+  return parseWith(rosterRecordSchema, value).caseOf<RosterRecord | undefined>({
+    Left: () => undefined,
+    Right: (record) => record,
+  });
+}
+
 /** Asks an entry for the roster that it knows. */
 export const rosterCall = definePeerCall(
   "membership.roster",
--- a/src/membership/roster.ts
+++ b/src/membership/roster.ts
@@ -2,10 +2,10 @@
  * The roster of entries in the store. Each entry keeps its own record under a lease.
  * @packageDocumentation
  */
-import { writeAndSettle, type StoreClient, type StoreMirror } from "../platform/index.js";
-import { delay, parseWith } from "../shared/index.js";
+import { writeAndSettle, type StoreClient, type StoreMirror } from "../store/index.js";
+import { delay } from "../shared/index.js";
 import type { Log } from "../telemetry/index.js";
-import { rosterRecordSchema, type RosterRecord } from "./messages.js";
+import { parseRosterRecord, type RosterRecord } from "./messages.js";
 
 /** Prefix of the entries' records. */
 export const rosterPrefix = "entries/";
@@ -107,14 +107,7 @@
 }
 
 function decodeRecords(mirror: StoreMirror): RosterRecord[] {
-  return [...mirror.records().values()].flatMap(({ value }) => decodeRecord(value) ?? []);
-}
-
-function decodeRecord(value: unknown): RosterRecord | undefined {
-  return parseWith(rosterRecordSchema, value).caseOf<RosterRecord | undefined>({
-    Left: () => undefined,
-    Right: (record) => record,
-  });
+  return [...mirror.records().values()].flatMap(({ value }) => parseRosterRecord(value) ?? []);
 }
 
 type RegistrationResult = "registered" | "failed" | "superseded";
@@ -128,13 +121,13 @@
   const found = await store.get(key);
   if (found.isLeft()) return "failed";
   const current = found.orDefault(undefined);
-  const standing = decodeRecord(current?.value);
+  const standing = parseRosterRecord(current?.value);
   // A process that was paused while its successor registered must not take the name back.
   if (standing !== undefined && standing.incarnation > self.incarnation) {
     await store.revokeLease(leaseId);
     return "superseded";
   }
-  const isOwn = (value: unknown): boolean => decodeRecord(value)?.incarnation === self.incarnation;
+  const isOwn = (value: unknown): boolean => parseRosterRecord(value)?.incarnation === self.incarnation;
   const write = { key, value: self, expectedRevision: current?.revision ?? 0, leaseId };
   const result = await writeAndSettle(store, write, isOwn);
   return result.kind === "done" ? "registered" : "failed";
--- a/src/membership/test/roster.test.ts
+++ b/src/membership/test/roster.test.ts
@@ -3,7 +3,7 @@
  * @packageDocumentation
  */
 import { afterEach, beforeEach, expect, test, vi } from "vitest";
-import { createStoreMirror, type StoreMirror } from "../../platform/index.js";
+import { createStoreMirror, type StoreMirror } from "../../store/index.js";
 import { createStoreEngine, createStoreFaults, MemoryStoreClient } from "../../stand-ins/store/index.js";
 import { createLog } from "../../telemetry/index.js";
 import { createRoster, rosterPrefix, type Roster } from "../index.js";
--- a/src/operations/history-routes.ts
+++ b/src/operations/history-routes.ts
@@ -12,7 +12,7 @@
   type InForceReport,
   type RollOutStatus,
 } from "../configuration/index.js";
-import type { StoreClient } from "../platform/index.js";
+import type { StoreClient } from "../store/index.js";
 import type { CommandAnswer } from "./command-answer.js";
 
 /** What the routes work with. */
--- a/src/operations/operator-service.ts
+++ b/src/operations/operator-service.ts
@@ -14,7 +14,7 @@
   type InForceReport,
 } from "../configuration/index.js";
 import type { AvailabilityBudgets, WaveCommands } from "../maintenance/index.js";
-import type { StoreClient } from "../platform/index.js";
+import type { StoreClient } from "../store/index.js";
 import type { PlacementCommands, PlacementFailure } from "../pools/index.js";
 import { createHttpService, parseWith, readBody, sendJson, type HttpService } from "../shared/index.js";
 import type { Metrics } from "../telemetry/index.js";
--- a/src/pools/adoption.ts
+++ b/src/pools/adoption.ts
@@ -5,7 +5,7 @@
  */
 import { Right } from "purify-ts";
 import type { OperatorText } from "../configuration/index.js";
-import type { InstanceList, ListedInstance } from "../platform/index.js";
+import type { InstanceList, ListedInstance } from "../store/index.js";
 import type { Log } from "../telemetry/index.js";
 import { nextSince, type PlacedInstance, type Target } from "./placement-record.js";
 import type { PlacementView } from "./placement-view.js";
--- a/src/pools/placement-exchange.ts
+++ b/src/pools/placement-exchange.ts
@@ -3,7 +3,7 @@
  * @packageDocumentation
  */
 import type { PeerNetwork } from "../membership/index.js";
-import type { StoreMirror } from "../platform/index.js";
+import type { StoreMirror } from "../store/index.js";
 import { fetchPlacement } from "./messages.js";
 import { placementPrefix } from "./placement-record.js";
 
--- a/src/pools/placement-view.ts
+++ b/src/pools/placement-view.ts
@@ -3,7 +3,7 @@
  * @packageDocumentation
  */
 import Emittery from "emittery";
-import type { StoreMirror, StoreRecord } from "../platform/index.js";
+import type { StoreMirror, StoreRecord } from "../store/index.js";
 import { parseWith } from "../shared/index.js";
 import { placementRecordSchema, type Target } from "./placement-record.js";
 
--- a/src/pools/placement-writer.ts
+++ b/src/pools/placement-writer.ts
@@ -3,7 +3,7 @@
  * @packageDocumentation
  */
 import { Left, Right, type Either } from "purify-ts";
-import { writeAndSettle, type StoreClient, type StoreMirror, type StoreRecord } from "../platform/index.js";
+import { writeAndSettle, type StoreClient, type StoreMirror, type StoreRecord } from "../store/index.js";
 import { parseWith } from "../shared/index.js";
 import {
   placementKey,
--- a/src/pools/test/adoption.test.ts
+++ b/src/pools/test/adoption.test.ts
@@ -5,7 +5,7 @@
 import { Left, Right } from "purify-ts";
 import { expect, test } from "vitest";
 import type { OperatorText } from "../../configuration/index.js";
-import type { ListedInstance } from "../../platform/index.js";
+import type { ListedInstance } from "../../store/index.js";
 import { absenceMilliseconds } from "../adoption.js";
 import { createAdoption } from "../index.js";
 import { closeWorld, refreshAll, startThree, stored } from "./fake-entries.js";
--- a/src/pools/test/fake-entries.ts
+++ b/src/pools/test/fake-entries.ts
@@ -6,7 +6,7 @@
 import { Left, Right } from "purify-ts";
 import type { OperatorText } from "../../configuration/index.js";
 import type { PeerNetwork, PeerNetworkEvents, PeerState } from "../../membership/index.js";
-import { createStoreMirror, type StoreMirror } from "../../platform/index.js";
+import { createStoreMirror, type StoreMirror } from "../../store/index.js";
 import {
   createStoreEngine,
   createStoreFaults,
--- /dev/null
+++ b/src/scheduling/pacing.ts
@@ -0,0 +1,41 @@
+/**
+ * Slows tasks that fill idle processor time beside lasting tasks whose users wait too long. Answers fillers whose
+ * disturbance differs by image and changes within seconds.
+ * @packageDocumentation
+ */
+
+/** A lasting task's tail latency against its goal. */
+export interface ServedTail {
+  readonly tailMilliseconds: number;
+  readonly goalMilliseconds: number;
+}
+
+/** Above this share of the goal fillers are slowed. */
+const highShare = 0.85;
+/** Below this share they may speed up again. */
+const lowShare = 0.6;
+const speedUpPercent = 15;
+const slowestPercent = 0;
+const fullPercent = 100;
+const slowDownFactor = 0.4;
+/** A pace below this brings too little to be worth the disturbance. */
+const lowestUsefulPercent = 8;
+
+/**
+ * Computes the next pace of the fillers on a target.
+ * @param percent - their pace now, 0 to 100
+ * @param tails - the lasting tasks beside them
+ * @returns the next pace, 0 to 100
+ */
+export function choosePace(percent: number, tails: readonly ServedTail[]): number {
+  const worst = tails.reduce(
+    (share, { tailMilliseconds, goalMilliseconds }) => Math.max(share, tailMilliseconds / goalMilliseconds),
+    0,
+  );
+  if (worst > highShare) {
+    const slowed = Math.floor(percent * slowDownFactor);
+    return worst > 1 || slowed < lowestUsefulPercent ? slowestPercent : slowed;
+  }
+  if (worst < lowShare) return Math.min(fullPercent, percent + speedUpPercent);
+  return percent;
+}
--- /dev/null
+++ b/src/scheduling/placement.ts
@@ -0,0 +1,117 @@
+/**
+ * Chooses targets for tasks. Answers a pool that is nearly full, where a careless choice leaves holes too small for wide
+ * tasks, and targets that fail or stall what they start.
+ * @packageDocumentation
+ */
+import type { StepDefinition } from "../jobs/index.js";
+import { chargedResources, fits, subtract, type TargetView } from "./target-view.js";
+
+/** A step of one occurrence, for counting its tasks on targets. */
+export interface StepPlace {
+  /** `job.occurrence.step`. */
+  readonly stepKey: string;
+  readonly definition: StepDefinition;
+  /** Racks on which tasks of the step run already, with their number. */
+  readonly racks: ReadonlyMap<string, number>;
+}
+
+/**
+ * Chooses a target for one task.
+ * @param place - the task's step
+ * @param targets - the targets of the pool that may be used
+ * @param isAllowed - tells of each target whether the task may run there, as by advice
+ * @returns the target, undefined when none has room
+ */
+export function choosePlace(
+  place: StepPlace,
+  targets: readonly TargetView[],
+  isAllowed: (target: TargetView) => boolean = () => true,
+): TargetView | undefined {
+  const needed = chargedResources(place.definition);
+  let best: TargetView | undefined;
+  let bestCost = Number.POSITIVE_INFINITY;
+  for (const target of targets) {
+    if (!fits(target.free, needed) || !satisfies(place, target) || !isAllowed(target)) continue;
+    const cost = placeCost(place, target);
+    if (cost < bestCost) {
+      best = target;
+      bestCost = cost;
+    }
+  }
+  return best;
+}
+
+function satisfies({ stepKey, definition }: StepPlace, target: TargetView): boolean {
+  const { requiredLabel, maximumPerTarget } = definition;
+  if (requiredLabel !== undefined && !target.labels.includes(requiredLabel)) return false;
+  return maximumPerTarget === undefined || (target.stepCounts.get(stepKey) ?? 0) < maximumPerTarget;
+}
+
+/** A rack that makes the task longer weighs more than any difference in room. */
+const wrongRackCost = 10;
+const distrustCost = 5;
+/** Lasting tasks go on apart from each other: the loss of a rack must not take most of them. */
+const sharedRackCost = 2;
+
+function placeCost({ definition, racks, stepKey }: StepPlace, target: TargetView): number {
+  const { preferredRack, prefersOneRack, isLasting, isFiller } = definition;
+  let cost = target.distrust * distrustCost;
+  if (preferredRack !== undefined && target.rack !== preferredRack) cost += wrongRackCost;
+  const onRack = target.rack === undefined ? 0 : (racks.get(target.rack) ?? 0);
+  if (prefersOneRack && racks.size > 0 && onRack === 0) cost += wrongRackCost;
+  if (isLasting && !prefersOneRack) cost += onRack * sharedRackCost + (target.stepCounts.get(stepKey) ?? 0);
+  // Lasting tasks and fillers go where there is room, others fill the fullest target that still takes them.
+  const share = freeShare(target);
+  return isLasting || isFiller ? cost + 1 - share : cost + share;
+}
+
+function freeShare({ free, capacity }: TargetView): number {
+  const cpu = capacity.cpuMillicores > 0 ? free.cpuMillicores / capacity.cpuMillicores : 0;
+  const memory = capacity.memoryMegabytes > 0 ? free.memoryMegabytes / capacity.memoryMegabytes : 0;
+  return (cpu + memory) / 2;
+}
+
+/**
+ * Takes a task's room on a target.
+ * @param target - the chosen target
+ * @param place - the task's step
+ */
+export function takePlace(target: TargetView, { stepKey, definition }: StepPlace): void {
+  target.free = subtract(target.free, chargedResources(definition));
+  target.stepCounts.set(stepKey, (target.stepCounts.get(stepKey) ?? 0) + 1);
+  target.runCount += 1;
+}
+
+/**
+ * Chooses targets for all members of a gang at once.
+ * @param place - the gang's step
+ * @param count - how many members need a place
+ * @param targets - the targets that may be used; they are left as they were when not all members fit
+ * @param isAllowed - tells of each target whether the members may run there
+ * @returns a target for each member, undefined when not all fit
+ */
+export function chooseGangPlaces(
+  place: StepPlace,
+  count: number,
+  targets: readonly TargetView[],
+  isAllowed: (target: TargetView) => boolean = () => true,
+): TargetView[] | undefined {
+  const before = targets.map(({ free, runCount }) => ({ free, runCount }));
+  const counts = targets.map(({ stepCounts }) => stepCounts.get(place.stepKey) ?? 0);
+  const racks = new Map(place.racks);
+  const chosen: TargetView[] = [];
+  while (chosen.length < count) {
+    const target = choosePlace({ ...place, racks }, targets, isAllowed);
+    if (target === undefined) break;
+    takePlace(target, place);
+    if (target.rack !== undefined) racks.set(target.rack, (racks.get(target.rack) ?? 0) + 1);
+    chosen.push(target);
+  }
+  if (chosen.length === count) return chosen;
+  targets.forEach((target, index) => {
+    target.free = before[index]?.free ?? target.free;
+    target.runCount = before[index]?.runCount ?? target.runCount;
+    target.stepCounts.set(place.stepKey, counts[index] ?? 0);
+  });
+  return undefined;
+}
--- /dev/null
+++ b/src/scheduling/work.ts
@@ -0,0 +1,55 @@
+/**
+ * How much work a job is, and how long its longest chain of steps takes.
+ * @packageDocumentation
+ */
+import type { JobDefinition, StepDefinition } from "../jobs/index.js";
+
+const millisecondsPerSecond = 1_000;
+const millicoresPerCore = 1_000;
+
+/**
+ * Computes the processor time of some tasks of a step.
+ * @param step - the step
+ * @param taskCount - how many tasks
+ * @param ratio - how many times its estimate a task takes
+ * @returns core-seconds; none for lasting tasks and fillers
+ */
+export function stepCoreSeconds(step: StepDefinition, taskCount: number, ratio: number): number {
+  if (step.isLasting || step.isFiller) return 0;
+  const seconds = (step.estimateMilliseconds * ratio) / millisecondsPerSecond;
+  return (taskCount * seconds * step.resources.cpuMillicores) / millicoresPerCore;
+}
+
+/**
+ * Computes the processor time of one occurrence of a job.
+ * @param definition - the job
+ * @param ratio - how many times its estimate a task takes
+ * @returns core-seconds
+ */
+export function jobCoreSeconds(definition: JobDefinition, ratio: number): number {
+  return definition.steps.reduce((sum, step) => sum + stepCoreSeconds(step, step.taskCount, ratio), 0);
+}
+
+/**
+ * Computes how long a job takes on idle targets: the longest chain of steps that wait for each other.
+ * @param definition - the job
+ * @param ratio - how many times its estimate a task takes
+ * @returns milliseconds
+ */
+export function longestChainMilliseconds(definition: JobDefinition, ratio: number): number {
+  const ends: number[] = [];
+  for (const step of definition.steps) {
+    const begin = step.after.reduce((latest, earlier) => Math.max(latest, ends[earlier] ?? 0), 0);
+    ends.push(begin + step.estimateMilliseconds * ratio);
+  }
+  return Math.max(0, ...ends);
+}
+
+/**
+ * Tells whether a job has lasting tasks.
+ * @param definition - the job
+ * @returns true when it runs until it is cancelled
+ */
+export function isLastingJob(definition: JobDefinition): boolean {
+  return definition.steps.some(({ isLasting }) => isLasting);
+}
--- a/src/stand-ins/fleet/fleet.ts
+++ b/src/stand-ins/fleet/fleet.ts
@@ -2,7 +2,7 @@
  * A whole small fleet in one process: store, instance list, targets, entries and balancer.
  * @packageDocumentation
  */
-import type { ListedInstance } from "../../platform/index.js";
+import type { ListedInstance } from "../../store/index.js";
 import { checkEntrySettings, type EntrySettings } from "../../settings/index.js";
 import { delay } from "../../shared/index.js";
 import { createLog, type Log } from "../../telemetry/index.js";
--- a/src/stand-ins/instance-list/instance-list.ts
+++ b/src/stand-ins/instance-list/instance-list.ts
@@ -3,7 +3,7 @@
  * @packageDocumentation
  */
 import { z } from "zod";
-import type { ListedInstance } from "../../platform/index.js";
+import type { ListedInstance } from "../../store/index.js";
 import { createHttpService, parseWith, readBody, sendJson } from "../../shared/index.js";
 import { addRebootRoutes } from "./reboots.js";
 
--- a/src/stand-ins/store/http.ts
+++ b/src/stand-ins/store/http.ts
@@ -12,7 +12,7 @@
   rangeRequestSchema,
   transactionRequestSchema,
   watchRequestSchema,
-} from "../../platform/etcd-messages.js";
+} from "../../store/etcd-messages.js";
 import {
   createHttpService,
   delay,
--- a/src/stand-ins/store/memory-client.ts
+++ b/src/stand-ins/store/memory-client.ts
@@ -3,7 +3,7 @@
  * @packageDocumentation
  */
 import { Left, Right, type Either } from "purify-ts";
-import { prefixEnd } from "../../platform/etcd-messages.js";
+import { prefixEnd } from "../../store/etcd-messages.js";
 import type {
   ConditionalWrite,
   StoreChange,
@@ -15,7 +15,7 @@
   StoreWatch,
   WatchHandlers,
   WriteResult,
-} from "../../platform/index.js";
+} from "../../store/index.js";
 import { delay } from "../../shared/index.js";
 import type { EngineChange, EngineRecord, StoreEngine } from "./engine.js";
 import type { StoreFaults } from "./faults.js";
--- a/src/platform/index.ts
+++ b/src/store/index.ts
@@ -2,22 +2,30 @@
  * Clients of what the platform gives: the key-value service and the instance list.
  * @packageDocumentation
  */
+export { maximumTransactionEntries } from "./store.js";
 export type {
   ConditionalWrite,
+  ExpectedRevision,
   StoreChange,
+  StoreChanges,
   StoreClient,
   StoreFailure,
   StoreFailureKind,
   StoreLease,
   StoreListing,
   StoreRecord,
+  StoreTransaction,
   StoreWatch,
+  TransactionalStore,
+  TransactionResult,
+  TransactionWrite,
   WatchHandlers,
   WriteResult,
 } from "./store.js";
 export { EtcdStoreClient, type EtcdStoreClientOptions } from "./etcd-store-client.js";
 export type { BreakerState } from "./circuit-breaker.js";
 export { GuardedStoreClient, type GuardedStoreClientOptions } from "./guarded-store-client.js";
+export { followPrefix, type PrefixFollower, type PrefixFollowerOptions } from "./prefix-follower.js";
 export { writeAndSettle } from "./settled-write.js";
 export {
   createInstanceList,
--- a/src/platform/store.ts
+++ b/src/store/store.ts
@@ -121,3 +121,64 @@
    */
   watch(prefix: string, fromRevision: number, handlers: WatchHandlers): StoreWatch;
 }
+
+/** The revision that a key must have; 0 when it must be absent. */
+export interface ExpectedRevision {
+  readonly key: string;
+  readonly revision: number;
+}
+
+/** A write that is part of a transaction. */
+export interface TransactionWrite {
+  readonly key: string;
+  /** The JSON value to write; undefined deletes the key. */
+  readonly value: unknown;
+  /** The lease that the key is removed with. */
+  readonly leaseId?: string;
+}
+
+/** Writes of several keys that take effect together or not at all. */
+export interface StoreTransaction {
+  readonly expected: readonly ExpectedRevision[];
+  readonly writes: readonly TransactionWrite[];
+}
+
+/** How a transaction ended. */
+export type TransactionResult =
+  | { readonly kind: "done"; readonly revision: number }
+  /** An expected revision did not hold. */
+  | { readonly kind: "conflict"; readonly current: readonly StoreRecord[] }
+  | { readonly kind: "not-done"; readonly failure: StoreFailure }
+  | { readonly kind: "unknown"; readonly failure: StoreFailure };
+
+/** Changes below a prefix after a revision. */
+export interface StoreChanges {
+  readonly changes: readonly StoreChange[];
+  /** Where the next call continues. */
+  readonly revision: number;
+}
+
+/** A store that also writes several keys at once and answers bounded waits for changes. */
+export interface TransactionalStore extends StoreClient {
+  /**
+   * Writes several keys if all expected revisions hold.
+   * @param transaction - the expected revisions and the writes, at most `maximumTransactionEntries` together
+   * @returns how it ended; `unknown` when the answer was lost, and it may still take effect later
+   */
+  transact(transaction: StoreTransaction): Promise<TransactionResult>;
+  /**
+   * Waits for changes.
+   * @param prefix - the common start of the keys
+   * @param afterRevision - the last revision that is known
+   * @param waitMilliseconds - how long the store waits for a first change
+   * @returns the changes, empty when the wait passed; undefined when the history is gone and a list is needed
+   */
+  changesAfter(
+    prefix: string,
+    afterRevision: number,
+    waitMilliseconds: number,
+  ): Promise<Either<StoreFailure, StoreChanges | undefined>>;
+}
+
+/** Expected revisions and writes that one transaction may hold. */
+export const maximumTransactionEntries = 32;
--- /dev/null
+++ b/src/task-runs/index.ts
@@ -0,0 +1,24 @@
+/**
+ * Runs of tasks on targets: orders, leases, reports and ends.
+ * @packageDocumentation
+ */
+export type {
+  OrderHeader,
+  OrderOutcome,
+  OrderRefusal,
+  PresentRun,
+  RegisteredTarget,
+  RenewOrder,
+  RunEnd,
+  RunEndKind,
+  StartOrder,
+  TargetIdentity,
+  TargetOrders,
+  TargetReport,
+} from "./target-orders.js";
+export {
+  TargetSession,
+  type SessionEndReason,
+  type TargetSessionHandlers,
+  type TargetSessionOptions,
+} from "./target-session.js";
--- /dev/null
+++ b/src/task-runs/target-session.ts
@@ -0,0 +1,205 @@
+/**
+ * A home's connection to one life of a target: renews the lease of its runs, follows them and reports their ends.
+ * @packageDocumentation
+ */
+import { delay } from "../shared/index.js";
+import type { Metrics } from "../telemetry/index.js";
+import type { RegisteredTarget, RunEnd, TargetOrders, TargetReport } from "./target-orders.js";
+
+/** What a session tells and asks its home. */
+export interface TargetSessionHandlers {
+  /** A report came; its ends that were not reported before are given apart. */
+  onReport(session: TargetSession, report: TargetReport, freshEnds: readonly RunEnd[], askedAt: number): void;
+  /** This life of the target is over, or all that it ran has lost its lease: nothing of it runs any more. */
+  onGone(session: TargetSession, reason: SessionEndReason): void;
+  /** The target has seen a higher fencing token: another home has taken over. */
+  onFenced(session: TargetSession): void;
+  /** Whether the home may still give orders. */
+  isActive(): boolean;
+  /** How long the next renewal should wait for an end, in milliseconds. */
+  chooseWait(session: TargetSession): number;
+}
+
+/** Why nothing runs on a target any more. */
+export type SessionEndReason = "replaced" | "lease-lapsed" | "closed";
+
+/** Settings of a session. */
+export interface TargetSessionOptions {
+  readonly target: RegisteredTarget;
+  readonly orders: TargetOrders;
+  readonly fencingToken: number;
+  /** How long a lease lasts. */
+  readonly leaseMilliseconds: number;
+  readonly metrics: Metrics;
+  readonly handlers: TargetSessionHandlers;
+  /**
+   * A lease that an earlier home may have given lasts until then, by the monotonic clock; nothing is known of it
+   * before the first report.
+   */
+  readonly inheritedLeaseUntil: number;
+}
+
+const renewTimeoutMilliseconds = 1_000;
+const retryMilliseconds = 150;
+/** Pause after a report, in which further ends gather. */
+const pauseMilliseconds = 25;
+/** A target's clock may be this much slower than true time. */
+const slowestClockRate = 0.98;
+const lapseMarginMilliseconds = 150;
+
+interface ClockReading {
+  readonly value: number;
+  /** When it was received, by the monotonic clock of this process. */
+  readonly readAt: number;
+}
+
+/** A home's connection to one life of a target. */
+export class TargetSession {
+  readonly targetId: string;
+  readonly #options: TargetSessionOptions;
+  readonly #stop = new AbortController();
+  #target: RegisteredTarget;
+  #isListed = true;
+  #isKnown = false;
+  #failuresInARow = 0;
+  #clock: ClockReading | undefined;
+  #leaseLapsesAt: number;
+  #acknowledgedSequence = 0;
+  #reportedSequence = 0;
+  #pause = new AbortController();
+
+  /**
+   * Creates a session; `run` begins to renew.
+   * @param options - the target, its orders and whom to tell
+   */
+  constructor(options: TargetSessionOptions) {
+    this.#options = options;
+    this.#target = options.target;
+    this.targetId = options.target.targetId;
+    this.#leaseLapsesAt = options.inheritedLeaseUntil;
+  }
+
+  /** What the registry said last of the target. */
+  target(): RegisteredTarget {
+    return this.#target;
+  }
+
+  /** Takes over news of the registry about the same life. */
+  updateTarget(target: RegisteredTarget): void {
+    this.#target = target;
+  }
+
+  /** Whether the registry lists the target. */
+  isListed(): boolean {
+    return this.#isListed;
+  }
+
+  /** Notes whether the registry lists the target. */
+  setListed(isListed: boolean): void {
+    this.#isListed = isListed;
+  }
+
+  /** Whether a report of this life has arrived. */
+  isKnown(): boolean {
+    return this.#isKnown;
+  }
+
+  /** Renewals that have failed since the last report. */
+  failuresInARow(): number {
+    return this.#failuresInARow;
+  }
+
+  /** When everything that was started here has surely lost its lease, by the monotonic clock. */
+  leaseLapsesAt(): number {
+    return this.#leaseLapsesAt;
+  }
+
+  /**
+   * Computes the end of the lease to ask for.
+   * @returns a time of the target's clock; undefined before the first report
+   */
+  nextLeaseEnd(): number | undefined {
+    if (this.#clock === undefined) return undefined;
+    const { value, readAt } = this.#clock;
+    const end = Math.floor(value + (performance.now() - readAt) + this.#options.leaseMilliseconds);
+    const lasts = (end - value) / slowestClockRate;
+    this.#leaseLapsesAt = Math.max(this.#leaseLapsesAt, readAt + lasts + lapseMarginMilliseconds);
+    return end;
+  }
+
+  /** Notes the target's clock as an answer told it. */
+  noteClock(clockMilliseconds: number, receivedAt: number): void {
+    this.#clock = { value: clockMilliseconds, readAt: receivedAt };
+  }
+
+  /** Ends up to this sequence have been stored and are acknowledged with the next renewal. */
+  acknowledge(sequence: number): void {
+    this.#acknowledgedSequence = Math.max(this.#acknowledgedSequence, sequence);
+  }
+
+  /** Ends the pause before the next renewal. */
+  hurry(): void {
+    this.#pause.abort();
+  }
+
+  /** Stops renewing. */
+  close(): void {
+    this.#stop.abort();
+    this.#pause.abort();
+  }
+
+  /** Renews until this life of the target is over or the session is closed. */
+  async run(): Promise<void> {
+    while (!this.#stop.signal.aborted) {
+      if (this.#options.handlers.isActive()) await this.#renewOnce();
+      if (this.#failuresInARow > 0 && performance.now() > this.#leaseLapsesAt) this.#finish("lease-lapsed");
+      this.#pause = new AbortController();
+      const pause = this.#failuresInARow > 0 ? retryMilliseconds : pauseMilliseconds;
+      await delay(pause, AbortSignal.any([this.#stop.signal, this.#pause.signal]));
+    }
+  }
+
+  async #renewOnce(): Promise<void> {
+    const { orders, fencingToken, handlers, metrics } = this.#options;
+    const isSteady = this.#isKnown && this.#failuresInARow === 0;
+    const waitMilliseconds = isSteady ? handlers.chooseWait(this) : 0;
+    const askedAt = performance.now();
+    const answer = await orders.renew({
+      target: this.#target,
+      fencingToken,
+      acknowledgedSequence: this.#acknowledgedSequence,
+      leaseUntilMilliseconds: this.nextLeaseEnd(),
+      waitMilliseconds,
+      timeoutMilliseconds: waitMilliseconds + renewTimeoutMilliseconds,
+    });
+    if (this.#stop.signal.aborted) return;
+    metrics.count("target_renewals_total", { result: answer.isRight() ? "answered" : "failed" });
+    answer.caseOf({
+      Left: (outcome) => {
+        this.#failuresInARow += 1;
+        if (outcome.kind !== "refused") return;
+        if (outcome.reason === "fenced") handlers.onFenced(this);
+        if (outcome.reason === "other-instance") this.#finish("replaced");
+      },
+      Right: (report) => {
+        if (report.startedAtUnix === this.#options.target.startedAtUnix) this.#takeReport(report, askedAt);
+        else this.#finish("replaced");
+      },
+    });
+  }
+
+  #takeReport(report: TargetReport, askedAt: number): void {
+    this.#isKnown = true;
+    this.#failuresInARow = 0;
+    this.noteClock(report.clockMilliseconds, performance.now());
+    const fresh = report.ends.filter(({ sequence }) => sequence > this.#reportedSequence);
+    for (const { sequence } of fresh) this.#reportedSequence = Math.max(this.#reportedSequence, sequence);
+    this.#options.handlers.onReport(this, report, fresh, askedAt);
+  }
+
+  #finish(reason: SessionEndReason): void {
+    if (this.#stop.signal.aborted) return;
+    this.close();
+    this.#options.handlers.onGone(this, reason);
+  }
+}
--- a/src/wiring/duties.ts
+++ b/src/wiring/duties.ts
@@ -6,7 +6,7 @@
 import { createCapacityManager, type CapacityManager } from "../capacity/index.js";
 import type { ConfigurationKeeper, OperatorText } from "../configuration/index.js";
 import { createDuty, type Duty } from "../membership/index.js";
-import { createInstanceList } from "../platform/index.js";
+import { createInstanceList } from "../store/index.js";
 import { createAdoption, createMover, type PlacementCommands } from "../pools/index.js";
 import type { Foundation } from "./foundation.js";
 import type { MembershipParts } from "./membership.js";
--- a/src/wiring/foundation.ts
+++ b/src/wiring/foundation.ts
@@ -10,7 +10,7 @@
   GuardedStoreClient,
   type StoreClient,
   type StoreMirror,
-} from "../platform/index.js";
+} from "../store/index.js";
 import { placementPrefix } from "../pools/index.js";
 import type { EntrySettings } from "../settings/index.js";
 import { createRandom } from "../shared/index.js";
--- a/src/wiring/index.ts
+++ b/src/wiring/index.ts
@@ -4,3 +4,4 @@
  */
 export { startEntry, type Entry } from "./entry.js";
 export type { CreateAllocator } from "./request-path.js";
+export { startJobEntry, type JobEntry, type JobEntryOptions, type JobIngress } from "./job-entry.js";
--- /dev/null
+++ b/src/wiring/job-entry.ts
@@ -0,0 +1,386 @@
+/**
+ * Builds an entry that takes jobs from its parts; what speaks to the surroundings is handed in.
+ * @packageDocumentation
+ */
+import type { Either } from "purify-ts";
+import {
+  HomeGateway,
+  HomeKeeper,
+  decodeHomeRecord,
+  entryPrefix,
+  homePrefix,
+  dutyPrefix,
+  membersPrefix,
+  openEntrySession,
+  SessionDuty,
+  type AdviceService,
+  type EntrySession,
+  type HomeDirectory,
+  type HomeRecord,
+  type JobGateway,
+} from "../job-homes/index.js";
+import {
+  FleetManager,
+  type FleetManagerOptions,
+  type MachineControl,
+  type MaintenanceWave,
+} from "../fleet/index.js";
+import type { QueueTable } from "../jobs/index.js";
+import {
+  createPeerNetwork,
+  parseRosterRecord,
+  type PeerNetwork,
+  type RosterRecord,
+} from "../membership/index.js";
+import { createHttpService, delay, sendJson, type HttpService } from "../shared/index.js";
+import {
+  followPrefix,
+  type PrefixFollower,
+  type StoreRecord,
+  type TransactionalStore,
+} from "../store/index.js";
+import type { RegisteredTarget, TargetOrders } from "../task-runs/index.js";
+import type { Log, Metrics } from "../telemetry/index.js";
+
+/** Where a part listens. */
+export interface ListenAddress {
+  readonly host: string;
+  readonly port: number;
+}
+
+/** Takes callers' requests about jobs. */
+export interface JobIngress {
+  listen(host: string, port: number): Promise<number>;
+  /** Takes over the limits of a new configuration. */
+  applyLimits(table: QueueTable): void;
+  inProgress(): number;
+  /** Lets the requests in progress end and stops listening. */
+  close(): Promise<void>;
+  abort(): void;
+}
+
+/** What an entry is built from. */
+export interface JobEntryOptions {
+  readonly entryId: string;
+  readonly availabilityZone: string;
+  readonly addresses: Readonly<Record<"requests" | "readiness" | "peers" | "metrics", ListenAddress>>;
+  readonly store: TransactionalStore;
+  readonly orders: TargetOrders;
+  readonly advice: AdviceService | undefined;
+  /** Prefix under which targets register, and how their records are read. */
+  readonly registry: {
+    readonly prefix: string;
+    decode(records: Iterable<StoreRecord>): RegisteredTarget[];
+  };
+  /** Prefix of what the operators write, the key of their configuration, and how it is read. */
+  readonly operators: {
+    readonly prefix: string;
+    readonly configurationKey: string;
+    decode(value: unknown): Either<string, QueueTable>;
+    decodeWaves(records: ReadonlyMap<string, StoreRecord>): MaintenanceWave[];
+    readonly waveStatus: FleetManagerOptions["waveStatus"];
+  };
+  /** The machines behind the targets; undefined when nothing takes orders for them. */
+  readonly machines: MachineControl | undefined;
+  /** A new holder of the duty on machines waits so long before its first order. */
+  readonly orderLeaseMilliseconds: number;
+  createIngress(gateway: JobGateway, table: () => QueueTable | undefined): JobIngress;
+  readonly log: Log;
+  readonly metrics: Metrics;
+  readonly runLeaseMilliseconds: number;
+  readonly retentionMilliseconds: number;
+  /** A configuration must be in force so soon after it was accepted. */
+  readonly configurationMilliseconds: number;
+  /** How long a stop may take. */
+  readonly graceMilliseconds: number;
+}
+
+/** A running entry that takes jobs. */
+export interface JobEntry {
+  readonly gateway: JobGateway;
+  readonly keeper: HomeKeeper;
+  isReady(): boolean;
+  /** Hands the homes over, finishes the requests in progress and stops. */
+  stop(): Promise<void>;
+  /** Stops at once and cuts everything, as a crash would. */
+  kill(): Promise<void>;
+}
+
+const fleetDuty = "fleet";
+const vacateTimeoutMilliseconds = 700;
+const entryLeaseMilliseconds = 3_000;
+const membersWaitMilliseconds = 1_000;
+const configurationWaitMilliseconds = 500;
+const followPauseMilliseconds = 20;
+/** Targets renew their records all the time; news gather in this pause. */
+const registryPauseMilliseconds = 600;
+const registryWaitMilliseconds = 500;
+/** Part of the grace that is left for the last answers and the end of the process. */
+const stopReserveMilliseconds = 1_500;
+/** Callers' connections come to an entry for so long after it stopped being ready. */
+const leaveMilliseconds = 2_500;
+
+/**
+ * Starts an entry.
+ * @param options - what it is built from
+ * @returns the running entry
+ */
+export async function startJobEntry(options: JobEntryOptions): Promise<JobEntry> {
+  const { log, store, entryId, metrics, addresses } = options;
+  const incarnation = Date.now();
+  const zone = options.availabilityZone;
+  const peers = createPeerNetwork({ entryId, incarnation, zone }, log);
+  await peers.listen(addresses.peers.host, addresses.peers.port);
+  const peerAddress = `${addresses.peers.host}:${addresses.peers.port}`;
+  const self: RosterRecord = { entryId, incarnation, peerAddress, zone };
+
+  const members = followMembers(store, peers, log);
+  const configuration = followConfiguration(options, (table) => {
+    ingress.applyLimits(table);
+  });
+  const session = openEntrySession({ store, self, log, leaseMilliseconds: entryLeaseMilliseconds });
+  const registry = followRegistry(options, () => {
+    keeper.followTargets();
+  });
+  const keeper = new HomeKeeper({
+    entryId,
+    store,
+    session,
+    directory: members.directory,
+    pools: () => configuration.current()?.pools.map(({ pool }) => pool) ?? [],
+    listedTargets: registry.listedTargets,
+    orders: options.orders,
+    advice: options.advice,
+    log,
+    metrics,
+    runLeaseMilliseconds: options.runLeaseMilliseconds,
+    entryLeaseMilliseconds,
+    retentionMilliseconds: options.retentionMilliseconds,
+  });
+  void keeper.run();
+  const gateway = new HomeGateway({ entryId, keeper, directory: members.directory, peers, store });
+  const fleet = wireFleet(options, { session, members, configuration, gateway });
+  const ingress = options.createIngress(gateway, configuration.usable);
+  let isStopping = false;
+  const isReady = (): boolean => !isStopping && configuration.usable() !== undefined;
+  const readiness = createReadiness(isReady);
+  const metricsService = createMetricsService(metrics);
+  await ingress.listen(addresses.requests.host, addresses.requests.port);
+  await readiness.listen(addresses.readiness.host, addresses.readiness.port);
+  await metricsService.listen(addresses.metrics.host, addresses.metrics.port);
+  log.write("info", "entry-started", { incarnation, peerAddress });
+
+  const closeFollowers = (): void => {
+    members.follower.close();
+    configuration.follower.close();
+    registry.follower.close();
+  };
+  const closeServices = async (): Promise<void> => {
+    readiness.abort();
+    metricsService.abort();
+    await peers.close();
+  };
+  return {
+    gateway,
+    keeper,
+    isReady,
+    stop: async () => {
+      isStopping = true;
+      log.write("info", "entry-stopping", { requests: ingress.inProgress(), homes: keeper.homes().length });
+      fleet?.close();
+      await keeper.close();
+      await session.close();
+      const reserve = Math.max(0, options.graceMilliseconds - stopReserveMilliseconds);
+      await delay(Math.min(leaveMilliseconds, reserve));
+      await Promise.race([ingress.close(), delay(stopReserveMilliseconds / 2)]);
+      closeFollowers();
+      await closeServices();
+      log.write("info", "entry-stopped");
+    },
+    kill: async () => {
+      isStopping = true;
+      fleet?.close();
+      ingress.abort();
+      closeFollowers();
+      await closeServices();
+    },
+  };
+}
+
+interface FleetParts {
+  readonly session: EntrySession;
+  readonly members: Members;
+  readonly configuration: FollowedConfiguration;
+  readonly gateway: HomeGateway;
+}
+
+/** The duty on machines, where the platform takes orders for them. */
+function wireFleet(options: JobEntryOptions, parts: FleetParts): FleetManager | undefined {
+  const { machines, entryId, store, log, metrics, orderLeaseMilliseconds } = options;
+  const { session, members, configuration, gateway } = parts;
+  if (machines === undefined) return undefined;
+  const duty = new SessionDuty({
+    name: fleetDuty,
+    entryId,
+    store,
+    session,
+    entries: members.directory.entries,
+    hasHolder: () => members.follower.records().has(`${dutyPrefix}${fleetDuty}`),
+    log,
+  });
+  const fleet = new FleetManager({
+    entryId,
+    duty,
+    store,
+    machines,
+    waves: configuration.waves,
+    pools: () => configuration.current()?.pools.map(({ pool }) => pool) ?? [],
+    vacate: async (pool, targetIds) => gateway.vacate(pool, targetIds, vacateTimeoutMilliseconds),
+    waveStatus: options.operators.waveStatus,
+    orderLeaseMilliseconds,
+    log,
+    metrics,
+  });
+  void fleet.run();
+  return fleet;
+}
+
+interface Members {
+  readonly follower: PrefixFollower;
+  readonly directory: HomeDirectory;
+}
+
+function followMembers(store: TransactionalStore, peers: PeerNetwork, log: Log): Members {
+  let entries: readonly RosterRecord[] = [];
+  let homes: ReadonlyMap<string, HomeRecord & { readonly revision: number }> = new Map();
+  const follower = followPrefix({
+    store,
+    prefix: membersPrefix,
+    waitMilliseconds: membersWaitMilliseconds,
+    pauseMilliseconds: followPauseMilliseconds,
+    onChanged: (records) => {
+      entries = [...records.values()].flatMap(({ key, value }) =>
+        key.startsWith(entryPrefix) ? (parseRosterRecord(value) ?? []) : [],
+      );
+      homes = decodeHomes(records.values());
+      peers.follow(entries);
+    },
+    onReachable: (isReachable, reason) => {
+      log.write(isReachable ? "info" : "warn", isReachable ? "store-regained" : "store-lost", { reason });
+    },
+  });
+  const directory: HomeDirectory = {
+    entries: () => entries.map(({ entryId }) => entryId),
+    homes: () => homes,
+    ageMilliseconds: () => follower.ageMilliseconds(),
+  };
+  return { follower, directory };
+}
+
+function decodeHomes(records: Iterable<StoreRecord>): Map<string, HomeRecord & { revision: number }> {
+  const homes = new Map<string, HomeRecord & { revision: number }>();
+  for (const { key, value, revision } of records) {
+    if (!key.startsWith(homePrefix)) continue;
+    const record = decodeHomeRecord(value);
+    if (record !== undefined) homes.set(key.slice(homePrefix.length), { ...record, revision });
+  }
+  return homes;
+}
+
+interface FollowedConfiguration {
+  readonly follower: PrefixFollower;
+  /** The newest configuration that was heard. */
+  current(): QueueTable | undefined;
+  /** The same, while it is surely new enough for callers' requests. */
+  readonly usable: () => QueueTable | undefined;
+  /** Waves of maintenance that the operators have asked for. */
+  readonly waves: () => readonly MaintenanceWave[];
+}
+
+function followConfiguration(
+  { store, operators, log, configurationMilliseconds }: JobEntryOptions,
+  onTable: (table: QueueTable) => void,
+): FollowedConfiguration {
+  let current: QueueTable | undefined;
+  let waves: readonly MaintenanceWave[] = [];
+  const takeRecord = (record: StoreRecord | undefined): void => {
+    if (record === undefined) return;
+    operators.decode(record.value).caseOf({
+      Left: (message) => {
+        log.write("error", "configuration-unreadable", { revision: record.revision, message });
+      },
+      Right: (table) => {
+        if (current !== undefined && table.version <= current.version) return;
+        current = table;
+        const { version, queues } = table;
+        log.write("info", "configuration-in-force", {
+          version,
+          revision: record.revision,
+          queues: queues.length,
+        });
+        onTable(table);
+      },
+    });
+  };
+  const follower = followPrefix({
+    store,
+    prefix: operators.prefix,
+    waitMilliseconds: configurationWaitMilliseconds,
+    pauseMilliseconds: followPauseMilliseconds,
+    onChanged: (records) => {
+      takeRecord(records.get(operators.configurationKey));
+      waves = operators.decodeWaves(records);
+    },
+  });
+  const isFresh = (): boolean => follower.ageMilliseconds() < configurationMilliseconds;
+  return {
+    follower,
+    current: () => current,
+    usable: () => (isFresh() ? current : undefined),
+    waves: () => waves,
+  };
+}
+
+interface FollowedRegistry {
+  readonly follower: PrefixFollower;
+  readonly listedTargets: (pool: string) => ReadonlyMap<string, RegisteredTarget> | undefined;
+}
+
+function followRegistry({ store, registry }: JobEntryOptions, onChanged: () => void): FollowedRegistry {
+  let targets: readonly RegisteredTarget[] | undefined;
+  const follower = followPrefix({
+    store,
+    prefix: registry.prefix,
+    waitMilliseconds: registryWaitMilliseconds,
+    pauseMilliseconds: registryPauseMilliseconds,
+    onChanged: (records) => {
+      targets = registry.decode(records.values());
+      onChanged();
+    },
+  });
+  return {
+    follower,
+    listedTargets: (pool) => {
+      const own = targets?.filter((target) => target.pool === pool);
+      return own === undefined ? undefined : new Map(own.map((target) => [target.targetId, target]));
+    },
+  };
+}
+
+function createReadiness(isReady: () => boolean): HttpService {
+  const service = createHttpService();
+  service.routes.all("/*", (_request, response) => {
+    const ready = isReady();
+    sendJson(response, ready ? 200 : 503, { ready });
+  });
+  return service;
+}
+
+function createMetricsService(metrics: Metrics): HttpService {
+  const service = createHttpService();
+  service.routes.get("/metrics", (_request, response) => {
+    response.setHeader("content-type", "text/plain; version=0.0.4");
+    response.end(metrics.expose());
+  });
+  return service;
+}
