Ends are not overwritten by progress; silent targets lapse; lasting tasks move only to kept room; admission by forecast

Admission now forecasts the finish by list scheduling over the open steps instead of comparing total work with cores.

--- a/src/job-homes/dispatcher.ts
+++ b/src/job-homes/dispatcher.ts
@@ -2,22 +2,29 @@
  * Rounds of placing: goes through the jobs in their order and starts what has room.
  * @packageDocumentation
  */
-import { isStepReady, type Job, type Occurrence, type Task, type TaskRun } from "../jobs/index.js";
 import {
+  isStepReady,
+  type Job,
+  type Occurrence,
+  type Resources,
+  type Task,
+  type TaskRun,
+} from "../jobs/index.js";
+import {
+  add,
   chargedResources,
   chooseGangPlaces,
   choosePlace,
   compareJobs,
-  isLastingJob,
-  longestChainMilliseconds,
   subtract,
   takePlace,
-  type OrderedJob,
   type StepPlace,
   type TargetView,
 } from "../scheduling/index.js";
 import type { OrderOutcome, OrderRefusal } from "../task-runs/index.js";
 import type { AdviceBook } from "./advice-book.js";
+import { rankJob, type RankedJob } from "./job-rank.js";
+import { findDeparture, maySpare } from "./lasting-moves.js";
 import { isTaskOver, removeRun, type HomeState, type HomeTarget, type TargetRun } from "./home-state.js";
 
 const startTimeoutMilliseconds = 800;
@@ -35,10 +42,6 @@
 /** A run number that a target takes for old is raised by so much. */
 const runSkip = 16;
 
-interface RankedJob extends OrderedJob {
-  readonly job: Job;
-}
-
 /**
  * Starts all tasks that have room.
  * @param state - the home
@@ -51,6 +54,7 @@
   if (views.length === 0) return;
   const ranked = [...state.jobs.values()].filter(isOpen).map((job) => rankJob(state, job));
   ranked.sort((left, right) => compareJobs(left, right, now));
+  moveLastingTasks(state, ranked, views);
   for (const { job } of ranked) {
     for (const occurrence of job.occurrences.values())
       placeOccurrence(state, advice, job, occurrence, views, now);
@@ -101,21 +105,6 @@
   return `${job.id}.${occurrence}.${step}`;
 }
 
-function rankJob(state: HomeState, job: Job): RankedJob {
-  const { definition, terms } = job.record;
-  const ratio = state.runTimes.ratio(terms.queue);
-  const chain = longestChainMilliseconds(definition, ratio);
-  return {
-    job,
-    priority: terms.priority,
-    isLasting: isLastingJob(definition),
-    hasStarted: job.hasStarted,
-    dueAt: job.acceptedAt + terms.slackFactor * chain + terms.objectiveMilliseconds,
-    remainingMilliseconds: chain,
-    acceptedAt: job.acceptedAt,
-  };
-}
-
 function placeOccurrence(
   state: HomeState,
   advice: AdviceBook,
@@ -129,11 +118,7 @@
     if (first === undefined || !isStepReady(occurrence, step)) return;
     const idle = tasks.filter((task) => isIdle(state, task, now));
     if (idle.length === 0) return;
-    const place: StepPlace = {
-      stepKey: stepKey(first),
-      definition: first.definition,
-      racks: countRacks(state, tasks),
-    };
+    const place = describePlace(state, first, tasks);
     if (!job.record.terms.needsAdvice) {
       placeTasks(state, place, tasks, idle, views);
       return;
@@ -143,6 +128,10 @@
   });
 }
 
+function describePlace(state: HomeState, task: Task, tasks: readonly Task[]): StepPlace {
+  return { stepKey: stepKey(task), definition: task.definition, racks: countRacks(state, tasks) };
+}
+
 function isIdle(state: HomeState, task: Task, now: number): boolean {
   if (isTaskOver(task) || task.runs.length > 0 || task.notBefore > now) return false;
   return state.awaited.size === 0 || !task.job.isInherited;
@@ -181,14 +170,73 @@
   }
   for (const task of idle) {
     const view = choosePlace(place, views, isAllowed);
-    // The tasks of a step need the same room.
-    if (view === undefined) return;
+    if (view === undefined) {
+      // The tasks of a step need the same room. Room for a lasting one is kept free until it is enough.
+      if (place.definition.isLasting) reservePlace(state, place, views);
+      return;
+    }
     takePlace(view, place);
     const run = Math.max(task.lastRun + 1, state.firstRun);
     startRun(state, task, run, view.targetId, tickets?.get(view.targetId));
   }
 }
 
+/** Stops lasting tasks that should leave their targets once there is a place for them, and keeps that place. */
+function moveLastingTasks(
+  state: HomeState,
+  ranked: readonly RankedJob[],
+  views: readonly TargetView[],
+): void {
+  for (const { job, isLasting } of ranked) {
+    if (!isLasting) continue;
+    for (const occurrence of job.occurrences.values()) {
+      for (const task of occurrence.steps.flat()) moveLastingTask(state, occurrence, task, views);
+    }
+  }
+}
+
+function moveLastingTask(
+  state: HomeState,
+  occurrence: Occurrence,
+  task: Task,
+  views: readonly TargetView[],
+): void {
+  const [run] = task.runs;
+  if (!task.definition.isLasting || run === undefined) return;
+  const from = findDeparture(state, task);
+  if (from === undefined && run.status !== "stopping") return;
+  const tasks = occurrence.steps[task.step] ?? [];
+  const place = describePlace(state, task, tasks);
+  const elsewhere = views.filter(({ targetId }) => targetId !== run.targetId);
+  const view = choosePlace(place, elsewhere);
+  if (view === undefined) {
+    reservePlace(state, place, elsewhere);
+    return;
+  }
+  takePlace(view, place);
+  if (from !== undefined && maySpare(state, occurrence, task, from)) run.status = "stopping";
+}
+
+/** Keeps the target free whose short tasks leave room for a lasting one soonest. */
+function reservePlace(state: HomeState, place: StepPlace, views: readonly TargetView[]): void {
+  const withoutShort = views.map((view) => ({ ...view, free: readLastingRoom(state, view) }));
+  const chosen = choosePlace(place, withoutShort);
+  const view = views.find(({ targetId }) => targetId === chosen?.targetId);
+  if (view !== undefined) view.free = noRoom;
+}
+
+const noRoom: Resources = { cpuMillicores: -1, memoryMegabytes: -1, accelerators: -1 };
+
+/** What a target has for lasting tasks once its short ones have ended. */
+function readLastingRoom(state: HomeState, view: TargetView): Resources {
+  if (view.free === noRoom) return noRoom;
+  let room = view.free;
+  for (const { task } of state.targets.get(view.targetId)?.runs.values() ?? []) {
+    if (!task.definition.isLasting) room = add(room, chargedResources(task.definition));
+  }
+  return room;
+}
+
 function startRun(
   state: HomeState,
   task: Task,
--- a/src/job-homes/job-home.ts
+++ b/src/job-homes/job-home.ts
@@ -14,13 +14,15 @@
   type ProgressRecord,
   type QueueTerms,
 } from "../jobs/index.js";
-import { admitJob, isLastingJob, jobCoreSeconds, longestChainMilliseconds } from "../scheduling/index.js";
+import { admitJob, isLastingJob, type JobForecast } from "../scheduling/index.js";
 import { delay } from "../shared/index.js";
 import type { TransactionalStore } from "../store/index.js";
 import { createAdviceBook, type AdviceBook, type AdviceService } from "./advice-book.js";
 import { dispatch } from "./dispatcher.js";
+import { createFirstRequests } from "./first-requests.js";
+import { forecastJob } from "./home-forecast.js";
 import { addJob, openDue, type HomeState, type HomeTarget } from "./home-state.js";
-import { moveLastingTasks, readLoad, reportPool, type PoolReport } from "./pool-report.js";
+import { readLoad, reportPool, type PoolReport } from "./pool-report.js";
 import { endJob, storeProgress } from "./run-ends.js";
 import { stopUnwanted } from "./stopper.js";
 
@@ -76,6 +78,7 @@
   readonly #options: JobHomeOptions;
   readonly #stop = new AbortController();
   readonly #advice: AdviceBook;
+  readonly #firstRequests = createFirstRequests();
   readonly #accepting = new Map<string, Promise<SubmitOutcome>>();
   #round: NodeJS.Timeout | undefined;
   #isStarted = false;
@@ -210,32 +213,23 @@
     }
     // Whoever asked for emptied targets asks again while it needs them.
     if (now - this.#vacatedAt > vacateMilliseconds) this.vacate([]);
-    moveLastingTasks(this.#state);
     stopUnwanted(this.#state);
     this.#wake();
   }
 
   async #accept(submission: JobSubmission): Promise<SubmitOutcome> {
     const { jobId, terms, definition, deadlineMilliseconds } = submission;
-    const load = readLoad(this.#state);
-    const demand = readDemand(this.#state, submission);
-    const admission = admitJob(load, demand);
+    const now = performance.now();
+    const age = now - this.#firstRequests.note(jobId, now);
+    const forecast = forecastJob(this.#state, terms, definition, age);
+    const admission = admitJob(forecast);
     if (admission.kind === "refuse" && !isLastingJob(definition)) {
       const { retryAfterMilliseconds } = admission;
-      this.#state.log.write("info", "job-refused", {
-        job: jobId,
-        queue: terms.queue,
-        backlogCoreSeconds: Math.round(load.backlogCoreSeconds),
-        cores: Math.round(load.cores),
-        busyCores: Math.round(load.busyCores),
-        chainMilliseconds: Math.round(demand.chainMilliseconds),
-        objectiveMilliseconds: Math.round(demand.objectiveMilliseconds),
-        runTimeRatio: this.#state.runTimes.ratio(terms.queue).toFixed(2),
-        retryAfterMilliseconds: Math.round(retryAfterMilliseconds),
-      });
+      this.#logRefusal(submission, forecast, retryAfterMilliseconds);
       return { kind: "refused", reason: "the pool's backlog is too long", retryAfterMilliseconds };
     }
-    const record: JobRecord = { jobId, terms, definition, acceptedAt: Date.now() };
+    const acceptedAt = Date.now();
+    const record: JobRecord = { jobId, terms, definition, acceptedAt, requestedAt: acceptedAt - age };
     const write = this.#state.journal.write(`${jobPrefix}${jobId}`, record, { mustBeAbsent: true });
     const timer = setTimeout(() => {
       write.withdraw();
@@ -252,6 +246,21 @@
     return { kind: "accepted" };
   }
 
+  #logRefusal({ jobId, terms }: JobSubmission, forecast: JobForecast, retryAfterMilliseconds: number): void {
+    const { backlogCoreSeconds, cores, busyCores } = readLoad(this.#state);
+    this.#state.log.write("info", "job-refused", {
+      job: jobId,
+      queue: terms.queue,
+      endMilliseconds: Math.round(forecast.endMilliseconds),
+      objectiveMilliseconds: Math.round(forecast.objectiveMilliseconds),
+      backlogCoreSeconds: Math.round(backlogCoreSeconds),
+      cores: Math.round(cores),
+      busyCores: Math.round(busyCores),
+      runTimeRatio: this.#state.runTimes.ratio(terms.queue).toFixed(2),
+      retryAfterMilliseconds: Math.round(retryAfterMilliseconds),
+    });
+  }
+
   /** A job that the store holds already: accepted for another pool, or by a write of this home without an answer. */
   async #findStored(jobId: string): Promise<SubmitOutcome> {
     const found = await this.#options.store.get(`${jobPrefix}${jobId}`);
@@ -279,16 +288,6 @@
   state.journal.write(`${progressPrefix}${job.id}`, undefined, { urgency: "soon" });
 }
 
-function readDemand(state: HomeState, { definition, terms }: JobSubmission): Parameters<typeof admitJob>[1] {
-  const ratio = state.runTimes.ratio(terms.queue);
-  const chainMilliseconds = longestChainMilliseconds(definition, ratio);
-  return {
-    coreSeconds: jobCoreSeconds(definition, ratio),
-    chainMilliseconds,
-    objectiveMilliseconds: terms.slackFactor * chainMilliseconds + terms.objectiveMilliseconds,
-  };
-}
-
 /**
  * Fills a home with what the store holds of its pool.
  * @param state - the home
--- a/src/job-homes/run-ends.ts
+++ b/src/job-homes/run-ends.ts
@@ -211,6 +211,9 @@
  */
 export async function storeProgress(state: HomeState, job: Job): Promise<boolean> {
   if (job.finalState !== undefined) return true;
+  // A job's end replaces its progress, and must not be replaced by it.
+  const ending = state.endings.get(job.id);
+  if (ending !== undefined) return ending;
   if (isWorkDone(job)) return endJob(state, job, "complete");
   if (allTasks(job).some(({ failures }) => failures >= job.record.terms.attempts)) {
     return endJob(state, job, "failed");
--- a/src/jobs/job.ts
+++ b/src/jobs/job.ts
@@ -80,6 +80,8 @@
   endedAt: number | undefined;
   /** When it was accepted, by the monotonic clock; earlier than the process for jobs that were taken over. */
   readonly acceptedAt: number;
+  /** When a caller first handed it in, by the monotonic clock. */
+  readonly requestedAt: number;
 }
 
 /**
@@ -108,6 +110,7 @@
     finalState: progress?.finalState,
     endedAt: progress?.endedAt,
     acceptedAt,
+    requestedAt: acceptedAt - (record.acceptedAt - record.requestedAt),
   };
   return job;
 }
--- a/src/jobs/records.ts
+++ b/src/jobs/records.ts
@@ -18,6 +18,8 @@
   definition: jobDefinitionSchema,
   /** Unix time. */
   acceptedAt: z.number(),
+  /** Unix time at which a caller first handed it in, as far as the home knows. */
+  requestedAt: z.number(),
 });
 
 /** An accepted job. It never changes. */
--- a/src/scheduling/admission.ts
+++ b/src/scheduling/admission.ts
@@ -4,45 +4,36 @@
  * @packageDocumentation
  */
 
-/** The load of a pool when a job comes. */
-export interface PoolLoad {
-  /** Accepted work that has not ended, in core-seconds. */
-  readonly backlogCoreSeconds: number;
-  /** Cores that serve such work, those of lasting tasks not counted. */
-  readonly cores: number;
-}
-
-/** A job that asks to be accepted. */
-export interface JobDemand {
-  readonly coreSeconds: number;
-  readonly chainMilliseconds: number;
-  /** The time in which the job is worth most, from now. */
+/** What is known when a job comes. */
+export interface JobForecast {
+  /** When the job would end, from now; infinite for one that would not within the horizon. */
+  readonly endMilliseconds: number;
+  /** The time in which the job is worth most, from now; negative once it has passed. */
   readonly objectiveMilliseconds: number;
+  /** The time in which the job is worth anything, from now. */
+  readonly latestMilliseconds: number;
+  /** Whether the job's first tasks could start at once. */
+  readonly startsNow: boolean;
 }
 
 /** What is answered. */
 export type JobAdmission =
   { readonly kind: "accept" } | { readonly kind: "refuse"; readonly retryAfterMilliseconds: number };
 
-const millisecondsPerSecond = 1_000;
 const shortestRetryMilliseconds = 1_000;
 const longestRetryMilliseconds = 15_000;
-/** Work that runs is half done on average, and steps that wait for others leave room. */
-const usableShare = 1.7;
 
 /**
  * Decides on a job.
- * @param load - the pool's load
- * @param demand - the job
+ * @param forecast - when the job would end, and when it should
  * @returns acceptance, or when room is expected
  */
-export function admitJob(load: PoolLoad, demand: JobDemand): JobAdmission {
-  const cores = load.cores * usableShare;
-  if (cores <= 0) return { kind: "refuse", retryAfterMilliseconds: shortestRetryMilliseconds };
-  const queueMilliseconds = (load.backlogCoreSeconds / cores) * millisecondsPerSecond;
-  const slackMilliseconds = Math.max(0, demand.objectiveMilliseconds - demand.chainMilliseconds);
-  if (queueMilliseconds <= slackMilliseconds) return { kind: "accept" };
-  const wait = queueMilliseconds - slackMilliseconds;
+export function admitJob(forecast: JobForecast): JobAdmission {
+  const { endMilliseconds, objectiveMilliseconds, latestMilliseconds, startsNow } = forecast;
+  if (endMilliseconds <= objectiveMilliseconds) return { kind: "accept" };
+  // A late job is worth little: it only takes room that nobody else asks for.
+  if (startsNow && endMilliseconds <= latestMilliseconds) return { kind: "accept" };
+  const wait = endMilliseconds - Math.max(0, objectiveMilliseconds);
   const retryAfterMilliseconds = Math.min(
     longestRetryMilliseconds,
     Math.max(shortestRetryMilliseconds, wait),
--- a/src/scheduling/index.ts
+++ b/src/scheduling/index.ts
@@ -2,10 +2,11 @@
  * Decisions on jobs without network and clock: order, admission, placement and pace.
  * @packageDocumentation
  */
-export { admitJob, type JobAdmission, type JobDemand, type PoolLoad } from "./admission.js";
+export { admitJob, type JobAdmission, type JobForecast } from "./admission.js";
+export { forecastEnd, type ForecastJob, type ForecastStep } from "./forecast.js";
 export { compareJobs, type OrderedJob } from "./order.js";
 export { choosePace, type ServedTail } from "./pacing.js";
 export { chooseGangPlaces, choosePlace, takePlace, type StepPlace } from "./placement.js";
 export { createRunTimeRatios, type RunTimeRatios } from "./run-times.js";
-export { chargedResources, fits, subtract, type TargetView } from "./target-view.js";
-export { isLastingJob, jobCoreSeconds, longestChainMilliseconds, stepCoreSeconds } from "./work.js";
+export { add, chargedResources, fits, subtract, type TargetView } from "./target-view.js";
+export { isLastingJob, longestChainMilliseconds, stepCoreSeconds } from "./work.js";
--- a/src/scheduling/target-view.ts
+++ b/src/scheduling/target-view.ts
@@ -46,3 +46,12 @@
     accelerators: from.accelerators - taken.accelerators,
   };
 }
+
+/** Adds resources to others. */
+export function add(left: Resources, right: Resources): Resources {
+  return {
+    cpuMillicores: left.cpuMillicores + right.cpuMillicores,
+    memoryMegabytes: left.memoryMegabytes + right.memoryMegabytes,
+    accelerators: left.accelerators + right.accelerators,
+  };
+}
--- a/src/task-runs/target-session.ts
+++ b/src/task-runs/target-session.ts
@@ -109,6 +109,11 @@
     return this.#failuresInARow;
   }
 
+  /** Whether the target answers: what it reported last is still true. */
+  isResponsive(): boolean {
+    return this.#isKnown && this.#failuresInARow === 0;
+  }
+
   /** When everything that was started here has surely lost its lease, by the monotonic clock. */
   leaseLapsesAt(): number {
     return this.#leaseLapsesAt;
@@ -161,6 +166,8 @@
 
   async #renewOnce(): Promise<void> {
     const { orders, fencingToken, handlers, metrics } = this.#options;
+    // While nothing answers no lease is asked for: an order without an answer may have renewed it, so that what runs
+    // there would never count as ended.
     const isSteady = this.#isKnown && this.#failuresInARow === 0;
     const waitMilliseconds = isSteady ? handlers.chooseWait(this) : 0;
     const askedAt = performance.now();
@@ -168,7 +175,7 @@
       target: this.#target,
       fencingToken,
       acknowledgedSequence: this.#acknowledgedSequence,
-      leaseUntilMilliseconds: this.nextLeaseEnd(),
+      leaseUntilMilliseconds: isSteady ? this.nextLeaseEnd() : undefined,
       waitMilliseconds,
       timeoutMilliseconds: waitMilliseconds + renewTimeoutMilliseconds,
     });
