Machines follow demand between pools, from the standby pool and back

The fleet duty now plans moves by the demand that homes measure (work asked for over about a second, and a backlog to be ended in two): idle machines without lasting tasks go where room lacks, and to the standby pool after 2.5 s of idleness. A pool with lasting tasks that run nowhere gives none.

--- a/src/fleet/index.ts
+++ b/src/fleet/index.ts
@@ -9,5 +9,17 @@
   MachineOrderOutcome,
   MaintenanceWave,
 } from "./machine-control.js";
-export { FleetManager, waveProgressPrefix, type FleetManagerOptions } from "./fleet-manager.js";
+export {
+  FleetManager,
+  waveProgressPrefix,
+  type FleetManagerOptions,
+  type FleetPool,
+} from "./fleet-manager.js";
+export {
+  planMoves,
+  type MovePlan,
+  type PlannedMachine,
+  type PlannedMove,
+  type PlannedPool,
+} from "./move-plan.js";
 export { planWaveStep, type WaveCandidate, type WavePressure, type WaveStep } from "./wave-plan.js";
--- /dev/null
+++ b/src/fleet/move-plan.ts
@@ -0,0 +1,147 @@
+/**
+ * Decides which machines change their pool. Answers demand that comes in turns: each pool in its turn is asked for several
+ * times its mean while the others rest. Idle machines go to the pool that lacks room, and rest in the standby pool when
+ * nobody lacks any; a machine with lasting tasks stays.
+ * @packageDocumentation
+ */
+
+/** A machine as the plan sees it. */
+export interface PlannedMachine {
+  readonly machineId: string;
+  /** The target that it runs; undefined for one that is off. */
+  readonly targetId: string | undefined;
+  readonly cores: number;
+  readonly runs: number;
+  readonly lastingRuns: number;
+  readonly isVacating: boolean;
+  /** How long it has been in its pool as far as known, in milliseconds. */
+  readonly restedMilliseconds: number;
+  /** How long nothing has run on it, in milliseconds. */
+  readonly idleMilliseconds: number;
+}
+
+/** A pool as the plan sees it. */
+export interface PlannedPool {
+  readonly pool: string;
+  readonly isStandby: boolean;
+  /** Cores for short tasks, machines on their way to the pool among them. */
+  readonly cores: number;
+  /** Cores that the pool's work asks for now. */
+  readonly demandCores: number;
+  /** Lasting tasks that run nowhere. */
+  readonly waitingLastingTasks: number;
+  readonly machines: readonly PlannedMachine[];
+}
+
+/** A change of pool. */
+export interface PlannedMove {
+  readonly machineId: string;
+  readonly targetId: string | undefined;
+  readonly from: string;
+  readonly to: string;
+}
+
+/** What is done next. */
+export interface MovePlan {
+  /** Machines that nothing runs on: they move now. */
+  readonly moves: readonly PlannedMove[];
+  /** Machines that are emptied for a move. */
+  readonly vacate: readonly PlannedMove[];
+}
+
+/** A pool lacks room when it is asked for more than this share of its cores. */
+const shortShare = 1;
+/** A pool gives machines while it keeps this many times what it is asked for. */
+const keptFactor = 1.3;
+/** A machine that has just come stays for a while. */
+const shortestStayMilliseconds = 2_500;
+/** Two moves cost as much as a machine that idles for a few seconds. */
+const parkAfterIdleMilliseconds = 2_500;
+const fewestMachines = 2;
+
+interface Supply {
+  readonly pool: PlannedPool;
+  readonly machine: PlannedMachine;
+}
+
+/**
+ * Plans moves.
+ * @param pools - all pools
+ * @returns what is done next
+ */
+export function planMoves(pools: readonly PlannedPool[]): MovePlan {
+  const moves: PlannedMove[] = [];
+  const vacate: PlannedMove[] = [];
+  const supplies = pools.flatMap(findSupplies);
+  const shortages = pools
+    .filter(({ isStandby }) => !isStandby)
+    .map((pool) => ({ pool, lack: findLack(pool) }))
+    .filter(({ lack }) => lack > 0)
+    .sort((left, right) => right.lack - left.lack);
+  for (const { pool, lack } of shortages) {
+    let missing = lack;
+    while (missing > 0) {
+      const supply = takeSupply(supplies, pool);
+      if (supply === undefined) break;
+      (isEmpty(supply) ? moves : vacate).push(describe(supply, pool.pool));
+      missing -= supply.machine.cores;
+    }
+  }
+  const standby = pools.find(({ isStandby }) => isStandby);
+  if (standby !== undefined) {
+    for (const supply of supplies) {
+      if (supply.pool.isStandby || supply.machine.idleMilliseconds < parkAfterIdleMilliseconds) continue;
+      (isEmpty(supply) ? moves : vacate).push(describe(supply, standby.pool));
+    }
+  }
+  return { moves, vacate };
+}
+
+/** Cores that a pool lacks; lasting tasks that run nowhere ask for one machine more at a time. */
+function findLack({ demandCores, cores, waitingLastingTasks }: PlannedPool): number {
+  const lack = demandCores - cores * shortShare;
+  return waitingLastingTasks > 0 ? Math.max(lack, 1) : lack;
+}
+
+/** Machines that a pool can spare. */
+function findSupplies(pool: PlannedPool): Supply[] {
+  const free = pool.machines.filter(({ lastingRuns, restedMilliseconds }) =>
+    pool.isStandby ? true : lastingRuns === 0 && restedMilliseconds >= shortestStayMilliseconds,
+  );
+  if (pool.isStandby) return free.map((machine) => ({ pool, machine }));
+  if (pool.waitingLastingTasks > 0) return [];
+  const idleFirst = [...free].sort((left, right) => left.runs - right.runs);
+  let cores = pool.cores;
+  let left = pool.machines.length;
+  const supplies: Supply[] = [];
+  for (const machine of idleFirst) {
+    cores -= machine.cores;
+    left -= 1;
+    if (cores < pool.demandCores * keptFactor || left < fewestMachines) break;
+    supplies.push({ pool, machine });
+  }
+  return supplies;
+}
+
+/** Takes the machine that moves soonest: one that is off, then the idlest. */
+function takeSupply(supplies: Supply[], taker: PlannedPool): Supply | undefined {
+  let best: number | undefined;
+  supplies.forEach(({ pool, machine }, index) => {
+    if (pool.pool === taker.pool) return;
+    const current = best === undefined ? undefined : supplies[best];
+    if (current === undefined || rank(pool, machine) < rank(current.pool, current.machine)) best = index;
+  });
+  return best === undefined ? undefined : supplies.splice(best, 1)[0];
+}
+
+function rank({ isStandby }: PlannedPool, { runs }: PlannedMachine): number {
+  return isStandby ? -1 : runs;
+}
+
+function isEmpty({ pool, machine }: Supply): boolean {
+  return pool.isStandby || machine.targetId === undefined || (machine.runs === 0 && machine.isVacating);
+}
+
+function describe({ pool, machine }: Supply, to: string): PlannedMove {
+  return { machineId: machine.machineId, targetId: machine.targetId, from: pool.pool, to };
+}
--- a/src/job-homes/dispatcher.ts
+++ b/src/job-homes/dispatcher.ts
@@ -79,16 +79,16 @@
 }
 
 function viewTarget(target: HomeTarget): TargetView {
-  const { capacity, labels, targetId } = target.session.target();
+  const { capacity, labels, rack, targetId } = target.session.target();
   let free = capacity;
   const stepCounts = new Map<string, number>();
+  let lastingCount = 0;
   for (const { task } of target.runs.values()) {
     free = subtract(free, chargedResources(task.definition));
+    if (task.definition.isLasting) lastingCount += 1;
     const key = stepKey(task);
     stepCounts.set(key, (stepCounts.get(key) ?? 0) + 1);
   }
-  // The first label is the kind, the second the rack.
-  const rack = labels[1];
   return {
     targetId,
     rack,
@@ -97,6 +97,7 @@
     free,
     stepCounts,
     runCount: target.runs.size,
+    lastingCount,
     distrust: target.distrust,
   };
 }
@@ -140,7 +141,7 @@
 function countRacks(state: HomeState, tasks: readonly Task[]): Map<string, number> {
   const racks = new Map<string, number>();
   for (const { targetId } of tasks.flatMap(({ runs }) => runs)) {
-    const rack = state.targets.get(targetId)?.session.target().labels[1];
+    const rack = state.targets.get(targetId)?.session.target().rack;
     if (rack !== undefined) racks.set(rack, (racks.get(rack) ?? 0) + 1);
   }
   return racks;
--- a/src/job-homes/home-keeper.ts
+++ b/src/job-homes/home-keeper.ts
@@ -4,7 +4,7 @@
  */
 import { randomUUID } from "node:crypto";
 import { delay, rendezvousOrder } from "../shared/index.js";
-import { createRunTimeRatios } from "../scheduling/index.js";
+import { createRunTimeRatios, createWorkRate } from "../scheduling/index.js";
 import type { TransactionalStore } from "../store/index.js";
 import type { RegisteredTarget, TargetOrders } from "../task-runs/index.js";
 import type { Log, Metrics } from "../telemetry/index.js";
@@ -251,6 +251,7 @@
     log,
     metrics,
     runTimes: createRunTimeRatios(),
+    workRate: createWorkRate(),
     jobs: new Map(),
     endings: new Map(),
     tasks: new Map(),
--- a/src/job-homes/home-state.ts
+++ b/src/job-homes/home-state.ts
@@ -13,7 +13,7 @@
   type Task,
   type TaskRun,
 } from "../jobs/index.js";
-import type { RunTimeRatios } from "../scheduling/index.js";
+import type { RunTimeRatios, WorkRate } from "../scheduling/index.js";
 import type { RegisteredTarget, TargetOrders, TargetSession } from "../task-runs/index.js";
 import type { Log, Metrics } from "../telemetry/index.js";
 import type { HomeJournal } from "./home-journal.js";
@@ -56,6 +56,8 @@
   readonly log: Log;
   readonly metrics: Metrics;
   readonly runTimes: RunTimeRatios;
+  /** Work that callers ask for, accepted or not. */
+  readonly workRate: WorkRate;
   readonly jobs: Map<string, Job>;
   /** Ends of jobs that are being stored, by job. */
   readonly endings: Map<string, Promise<boolean>>;
--- a/src/job-homes/home-targets.ts
+++ b/src/job-homes/home-targets.ts
@@ -172,6 +172,7 @@
     availabilityZone: "",
     state: "draining",
     capacity: { cpuMillicores: 0, memoryMegabytes: 0, accelerators: 0 },
+    rack: undefined,
     labels: [],
     remainingMilliseconds: undefined,
   };
--- a/src/job-homes/job-home.ts
+++ b/src/job-homes/job-home.ts
@@ -14,7 +14,7 @@
   type ProgressRecord,
   type QueueTerms,
 } from "../jobs/index.js";
-import { admitJob, isLastingJob, type JobForecast } from "../scheduling/index.js";
+import { admitJob, isLastingJob, jobCoreSeconds, type JobForecast } from "../scheduling/index.js";
 import { delay } from "../shared/index.js";
 import type { TransactionalStore } from "../store/index.js";
 import { createAdviceBook, type AdviceBook, type AdviceService } from "./advice-book.js";
@@ -221,6 +221,7 @@
     const { jobId, terms, definition, deadlineMilliseconds } = submission;
     const now = performance.now();
     const age = now - this.#firstRequests.note(jobId, now);
+    if (age === 0) this.#noteDemand(submission, now);
     const forecast = forecastJob(this.#state, terms, definition, age);
     const admission = admitJob(forecast);
     if (admission.kind === "refuse" && !isLastingJob(definition)) {
@@ -246,6 +247,12 @@
     return { kind: "accepted" };
   }
 
+  /** Takes the work of a job that is asked for the first time. */
+  #noteDemand({ terms, definition }: JobSubmission, now: number): void {
+    const { workRate, runTimes } = this.#state;
+    workRate.note(jobCoreSeconds(definition, runTimes.ratio(terms.queue)), now);
+  }
+
   #logRefusal({ jobId, terms }: JobSubmission, forecast: JobForecast, retryAfterMilliseconds: number): void {
     const { backlogCoreSeconds, cores, busyCores } = readLoad(this.#state);
     this.#state.log.write("info", "job-refused", {
--- a/src/job-homes/messages.ts
+++ b/src/job-homes/messages.ts
@@ -79,6 +79,8 @@
       backlogCoreSeconds: z.number(),
       cores: z.number(),
       busyCores: z.number(),
+      demandCores: z.number(),
+      waitingLastingTasks: z.number(),
     }),
     notHome,
   ]),
--- a/src/job-homes/pool-report.ts
+++ b/src/job-homes/pool-report.ts
@@ -2,6 +2,7 @@
  * What a home tells about its pool.
  * @packageDocumentation
  */
+import { allTasks } from "../jobs/index.js";
 import { stepCoreSeconds } from "../scheduling/index.js";
 import type { HomeState } from "./home-state.js";
 
@@ -23,9 +24,15 @@
   readonly cores: number;
   /** Those of them that are in use. */
   readonly busyCores: number;
+  /** Cores that callers' work asks for now, accepted or not. */
+  readonly demandCores: number;
+  /** Lasting tasks that run nowhere. */
+  readonly waitingLastingTasks: number;
 }
 
 const millicoresPerCore = 1_000;
+/** A backlog asks for the cores that end it in this time. */
+const backlogSeconds = 2;
 
 /**
  * Measures a pool's load.
@@ -77,5 +84,16 @@
     lastingRuns: [...target.runs.values()].filter(({ task }) => task.definition.isLasting).length,
     isVacating: target.isVacating,
   }));
-  return { pool: state.pool, targets, ...readLoad(state) };
+  const load = readLoad(state);
+  // What waits should be done within a second or two, besides what comes.
+  const demandCores = state.workRate.read(performance.now()) + load.backlogCoreSeconds / backlogSeconds;
+  return { pool: state.pool, targets, ...load, demandCores, waitingLastingTasks: countWaitingLasting(state) };
+}
+
+function countWaitingLasting(state: HomeState): number {
+  const open = [...state.jobs.values()].filter(
+    ({ finalState, isEnding }) => finalState === undefined && !isEnding,
+  );
+  return open.flatMap(allTasks).filter(({ definition, runs }) => definition.isLasting && runs.length === 0)
+    .length;
 }
--- a/src/scheduling/index.ts
+++ b/src/scheduling/index.ts
@@ -3,10 +3,11 @@
  * @packageDocumentation
  */
 export { admitJob, type JobAdmission, type JobForecast } from "./admission.js";
+export { createWorkRate, type WorkRate } from "./demand.js";
 export { forecastEnd, type ForecastJob, type ForecastStep } from "./forecast.js";
 export { compareJobs, type OrderedJob } from "./order.js";
 export { choosePace, type ServedTail } from "./pacing.js";
 export { chooseGangPlaces, choosePlace, takePlace, type StepPlace } from "./placement.js";
 export { createRunTimeRatios, type RunTimeRatios } from "./run-times.js";
 export { add, chargedResources, fits, subtract, type TargetView } from "./target-view.js";
-export { isLastingJob, longestChainMilliseconds, stepCoreSeconds } from "./work.js";
+export { isLastingJob, jobCoreSeconds, longestChainMilliseconds, stepCoreSeconds } from "./work.js";
--- a/src/scheduling/target-view.ts
+++ b/src/scheduling/target-view.ts
@@ -16,6 +16,8 @@
   readonly stepCounts: Map<string, number>;
   /** Runs of any kind; placing adds to it. */
   runCount: number;
+  /** Lasting runs; placing adds to it. */
+  lastingCount: number;
   /** 0 for a target that works well, higher for one that lately failed or refused. */
   readonly distrust: number;
 }
--- a/src/scheduling/work.ts
+++ b/src/scheduling/work.ts
@@ -20,6 +20,16 @@
   return (taskCount * seconds * step.resources.cpuMillicores) / millicoresPerCore;
 }
 
+/**
+ * Computes the processor time of one occurrence of a job.
+ * @param definition - the job
+ * @param ratio - how many times its estimate a task takes
+ * @returns core-seconds
+ */
+export function jobCoreSeconds(definition: JobDefinition, ratio: number): number {
+  return definition.steps.reduce((sum, step) => sum + stepCoreSeconds(step, step.taskCount, ratio), 0);
+}
+
 /**
  * Computes how long a job takes on idle targets: the longest chain of steps that wait for each other.
  * @param definition - the job
--- a/src/task-runs/target-orders.ts
+++ b/src/task-runs/target-orders.ts
@@ -20,7 +20,9 @@
   readonly availabilityZone: string;
   readonly state: "ready" | "draining";
   readonly capacity: Resources;
-  /** Its kind and its rack, among others. */
+  /** The rack of its machine; undefined when it names none. */
+  readonly rack: string | undefined;
+  /** What steps may require. */
   readonly labels: readonly string[];
   /** The least time that a draining target stays. */
   readonly remainingMilliseconds: number | undefined;
--- a/src/wiring/job-entry.ts
+++ b/src/wiring/job-entry.ts
@@ -234,7 +234,7 @@
     store,
     machines,
     waves: configuration.waves,
-    pools: () => configuration.current()?.pools.map(({ pool }) => pool) ?? [],
+    pools: () => configuration.current()?.pools ?? [],
     vacate: async (pool, targetIds) => gateway.vacate(pool, targetIds, vacateTimeoutMilliseconds),
     waveStatus: options.operators.waveStatus,
     orderLeaseMilliseconds,
