--- a/src/fleet/fleet-view.ts
+++ b/src/fleet/fleet-view.ts
@@ -28,8 +28,7 @@
   return machineIds.flatMap((machineId): WaveCandidate[] => {
     const machine = view.machines.get(machineId);
     const report = machine === undefined ? undefined : view.reports.get(machine.pool);
-    // Without news of its pool nobody knows what runs on a machine.
-    if (machine?.state !== "up" || report === undefined) return [];
+    if (machine?.state !== "up" || report === undefined || !isLoadKnown(view, machine)) return [];
     const load = findLoad(report, machine);
     const backlogSeconds = report.backlogCoreSeconds / Math.max(1, report.cores);
     return [
@@ -46,6 +45,16 @@
   });
 }
 
+/**
+ * Tells whether somebody knows what runs on a machine. A home that has just taken its pool does not before its targets
+ * have reported; nothing runs on a machine without a target, or in a standby pool.
+ */
+function isLoadKnown({ reports, standbyPools }: FleetView, machine: Machine): boolean {
+  if (standbyPools.has(machine.pool) || machine.targetId === undefined) return true;
+  const report = reports.get(machine.pool);
+  return report !== undefined && findLoad(report, machine)?.isKnown === true;
+}
+
 function findLoad(report: PoolReport, machine: Machine): TargetLoad | undefined {
   return report.targets.find(({ targetId }) => targetId === machine.targetId);
 }
@@ -104,7 +113,9 @@
     // Machines on their way to the pool count as if they were there.
     const coming = members.filter(({ targetId, state }) => state === "moving" || !known.has(targetId ?? ""));
     const comingCores = coming.reduce((sum, machine) => sum + coresOf(machine), 0);
-    const movable = members.filter(({ state, machineId }) => state === "up" && !excluded.has(machineId));
+    const movable = members.filter(
+      (machine) => machine.state === "up" && !excluded.has(machine.machineId) && isLoadKnown(view, machine),
+    );
     return [
       {
         pool,
--- /dev/null
+++ b/src/fleet/test/plans.test.ts
@@ -0,0 +1,130 @@
+/**
+ * Plans of waves and moves, played on fleets of a few machines.
+ * @packageDocumentation
+ */
+import { expect, test } from "vitest";
+import type { PoolReport } from "../../job-homes/index.js";
+import { describeCandidates, describePools, MachineHistory, type FleetView } from "../fleet-view.js";
+import type { Machine } from "../machine-control.js";
+import { planMoves, type PlannedMachine, type PlannedPool } from "../move-plan.js";
+import { planWaveStep, type WaveCandidate } from "../wave-plan.js";
+
+const candidate = (machineId: string, changes: Partial<WaveCandidate> = {}): WaveCandidate => ({
+  machineId,
+  targetId: `target-${machineId}`,
+  pool: "presses",
+  runs: 0,
+  lastingRuns: 0,
+  isVacating: false,
+  poolBacklogMilliseconds: 0,
+  ...changes,
+});
+
+test("a wave empties no more machines than may be down, and takes down only empty ones", () => {
+  const candidates = [
+    candidate("busy", { runs: 9 }),
+    candidate("empty", { isVacating: true }),
+    candidate("lasting", { runs: 2, lastingRuns: 2 }),
+    candidate("idle"),
+  ];
+  const step = planWaveStep(candidates, { freeSlots: 2, elapsedShare: 0, doneShare: 0 });
+  expect(step.maintain.map(({ machineId }) => machineId)).toEqual(["empty"]);
+  expect(step.vacate.map(({ machineId }) => machineId)).toEqual(["idle"]);
+});
+
+test("a wave leaves machines of a busy pool alone until it falls behind", () => {
+  const candidates = [candidate("busy", { runs: 3, poolBacklogMilliseconds: 2_000 })];
+  const early = planWaveStep(candidates, { freeSlots: 1, elapsedShare: 0.1, doneShare: 0.1 });
+  const late = planWaveStep(candidates, { freeSlots: 1, elapsedShare: 0.5, doneShare: 0.1 });
+  expect(early.vacate).toEqual([]);
+  expect(late.vacate).toHaveLength(1);
+});
+
+test("no machine is taken down while its pool's home does not know what runs on it", () => {
+  const machine: Machine = {
+    machineId: "machine",
+    pool: "presses",
+    state: "up",
+    availabilityZone: "zone",
+    labels: [],
+    capacity: { cpuMillicores: 32_000, memoryMegabytes: 1_000, accelerators: 0 },
+    targetId: "target",
+  };
+  const load = { targetId: "target", runs: 0, lastingRuns: 0, isVacating: true };
+  const view = (isKnown: boolean): FleetView => ({
+    machines: new Map([["machine", machine]]),
+    reports: new Map([["presses", createReport({ targets: [{ ...load, isKnown }] })]]),
+    standbyPools: new Set(),
+  });
+  expect(describeCandidates(view(false), ["machine"])).toEqual([]);
+  expect(describeCandidates(view(true), ["machine"])).toHaveLength(1);
+  const isMovable = (isKnown: boolean): boolean =>
+    describePools(view(isKnown), new MachineHistory(), new Set())[0]?.machines.length === 1;
+  expect([isMovable(false), isMovable(true)]).toEqual([false, true]);
+});
+
+function createReport(changes: Partial<PoolReport>): PoolReport {
+  return {
+    pool: "presses",
+    targets: [],
+    backlogCoreSeconds: 0,
+    cores: 32,
+    busyCores: 0,
+    demandCores: 0,
+    waitingLastingTasks: 0,
+    ...changes,
+  };
+}
+
+const machines = (count: number, changes: Partial<PlannedMachine> = {}): PlannedMachine[] =>
+  Array.from({ length: count }, (_, index) => ({
+    machineId: `machine-${index}`,
+    targetId: `target-${index}`,
+    cores: 32,
+    runs: 0,
+    lastingRuns: 0,
+    isVacating: false,
+    restedMilliseconds: 60_000,
+    idleMilliseconds: 60_000,
+    ...changes,
+  }));
+
+const plannedPool = (name: string, changes: Partial<PlannedPool> = {}): PlannedPool => ({
+  pool: name,
+  isStandby: false,
+  cores: 192,
+  demandCores: 0,
+  waitingLastingTasks: 0,
+  machines: [],
+  ...changes,
+});
+
+test("a pool in its turn gets the machines of the standby pool first, and no more than it lacks", () => {
+  const pools = [
+    plannedPool("busy", { demandCores: 260, machines: machines(6, { runs: 8, idleMilliseconds: 0 }) }),
+    plannedPool("rest", { machines: machines(6, { lastingRuns: 1, runs: 1, idleMilliseconds: 0 }) }),
+    plannedPool("spare", { isStandby: true, cores: 0, machines: machines(6, { targetId: undefined }) }),
+  ];
+  const { moves } = planMoves(pools);
+  expect(moves.map(({ from, to }) => `${from}-${to}`)).toEqual(["spare-busy", "spare-busy", "spare-busy"]);
+});
+
+test("machines with lasting tasks, and those of a pool whose lasting tasks wait, stay", () => {
+  const pools = [
+    plannedPool("busy", { demandCores: 900, machines: machines(6, { runs: 8, idleMilliseconds: 0 }) }),
+    plannedPool("lasting", { machines: machines(6, { lastingRuns: 1, runs: 1 }) }),
+    plannedPool("waiting", { waitingLastingTasks: 1, machines: machines(6) }),
+  ];
+  const plan = planMoves(pools);
+  expect([...plan.moves, ...plan.vacate].filter(({ from }) => from !== "busy")).toEqual([]);
+});
+
+test("idle machines rest in the standby pool, and a pool keeps a few", () => {
+  const pools = [
+    plannedPool("rest", { machines: machines(6) }),
+    plannedPool("spare", { isStandby: true, cores: 0 }),
+  ];
+  const plan = planMoves(pools);
+  expect(plan.moves).toEqual([]);
+  expect(plan.vacate).toHaveLength(4);
+});
--- a/src/job-homes/messages.ts
+++ b/src/job-homes/messages.ts
@@ -74,6 +74,7 @@
           runs: z.number(),
           lastingRuns: z.number(),
           isVacating: z.boolean(),
+          isKnown: z.boolean(),
         }),
       ),
       backlogCoreSeconds: z.number(),
--- a/src/job-homes/pool-report.ts
+++ b/src/job-homes/pool-report.ts
@@ -12,6 +12,8 @@
   readonly runs: number;
   readonly lastingRuns: number;
   readonly isVacating: boolean;
+  /** Whether the target has told this home what runs on it; before that the counts say nothing. */
+  readonly isKnown: boolean;
 }
 
 /** A pool as its home sees it. */
@@ -83,6 +85,7 @@
     runs: target.runs.size,
     lastingRuns: [...target.runs.values()].filter(({ task }) => task.definition.isLasting).length,
     isVacating: target.isVacating,
+    isKnown: target.session.isKnown(),
   }));
   const load = readLoad(state);
   // What waits should be done within a second or two, besides what comes.
--- /dev/null
+++ b/src/job-homes/test/home-journal.test.ts
@@ -0,0 +1,108 @@
+/**
+ * A home's journal against a store that loses answers, refuses, or belongs to another home by now.
+ * @packageDocumentation
+ */
+import { expect, test } from "vitest";
+import { createStoreEngine, createStoreFaults, MemoryStoreClient } from "../../stand-ins/index.js";
+import type { StoreFaults } from "../../stand-ins/index.js";
+import { createLog, createMetrics } from "../../telemetry/index.js";
+import { StoredHomeJournal } from "../home-journal.js";
+
+const homeKey = "members/homes/presses";
+
+async function openJournal(): Promise<{
+  journal: StoredHomeJournal;
+  store: MemoryStoreClient;
+  faults: StoreFaults;
+  reasons: string[];
+}> {
+  const engine = createStoreEngine();
+  const faults = createStoreFaults();
+  const store = new MemoryStoreClient(engine, faults);
+  const lease = (await store.grantLease(60)).unsafeCoerce();
+  const record = { entryId: "a", term: "first", barrier: 0 };
+  const taken = await store.compareAndSwap({
+    key: homeKey,
+    value: record,
+    expectedRevision: 0,
+    leaseId: lease.leaseId,
+  });
+  const revision = taken.kind === "done" ? taken.revision : 0;
+  const reasons: string[] = [];
+  const journal = new StoredHomeJournal({
+    store,
+    homeKey,
+    record,
+    revision,
+    leaseId: lease.leaseId,
+    log: createLog("silent"),
+    metrics: createMetrics(),
+    onSuperseded: (reason) => reasons.push(reason),
+  });
+  return { journal, store, faults, reasons };
+}
+
+test("writes that come together share a transaction, and a later value replaces one that waits", async () => {
+  const { journal, store } = await openJournal();
+  const results = await Promise.all([
+    journal.write("progress/a", 1, { urgency: "soon" }).result,
+    journal.write("progress/a", 2).result,
+    journal.write("progress/b", 3).result,
+  ]);
+  expect(results).toEqual(["stored", "stored", "stored"]);
+  const listed = (await store.list("progress/")).unsafeCoerce().records;
+  expect(listed.map(({ key, value }) => [key, value])).toEqual([
+    ["progress/a", 2],
+    ["progress/b", 3],
+  ]);
+  expect(new Set(listed.map(({ revision }) => revision)).size).toBeLessThanOrEqual(2);
+});
+
+test("a write whose answer is lost is settled, and what came before it can no longer take effect", async () => {
+  const { journal, store, faults } = await openJournal();
+  const before = (await store.get(homeKey)).unsafeCoerce();
+  faults.loseAnswers = 1;
+  expect(await journal.write("progress/a", 1).result).toBe("stored");
+  const after = (await store.get(homeKey)).unsafeCoerce();
+  expect(after?.revision).toBeGreaterThan(before?.revision ?? 0);
+  // The transaction that brought no answer arrives again, late.
+  const late = await store.transact({
+    expected: [{ key: homeKey, revision: before?.revision ?? 0 }],
+    writes: [{ key: "progress/a", value: 0 }],
+  });
+  expect(late.kind).toBe("conflict");
+});
+
+test("nothing is written once another entry holds the pool", async () => {
+  const { journal, store, reasons } = await openJournal();
+  const held = (await store.get(homeKey)).unsafeCoerce();
+  const value = { entryId: "b", term: "second", barrier: 0 };
+  await store.compareAndSwap({ key: homeKey, value, expectedRevision: held?.revision ?? 0 });
+  expect(await journal.write("progress/a", 1).result).toBe("superseded");
+  expect(reasons).toHaveLength(1);
+  expect((await store.get("progress/a")).unsafeCoerce()).toBeUndefined();
+});
+
+test("a write that no transaction has carried can be taken back, and is never stored", async () => {
+  const { journal, store, faults } = await openJournal();
+  faults.mode = "refusing";
+  const write = journal.write("jobs/a", 1, { mustBeAbsent: true });
+  await new Promise((resolve) => setTimeout(resolve, 100));
+  for (let attempt = 0; attempt < 50; attempt += 1) {
+    write.withdraw();
+    await new Promise((resolve) => setTimeout(resolve, 5));
+  }
+  expect(await write.result).toBe("withdrawn");
+  faults.mode = "up";
+  await new Promise((resolve) => setTimeout(resolve, 150));
+  expect((await store.get("jobs/a")).unsafeCoerce()).toBeUndefined();
+});
+
+test("a key that must be absent and is there is reported, and other writes go on", async () => {
+  const { journal, store } = await openJournal();
+  await store.compareAndSwap({ key: "jobs/a", value: 0, expectedRevision: 0 });
+  const first = journal.write("jobs/a", 1, { mustBeAbsent: true });
+  const second = journal.write("jobs/b", 1, { mustBeAbsent: true });
+  expect(await Promise.all([first.result, second.result])).toEqual(["exists", "stored"]);
+  expect((await store.get("jobs/a")).unsafeCoerce()?.value).toBe(0);
+});
--- /dev/null
+++ b/src/job-homes/test/job-home.test.ts
@@ -0,0 +1,197 @@
+/**
+ * Homes over stand-in targets and store: what callers see, what runs and what must not.
+ * @packageDocumentation
+ */
+import { afterEach, expect, test } from "vitest";
+import type { RunRecord, TaskBehaviour } from "../../stand-ins/index.js";
+import {
+  createStep,
+  startHomeFixture,
+  submission,
+  terms,
+  waitFor,
+  type HomeFixture,
+} from "./home-fixture.js";
+
+let fixture: HomeFixture;
+afterEach(() => {
+  fixture.close();
+});
+
+const oneCore = { cpuMillicores: 1_000, memoryMegabytes: 100, accelerators: 0 };
+
+function behave(changes: Partial<TaskBehaviour> = {}): (task: string) => TaskBehaviour {
+  return () => ({ needs: oneCore, runMilliseconds: 50, isLasting: false, fails: false, ...changes });
+}
+
+function runsOf(found: HomeFixture, task: string): RunRecord[] {
+  return found.fleet.world.history.filter((run) => run.task === task);
+}
+
+/** Runs of one task that overlap in time. */
+function overlaps(runs: readonly RunRecord[]): RunRecord[] {
+  return runs.filter((left, index) =>
+    runs.some(
+      (right, other) =>
+        other < index && left.from < (right.to ?? Infinity) && right.from < (left.to ?? Infinity),
+    ),
+  );
+}
+
+test("a job of two steps runs in order and is shown as complete", async () => {
+  fixture = startHomeFixture({ targetCount: 3, coresPerTarget: 4, behaviour: behave() });
+  const home = await fixture.home(fixture.startEntry("a"));
+  expect(await home.submit(submission("job", createStep(), createStep({ after: [0] })))).toEqual({
+    kind: "accepted",
+  });
+  await waitFor(() => readState(home, "job") === "complete");
+  const firstStep = fixture.fleet.world.history.filter(({ task }) => task.startsWith("job.0.0."));
+  const secondStep = fixture.fleet.world.history.filter(({ task }) => task.startsWith("job.0.1."));
+  expect(firstStep.map(({ how }) => how)).toEqual(["succeeded", "succeeded"]);
+  const lastEnd = Math.max(...firstStep.map(({ to }) => to ?? Infinity));
+  expect(secondStep.every(({ from }) => from >= lastEnd)).toBe(true);
+});
+
+test("the same job handed in twice at once runs once", async () => {
+  fixture = startHomeFixture({ targetCount: 3, coresPerTarget: 4, behaviour: behave() });
+  const home = await fixture.home(fixture.startEntry("a"));
+  const outcomes = await Promise.all([
+    home.submit(submission("job", createStep())),
+    home.submit(submission("job", createStep())),
+  ]);
+  expect(outcomes).toEqual([{ kind: "accepted" }, { kind: "accepted" }]);
+  await waitFor(() => readState(home, "job") === "complete");
+  expect(await home.submit(submission("job", createStep()))).toEqual({ kind: "accepted" });
+  expect(fixture.fleet.world.history).toHaveLength(2);
+});
+
+test("a task that fails as often as its queue allows fails its job", async () => {
+  fixture = startHomeFixture({ targetCount: 2, coresPerTarget: 4, behaviour: behave({ fails: true }) });
+  const home = await fixture.home(fixture.startEntry("a"));
+  await home.submit(submission("job", createStep({ taskCount: 1 })));
+  await waitFor(() => readState(home, "job") === "failed");
+  expect(runsOf(fixture, "job.0.0.0")).toHaveLength(terms.attempts);
+});
+
+test("the next home does not run a cancelled job", async () => {
+  fixture = startHomeFixture({
+    targetCount: 3,
+    coresPerTarget: 4,
+    behaviour: behave({ runMilliseconds: 5_000 }),
+  });
+  const first = fixture.startEntry("a");
+  const home = await fixture.home(first);
+  await home.submit(submission("job", createStep({ taskCount: 4 })));
+  await waitFor(() => fixture.fleet.world.history.length === 4);
+  expect(await home.cancel("job")).toEqual({ kind: "cancelled" });
+  await waitFor(() => fixture.fleet.world.history.every(({ how }) => how === "stopped"));
+  first.crash();
+  const next = await fixture.home(fixture.startEntry("b"));
+  expect(readState(next, "job")).toBe("cancelled");
+  await new Promise((resolve) => setTimeout(resolve, 300));
+  expect(fixture.fleet.world.history).toHaveLength(4);
+});
+
+test("the next home goes on with what runs, and no task runs twice", async () => {
+  fixture = startHomeFixture({
+    targetCount: 3,
+    coresPerTarget: 4,
+    behaviour: behave({ runMilliseconds: 900 }),
+  });
+  const first = fixture.startEntry("a");
+  const home = await fixture.home(first);
+  await home.submit(submission("job", createStep({ taskCount: 6 }), createStep({ after: [0] })));
+  await waitFor(() => fixture.fleet.world.history.length === 6);
+  first.crash();
+  const next = await fixture.home(fixture.startEntry("b"));
+  await waitFor(() => readState(next, "job") === "complete");
+  const tasks = new Set(fixture.fleet.world.history.map(({ task }) => task));
+  for (const task of tasks) {
+    const runs = runsOf(fixture, task);
+    expect(overlaps(runs)).toEqual([]);
+    expect(runs.filter(({ how }) => how === "succeeded")).toHaveLength(1);
+  }
+});
+
+test("a lasting task of a silent target starts elsewhere once its lease has ended", async () => {
+  fixture = startHomeFixture({ targetCount: 3, coresPerTarget: 4, behaviour: behave({ isLasting: true }) });
+  const home = await fixture.home(fixture.startEntry("a"));
+  await home.submit(submission("job", createStep({ taskCount: 1, isLasting: true })));
+  const run = await waitFor(() => runsOf(fixture, "job.0.0.0")[0]);
+  const target = fixture.fleet.targets.get(run.targetId);
+  if (target !== undefined) target.isSilent = true;
+  const second = await waitFor(() => runsOf(fixture, "job.0.0.0")[1]);
+  expect(second.targetId).not.toBe(run.targetId);
+  expect(overlaps(runsOf(fixture, "job.0.0.0"))).toEqual([]);
+});
+
+test("lasting tasks leave emptied targets only as far as their step can spare them", async () => {
+  fixture = startHomeFixture({ targetCount: 4, coresPerTarget: 4, behaviour: behave({ isLasting: true }) });
+  const home = await fixture.home(fixture.startEntry("a"));
+  await home.submit(
+    submission(
+      "job",
+      createStep({ taskCount: 3, isLasting: true, maximumPerTarget: 1, maximumUnavailable: 1 }),
+    ),
+  );
+  await waitFor(() => fixture.fleet.world.history.length === 3);
+  const emptied = fixture.fleet.world.history.slice(0, 2).map(({ targetId }) => targetId);
+  let fewest = 3;
+  const isEmpty = (): boolean => {
+    const { targets } = home.vacate(emptied);
+    const running = fixture.fleet.world.history.filter(({ to }) => to === undefined).length;
+    fewest = Math.min(fewest, running);
+    return targets.filter(({ targetId, runs }) => emptied.includes(targetId) && runs > 0).length === 1;
+  };
+  // Only one other target has room beside the three: one task moves, the other has to stay.
+  await waitFor(isEmpty);
+  await new Promise((resolve) => setTimeout(resolve, 300));
+  isEmpty();
+  expect(fewest).toBeGreaterThanOrEqual(2);
+});
+
+test("an accepted job is kept when the answer of the store is lost", async () => {
+  fixture = startHomeFixture({ targetCount: 2, coresPerTarget: 4, behaviour: behave() });
+  const entry = fixture.startEntry("a");
+  const home = await fixture.home(entry);
+  await waitFor(() => entry.lines.some((line) => line.includes("target-session-opened")));
+  entry.faults.loseAnswers = 1;
+  expect(await home.submit(submission("job", createStep()))).toEqual({ kind: "accepted" });
+  await waitFor(() => readState(home, "job") === "complete");
+  expect(fixture.fleet.world.history).toHaveLength(2);
+});
+
+test("a job that cannot be stored is refused within its time and never runs", async () => {
+  fixture = startHomeFixture({ targetCount: 2, coresPerTarget: 4, behaviour: behave() });
+  const entry = fixture.startEntry("a");
+  const home = await fixture.home(entry);
+  entry.faults.mode = "refusing";
+  const outcome = await home.submit({ ...submission("job", createStep()), deadlineMilliseconds: 600 });
+  expect(outcome.kind).toBe("refused");
+  entry.faults.mode = "up";
+  await new Promise((resolve) => setTimeout(resolve, 300));
+  expect(fixture.fleet.world.history).toEqual([]);
+});
+
+test("starts that bring no answer and are carried out late never make a task run twice", async () => {
+  fixture = startHomeFixture({
+    targetCount: 3,
+    coresPerTarget: 4,
+    behaviour: behave({ runMilliseconds: 200 }),
+  });
+  const home = await fixture.home(fixture.startEntry("a"));
+  fixture.fleet.setLate(300);
+  await home.submit(submission("job", createStep({ taskCount: 4 })));
+  await new Promise((resolve) => setTimeout(resolve, 700));
+  fixture.fleet.setLate(undefined);
+  await waitFor(() => readState(home, "job") === "complete");
+  for (const index of [0, 1, 2, 3]) expect(overlaps(runsOf(fixture, `job.0.0.${index}`))).toEqual([]);
+});
+
+function readState(
+  home: { readState(jobId: string): { kind: string; state?: string } },
+  jobId: string,
+): string {
+  const outcome = home.readState(jobId);
+  return outcome.kind === "state" ? (outcome.state ?? "") : outcome.kind;
+}
--- /dev/null
+++ b/src/job-homes/test/run-ends.test.ts
@@ -0,0 +1,86 @@
+/**
+ * Progress and ends on their way to the store.
+ * @packageDocumentation
+ */
+import { expect, test } from "vitest";
+import { createRunTimeRatios, createWorkRate } from "../../scheduling/index.js";
+import { createLog, createMetrics } from "../../telemetry/index.js";
+import type { HomeJournal, JournalResult } from "../home-journal.js";
+import { addJob, type HomeState } from "../home-state.js";
+import { endJob, storeProgress } from "../run-ends.js";
+import { createStep, pool, terms } from "./home-fixture.js";
+
+interface HeldWrite {
+  readonly key: string;
+  readonly value: unknown;
+  settle(result: JournalResult): void;
+}
+
+/** A journal whose writes wait until the test settles them. */
+function createHeldJournal(): { journal: HomeJournal; writes: HeldWrite[] } {
+  const writes: HeldWrite[] = [];
+  const journal: HomeJournal = {
+    write: (key, value) => {
+      const result = new Promise<JournalResult>((settle) => {
+        writes.push({ key, value, settle });
+      });
+      return { result, withdraw: () => undefined };
+    },
+    waiting: () => writes.length,
+    flush: async () => Promise.resolve(),
+    close: () => undefined,
+  };
+  return { journal, writes };
+}
+
+function createState(journal: HomeJournal): HomeState {
+  const unused = async (): Promise<never> => Promise.reject(new Error("no orders are given here"));
+  return {
+    pool,
+    fencingToken: 1,
+    firstRun: 1,
+    orders: { start: unused, stop: unused, pace: unused, renew: unused },
+    journal,
+    log: createLog("silent"),
+    metrics: createMetrics(),
+    runTimes: createRunTimeRatios(),
+    workRate: createWorkRate(),
+    jobs: new Map(),
+    endings: new Map(),
+    tasks: new Map(),
+    targets: new Map(),
+    isActive: () => true,
+    wake: () => undefined,
+    supersede: () => undefined,
+    listed: new Map(),
+    awaited: new Set(),
+  };
+}
+
+test("progress that comes while a job's end is being stored does not replace the end", async () => {
+  const { journal, writes } = createHeldJournal();
+  const state = createState(journal);
+  const definition = { spec: "", steps: [createStep()] };
+  const record = { jobId: "job", terms, definition, acceptedAt: 0, requestedAt: 0 };
+  const job = addJob(state, record, undefined, 0, false);
+  const ending = endJob(state, job, "cancelled");
+  const progress = storeProgress(state, job);
+  expect(writes).toHaveLength(1);
+  expect(writes[0]?.value).toMatchObject({ finalState: "cancelled" });
+  writes[0]?.settle("stored");
+  expect(await Promise.all([ending, progress])).toEqual([true, true]);
+  expect(await storeProgress(state, job)).toBe(true);
+  expect(writes).toHaveLength(1);
+});
+
+test("an end that is not stored is not shown", async () => {
+  const { journal, writes } = createHeldJournal();
+  const state = createState(journal);
+  const definition = { spec: "", steps: [createStep()] };
+  const record = { jobId: "job", terms, definition, acceptedAt: 0, requestedAt: 0 };
+  const job = addJob(state, record, undefined, 0, false);
+  const ending = endJob(state, job, "complete");
+  writes[0]?.settle("superseded");
+  expect(await ending).toBe(false);
+  expect(job.finalState).toBeUndefined();
+});
--- a/src/stand-ins/index.ts
+++ b/src/stand-ins/index.ts
@@ -7,3 +7,4 @@
 export * from "./store/index.js";
 export * from "./target/index.js";
 export * from "./fleet/index.js";
+export * from "./job-targets/index.js";
--- /dev/null
+++ b/src/stand-ins/job-targets/job-fleet.ts
@@ -0,0 +1,114 @@
+/**
+ * A fleet of stand-in targets behind the interface that homes give orders through, with faults on the way.
+ * @packageDocumentation
+ */
+import { Left } from "purify-ts";
+import { delay } from "../../shared/index.js";
+import type { OrderHeader, OrderOutcome, TargetOrders } from "../../task-runs/index.js";
+import { JobTarget, type JobTargetWorld, type TaskBehaviour } from "./job-target.js";
+
+/** A fleet of stand-in targets. */
+export interface JobFleet {
+  readonly targets: ReadonlyMap<string, JobTarget>;
+  readonly world: JobTargetWorld;
+  readonly orders: TargetOrders;
+  /** Orders that bring no answer and are carried out so much later; undefined for none. */
+  setLate(milliseconds: number | undefined): void;
+  close(): void;
+}
+
+/** Settings of a fleet. */
+export interface JobFleetOptions {
+  readonly pool: string;
+  readonly targetCount: number;
+  readonly coresPerTarget: number;
+  readonly behaviour: (task: string) => TaskBehaviour;
+}
+
+const advanceMilliseconds = 5;
+const millicoresPerCore = 1_000;
+const targetsPerRack = 4;
+const lostTimeoutMilliseconds = 100;
+
+/**
+ * Starts a fleet.
+ * @param options - its size and how tasks behave
+ * @returns the running fleet
+ */
+export function startJobFleet(options: JobFleetOptions): JobFleet {
+  const world: JobTargetWorld = { now: () => performance.now(), behaviour: options.behaviour, history: [] };
+  const targets = new Map(
+    Array.from({ length: options.targetCount }, (_, index) => {
+      const target = createTarget(world, options, index);
+      return [target.describe().targetId, target] as const;
+    }),
+  );
+  let late: number | undefined;
+  const timer = setInterval(() => {
+    for (const target of targets.values()) target.advance();
+  }, advanceMilliseconds);
+
+  const send = async (
+    { target, timeoutMilliseconds }: OrderHeader,
+    carryOut: (target: JobTarget) => OrderOutcome,
+  ): Promise<OrderOutcome> => {
+    const found = targets.get(target.targetId);
+    if (found === undefined) return { kind: "refused", reason: "not-connected" };
+    const lost: OrderOutcome = { kind: "unknown", message: "no answer in time" };
+    if (late !== undefined) setTimeout(() => carryOut(found), late);
+    if (late !== undefined || found.isSilent) {
+      await delay(Math.min(lostTimeoutMilliseconds, timeoutMilliseconds));
+      return lost;
+    }
+    await delay(1);
+    const outcome = carryOut(found);
+    return found.losesAnswers ? lost : outcome;
+  };
+
+  return {
+    targets,
+    world,
+    orders: {
+      start: async (order) => send(order, (target) => target.start(order)),
+      stop: async (order) => send(order, (target) => target.stop(order)),
+      pace: async () => Promise.resolve({ kind: "done", clockMilliseconds: 0 }),
+      renew: async (order) => {
+        const found = targets.get(order.target.targetId);
+        await delay(Math.min(order.waitMilliseconds, renewWaitMilliseconds));
+        if (found === undefined) return Left({ kind: "refused", reason: "not-connected" });
+        if (found.isSilent) {
+          await delay(lostTimeoutMilliseconds);
+          return Left({ kind: "unknown", message: "no answer in time" });
+        }
+        return found.renew(order);
+      },
+    },
+    setLate: (milliseconds) => {
+      late = milliseconds;
+    },
+    close: () => {
+      clearInterval(timer);
+    },
+  };
+}
+
+/** Renewals answer soon, whatever wait they ask for. */
+const renewWaitMilliseconds = 10;
+
+function createTarget(world: JobTargetWorld, options: JobFleetOptions, index: number): JobTarget {
+  const rack = `rack-${Math.floor(index / targetsPerRack)}`;
+  return new JobTarget(world, {
+    targetId: `${options.pool}-${index}`,
+    address: `127.0.0.1:${9_000 + index}`,
+    pool: options.pool,
+    availabilityZone: "zone",
+    capacity: {
+      cpuMillicores: options.coresPerTarget * millicoresPerCore,
+      memoryMegabytes: 64_000,
+      accelerators: 0,
+    },
+    rack,
+    labels: ["kind", rack],
+    remainingMilliseconds: undefined,
+  });
+}
--- a/src/stand-ins/store/engine.ts
+++ b/src/stand-ins/store/engine.ts
@@ -53,6 +53,18 @@
    * @returns whether it was written
    */
   write(write: EngineWrite): boolean;
+  /**
+   * Writes several keys if all expected revisions hold and all leases stand.
+   * @param expected - revisions by key
+   * @param writes - the writes
+   * @returns whether they were written
+   */
+  writeAll(
+    expected: readonly { readonly key: string; readonly revision: number }[],
+    writes: readonly Omit<EngineWrite, "expectedRevision">[],
+  ): boolean;
+  /** Reads the changes in a range after a revision. */
+  changes(start: string, end: string, afterRevision: number): EngineChange[];
   /** Grants a lease that ends unless renewed. */
   grantLease(ttlMilliseconds: number): string;
   /** Renews a lease; returns its time in milliseconds, 0 when it has ended. */
@@ -120,6 +132,15 @@
     return true;
   };
 
+  const writeAll: StoreEngine["writeAll"] = (expected, writes) => {
+    counts.writes += 1;
+    if (expected.some(({ key, revision: wanted }) => (records.get(key)?.revision ?? 0) !== wanted))
+      return false;
+    if (writes.some(({ leaseId }) => leaseId !== undefined && !leases.stands(leaseId))) return false;
+    for (const { key, value, leaseId } of writes) apply(key, value, leaseId);
+    return true;
+  };
+
   const countLease = <Result>(result: Result): Result => {
     counts.leases += 1;
     return result;
@@ -130,6 +151,8 @@
     revision: () => revision,
     range,
     write,
+    writeAll,
+    changes: (start, end, afterRevision) => changes.read(start, end, afterRevision),
     grantLease: (ttlMilliseconds) => countLease(leases.grant(ttlMilliseconds)),
     renewLease: (leaseId) => countLease(leases.renew(leaseId)),
     revokeLease: (leaseId) => countLease(leases.revoke(leaseId)),
@@ -145,6 +168,7 @@
 
 interface ChangeLog {
   publish(change: EngineChange): void;
+  read(start: string, end: string, afterRevision: number): EngineChange[];
   watch(watcher: Watcher, fromRevision: number): () => void;
 }
 
@@ -159,6 +183,8 @@
         if (isInRange(change.key, watcher.start, watcher.end)) watcher.report(change);
       }
     },
+    read: (start, end, afterRevision) =>
+      history.filter(({ key, revision }) => revision > afterRevision && isInRange(key, start, end)),
     watch: (watcher, fromRevision) => {
       history
         .filter(({ key, revision }) => revision >= fromRevision && isInRange(key, watcher.start, watcher.end))
--- a/src/stand-ins/store/memory-client.ts
+++ b/src/stand-ins/store/memory-client.ts
@@ -7,12 +7,15 @@
 import type {
   ConditionalWrite,
   StoreChange,
-  StoreClient,
+  StoreChanges,
   StoreFailure,
   StoreLease,
   StoreListing,
   StoreRecord,
+  StoreTransaction,
   StoreWatch,
+  TransactionalStore,
+  TransactionResult,
   WatchHandlers,
   WriteResult,
 } from "../../store/index.js";
@@ -20,8 +23,11 @@
 import type { EngineChange, EngineRecord, StoreEngine } from "./engine.js";
 import type { StoreFaults } from "./faults.js";
 
+/** How often a wait for changes looks. */
+const pollMilliseconds = 5;
+
 /** Calls the engine directly, with the same faults as over HTTP. */
-export class MemoryStoreClient implements StoreClient {
+export class MemoryStoreClient implements TransactionalStore {
   readonly #engine: StoreEngine;
   readonly #faults: StoreFaults;
 
@@ -58,6 +64,46 @@
     });
   }
 
+  async transact({ expected, writes }: StoreTransaction): Promise<TransactionResult> {
+    const result = await this.#call((): TransactionResult => {
+      const encoded = writes.map(({ key, value, leaseId }) => ({
+        key,
+        value: value === undefined ? undefined : JSON.stringify(value),
+        leaseId,
+      }));
+      if (this.#engine.writeAll(expected, encoded))
+        return { kind: "done", revision: this.#engine.revision() };
+      const current = expected.flatMap(({ key }) => this.#engine.range(key).map(decodeRecord));
+      return { kind: "conflict", current };
+    });
+    return result.caseOf<TransactionResult>({
+      Left: (failure) => ({ kind: "not-done", failure }),
+      Right: (done) => {
+        if (this.#faults.loseAnswers === 0) return done;
+        this.#faults.loseAnswers -= 1;
+        return { kind: "unknown", failure: { kind: "timeout", message: "the answer was lost" } };
+      },
+    });
+  }
+
+  async changesAfter(
+    prefix: string,
+    afterRevision: number,
+    waitMilliseconds: number,
+  ): Promise<Either<StoreFailure, StoreChanges | undefined>> {
+    const read = (): StoreChanges => ({
+      changes: this.#engine.changes(prefix, prefixEnd(prefix), afterRevision).map(decodeChange),
+      revision: this.#engine.revision(),
+    });
+    const deadlineAt = performance.now() + waitMilliseconds;
+    for (;;) {
+      const found = await this.#call(read);
+      const isEmpty = found.map(({ changes }) => changes.length === 0).orDefault(false);
+      if (!isEmpty || performance.now() >= deadlineAt) return found;
+      await delay(pollMilliseconds);
+    }
+  }
+
   async grantLease(ttlSeconds: number): Promise<Either<StoreFailure, StoreLease>> {
     return this.#call(() => ({ leaseId: this.#engine.grantLease(ttlSeconds * 1_000), ttlSeconds }));
   }
