--- a/src/job-homes/home-keeper.ts
+++ b/src/job-homes/home-keeper.ts
@@ -88,7 +88,9 @@
 
   /** The running home of a pool, if this entry holds it. */
   home(pool: string): JobHome | undefined {
-    return this.#held.get(pool)?.home;
+    const held = this.#held.get(pool);
+    // A process that was paused finds out here that its lease has ended meanwhile.
+    return held?.state.isActive() === true ? held.home : undefined;
   }
 
   /** The running homes of this entry. */
--- a/src/job-homes/job-home.ts
+++ b/src/job-homes/job-home.ts
@@ -23,7 +23,7 @@
 import { forecastJob } from "./home-forecast.js";
 import { addJob, openDue, type HomeState, type HomeTarget } from "./home-state.js";
 import { readLoad, reportPool, type PoolReport } from "./pool-report.js";
-import { endJob, storeProgress } from "./run-ends.js";
+import { endJob, hasEnded, storeProgress } from "./run-ends.js";
 import { stopUnwanted } from "./stopper.js";
 
 /** A job that a caller hands in. */
@@ -169,7 +169,7 @@
     this.#isStarted = true;
     // Work that was done before the takeover may have been all that was left.
     for (const job of this.#state.jobs.values()) {
-      if (job.finalState === undefined) void storeProgress(this.#state, job);
+      if (job.finalState === undefined && hasEnded(job)) void storeProgress(this.#state, job);
     }
     void this.#run();
   }
--- a/src/job-homes/run-ends.ts
+++ b/src/job-homes/run-ends.ts
@@ -215,13 +215,24 @@
   const ending = state.endings.get(job.id);
   if (ending !== undefined) return ending;
   if (isWorkDone(job)) return endJob(state, job, "complete");
-  if (allTasks(job).some(({ failures }) => failures >= job.record.terms.attempts)) {
-    return endJob(state, job, "failed");
-  }
+  if (hasFailed(job)) return endJob(state, job, "failed");
   const write = state.journal.write(progressKey(job), encodeProgress(job), { urgency: "soon" });
   return (await write.result) === "stored";
 }
 
+/**
+ * Tells whether a job's tasks have decided its end.
+ * @param job - the job
+ * @returns true when all work is done or an attempt too many has failed
+ */
+export function hasEnded(job: Job): boolean {
+  return isWorkDone(job) || hasFailed(job);
+}
+
+function hasFailed(job: Job): boolean {
+  return allTasks(job).some(({ failures }) => failures >= job.record.terms.attempts);
+}
+
 /**
  * Stores the end of a job, and lets callers see it once it is stored.
  * @param state - the home
--- a/src/job-homes/test/job-home.test.ts
+++ b/src/job-homes/test/job-home.test.ts
@@ -92,6 +92,23 @@
   expect(fixture.fleet.world.history).toHaveLength(4);
 });
 
+test("a job that has not begun counts as pending with every next home", async () => {
+  fixture = startHomeFixture({ targetCount: 1, coresPerTarget: 1, behaviour: behave() });
+  const tooLarge = { cpuMillicores: 64_000, memoryMegabytes: 100, accelerators: 0 };
+  let entry = fixture.startEntry("a");
+  let home = await fixture.home(entry);
+  await home.submit(submission("job", createStep({ isLasting: true, resources: tooLarge })));
+  for (const entryId of ["b", "c"]) {
+    // Longer than progress waits for company.
+    await new Promise((resolve) => setTimeout(resolve, 500));
+    entry.crash();
+    entry = fixture.startEntry(entryId);
+    home = await fixture.home(entry);
+    expect(home.countPending(terms.queue)).toBe(1);
+    expect(readState(home, "job")).toBe("queued");
+  }
+});
+
 test("the next home goes on with what runs, and no task runs twice", async () => {
   fixture = startHomeFixture({
     targetCount: 3,
--- a/src/jobs/job.ts
+++ b/src/jobs/job.ts
@@ -104,7 +104,7 @@
     occurrences: new Map(),
     dueCount: 0,
     finishedOccurrences: new Set(),
-    hasStarted: progress !== undefined,
+    hasStarted: progress !== undefined && hasEndedRuns(progress),
     isInherited,
     isEnding: false,
     finalState: progress?.finalState,
@@ -115,6 +115,11 @@
   return job;
 }
 
+/** Tells whether any run of the job has ended so that it was stored. */
+function hasEndedRuns({ succeeded, failures, finalState }: ProgressRecord): boolean {
+  return finalState !== undefined || succeeded.length > 0 || Object.keys(failures).length > 0;
+}
+
 /**
  * Counts the occurrences that are due.
  * @param record - the job
