--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -10,6 +10,7 @@
 import { planCommand } from "./plan-command.js";
 import { standInCommand } from "./stand-in-command.js";
 import { statusCommand } from "./status-command.js";
+import { traceCommand } from "./trace-command.js";
 import { waveCommand } from "./wave-commands.js";
 import { applyCommand, checkCommand, showCommand } from "./text-commands.js";
 
@@ -28,6 +29,7 @@
     drain: drainCommand,
     restore: restoreCommand,
     plan: planCommand,
+    trace: traceCommand,
     wave: waveCommand,
     "stand-in": standInCommand,
   },
--- /dev/null
+++ b/src/job-homes/test/failed-requests.test.ts
@@ -0,0 +1,83 @@
+/**
+ * The steps of docs/OPERATIONS.md, walked on logs that homes wrote over stand-ins: from a job's identifier to the cause.
+ * @packageDocumentation
+ */
+import { afterEach, expect, test } from "vitest";
+import type { TaskBehaviour } from "../../stand-ins/index.js";
+import { readJobStory, type StoryLine } from "../../telemetry/index.js";
+import {
+  createStep,
+  startHomeFixture,
+  submission,
+  waitFor,
+  type HomeFixture,
+  type TestEntry,
+} from "./home-fixture.js";
+
+let fixture: HomeFixture;
+afterEach(() => {
+  fixture.close();
+});
+
+const behave =
+  (changes: Partial<TaskBehaviour> = {}): ((task: string) => TaskBehaviour) =>
+  () => ({
+    needs: { cpuMillicores: 1_000, memoryMegabytes: 100, accelerators: 0 },
+    runMilliseconds: 50,
+    isLasting: false,
+    fails: false,
+    ...changes,
+  });
+
+function storyOf({ lines }: TestEntry, jobId: string): StoryLine[] {
+  return readJobStory(new Map([["entry.log", lines.join("\n")]]), jobId);
+}
+
+function find(story: readonly StoryLine[], event: string): string[] {
+  return story.filter((line) => line.event === event).map(({ text }) => text);
+}
+
+test("a refused job: the line of the refusal holds the load that decided it", async () => {
+  fixture = startHomeFixture({ targetCount: 1, coresPerTarget: 1, behaviour: behave() });
+  const entry = fixture.startEntry("a");
+  const home = await fixture.home(entry);
+  const outcome = await home.submit(
+    submission("refused", createStep({ taskCount: 500, estimateMilliseconds: 1_000 })),
+  );
+  expect(outcome.kind).toBe("refused");
+  const [line] = find(storyOf(entry, "refused"), "job-refused");
+  expect(line).toMatch(
+    /endMilliseconds=\S+ objectiveMilliseconds=\d+ backlogCoreSeconds=\d+ cores=\d+ busyCores=\d+/,
+  );
+});
+
+test("a late job: the start without an answer, the stop that settled it and the second start are in its story", async () => {
+  fixture = startHomeFixture({ targetCount: 1, coresPerTarget: 4, behaviour: behave() });
+  const entry = fixture.startEntry("a");
+  const home = await fixture.home(entry);
+  await waitFor(() => entry.lines.some((line) => line.includes("target-session-opened")));
+  fixture.fleet.setLate(5_000);
+  await home.submit(submission("late", createStep({ taskCount: 1 })));
+  await waitFor(() =>
+    find(storyOf(entry, "late"), "run-start").some((line) => line.includes("result=unknown")),
+  );
+  fixture.fleet.setLate(undefined);
+  await waitFor(() =>
+    find(storyOf(entry, "late"), "job-ended").some((line) => line.includes("state=complete")),
+  );
+  const events = storyOf(entry, "late").map(({ event }) => event);
+  expect(events.filter((event) => event === "run-start").length).toBeGreaterThan(1);
+  expect(events).toContain("run-stop");
+});
+
+test("a failed job: each failed attempt names its target", async () => {
+  fixture = startHomeFixture({ targetCount: 2, coresPerTarget: 4, behaviour: behave({ fails: true }) });
+  const entry = fixture.startEntry("a");
+  const home = await fixture.home(entry);
+  await home.submit(submission("failed", createStep({ taskCount: 1 })));
+  await waitFor(() => find(storyOf(entry, "failed"), "job-ended").length === 1);
+  const failures = find(storyOf(entry, "failed"), "run-ended");
+  expect(failures).toHaveLength(2);
+  expect(failures.every((line) => line.includes('kind=failed') && /target=presses-\d/.test(line))).toBe(true);
+  expect(find(storyOf(entry, "failed"), "job-ended")[0]).toContain("state=failed");
+});
