--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -1,37 +1,28 @@
 #!/usr/bin/env node
 /**
- * The command line.
+ * The command line. A command's modules are loaded when it is run, so that the others cost it no start.
  * @packageDocumentation
  */
 import { defineCommand, runMain } from "citty";
-import { entryCommand } from "./entry-command.js";
-import { historyCommand, rollBackCommand, rollOutCommand } from "./history-commands.js";
-import { drainCommand, moveCommand, restoreCommand } from "./instance-commands.js";
-import { planCommand } from "./plan-command.js";
-import { standInCommand } from "./stand-in-command.js";
-import { statusCommand } from "./status-command.js";
-import { traceCommand } from "./trace-command.js";
-import { waveCommand } from "./wave-commands.js";
-import { applyCommand, checkCommand, showCommand } from "./text-commands.js";
 
 const main = defineCommand({
   meta: { name: "dogwoodhoist", description: "Fleet capacity and maintenance manager" },
   subCommands: {
-    entry: entryCommand,
-    check: checkCommand,
-    apply: applyCommand,
-    show: showCommand,
-    history: historyCommand,
-    rollback: rollBackCommand,
-    rollout: rollOutCommand,
-    status: statusCommand,
-    move: moveCommand,
-    drain: drainCommand,
-    restore: restoreCommand,
-    plan: planCommand,
-    trace: traceCommand,
-    wave: waveCommand,
-    "stand-in": standInCommand,
+    entry: async () => (await import("./entry-command.js")).entryCommand,
+    check: async () => (await import("./text-commands.js")).checkCommand,
+    apply: async () => (await import("./text-commands.js")).applyCommand,
+    show: async () => (await import("./text-commands.js")).showCommand,
+    history: async () => (await import("./history-commands.js")).historyCommand,
+    rollback: async () => (await import("./history-commands.js")).rollBackCommand,
+    rollout: async () => (await import("./history-commands.js")).rollOutCommand,
+    status: async () => (await import("./status-command.js")).statusCommand,
+    move: async () => (await import("./instance-commands.js")).moveCommand,
+    drain: async () => (await import("./instance-commands.js")).drainCommand,
+    restore: async () => (await import("./instance-commands.js")).restoreCommand,
+    plan: async () => (await import("./plan-command.js")).planCommand,
+    trace: async () => (await import("./trace-command.js")).traceCommand,
+    wave: async () => (await import("./wave-commands.js")).waveCommand,
+    "stand-in": async () => (await import("./stand-in-command.js")).standInCommand,
   },
 });
 
--- a/src/cli/test/commands.test.ts
+++ b/src/cli/test/commands.test.ts
@@ -108,3 +108,26 @@
   const { output } = await onEntry("status");
   expect(output).toContain("target-3\tzone-1\tzone-1-rack-1\tquotes\tstopped");
 });
+
+test("trace prints a job's lines of all logs in the order of their times", async () => {
+  const first = join(folder, "first.log");
+  const second = join(folder, "second.log");
+  await writeFile(first, "time=2026-01-01T00:00:02Z event=job-submitted job=5c0e outcome=accepted\n");
+  await writeFile(
+    second,
+    [
+      "time=2026-01-01T00:00:01Z event=job-accepted job=5c0e",
+      "time=2026-01-01T00:00:03Z event=run-start task=5c0e.0.0.1 run=1",
+      "time=2026-01-01T00:00:04Z event=run-start task=5c0ef.0.0.1 run=1",
+    ].join("\n"),
+  );
+  const [story, nothing, bad] = await Promise.all([
+    run("trace", "5c0e", first, second),
+    run("trace", "77", first),
+    run("trace", "5c0e"),
+  ]);
+  expect(story.code).toBe(0);
+  const events = [...story.output.matchAll(/event=([a-z-]+)/g)].map(([, event]) => event);
+  expect(events).toEqual(["job-accepted", "job-submitted", "run-start"]);
+  expect([nothing.code, bad.code]).toEqual([1, 2]);
+});
--- a/src/job-homes/dispatcher.ts
+++ b/src/job-homes/dispatcher.ts
@@ -2,14 +2,7 @@
  * Rounds of placing: goes through the jobs in their order and starts what has room.
  * @packageDocumentation
  */
-import {
-  isStepReady,
-  type Job,
-  type Occurrence,
-  type Resources,
-  type Task,
-  type TaskRun,
-} from "../jobs/index.js";
+import { isStepReady, type Job, type Occurrence, type Resources, type Task } from "../jobs/index.js";
 import {
   add,
   chargedResources,
@@ -21,26 +14,11 @@
   type StepPlace,
   type TargetView,
 } from "../scheduling/index.js";
-import type { OrderOutcome, OrderRefusal } from "../task-runs/index.js";
 import type { AdviceBook } from "./advice-book.js";
 import { rankJob, type RankedJob } from "./job-rank.js";
 import { findDeparture, maySpare } from "./lasting-moves.js";
-import { isTaskOver, removeRun, type HomeState, type HomeTarget, type TargetRun } from "./home-state.js";
-
-const startTimeoutMilliseconds = 800;
-/** A target is left alone for a while after it refused, by why it did. */
-const blockMilliseconds: Readonly<Partial<Record<OrderRefusal, number>>> = {
-  "no-room": 100,
-  unhealthy: 1_000,
-  "other-instance": 1_000,
-  "not-connected": 500,
-  "too-late": 200,
-};
-const distrustPerRefusal = 1;
-/** A task whose start was malformed is not tried again soon. */
-const malformedWaitMilliseconds = 10_000;
-/** A run number that a target takes for old is raised by so much. */
-const runSkip = 16;
+import { startRun } from "./run-starts.js";
+import { isTaskOver, type HomeState, type HomeTarget } from "./home-state.js";
 
 /**
  * Starts all tasks that have room.
@@ -237,94 +215,3 @@
   }
   return room;
 }
-
-function startRun(
-  state: HomeState,
-  task: Task,
-  runNumber: number,
-  targetId: string,
-  ticket: string | undefined,
-): void {
-  const target = state.targets.get(targetId);
-  const leaseUntilMilliseconds = target?.session.nextLeaseEnd();
-  if (target === undefined || leaseUntilMilliseconds === undefined) return;
-  const now = performance.now();
-  const run: TaskRun = {
-    targetId,
-    run: runNumber,
-    startedAt: now,
-    isWhole: task.checkpoint === "",
-    status: "starting",
-    confirmedAt: undefined,
-    stopAskedAt: undefined,
-    stopConfirmedAt: undefined,
-    percent: 0,
-    progressedAt: now,
-    pacePercent: 100,
-    usage: 0,
-  };
-  task.lastRun = runNumber;
-  task.runs.push(run);
-  target.runs.set(task.name, { task, run });
-  const order = {
-    target: target.session.target(),
-    fencingToken: state.fencingToken,
-    timeoutMilliseconds: startTimeoutMilliseconds,
-    task: task.name,
-    run: runNumber,
-    spec: task.job.record.definition.spec,
-    leaseUntilMilliseconds,
-    checkpoint: task.checkpoint,
-    ticket,
-  };
-  void state.orders.start(order).then((outcome) => {
-    takeStartOutcome(state, target, { task, run }, outcome);
-  });
-}
-
-function takeStartOutcome(
-  state: HomeState,
-  target: HomeTarget,
-  started: TargetRun,
-  outcome: OrderOutcome,
-): void {
-  const { task, run } = started;
-  const reason = outcome.kind === "refused" ? outcome.reason : undefined;
-  state.metrics.count("run_starts_total", { pool: state.pool, result: reason ?? outcome.kind });
-  state.metrics.observe("run_start_milliseconds", performance.now() - run.startedAt, {
-    result: outcome.kind,
-  });
-  state.log.write("info", "run-start", {
-    task: task.name,
-    run: run.run,
-    target: run.targetId,
-    result: reason ?? outcome.kind,
-    waited: Math.round(run.startedAt - task.job.acceptedAt),
-  });
-  if (outcome.kind === "done") confirmStart(target, started, outcome.clockMilliseconds);
-  if (outcome.kind === "unknown" && run.status === "starting") {
-    run.status = "unresolved";
-    target.distrust += distrustPerRefusal;
-  }
-  if (reason !== undefined) takeRefusal(state, target, started, reason);
-}
-
-function confirmStart(target: HomeTarget, { task, run }: TargetRun, clockMilliseconds: number): void {
-  const now = performance.now();
-  target.session.noteClock(clockMilliseconds, now);
-  run.confirmedAt ??= now;
-  if (run.status === "starting") run.status = "running";
-  task.job.hasStarted = true;
-}
-
-function takeRefusal(state: HomeState, target: HomeTarget, started: TargetRun, reason: OrderRefusal): void {
-  const { task } = started;
-  removeRun(state, target, started);
-  const block = blockMilliseconds[reason];
-  if (block !== undefined) target.blockedUntil = performance.now() + block;
-  if (reason === "unhealthy") target.distrust += distrustPerRefusal;
-  if (reason === "old-run") task.lastRun += runSkip;
-  if (reason === "malformed") task.notBefore = performance.now() + malformedWaitMilliseconds;
-  if (reason === "fenced") state.supersede("a target has seen a higher fencing token");
-  state.wake();
-}
--- a/src/job-homes/index.ts
+++ b/src/job-homes/index.ts
@@ -14,6 +14,7 @@
 export { HomeKeeper, type HomeDirectory, type HomeKeeperOptions } from "./home-keeper.js";
 export { decodeHomeRecord, homePrefix, type HomeRecord } from "./home-record.js";
 export { HomeGateway, type GatewayOutcome, type JobGateway, type JobGatewayOptions } from "./job-gateway.js";
-export type { JobHome, JobSubmission, SubmitOutcome } from "./job-home.js";
+export type { JobHome } from "./job-home.js";
+export type { CancelOutcome, JobSubmission, StateOutcome, SubmitOutcome } from "./job-outcomes.js";
 export type { PoolReport, TargetLoad } from "./pool-report.js";
 export { dutyPrefix, SessionDuty, type SessionDutyOptions } from "./session-duty.js";
--- a/src/job-homes/job-home.ts
+++ b/src/job-homes/job-home.ts
@@ -8,11 +8,8 @@
   progressPrefix,
   readJobState,
   type Job,
-  type JobDefinition,
   type JobRecord,
-  type JobState,
   type ProgressRecord,
-  type QueueTerms,
 } from "../jobs/index.js";
 import { admitJob, isLastingJob, jobCoreSeconds, type JobForecast } from "../scheduling/index.js";
 import { delay } from "../shared/index.js";
@@ -23,36 +20,10 @@
 import { forecastJob } from "./home-forecast.js";
 import { addJob, openDue, type HomeState, type HomeTarget } from "./home-state.js";
 import { readLoad, reportPool, type PoolReport } from "./pool-report.js";
+import type { CancelOutcome, JobSubmission, StateOutcome, SubmitOutcome } from "./job-outcomes.js";
 import { endJob, hasEnded, storeProgress } from "./run-ends.js";
 import { stopUnwanted } from "./stopper.js";
 
-/** A job that a caller hands in. */
-export interface JobSubmission {
-  readonly jobId: string;
-  readonly terms: QueueTerms;
-  readonly definition: JobDefinition;
-  /** How long the caller waits for the answer. */
-  readonly deadlineMilliseconds: number;
-}
-
-/** What a submission brought. */
-export type SubmitOutcome =
-  | { readonly kind: "accepted" }
-  /** The job was not accepted and will not run. */
-  | { readonly kind: "refused"; readonly reason: string; readonly retryAfterMilliseconds: number }
-  /** The job may or may not have been accepted. */
-  | { readonly kind: "unknown"; readonly reason: string };
-
-/** What a question about a job brought; `not-known` when this home holds no such job. */
-export type StateOutcome =
-  { readonly kind: "state"; readonly state: JobState } | { readonly kind: "not-known" };
-
-/** What a cancellation brought. */
-export type CancelOutcome =
-  | { readonly kind: "cancelled" }
-  | { readonly kind: "not-known" }
-  | { readonly kind: "unknown"; readonly reason: string };
-
 /** Settings of a home. */
 export interface JobHomeOptions {
   readonly state: HomeState;
--- a/src/job-homes/test/failed-requests.test.ts
+++ b/src/job-homes/test/failed-requests.test.ts
@@ -78,6 +78,6 @@
   await waitFor(() => find(storyOf(entry, "failed"), "job-ended").length === 1);
   const failures = find(storyOf(entry, "failed"), "run-ended");
   expect(failures).toHaveLength(2);
-  expect(failures.every((line) => line.includes('kind=failed') && /target=presses-\d/.test(line))).toBe(true);
+  expect(failures.every((line) => line.includes("kind=failed") && /target=presses-\d/.test(line))).toBe(true);
   expect(find(storyOf(entry, "failed"), "job-ended")[0]).toContain("state=failed");
 });
--- a/src/wiring/job-entry.ts
+++ b/src/wiring/job-entry.ts
@@ -6,17 +6,11 @@
 import {
   HomeGateway,
   HomeKeeper,
-  decodeHomeRecord,
-  entryPrefix,
-  homePrefix,
   dutyPrefix,
-  membersPrefix,
   openEntrySession,
   SessionDuty,
   type AdviceService,
   type EntrySession,
-  type HomeDirectory,
-  type HomeRecord,
   type JobGateway,
 } from "../job-homes/index.js";
 import {
@@ -26,22 +20,20 @@
   type MaintenanceWave,
 } from "../fleet/index.js";
 import type { QueueTable } from "../jobs/index.js";
-import {
-  createPeerNetwork,
-  parseRosterRecord,
-  type PeerNetwork,
-  type RosterRecord,
-} from "../membership/index.js";
+import { createPeerNetwork, type RosterRecord } from "../membership/index.js";
 import { createHttpService, delay, sendJson, type HttpService } from "../shared/index.js";
-import {
-  followPrefix,
-  type PrefixFollower,
-  type StoreRecord,
-  type TransactionalStore,
-} from "../store/index.js";
+import { type StoreRecord, type TransactionalStore } from "../store/index.js";
 import type { RegisteredTarget, TargetOrders } from "../task-runs/index.js";
 import type { Log, Metrics } from "../telemetry/index.js";
 
+import {
+  followConfiguration,
+  followMembers,
+  followRegistry,
+  type FollowedConfiguration,
+  type Members,
+} from "./job-followers.js";
+
 /** Where a part listens. */
 export interface ListenAddress {
   readonly host: string;
@@ -109,12 +101,6 @@
 const fleetDuty = "fleet";
 const vacateTimeoutMilliseconds = 700;
 const entryLeaseMilliseconds = 3_000;
-const membersWaitMilliseconds = 1_000;
-const configurationWaitMilliseconds = 500;
-const followPauseMilliseconds = 20;
-/** Targets renew their records all the time; news gather in this pause. */
-const registryPauseMilliseconds = 600;
-const registryWaitMilliseconds = 500;
 /** Part of the grace that is left for the last answers and the end of the process. */
 const stopReserveMilliseconds = 1_500;
 /** Callers' connections come to an entry for so long after it stopped being ready. */
@@ -245,128 +231,6 @@
   return fleet;
 }
 
-interface Members {
-  readonly follower: PrefixFollower;
-  readonly directory: HomeDirectory;
-}
-
-function followMembers(store: TransactionalStore, peers: PeerNetwork, log: Log): Members {
-  let entries: readonly RosterRecord[] = [];
-  let homes: ReadonlyMap<string, HomeRecord & { readonly revision: number }> = new Map();
-  const follower = followPrefix({
-    store,
-    prefix: membersPrefix,
-    waitMilliseconds: membersWaitMilliseconds,
-    pauseMilliseconds: followPauseMilliseconds,
-    onChanged: (records) => {
-      entries = [...records.values()].flatMap(({ key, value }) =>
-        key.startsWith(entryPrefix) ? (parseRosterRecord(value) ?? []) : [],
-      );
-      homes = decodeHomes(records.values());
-      peers.follow(entries);
-    },
-    onReachable: (isReachable, reason) => {
-      log.write(isReachable ? "info" : "warn", isReachable ? "store-regained" : "store-lost", { reason });
-    },
-  });
-  const directory: HomeDirectory = {
-    entries: () => entries.map(({ entryId }) => entryId),
-    homes: () => homes,
-    ageMilliseconds: () => follower.ageMilliseconds(),
-  };
-  return { follower, directory };
-}
-
-function decodeHomes(records: Iterable<StoreRecord>): Map<string, HomeRecord & { revision: number }> {
-  const homes = new Map<string, HomeRecord & { revision: number }>();
-  for (const { key, value, revision } of records) {
-    if (!key.startsWith(homePrefix)) continue;
-    const record = decodeHomeRecord(value);
-    if (record !== undefined) homes.set(key.slice(homePrefix.length), { ...record, revision });
-  }
-  return homes;
-}
-
-interface FollowedConfiguration {
-  readonly follower: PrefixFollower;
-  /** The newest configuration that was heard. */
-  current(): QueueTable | undefined;
-  /** The same, while it is surely new enough for callers' requests. */
-  readonly usable: () => QueueTable | undefined;
-  /** Waves of maintenance that the operators have asked for. */
-  readonly waves: () => readonly MaintenanceWave[];
-}
-
-function followConfiguration(
-  { store, operators, log, configurationMilliseconds }: JobEntryOptions,
-  onTable: (table: QueueTable) => void,
-): FollowedConfiguration {
-  let current: QueueTable | undefined;
-  let waves: readonly MaintenanceWave[] = [];
-  const takeRecord = (record: StoreRecord | undefined): void => {
-    if (record === undefined) return;
-    operators.decode(record.value).caseOf({
-      Left: (message) => {
-        log.write("error", "configuration-unreadable", { revision: record.revision, message });
-      },
-      Right: (table) => {
-        if (current !== undefined && table.version <= current.version) return;
-        current = table;
-        const { version, queues } = table;
-        log.write("info", "configuration-in-force", {
-          version,
-          revision: record.revision,
-          queues: queues.length,
-        });
-        onTable(table);
-      },
-    });
-  };
-  const follower = followPrefix({
-    store,
-    prefix: operators.prefix,
-    waitMilliseconds: configurationWaitMilliseconds,
-    pauseMilliseconds: followPauseMilliseconds,
-    onChanged: (records) => {
-      takeRecord(records.get(operators.configurationKey));
-      waves = operators.decodeWaves(records);
-    },
-  });
-  const isFresh = (): boolean => follower.ageMilliseconds() < configurationMilliseconds;
-  return {
-    follower,
-    current: () => current,
-    usable: () => (isFresh() ? current : undefined),
-    waves: () => waves,
-  };
-}
-
-interface FollowedRegistry {
-  readonly follower: PrefixFollower;
-  readonly listedTargets: (pool: string) => ReadonlyMap<string, RegisteredTarget> | undefined;
-}
-
-function followRegistry({ store, registry }: JobEntryOptions, onChanged: () => void): FollowedRegistry {
-  let targets: readonly RegisteredTarget[] | undefined;
-  const follower = followPrefix({
-    store,
-    prefix: registry.prefix,
-    waitMilliseconds: registryWaitMilliseconds,
-    pauseMilliseconds: registryPauseMilliseconds,
-    onChanged: (records) => {
-      targets = registry.decode(records.values());
-      onChanged();
-    },
-  });
-  return {
-    follower,
-    listedTargets: (pool) => {
-      const own = targets?.filter((target) => target.pool === pool);
-      return own === undefined ? undefined : new Map(own.map((target) => [target.targetId, target]));
-    },
-  };
-}
-
 function createReadiness(isReady: () => boolean): HttpService {
   const service = createHttpService();
   service.routes.all("/*", (_request, response) => {
--- /dev/null
+++ b/src/wiring/job-followers.ts
@@ -0,0 +1,177 @@
+/**
+ * What an entry that takes jobs follows in the store: other entries, the operators' records, and targets.
+ * @packageDocumentation
+ */
+import {
+  decodeHomeRecord,
+  entryPrefix,
+  homePrefix,
+  membersPrefix,
+  type HomeDirectory,
+  type HomeRecord,
+} from "../job-homes/index.js";
+import type { MaintenanceWave } from "../fleet/index.js";
+import type { QueueTable } from "../jobs/index.js";
+import { parseRosterRecord, type PeerNetwork, type RosterRecord } from "../membership/index.js";
+import {
+  followPrefix,
+  type PrefixFollower,
+  type StoreRecord,
+  type TransactionalStore,
+} from "../store/index.js";
+import type { RegisteredTarget } from "../task-runs/index.js";
+import type { Log } from "../telemetry/index.js";
+import type { JobEntryOptions } from "./job-entry.js";
+
+const membersWaitMilliseconds = 1_000;
+const configurationWaitMilliseconds = 500;
+const followPauseMilliseconds = 20;
+/** Targets renew their records all the time; news gather in this pause. */
+const registryPauseMilliseconds = 600;
+const registryWaitMilliseconds = 500;
+/** The entries and the homes that they hold. */
+export interface Members {
+  readonly follower: PrefixFollower;
+  readonly directory: HomeDirectory;
+}
+
+/**
+ * Follows the entries and the homes that they hold.
+ * @param store - the store
+ * @param peers - opens links to the entries
+ * @param log - takes losses of the store
+ * @returns what is known of them
+ */
+export function followMembers(store: TransactionalStore, peers: PeerNetwork, log: Log): Members {
+  let entries: readonly RosterRecord[] = [];
+  let homes: ReadonlyMap<string, HomeRecord & { readonly revision: number }> = new Map();
+  const follower = followPrefix({
+    store,
+    prefix: membersPrefix,
+    waitMilliseconds: membersWaitMilliseconds,
+    pauseMilliseconds: followPauseMilliseconds,
+    onChanged: (records) => {
+      entries = [...records.values()].flatMap(({ key, value }) =>
+        key.startsWith(entryPrefix) ? (parseRosterRecord(value) ?? []) : [],
+      );
+      homes = decodeHomes(records.values());
+      peers.follow(entries);
+    },
+    onReachable: (isReachable, reason) => {
+      log.write(isReachable ? "info" : "warn", isReachable ? "store-regained" : "store-lost", { reason });
+    },
+  });
+  const directory: HomeDirectory = {
+    entries: () => entries.map(({ entryId }) => entryId),
+    homes: () => homes,
+    ageMilliseconds: () => follower.ageMilliseconds(),
+  };
+  return { follower, directory };
+}
+
+function decodeHomes(records: Iterable<StoreRecord>): Map<string, HomeRecord & { revision: number }> {
+  const homes = new Map<string, HomeRecord & { revision: number }>();
+  for (const { key, value, revision } of records) {
+    if (!key.startsWith(homePrefix)) continue;
+    const record = decodeHomeRecord(value);
+    if (record !== undefined) homes.set(key.slice(homePrefix.length), { ...record, revision });
+  }
+  return homes;
+}
+
+/** The operators' configuration and waves. */
+export interface FollowedConfiguration {
+  readonly follower: PrefixFollower;
+  /** The newest configuration that was heard. */
+  current(): QueueTable | undefined;
+  /** The same, while it is surely new enough for callers' requests. */
+  readonly usable: () => QueueTable | undefined;
+  /** Waves of maintenance that the operators have asked for. */
+  readonly waves: () => readonly MaintenanceWave[];
+}
+
+/**
+ * Follows what the operators write.
+ * @param options - the store, and how the records are read
+ * @param onTable - called with each newer configuration
+ * @returns the configuration and the waves
+ */
+export function followConfiguration(
+  { store, operators, log, configurationMilliseconds }: JobEntryOptions,
+  onTable: (table: QueueTable) => void,
+): FollowedConfiguration {
+  let current: QueueTable | undefined;
+  let waves: readonly MaintenanceWave[] = [];
+  const takeRecord = (record: StoreRecord | undefined): void => {
+    if (record === undefined) return;
+    operators.decode(record.value).caseOf({
+      Left: (message) => {
+        log.write("error", "configuration-unreadable", { revision: record.revision, message });
+      },
+      Right: (table) => {
+        if (current !== undefined && table.version <= current.version) return;
+        current = table;
+        const { version, queues } = table;
+        log.write("info", "configuration-in-force", {
+          version,
+          revision: record.revision,
+          queues: queues.length,
+        });
+        onTable(table);
+      },
+    });
+  };
+  const follower = followPrefix({
+    store,
+    prefix: operators.prefix,
+    waitMilliseconds: configurationWaitMilliseconds,
+    pauseMilliseconds: followPauseMilliseconds,
+    onChanged: (records) => {
+      takeRecord(records.get(operators.configurationKey));
+      waves = operators.decodeWaves(records);
+    },
+  });
+  const isFresh = (): boolean => follower.ageMilliseconds() < configurationMilliseconds;
+  return {
+    follower,
+    current: () => current,
+    usable: () => (isFresh() ? current : undefined),
+    waves: () => waves,
+  };
+}
+
+/** The targets as they register. */
+export interface FollowedRegistry {
+  readonly follower: PrefixFollower;
+  readonly listedTargets: (pool: string) => ReadonlyMap<string, RegisteredTarget> | undefined;
+}
+
+/**
+ * Follows the records of targets.
+ * @param options - the store, and how the records are read
+ * @param onChanged - called when they changed
+ * @returns the targets by pool
+ */
+export function followRegistry(
+  { store, registry }: JobEntryOptions,
+  onChanged: () => void,
+): FollowedRegistry {
+  let targets: readonly RegisteredTarget[] | undefined;
+  const follower = followPrefix({
+    store,
+    prefix: registry.prefix,
+    waitMilliseconds: registryWaitMilliseconds,
+    pauseMilliseconds: registryPauseMilliseconds,
+    onChanged: (records) => {
+      targets = registry.decode(records.values());
+      onChanged();
+    },
+  });
+  return {
+    follower,
+    listedTargets: (pool) => {
+      const own = targets?.filter((target) => target.pool === pool);
+      return own === undefined ? undefined : new Map(own.map((target) => [target.targetId, target]));
+    },
+  };
+}
