--- a/src/cli/test/commands.test.ts
+++ b/src/cli/test/commands.test.ts
@@ -117,8 +117,8 @@
     second,
     [
       "time=2026-01-01T00:00:01Z event=job-accepted job=5c0e",
-      "time=2026-01-01T00:00:03Z event=run-start task=5c0e.0.0.1 run=1",
-      "time=2026-01-01T00:00:04Z event=run-start task=5c0ef.0.0.1 run=1",
+      "time=2026-01-01T00:00:03Z event=start-order task=5c0e.0.0.1 run=1",
+      "time=2026-01-01T00:00:04Z event=start-order task=5c0ef.0.0.1 run=1",
     ].join("\n"),
   );
   const [story, nothing, bad] = await Promise.all([
@@ -128,6 +128,6 @@
   ]);
   expect(story.code).toBe(0);
   const events = [...story.output.matchAll(/event=([a-z-]+)/g)].map(([, event]) => event);
-  expect(events).toEqual(["job-accepted", "job-submitted", "run-start"]);
+  expect(events).toEqual(["job-accepted", "job-submitted", "start-order"]);
   expect([nothing.code, bad.code]).toEqual([1, 2]);
 });
--- a/src/fleet/fleet-manager.ts
+++ b/src/fleet/fleet-manager.ts
@@ -202,7 +202,7 @@
     const order = { machineId, wave, holder: entryId, fencingToken: duty.fencingToken() };
     const outcome = await machines.maintain(order);
     progress.takeOutcome(machineId, targetId, outcome);
-    log.write("info", "machine-maintenance", {
+    log.write("info", "maintenance-order", {
       machine: machineId,
       wave,
       pool,
@@ -216,7 +216,7 @@
     if (!duty.isHeld()) return;
     const order = { machineId, pool: to, holder: entryId, fencingToken: duty.fencingToken() };
     const outcome = await machines.move(order);
-    log.write("info", "machine-move", { machine: machineId, from, to, ...this.#count("move", outcome) });
+    log.write("info", "move-order", { machine: machineId, from, to, ...this.#count("move", outcome) });
   }
 
   #count(
--- a/src/job-homes/dispatcher.ts
+++ b/src/job-homes/dispatcher.ts
@@ -17,7 +17,7 @@
 import type { AdviceBook } from "./advice-book.js";
 import { rankJob, type RankedJob } from "./job-rank.js";
 import { findDeparture, maySpare } from "./lasting-moves.js";
-import { startRun } from "./run-starts.js";
+import { startRun } from "./start-orders.js";
 import { isTaskOver, type HomeState, type HomeTarget } from "./home-state.js";
 
 /**
--- a/src/job-homes/run-starts.ts
+++ b/src/job-homes/start-orders.ts
@@ -85,7 +85,7 @@
   state.metrics.observe("run_start_milliseconds", performance.now() - run.startedAt, {
     result: outcome.kind,
   });
-  state.log.write("info", "run-start", {
+  state.log.write("info", "start-order", {
     task: task.name,
     run: run.run,
     target: run.targetId,
--- a/src/job-homes/stopper.ts
+++ b/src/job-homes/stopper.ts
@@ -39,7 +39,7 @@
     run: run.run,
   });
   const result = outcome.kind === "refused" ? outcome.reason : outcome.kind;
-  state.log.write("info", "run-stop", { task: task.name, run: run.run, target: run.targetId, result });
+  state.log.write("info", "stop-order", { task: task.name, run: run.run, target: run.targetId, result });
   if (outcome.kind === "done") {
     run.stopConfirmedAt = performance.now();
     target.session.hurry();
--- a/src/job-homes/test/failed-requests.test.ts
+++ b/src/job-homes/test/failed-requests.test.ts
@@ -59,15 +59,15 @@
   fixture.fleet.setLate(5_000);
   await home.submit(submission("late", createStep({ taskCount: 1 })));
   await waitFor(() =>
-    find(storyOf(entry, "late"), "run-start").some((line) => line.includes("result=unknown")),
+    find(storyOf(entry, "late"), "start-order").some((line) => line.includes("result=unknown")),
   );
   fixture.fleet.setLate(undefined);
   await waitFor(() =>
     find(storyOf(entry, "late"), "job-ended").some((line) => line.includes("state=complete")),
   );
   const events = storyOf(entry, "late").map(({ event }) => event);
-  expect(events.filter((event) => event === "run-start").length).toBeGreaterThan(1);
-  expect(events).toContain("run-stop");
+  expect(events.filter((event) => event === "start-order").length).toBeGreaterThan(1);
+  expect(events).toContain("stop-order");
 });
 
 test("a failed job: each failed attempt names its target", async () => {
