--- a/src/job-homes/home-keeper.ts
+++ b/src/job-homes/home-keeper.ts
@@ -14,7 +14,13 @@
 import { homePrefix, type HomeRecord } from "./home-record.js";
 import type { HomeState } from "./home-state.js";
 import { HomeTargets } from "./home-targets.js";
-import { readPoolJobs, takePool, type StoredJobs, type TakenPool } from "./home-takeover.js";
+import {
+  inheritedLeaseMilliseconds,
+  readPoolJobs,
+  takePool,
+  type StoredJobs,
+  type TakenPool,
+} from "./home-takeover.js";
 import { JobHome, loadJobs } from "./job-home.js";
 
 /** What the keeper knows of the fleet of entries. */
@@ -43,8 +49,6 @@
   readonly metrics: Metrics;
   /** How long a lease on runs lasts. */
   readonly runLeaseMilliseconds: number;
-  /** How long the entries' leases last. */
-  readonly entryLeaseMilliseconds: number;
   readonly retentionMilliseconds: number;
 }
 
@@ -63,8 +67,6 @@
 const directoryAgeMilliseconds = 2_500;
 /** Run numbers that each home of a pool has for itself. */
 const runsPerHome = 64;
-const slowestClockRate = 0.98;
-const inheritedMarginMilliseconds = 500;
 const loadRetryMilliseconds = 100;
 
 /** Competes for the homes of pools and runs those that this entry holds. */
@@ -269,11 +271,7 @@
     leaseMilliseconds: runLeaseMilliseconds,
     homes: inheritance.homes,
   });
-  const leaseUntil =
-    performance.now() +
-    runLeaseMilliseconds / slowestClockRate +
-    options.entryLeaseMilliseconds +
-    inheritedMarginMilliseconds;
+  const leaseUntil = performance.now() + inheritedLeaseMilliseconds(runLeaseMilliseconds);
   targets.inherit(inheritance, leaseUntil);
   const home = new JobHome({
     state,
--- a/src/job-homes/home-takeover.ts
+++ b/src/job-homes/home-takeover.ts
@@ -72,6 +72,20 @@
   return Right({ record, revision: found.revision, leaseId, inheritance });
 }
 
+/** A target's clock may be this much slower than true time. */
+const slowestClockRate = 0.98;
+/** Orders that the earlier home sent just before it lost the pool are still on their way for so long. */
+const lastOrdersMilliseconds = 1_000;
+
+/**
+ * Computes how long a lease may last that an earlier home gave to runs on a target which does not answer.
+ * @param runLeaseMilliseconds - how long homes let leases last
+ * @returns the longest time from the takeover on
+ */
+export function inheritedLeaseMilliseconds(runLeaseMilliseconds: number): number {
+  return runLeaseMilliseconds / slowestClockRate + lastOrdersMilliseconds;
+}
+
 /** What the store holds of a pool's jobs. */
 export interface StoredJobs {
   readonly records: readonly JobRecord[];
--- a/src/job-homes/test/home-fixture.ts
+++ b/src/job-homes/test/home-fixture.ts
@@ -106,7 +106,6 @@
     log,
     metrics,
     runLeaseMilliseconds: 1_500,
-    entryLeaseMilliseconds: leaseMilliseconds,
     retentionMilliseconds: 60_000,
   });
   void keeper.run();
--- a/src/wiring/job-entry.ts
+++ b/src/wiring/job-entry.ts
@@ -140,7 +140,6 @@
     log,
     metrics,
     runLeaseMilliseconds: options.runLeaseMilliseconds,
-    entryLeaseMilliseconds,
     retentionMilliseconds: options.retentionMilliseconds,
   });
   void keeper.run();
