Tests of commands run the built program

The tests ask the same of the program that ships; npm test builds it first. Ruled out: a hanging process (all ended).

--- a/src/cli/test/commands.test.ts
+++ b/src/cli/test/commands.test.ts
@@ -10,7 +10,8 @@
 import { afterAll, beforeAll, expect, test } from "vitest";
 import { startFleet, waitUntil, type Fleet } from "../../stand-ins/index.js";
 
-const main = fileURLToPath(new URL("../main.ts", import.meta.url));
+// The built program, as users run it; `npm test` builds it first.
+const main = fileURLToPath(new URL("../../../dist/cli/main.js", import.meta.url));
 const textPath = fileURLToPath(new URL("../../../examples/agency/text.json", import.meta.url));
 let fleet: Fleet;
 let folder: string;
@@ -23,7 +24,7 @@
 
 async function run(...args: readonly string[]): Promise<CommandRun> {
   return new Promise((resolve) => {
-    execFile(process.execPath, ["--import", "tsx", main, ...args], (error, output, errors) => {
+    execFile(process.execPath, [main, ...args], (error, output, errors) => {
       resolve({ code: Number(error?.code ?? 0), output: output + errors });
     });
   });
