--- a/src/job-homes/home-takeover.ts
+++ b/src/job-homes/home-takeover.ts
@@ -12,6 +12,7 @@
   type ProgressRecord,
 } from "../jobs/index.js";
 import type { StoreRecord, TransactionalStore } from "../store/index.js";
+import { slowestClockRate } from "../task-runs/index.js";
 import type { Log } from "../telemetry/index.js";
 import {
   decodeHomeRecord,
@@ -72,8 +73,6 @@
   return Right({ record, revision: found.revision, leaseId, inheritance });
 }
 
-/** A target's clock may be this much slower than true time. */
-const slowestClockRate = 0.98;
 /** Orders that the earlier home sent just before it lost the pool are still on their way for so long. */
 const lastOrdersMilliseconds = 1_000;
 
--- a/src/task-runs/index.ts
+++ b/src/task-runs/index.ts
@@ -17,6 +17,7 @@
   TargetReport,
 } from "./target-orders.js";
 export {
+  slowestClockRate,
   TargetSession,
   type SessionEndReason,
   type TargetSessionHandlers,
--- a/src/task-runs/target-session.ts
+++ b/src/task-runs/target-session.ts
@@ -44,7 +44,7 @@
 /** Pause after a report, in which further ends gather. */
 const pauseMilliseconds = 25;
 /** A target's clock may be this much slower than true time. */
-const slowestClockRate = 0.98;
+export const slowestClockRate = 0.98;
 const lapseMarginMilliseconds = 150;
 
 interface ClockReading {
