Only tasks that may run on a silent target wait for it after a takeover

Ruled out: a shorter wait for all (a lease may really last that long).

Change: the targets of a lasting task are stored before its start is asked for; a next home waits only where the store says that the task may run.

--- a/src/job-homes/dispatcher.ts
+++ b/src/job-homes/dispatcher.ts
@@ -113,7 +113,13 @@
 
 function isIdle(state: HomeState, task: Task, now: number): boolean {
   if (isTaskOver(task) || task.runs.length > 0 || task.notBefore > now) return false;
-  return state.awaited.size === 0 || !task.job.isInherited;
+  return !mayRunUnseen(state, task);
+}
+
+/** Whether an earlier home may have started the task on a target that has not answered since. */
+function mayRunUnseen({ awaited }: HomeState, { job, definition, recordedPlaces }: Task): boolean {
+  if (awaited.size === 0 || !job.isInherited) return false;
+  return !definition.isLasting || recordedPlaces.some((targetId) => awaited.has(targetId));
 }
 
 function countRacks(state: HomeState, tasks: readonly Task[]): Map<string, number> {
--- a/src/job-homes/home-keeper.ts
+++ b/src/job-homes/home-keeper.ts
@@ -265,6 +265,7 @@
     supersede,
     listed: new Map(),
     awaited: new Set(),
+    placeRecords: new Map(),
   };
   loadJobs(state, jobs.records, jobs.progress);
   const targets = new HomeTargets(state, {
--- a/src/job-homes/home-state.ts
+++ b/src/job-homes/home-state.ts
@@ -72,8 +72,10 @@
   supersede(reason: string): void;
   /** The registry's targets of this pool, as last read. */
   listed: ReadonlyMap<string, RegisteredTarget>;
-  /** Tasks of earlier homes wait until all of their targets have reported or lost their leases. */
+  /** Targets of earlier homes that have neither reported nor lost their leases; what may run there waits. */
   awaited: Set<string>;
+  /** Records of where lasting tasks may run, on their way to the store, by job. */
+  readonly placeRecords: Map<string, Promise<boolean>>;
 }
 
 /**
--- a/src/job-homes/home-targets.ts
+++ b/src/job-homes/home-targets.ts
@@ -47,7 +47,7 @@
       onGone: (session, reason) => {
         const target = this.#find(session);
         if (target === undefined) return;
-        dropTarget(state, target, reason);
+        this.#drop(target, reason);
         // The next life under the identifier, or a target that was only cut off, gets a session of its own.
         this.follow(state.listed);
       },
@@ -68,9 +68,10 @@
     state.listed = listed;
     for (const target of listed.values()) this.#followTarget(target);
     for (const { session } of state.targets.values()) session.setListed(listed.has(session.targetId));
-    closeUnlisted(state);
+    this.#closeUnlisted();
     const targets = [...state.targets.values()];
-    if (targets.some(({ isRecorded, session }) => !isRecorded && session.isListed())) this.#recordTargets();
+    if (targets.some(({ isRecorded, session }) => !isRecorded && session.isListed()))
+      this.#recordTargets("now");
   }
 
   /**
@@ -106,7 +107,7 @@
     }
     if (known !== undefined) {
       known.session.close();
-      dropTarget(state, known, "replaced");
+      this.#drop(known, "replaced");
     }
     this.#open(target, 0);
   }
@@ -137,8 +138,25 @@
     void session.run();
   }
 
+  /** A target that left the registry keeps its session while it runs something. */
+  #closeUnlisted(): void {
+    const { targets, awaited } = this.#state;
+    for (const target of [...targets.values()]) {
+      const { session, runs } = target;
+      if (session.isListed() || runs.size > 0 || awaited.has(session.targetId)) continue;
+      session.close();
+      this.#drop(target, "closed");
+    }
+  }
+
+  /** Forgets a target on which nothing runs any more, so that a next home does not wait for it. */
+  #drop(target: HomeTarget, reason: string): void {
+    dropTarget(this.#state, target, reason);
+    this.#recordTargets("soon");
+  }
+
   /** Stores which targets may run something, and lets new ones be used once that is stored. */
-  #recordTargets(): void {
+  #recordTargets(urgency: "now" | "soon"): void {
     const state = this.#state;
     const open = [...state.targets.values()];
     const targets = Object.fromEntries(
@@ -148,7 +166,7 @@
       }),
     );
     const value: HomeInheritance = { homes: this.#options.homes, targets };
-    const write = state.journal.write(`${inheritancePrefix}${state.pool}`, value);
+    const write = state.journal.write(`${inheritancePrefix}${state.pool}`, value, { urgency });
     void write.result.then((result) => {
       if (result !== "stored") return;
       for (const target of open) target.isRecorded = true;
@@ -190,16 +208,6 @@
   known.session.updateTarget(target);
 }
 
-/** A target that left the registry keeps its session while it runs something. */
-function closeUnlisted(state: HomeState): void {
-  for (const target of [...state.targets.values()]) {
-    const { session, runs } = target;
-    if (session.isListed() || runs.size > 0 || state.awaited.has(session.targetId)) continue;
-    session.close();
-    dropTarget(state, target, "closed");
-  }
-}
-
 function dropTarget(state: HomeState, target: HomeTarget, reason: string): void {
   const { session, runs } = target;
   state.targets.delete(session.targetId);
--- a/src/job-homes/run-ends.ts
+++ b/src/job-homes/run-ends.ts
@@ -220,6 +220,27 @@
   return (await write.result) === "stored";
 }
 
+/**
+ * Stores on which targets a job's lasting tasks may run, once for all that are placed in one round.
+ * @param state - the home
+ * @param job - the job
+ * @returns whether it was stored; false when the job has ended
+ */
+export async function storePlaces(state: HomeState, job: Job): Promise<boolean> {
+  const pending = state.placeRecords.get(job.id) ?? writePlaces(state, job);
+  state.placeRecords.set(job.id, pending);
+  return pending;
+}
+
+async function writePlaces(state: HomeState, job: Job): Promise<boolean> {
+  // The rest of the round adds its places.
+  await Promise.resolve();
+  state.placeRecords.delete(job.id);
+  if (job.isEnding || job.finalState !== undefined) return false;
+  const write = state.journal.write(progressKey(job), encodeProgress(job));
+  return (await write.result) === "stored";
+}
+
 /**
  * Tells whether a job's tasks have decided its end.
  * @param job - the job
--- a/src/job-homes/start-orders.ts
+++ b/src/job-homes/start-orders.ts
@@ -4,7 +4,8 @@
  */
 import type { Task, TaskRun } from "../jobs/index.js";
 import type { OrderOutcome, OrderRefusal } from "../task-runs/index.js";
-import { removeRun, type HomeState, type HomeTarget, type TargetRun } from "./home-state.js";
+import { isTaskOver, removeRun, type HomeState, type HomeTarget, type TargetRun } from "./home-state.js";
+import { storePlaces } from "./run-ends.js";
 
 const startTimeoutMilliseconds = 800;
 /** A target is left alone for a while after it refused, by why it did. */
@@ -37,8 +38,7 @@
   ticket: string | undefined,
 ): void {
   const target = state.targets.get(targetId);
-  const leaseUntilMilliseconds = target?.session.nextLeaseEnd();
-  if (target === undefined || leaseUntilMilliseconds === undefined) return;
+  if (target === undefined) return;
   const now = performance.now();
   const run: TaskRun = {
     targetId,
@@ -57,19 +57,46 @@
   task.lastRun = runNumber;
   task.runs.push(run);
   target.runs.set(task.name, { task, run });
+  const started = { task, run };
+  if (!task.definition.isLasting) {
+    sendStart(state, target, started, ticket);
+    return;
+  }
+  // A next home looks for the task only where the store says that it may run.
+  task.recordedPlaces = task.runs.map((each) => each.targetId);
+  void storePlaces(state, task.job).then((isStored) => {
+    if (isStored) sendStart(state, target, started, ticket);
+    else removeRun(state, target, started);
+  });
+}
+
+function sendStart(
+  state: HomeState,
+  target: HomeTarget,
+  started: TargetRun,
+  ticket: string | undefined,
+): void {
+  const { task, run } = started;
+  // The target, or the need for the run, may have gone while its place was stored.
+  if (target.runs.get(task.name)?.run !== run) return;
+  const leaseUntilMilliseconds = target.session.nextLeaseEnd();
+  if (leaseUntilMilliseconds === undefined || isTaskOver(task) || !state.isActive()) {
+    removeRun(state, target, started);
+    return;
+  }
   const order = {
     target: target.session.target(),
     fencingToken: state.fencingToken,
     timeoutMilliseconds: startTimeoutMilliseconds,
     task: task.name,
-    run: runNumber,
+    run: run.run,
     spec: task.job.record.definition.spec,
     leaseUntilMilliseconds,
     checkpoint: task.checkpoint,
     ticket,
   };
   void state.orders.start(order).then((outcome) => {
-    takeStartOutcome(state, target, { task, run }, outcome);
+    takeStartOutcome(state, target, started, outcome);
   });
 }
 
--- a/src/job-homes/test/job-home.test.ts
+++ b/src/job-homes/test/job-home.test.ts
@@ -6,6 +6,7 @@
 import type { RunRecord, TaskBehaviour } from "../../stand-ins/index.js";
 import {
   createStep,
+  pool,
   startHomeFixture,
   submission,
   terms,
@@ -142,6 +143,46 @@
   expect(overlaps(runsOf(fixture, "job.0.0.0"))).toEqual([]);
 });
 
+test("a next home starts a lost lasting task again while a target of another task is silent", async () => {
+  fixture = startHomeFixture({ targetCount: 3, coresPerTarget: 4, behaviour: behave({ isLasting: true }) });
+  const first = fixture.startEntry("a");
+  const home = await fixture.home(first);
+  await home.submit(submission("job", createStep({ taskCount: 2, isLasting: true, maximumPerTarget: 1 })));
+  await waitFor(() => fixture.fleet.world.history.length === 2);
+  const [silent, lost] = fixture.fleet.world.history.map(({ targetId }) =>
+    fixture.fleet.targets.get(targetId),
+  );
+  const lostTask = fixture.fleet.world.history[1]?.task ?? "";
+  if (silent !== undefined) silent.isSilent = true;
+  lost?.restart();
+  first.crash();
+  const entry = fixture.startEntry("b");
+  await fixture.home(entry);
+  await waitFor(() => runsOf(fixture, lostTask).length === 2);
+  const silentId = silent?.describe().targetId ?? "";
+  const closed = entry.lines.find(
+    (line) => line.includes("target-session-closed") && line.includes(silentId),
+  );
+  expect(closed).toBeUndefined();
+  const silentTask = fixture.fleet.world.history[0]?.task ?? "";
+  await waitFor(() => runsOf(fixture, silentTask).length === 2);
+  expect(overlaps(runsOf(fixture, silentTask))).toEqual([]);
+});
+
+test("a next home does not wait for a target that was gone before the takeover", async () => {
+  fixture = startHomeFixture({ targetCount: 3, coresPerTarget: 4, behaviour: behave() });
+  const first = fixture.startEntry("a");
+  await fixture.home(first);
+  const isInherited = (): boolean => {
+    const [record] = fixture.engine.range(`inheritance/${pool}`);
+    return record !== undefined && JSON.stringify(record.value).includes(goneId);
+  };
+  const [goneId = ""] = fixture.fleet.targets.keys();
+  await waitFor(isInherited);
+  (fixture.fleet.targets as Map<string, unknown>).delete(goneId);
+  await waitFor(() => !isInherited());
+});
+
 test("lasting tasks leave emptied targets only as far as their step can spare them", async () => {
   fixture = startHomeFixture({ targetCount: 4, coresPerTarget: 4, behaviour: behave({ isLasting: true }) });
   const home = await fixture.home(fixture.startEntry("a"));
--- a/src/job-homes/test/run-ends.test.ts
+++ b/src/job-homes/test/run-ends.test.ts
@@ -54,6 +54,7 @@
     supersede: () => undefined,
     listed: new Map(),
     awaited: new Set(),
+    placeRecords: new Map(),
   };
 }
 
--- a/src/jobs/job.ts
+++ b/src/jobs/job.ts
@@ -46,6 +46,8 @@
   readonly runs: TaskRun[];
   succeeded: boolean;
   failures: number;
+  /** Targets on which a lasting task may run, as the store knows it. */
+  recordedPlaces: readonly string[];
   lastRun: number;
   /** Where a next run goes on; empty for the beginning. */
   checkpoint: string;
@@ -143,7 +145,7 @@
 export function openOccurrences(job: Job, dueCount: number, progress?: ProgressRecord): void {
   const succeeded = new Set(progress?.succeeded);
   for (let index = job.dueCount; index < dueCount; index += 1) {
-    const occurrence = createOccurrence(job, index, succeeded, progress?.failures ?? {});
+    const occurrence = createOccurrence(job, index, succeeded, progress);
     job.occurrences.set(index, occurrence);
     settleOccurrence(job, occurrence);
   }
@@ -154,7 +156,7 @@
   job: Job,
   index: number,
   succeeded: ReadonlySet<string>,
-  failures: Readonly<Record<string, number>>,
+  progress: ProgressRecord | undefined,
 ): Occurrence {
   const steps = job.record.definition.steps.map((definition, step) =>
     Array.from({ length: definition.taskCount }, (_, position): Task => {
@@ -168,7 +170,8 @@
         definition,
         runs: [],
         succeeded: succeeded.has(key),
-        failures: failures[key] ?? 0,
+        failures: progress?.failures[key] ?? 0,
+        recordedPlaces: progress?.places?.[key] ?? [],
         lastRun: 0,
         checkpoint: "",
         notBefore: 0,
@@ -246,8 +249,12 @@
   const failures = tasks
     .filter((task) => task.failures > 0)
     .map((task) => [key(task), task.failures] as const);
+  const places = tasks
+    .filter(({ recordedPlaces }) => recordedPlaces.length > 0)
+    .map((task): [string, string[]] => [key(task), [...task.recordedPlaces]]);
   return {
     succeeded: tasks.filter(({ succeeded }) => succeeded).map(key),
     failures: Object.fromEntries(failures),
+    ...(places.length > 0 ? { places: Object.fromEntries(places) } : {}),
   };
 }
