--- a/src/fleet/fleet-manager.ts
+++ b/src/fleet/fleet-manager.ts
@@ -3,12 +3,19 @@
  * @packageDocumentation
  */
 import type { PoolReport, SessionDuty } from "../job-homes/index.js";
+import type { RoomArrival } from "../scheduling/index.js";
 import { delay, parseWith } from "../shared/index.js";
 import type { TransactionalStore } from "../store/index.js";
 import type { Log, Metrics } from "../telemetry/index.js";
-import { describeCandidates, describePools, MachineHistory, type FleetView } from "./fleet-view.js";
+import {
+  describeArrivals,
+  describeCandidates,
+  describePools,
+  MachineHistory,
+  type FleetView,
+} from "./fleet-view.js";
 import type { MachineControl, MachineOrderOutcome, MaintenanceWave } from "./machine-control.js";
-import { planMoves, type PlannedMove } from "./move-plan.js";
+import { planMoves, type PlannedMove, type PoolShortage } from "./move-plan.js";
 import { planWaveStep, type WaveCandidate } from "./wave-plan.js";
 import { storedWaveSchema, WaveProgress } from "./wave-progress.js";
 
@@ -32,7 +39,11 @@
   readonly waves: () => readonly MaintenanceWave[];
   readonly pools: () => readonly FleetPool[];
   /** Empties targets of a pool and reads its load; undefined when its home does not answer. */
-  readonly vacate: (pool: string, targetIds: readonly string[]) => Promise<PoolReport | undefined>;
+  readonly vacate: (
+    pool: string,
+    targetIds: readonly string[],
+    arrivals: readonly RoomArrival[],
+  ) => Promise<PoolReport | undefined>;
   /** Where the operators read a wave's state, and how it is written there. */
   readonly waveStatus: {
     key(wave: number): string;
@@ -60,6 +71,8 @@
   #history = new MachineHistory();
   /** Targets that are being emptied, by pool. */
   #vacating: ReadonlyMap<string, readonly string[]> = new Map();
+  /** Room that comes to each pool, or could. */
+  #arrivals: ReadonlyMap<string, readonly RoomArrival[]> = new Map();
 
   /**
    * Creates a manager; `run` begins its work.
@@ -88,6 +101,7 @@
   #forget(): void {
     this.#waves.clear();
     this.#vacating = new Map();
+    this.#arrivals = new Map();
     this.#history = new MachineHistory();
   }
 
@@ -108,12 +122,42 @@
     const plan = planMoves(describePools(view, this.#history, chosen));
     emptying.push(...plan.vacate, ...plan.moves);
     this.#vacating = groupTargets(emptying);
+    for (const shortage of plan.shortages) this.#logShortage(shortage);
     if (!this.#mayOrder()) return;
+    this.#arrivals = describeArrivals(view, this.#history, plan.spare);
     await Promise.all(maintained.map(async ({ progress, candidate }) => this.#maintain(progress, candidate)));
-    const moves = plan.moves.slice(0, maximumMovesPerStep);
+    const moves = [...plan.moves, ...(await this.#emptyIdle(plan.vacate))].slice(0, maximumMovesPerStep);
     await Promise.all(moves.map(async (move) => this.#move(move)));
   }
 
+  /** Empties what is about to move, and finds the machines on which nothing runs already. */
+  async #emptyIdle(vacate: readonly PlannedMove[]): Promise<PlannedMove[]> {
+    const pools = [...new Set(vacate.map(({ from }) => from))];
+    const reports = await Promise.all(pools.map(async (pool) => this.#vacate(pool)));
+    const loads = new Map(
+      reports.flatMap((report) => report?.targets.map((load) => [load.targetId, load] as const) ?? []),
+    );
+    return vacate.filter(({ targetId }) => {
+      const load = targetId === undefined ? undefined : loads.get(targetId);
+      return load?.isKnown === true && load.isVacating && load.runs === 0;
+    });
+  }
+
+  async #vacate(pool: string): Promise<PoolReport | undefined> {
+    return this.#options.vacate(pool, this.#vacating.get(pool) ?? [], this.#arrivals.get(pool) ?? []);
+  }
+
+  #logShortage({ pool, demandCores, cores, lackCores, waitingLastingTasks, machines }: PoolShortage): void {
+    this.#options.log.write("info", "pool-short", {
+      pool,
+      demandCores: Math.round(demandCores),
+      cores: Math.round(cores),
+      lackCores: Math.round(lackCores),
+      waitingLastingTasks,
+      machines,
+    });
+  }
+
   /** A new holder waits until orders of the one before can no longer be under way. */
   #mayOrder(): boolean {
     const { duty, orderLeaseMilliseconds } = this.#options;
@@ -122,10 +166,10 @@
 
   /** Reads the list of machines and asks all homes for their pools' load. */
   async #look(): Promise<FleetView | undefined> {
-    const { machines, pools, vacate, log } = this.#options;
+    const { machines, pools, log } = this.#options;
     const [listed, ...reports] = await Promise.all([
       machines.list(),
-      ...pools().map(async ({ pool }) => vacate(pool, this.#vacating.get(pool) ?? [])),
+      ...pools().map(async ({ pool }) => this.#vacate(pool)),
     ]);
     if (listed.isLeft()) {
       log.write("warn", "machines-unread", { reason: listed.swap().unsafeCoerce() });
--- a/src/fleet/fleet-view.ts
+++ b/src/fleet/fleet-view.ts
@@ -3,12 +3,22 @@
  * @packageDocumentation
  */
 import type { PoolReport, TargetLoad } from "../job-homes/index.js";
+import { add, type RoomArrival } from "../scheduling/index.js";
 import type { Machine } from "./machine-control.js";
-import type { PlannedMachine, PlannedPool } from "./move-plan.js";
+import type { PlannedMachine, PlannedPool, SpareMachine } from "./move-plan.js";
 import type { WaveCandidate } from "./wave-plan.js";
 
 const millisecondsPerSecond = 1_000;
 const millicoresPerCore = 1_000;
+/** What a move takes until the first one was seen. */
+const usualMoveMilliseconds = 2_000;
+/** Weight of the newest move. */
+const learningRate = 0.2;
+/** From the need of a machine until the order to move it. */
+const stepMilliseconds = 300;
+const shortestArrivalMilliseconds = 150;
+/** A machine that is up but unknown to its home for longer has a fault. */
+const longestArrivalMilliseconds = 5_000;
 
 /** The machines and their pools at one moment. */
 export interface FleetView {
@@ -59,10 +69,19 @@
   return report.targets.find(({ targetId }) => targetId === machine.targetId);
 }
 
-/** Remembers since when machines are where they are, and idle. */
+/** When a machine came to its pool. */
+interface Joining {
+  readonly pool: string;
+  readonly at: number;
+  /** Whether its home knows its target. */
+  isServing: boolean;
+}
+
+/** Remembers since when machines are where they are, and idle, and how long moves take. */
 export class MachineHistory {
-  readonly #joinedAt = new Map<string, { readonly pool: string; readonly at: number }>();
+  readonly #joinings = new Map<string, Joining>();
   readonly #idleSince = new Map<string, number>();
+  #moveMilliseconds = usualMoveMilliseconds;
 
   /**
    * Takes a look at the fleet.
@@ -72,8 +91,8 @@
     const now = performance.now();
     for (const machine of view.machines.values()) {
       const { machineId, pool } = machine;
-      if (this.#joinedAt.get(machineId)?.pool !== pool) this.#joinedAt.set(machineId, { pool, at: now });
       const report = view.reports.get(pool);
+      this.#noteJoining(machine, report, now);
       const runs = report === undefined ? 0 : (findLoad(report, machine)?.runs ?? 0);
       if (runs > 0) this.#idleSince.delete(machineId);
       else if (!this.#idleSince.has(machineId)) this.#idleSince.set(machineId, now);
@@ -82,7 +101,24 @@
 
   /** How long a machine has been in its pool. */
   restedMilliseconds(machineId: string): number {
-    return performance.now() - (this.#joinedAt.get(machineId)?.at ?? performance.now());
+    return performance.now() - (this.#joinings.get(machineId)?.at ?? performance.now());
+  }
+
+  /** How long a move takes, from its order until the home knows the target. */
+  moveMilliseconds(): number {
+    return this.#moveMilliseconds;
+  }
+
+  #noteJoining(machine: Machine, report: PoolReport | undefined, now: number): void {
+    const { machineId, pool, state } = machine;
+    const joining = this.#joinings.get(machineId);
+    if (joining?.pool !== pool) {
+      this.#joinings.set(machineId, { pool, at: now, isServing: state !== "moving" });
+      return;
+    }
+    if (joining.isServing || report === undefined || findLoad(report, machine)?.isKnown !== true) return;
+    joining.isServing = true;
+    this.#moveMilliseconds += learningRate * (now - joining.at - this.#moveMilliseconds);
   }
 
   /** How long nothing has run on a machine. */
@@ -111,7 +147,7 @@
     const members = [...view.machines.values()].filter((machine) => machine.pool === pool);
     const known = new Set(report?.targets.map(({ targetId }) => targetId));
     // Machines on their way to the pool count as if they were there.
-    const coming = members.filter(({ targetId, state }) => state === "moving" || !known.has(targetId ?? ""));
+    const coming = isStandby ? [] : members.filter((machine) => isComing(machine, known, history));
     const comingCores = coming.reduce((sum, machine) => sum + coresOf(machine), 0);
     const movable = members.filter(
       (machine) => machine.state === "up" && !excluded.has(machine.machineId) && isLoadKnown(view, machine),
@@ -129,6 +165,50 @@
   });
 }
 
+/** Whether a machine will soon serve its pool's home, which does not know its target yet. */
+function isComing(
+  { machineId, state, targetId }: Machine,
+  known: ReadonlySet<string>,
+  history: MachineHistory,
+): boolean {
+  if (state === "moving" || state === "maintenance") return true;
+  const isNew = targetId !== undefined && !known.has(targetId);
+  return state === "up" && isNew && history.restedMilliseconds(machineId) < longestArrivalMilliseconds;
+}
+
+/**
+ * Computes what room comes to each pool: machines on their way, and those that others could give.
+ * @param view - the fleet now
+ * @param history - since when machines are where they are
+ * @param spare - machines that each pool could give
+ * @returns room by pool, with when it comes
+ */
+export function describeArrivals(
+  view: FleetView,
+  history: MachineHistory,
+  spare: readonly SpareMachine[],
+): Map<string, RoomArrival[]> {
+  const arrivals = new Map<string, RoomArrival[]>();
+  const machines = [...view.machines.values()];
+  for (const [pool, report] of view.reports) {
+    if (view.standbyPools.has(pool)) continue;
+    const known = new Set(report.targets.map(({ targetId }) => targetId));
+    const coming = machines.filter((machine) => machine.pool === pool && isComing(machine, known, history));
+    const found = coming.map(({ machineId, capacity }): RoomArrival => {
+      const left = history.moveMilliseconds() - history.restedMilliseconds(machineId);
+      return { resources: capacity, atMilliseconds: Math.max(shortestArrivalMilliseconds, left) };
+    });
+    const others = spare.filter((each) => each.pool !== pool);
+    const capacities = others.flatMap(({ machineId }) => view.machines.get(machineId)?.capacity ?? []);
+    if (capacities.length > 0) {
+      const resources = capacities.reduce(add);
+      found.push({ resources, atMilliseconds: history.moveMilliseconds() + stepMilliseconds });
+    }
+    arrivals.set(pool, found);
+  }
+  return arrivals;
+}
+
 function coresOf({ capacity }: Machine): number {
   return capacity.cpuMillicores / millicoresPerCore;
 }
--- a/src/fleet/move-plan.ts
+++ b/src/fleet/move-plan.ts
@@ -47,6 +47,21 @@
   readonly moves: readonly PlannedMove[];
   /** Machines that are emptied for a move. */
   readonly vacate: readonly PlannedMove[];
+  /** Pools that lack room, with the cores that they lack. */
+  readonly shortages: readonly PoolShortage[];
+  /** Machines that nothing runs on and that would move if a pool lacked room. */
+  readonly spare: readonly SpareMachine[];
+}
+
+/** A pool that lacks room. */
+export interface PoolShortage {
+  readonly pool: string;
+  readonly demandCores: number;
+  readonly cores: number;
+  readonly lackCores: number;
+  readonly waitingLastingTasks: number;
+  /** Machines that others give for it. */
+  readonly machines: number;
 }
 
 /** A pool lacks room when it is asked for more than this share of its cores. */
@@ -55,10 +70,16 @@
 const keptFactor = 1.3;
 /** A machine that has just come stays for a while. */
 const shortestStayMilliseconds = 2_500;
-/** Two moves cost as much as a machine that idles for a few seconds. */
-const parkAfterIdleMilliseconds = 2_500;
+/** A move costs about as much as a machine that idles for a second. */
+const parkAfterIdleMilliseconds = 1_200;
 const fewestMachines = 2;
 
+/** A machine that a pool could give. */
+export interface SpareMachine {
+  readonly machineId: string;
+  readonly pool: string;
+}
+
 interface Supply {
   readonly pool: PlannedPool;
   readonly machine: PlannedMachine;
@@ -77,16 +98,23 @@
     .filter(({ isStandby }) => !isStandby)
     .map((pool) => ({ pool, lack: findLack(pool) }))
     .filter(({ lack }) => lack > 0)
-    .sort((left, right) => right.lack - left.lack);
+    .sort((left, right) => compareShortages(left.pool, right.pool) || right.lack - left.lack);
+  const described: PoolShortage[] = [];
   for (const { pool, lack } of shortages) {
     let missing = lack;
+    let count = 0;
     while (missing > 0) {
       const supply = takeSupply(supplies, pool);
       if (supply === undefined) break;
       (isEmpty(supply) ? moves : vacate).push(describe(supply, pool.pool));
       missing -= supply.machine.cores;
+      count += 1;
     }
+    described.push(describeShortage(pool, lack, count));
   }
+  const spare = supplies
+    .filter(({ machine }) => machine.runs === 0)
+    .map(({ pool, machine }) => ({ pool: pool.pool, machineId: machine.machineId }));
   const standby = pools.find(({ isStandby }) => isStandby);
   if (standby !== undefined) {
     for (const supply of supplies) {
@@ -94,7 +122,17 @@
       (isEmpty(supply) ? moves : vacate).push(describe(supply, standby.pool));
     }
   }
-  return { moves, vacate };
+  return { moves, vacate, shortages: described, spare };
+}
+
+function describeShortage(pool: PlannedPool, lackCores: number, machines: number): PoolShortage {
+  const { demandCores, cores, waitingLastingTasks } = pool;
+  return { pool: pool.pool, demandCores, cores, lackCores, waitingLastingTasks, machines };
+}
+
+/** Lasting tasks have users all the time; a pool that cannot run them goes before a turn of any height. */
+function compareShortages(left: PlannedPool, right: PlannedPool): number {
+  return Number(right.waitingLastingTasks > 0) - Number(left.waitingLastingTasks > 0);
 }
 
 /** Cores that a pool lacks; lasting tasks that run nowhere ask for one machine more at a time. */
--- a/src/fleet/test/plans.test.ts
+++ b/src/fleet/test/plans.test.ts
@@ -4,7 +4,13 @@
  */
 import { expect, test } from "vitest";
 import type { PoolReport } from "../../job-homes/index.js";
-import { describeCandidates, describePools, MachineHistory, type FleetView } from "../fleet-view.js";
+import {
+  describeArrivals,
+  describeCandidates,
+  describePools,
+  MachineHistory,
+  type FleetView,
+} from "../fleet-view.js";
 import type { Machine } from "../machine-control.js";
 import { planMoves, type PlannedMachine, type PlannedPool } from "../move-plan.js";
 import { planWaveStep, type WaveCandidate } from "../wave-plan.js";
@@ -119,6 +125,42 @@
   expect([...plan.moves, ...plan.vacate].filter(({ from }) => from !== "busy")).toEqual([]);
 });
 
+test("the only machine left goes to the pool whose lasting task waits, not to the higher turn", () => {
+  const pools = [
+    plannedPool("turn", { demandCores: 2_000, machines: machines(6, { runs: 8, idleMilliseconds: 0 }) }),
+    plannedPool("lasting", { waitingLastingTasks: 1, machines: machines(2, { lastingRuns: 1, runs: 1 }) }),
+    plannedPool("spare", { isStandby: true, cores: 0, machines: machines(1, { targetId: undefined }) }),
+  ];
+  const plan = planMoves(pools);
+  expect(plan.moves.map(({ to }) => to)).toEqual(["lasting"]);
+  expect(plan.shortages.map(({ pool, machines: given }) => `${pool} ${given}`)).toEqual([
+    "lasting 1",
+    "turn 0",
+  ]);
+});
+
+test("a machine that is down, or up without its home's knowledge for long, does not count as coming", () => {
+  const base = { pool: "presses", availabilityZone: "zone", labels: [] };
+  const capacity = { cpuMillicores: 32_000, memoryMegabytes: 1_000, accelerators: 0 };
+  const list: Machine[] = [
+    { ...base, machineId: "down", state: "down", capacity, targetId: undefined },
+    { ...base, machineId: "moving", state: "moving", capacity, targetId: undefined },
+  ];
+  const view: FleetView = {
+    machines: new Map(list.map((machine) => [machine.machineId, machine])),
+    reports: new Map([["presses", createReport({ cores: 0 })]]),
+    standbyPools: new Set(),
+  };
+  const history = new MachineHistory();
+  history.note(view);
+  expect(describePools(view, history, new Set())[0]?.cores).toBe(32);
+  const arrivals =
+    describeArrivals(view, history, [{ machineId: "down", pool: "other" }]).get("presses") ?? [];
+  // The moving machine comes first, the one that another pool could give after it.
+  expect(arrivals.map(({ resources }) => resources.cpuMillicores)).toEqual([32_000, 32_000]);
+  expect(arrivals[0]?.atMilliseconds).toBeLessThan(arrivals[1]?.atMilliseconds ?? 0);
+});
+
 test("idle machines rest in the standby pool, and a pool keeps a few", () => {
   const pools = [
     plannedPool("rest", { machines: machines(6) }),
--- a/src/job-homes/home-forecast.ts
+++ b/src/job-homes/home-forecast.ts
@@ -15,7 +15,7 @@
   type JobForecast,
 } from "../scheduling/index.js";
 import { rankJob } from "./job-rank.js";
-import type { HomeState } from "./home-state.js";
+import { isInService, type HomeState } from "./home-state.js";
 
 /** A job is worth something until this many times its objective. */
 const latestFactor = 3;
@@ -50,7 +50,11 @@
     })),
   };
   const capacity = readCapacity(state);
-  const endMilliseconds = forecastEnd([...jobs, asked], capacity, horizonMilliseconds);
+  const arrivals = state.expectedRoom.map(({ resources, at }) => ({
+    resources,
+    atMilliseconds: Math.max(0, at - now),
+  }));
+  const endMilliseconds = forecastEnd([...jobs, asked], capacity, horizonMilliseconds, arrivals);
   const chain = longestChainMilliseconds(definition, ratio);
   const objective = terms.slackFactor * chain + terms.objectiveMilliseconds;
   return {
@@ -98,10 +102,10 @@
 /** The room of all targets in use, less what lasting tasks take of it. */
 function readCapacity(state: HomeState): Resources {
   let total = noResources;
-  for (const { session, runs } of state.targets.values()) {
-    const target = session.target();
-    if (!session.isListed() || target.state !== "ready") continue;
-    total = add(total, target.capacity);
+  for (const each of state.targets.values()) {
+    const { session, runs } = each;
+    if (!isInService(each)) continue;
+    total = add(total, session.target().capacity);
     for (const { task } of runs.values()) {
       if (task.definition.isLasting) total = subtract(total, chargedResources(task.definition));
     }
--- a/src/job-homes/home-keeper.ts
+++ b/src/job-homes/home-keeper.ts
@@ -4,7 +4,7 @@
  */
 import { randomUUID } from "node:crypto";
 import { delay, rendezvousOrder } from "../shared/index.js";
-import { createRunTimeRatios, createWorkRate } from "../scheduling/index.js";
+import { createDemandForecast, createRunTimeRatios } from "../scheduling/index.js";
 import type { TransactionalStore } from "../store/index.js";
 import type { RegisteredTarget, TargetOrders } from "../task-runs/index.js";
 import type { Log, Metrics } from "../telemetry/index.js";
@@ -43,6 +43,8 @@
   readonly pools: () => readonly string[];
   /** Targets of a pool as the registry lists them; undefined while the registry was not read. */
   readonly listedTargets: (pool: string) => ReadonlyMap<string, RegisteredTarget> | undefined;
+  /** Called when this entry has taken a pool. */
+  readonly onTaken?: () => void;
   readonly orders: TargetOrders;
   readonly advice: AdviceService | undefined;
   readonly log: Log;
@@ -190,6 +192,7 @@
       this.#drop(pool, reason);
     };
     this.#held.set(pool, startHome(this.#options, pool, found, jobs, onSuperseded));
+    this.#options.onTaken?.();
     log.write("info", "home-taken", {
       pool,
       fencingToken: found.revision,
@@ -255,7 +258,7 @@
     log,
     metrics,
     runTimes: createRunTimeRatios(),
-    workRate: createWorkRate(),
+    demand: createDemandForecast(),
     jobs: new Map(),
     endings: new Map(),
     tasks: new Map(),
@@ -266,6 +269,7 @@
     listed: new Map(),
     awaited: new Set(),
     placeRecords: new Map(),
+    expectedRoom: [],
   };
   loadJobs(state, jobs.records, jobs.progress);
   const targets = new HomeTargets(state, {
--- a/src/job-homes/home-state.ts
+++ b/src/job-homes/home-state.ts
@@ -10,6 +10,7 @@
   type Job,
   type JobRecord,
   type ProgressRecord,
+  type Resources,
   type Task,
   type TaskRun,
 } from "../jobs/index.js";
@@ -45,6 +46,13 @@
   acknowledging: Promise<void>;
 }
 
+/** Room that machines bring to the pool. */
+export interface ExpectedRoom {
+  readonly resources: Resources;
+  /** When it comes, by the monotonic clock. */
+  readonly at: number;
+}
+
 /** What every part of a home works with. */
 export interface HomeState {
   readonly pool: string;
@@ -57,7 +65,7 @@
   readonly metrics: Metrics;
   readonly runTimes: RunTimeRatios;
   /** Work that callers ask for, accepted or not. */
-  readonly workRate: WorkRate;
+  readonly demand: WorkRate;
   readonly jobs: Map<string, Job>;
   /** Ends of jobs that are being stored, by job. */
   readonly endings: Map<string, Promise<boolean>>;
@@ -74,6 +82,8 @@
   listed: ReadonlyMap<string, RegisteredTarget>;
   /** Targets of earlier homes that have neither reported nor lost their leases; what may run there waits. */
   awaited: Set<string>;
+  /** Room that is on its way to the pool, or could be had for it. */
+  expectedRoom: readonly ExpectedRoom[];
   /** Records of where lasting tasks may run, on their way to the store, by job. */
   readonly placeRecords: Map<string, Promise<boolean>>;
 }
@@ -144,6 +154,15 @@
   if (task.job.finalState !== undefined && task.runs.length === 0) state.tasks.delete(task.name);
 }
 
+/**
+ * Tells whether a target's room can be counted on.
+ * @param target - the target
+ * @returns false for one that leaves, that left, or that does not answer
+ */
+export function isInService({ session }: HomeTarget): boolean {
+  return session.isListed() && session.target().state === "ready" && session.failuresInARow() === 0;
+}
+
 /** Tells whether nothing more is to run for a task. */
 export function isTaskOver({ job, succeeded }: Task): boolean {
   return succeeded || job.isEnding || job.finalState !== undefined;
--- a/src/job-homes/job-gateway.ts
+++ b/src/job-homes/job-gateway.ts
@@ -7,6 +7,7 @@
 import type { z } from "zod";
 import { decodeJobRecord, jobPrefix, type JobState } from "../jobs/index.js";
 import type { PeerCall, PeerFailure, PeerNetwork } from "../membership/index.js";
+import type { RoomArrival } from "../scheduling/index.js";
 import { delay } from "../shared/index.js";
 import type { StoreFailure, TransactionalStore } from "../store/index.js";
 import type { HomeDirectory, HomeKeeper } from "./home-keeper.js";
@@ -126,16 +127,18 @@
    * Empties targets of a pool, wherever its home is.
    * @param pool - the pool
    * @param targetIds - the targets to empty
+   * @param arrivals - room that comes to the pool, or could be had for it
    * @param deadlineMilliseconds - bound for the call
    * @returns the pool's load; undefined when its home did not answer
    */
   async vacate(
     pool: string,
     targetIds: readonly string[],
+    arrivals: readonly RoomArrival[],
     deadlineMilliseconds: number,
   ): Promise<PoolReport | undefined> {
-    const local = (home: JobHome): VacateReply => ({ kind: "report", ...home.vacate(targetIds) });
-    const request = { pool, targetIds: [...targetIds] };
+    const local = (home: JobHome): VacateReply => ({ kind: "report", ...home.vacate(targetIds, arrivals) });
+    const request = { pool, targetIds: [...targetIds], arrivals: [...arrivals] };
     const answer = await this.#askHome<typeof request, VacateReply | NotHome>(
       pool,
       vacateCall,
@@ -252,9 +255,9 @@
   );
   peers.answer(stateCall, ({ pool, jobId }) => keeper.home(pool)?.readState(jobId) ?? notHome);
   peers.answer(cancelCall, async ({ pool, jobId }) => (await keeper.home(pool)?.cancel(jobId)) ?? notHome);
-  peers.answer(vacateCall, ({ pool, targetIds }) => {
+  peers.answer(vacateCall, ({ pool, targetIds, arrivals }) => {
     const home = keeper.home(pool);
-    return home === undefined ? notHome : toReply(home.vacate(targetIds));
+    return home === undefined ? notHome : toReply(home.vacate(targetIds, arrivals));
   });
   peers.answer(pendingCall, ({ pool, queue }) => {
     const home = keeper.home(pool);
--- a/src/job-homes/job-home.ts
+++ b/src/job-homes/job-home.ts
@@ -11,7 +11,13 @@
   type JobRecord,
   type ProgressRecord,
 } from "../jobs/index.js";
-import { admitJob, isLastingJob, jobCoreSeconds, type JobForecast } from "../scheduling/index.js";
+import {
+  admitJob,
+  isLastingJob,
+  jobCoreSeconds,
+  type JobForecast,
+  type RoomArrival,
+} from "../scheduling/index.js";
 import { delay } from "../shared/index.js";
 import type { TransactionalStore } from "../store/index.js";
 import { createAdviceBook, type AdviceBook, type AdviceService } from "./advice-book.js";
@@ -40,6 +46,8 @@
 const answerMarginMilliseconds = 250;
 /** Targets are used again when nobody asked for so long to empty them. */
 const vacateMilliseconds = 2_000;
+/** Machines that come so soon are looked for in the registry. */
+const arrivalNoticeMilliseconds = 800;
 const retryAfterStoreMilliseconds = 2_000;
 
 /** The home of a pool. */
@@ -125,16 +133,28 @@
   /**
    * Empties targets: nothing is started on them, and lasting tasks move away as far as their steps can spare them.
    * @param targetIds - the targets; others that were being emptied are used again
+   * @param arrivals - room that comes to the pool, or could be had for it
    * @returns the pool's load
    */
-  vacate(targetIds: readonly string[]): PoolReport {
+  vacate(targetIds: readonly string[], arrivals: readonly RoomArrival[] = []): PoolReport {
     const chosen = new Set(targetIds);
-    this.#vacatedAt = performance.now();
+    const now = performance.now();
+    this.#vacatedAt = now;
+    this.#state.expectedRoom = arrivals.map(({ resources, atMilliseconds }) => ({
+      resources,
+      at: now + atMilliseconds,
+    }));
     for (const [targetId, target] of this.#state.targets)
       this.#setVacating(targetId, target, chosen.has(targetId));
     return reportPool(this.#state);
   }
 
+  /** Whether machines are about to come to the pool. */
+  expectsTargets(): boolean {
+    const soon = performance.now() + arrivalNoticeMilliseconds;
+    return this.#state.expectedRoom.some(({ at }) => at < soon);
+  }
+
   /** Begins rounds of placing. */
   start(): void {
     this.#isStarted = true;
@@ -220,8 +240,8 @@
 
   /** Takes the work of a job that is asked for the first time. */
   #noteDemand({ terms, definition }: JobSubmission, now: number): void {
-    const { workRate, runTimes } = this.#state;
-    workRate.note(jobCoreSeconds(definition, runTimes.ratio(terms.queue)), now);
+    const { demand, runTimes } = this.#state;
+    demand.note(jobCoreSeconds(definition, runTimes.ratio(terms.queue)), now);
   }
 
   #logRefusal({ jobId, terms }: JobSubmission, forecast: JobForecast, retryAfterMilliseconds: number): void {
--- a/src/job-homes/messages.ts
+++ b/src/job-homes/messages.ts
@@ -3,7 +3,7 @@
  * @packageDocumentation
  */
 import { z } from "zod";
-import { jobDefinitionSchema, queueTermsSchema } from "../jobs/index.js";
+import { jobDefinitionSchema, queueTermsSchema, resourcesSchema } from "../jobs/index.js";
 import { definePeerCall } from "../membership/index.js";
 
 const notHome = z.object({ kind: z.literal("not-home") });
@@ -60,10 +60,16 @@
   z.discriminatedUnion("kind", [z.object({ kind: z.literal("pending"), count: z.number() }), notHome]),
 );
 
-/** Empties targets of a pool and asks for its load. */
+const arrivalSchema = z.object({ resources: resourcesSchema, atMilliseconds: z.number() });
+
+/** Empties targets of a pool, tells what room comes to it, and asks for its load. */
 export const vacateCall = definePeerCall(
   "homes.vacate",
-  z.object({ pool: z.string(), targetIds: z.array(z.string()) }),
+  z.object({
+    pool: z.string(),
+    targetIds: z.array(z.string()),
+    arrivals: z.array(arrivalSchema).default([]),
+  }),
   z.discriminatedUnion("kind", [
     z.object({
       kind: z.literal("report"),
--- a/src/job-homes/pool-report.ts
+++ b/src/job-homes/pool-report.ts
@@ -2,9 +2,9 @@
  * What a home tells about its pool.
  * @packageDocumentation
  */
-import { allTasks } from "../jobs/index.js";
+import { allTasks, isStepReady, type Occurrence } from "../jobs/index.js";
 import { stepCoreSeconds } from "../scheduling/index.js";
-import type { HomeState } from "./home-state.js";
+import { isInService, type HomeState } from "./home-state.js";
 
 /** A target as its home sees it. */
 export interface TargetLoad {
@@ -33,33 +33,68 @@
 }
 
 const millicoresPerCore = 1_000;
-/** A backlog asks for the cores that end it in this time. */
-const backlogSeconds = 2;
+/** Work that waits for room asks for the cores that end it in this time. */
+const catchUpSeconds = 1.5;
+
+/** How much a pool has to do, and what it has for it. */
+export interface PoolLoad {
+  /** Accepted work that has not ended, in core-seconds. */
+  readonly backlogCoreSeconds: number;
+  /** Cores that would soon end what waits for room. */
+  readonly waitingCores: number;
+  /** Cores that serve such work, those of lasting tasks not counted. */
+  readonly cores: number;
+  /** Those of them that are in use. */
+  readonly busyCores: number;
+}
 
 /**
  * Measures a pool's load.
  * @param state - the home
  * @returns accepted work, the cores that serve it, and how many of them are in use
  */
-export function readLoad(state: HomeState): { backlogCoreSeconds: number; cores: number; busyCores: number } {
-  let backlogCoreSeconds = 0;
+export function readLoad(state: HomeState): PoolLoad {
+  const load = { backlogCoreSeconds: 0, waitingCores: 0 };
   for (const job of state.jobs.values()) {
     if (job.finalState !== undefined) continue;
     const ratio = state.runTimes.ratio(job.record.terms.queue);
-    for (const { steps } of job.occurrences.values()) {
-      for (const tasks of steps) {
-        const open = tasks.filter(({ succeeded }) => !succeeded).length;
-        const step = tasks[0]?.definition;
-        if (step !== undefined) backlogCoreSeconds += stepCoreSeconds(step, open, ratio);
+    for (const occurrence of job.occurrences.values()) {
+      for (const step of occurrence.steps.keys()) {
+        const { backlogCoreSeconds, waitingCores } = readStep(occurrence, step, ratio);
+        load.backlogCoreSeconds += backlogCoreSeconds;
+        load.waitingCores += waitingCores;
       }
     }
   }
+  return { ...load, ...readCores(state) };
+}
+
+/** The work of a step that is left, and the cores that would end soon what waits for room. */
+function readStep(
+  occurrence: Occurrence,
+  step: number,
+  ratio: number,
+): { backlogCoreSeconds: number; waitingCores: number } {
+  const tasks = occurrence.steps[step] ?? [];
+  const definition = tasks[0]?.definition;
+  if (definition === undefined) return { backlogCoreSeconds: 0, waitingCores: 0 };
+  const open = tasks.filter(({ succeeded }) => !succeeded);
+  const backlogCoreSeconds = stepCoreSeconds(definition, open.length, ratio);
+  if (!isStepReady(occurrence, step)) return { backlogCoreSeconds, waitingCores: 0 };
+  const waiting = open.filter(({ runs }) => runs.length === 0).length;
+  const coreSeconds = stepCoreSeconds(definition, waiting, ratio);
+  // More cores than tasks could use would not end them sooner.
+  const atMost = (waiting * definition.resources.cpuMillicores) / millicoresPerCore;
+  return { backlogCoreSeconds, waitingCores: Math.min(atMost, coreSeconds / catchUpSeconds) };
+}
+
+function readCores(state: HomeState): { cores: number; busyCores: number } {
   let millicores = 0;
   let busyMillicores = 0;
-  for (const { session, runs } of state.targets.values()) {
-    const { capacity, state: targetState } = session.target();
-    if (!session.isListed() || targetState !== "ready") continue;
-    millicores += capacity.cpuMillicores;
+  for (const target of state.targets.values()) {
+    const { session, runs } = target;
+    if (!isInService(target)) continue;
+    millicores += session.target().capacity.cpuMillicores;
     for (const { task } of runs.values()) {
       const { isLasting, isFiller, resources } = task.definition;
       if (isFiller) continue;
@@ -68,7 +103,6 @@
     }
   }
   return {
-    backlogCoreSeconds,
     cores: millicores / millicoresPerCore,
     busyCores: busyMillicores / millicoresPerCore,
   };
@@ -87,9 +121,9 @@
     isVacating: target.isVacating,
     isKnown: target.session.isKnown(),
   }));
-  const load = readLoad(state);
-  // What waits should be done within a second or two, besides what comes.
-  const demandCores = state.workRate.read(performance.now()) + load.backlogCoreSeconds / backlogSeconds;
+  const { waitingCores, ...load } = readLoad(state);
+  // What comes needs as many cores as what runs while a turn goes on; what waits needs its own besides.
+  const demandCores = Math.max(state.demand.read(performance.now()), load.busyCores) + waitingCores;
   return { pool: state.pool, targets, ...load, demandCores, waitingLastingTasks: countWaitingLasting(state) };
 }
 
--- a/src/job-homes/test/home-fixture.ts
+++ b/src/job-homes/test/home-fixture.ts
@@ -83,7 +83,7 @@
     store,
     prefix: membersPrefix,
     waitMilliseconds: followMilliseconds,
-    pauseMilliseconds: 1,
+    pauseMilliseconds: () => 1,
     onChanged: () => undefined,
   });
   const homes = (): Map<string, NonNullable<ReturnType<typeof decodeHomeRecord>> & { revision: number }> => {
--- a/src/job-homes/test/run-ends.test.ts
+++ b/src/job-homes/test/run-ends.test.ts
@@ -3,7 +3,7 @@
  * @packageDocumentation
  */
 import { expect, test } from "vitest";
-import { createRunTimeRatios, createWorkRate } from "../../scheduling/index.js";
+import { createDemandForecast, createRunTimeRatios } from "../../scheduling/index.js";
 import { createLog, createMetrics } from "../../telemetry/index.js";
 import type { HomeJournal, JournalResult } from "../home-journal.js";
 import { addJob, type HomeState } from "../home-state.js";
@@ -44,7 +44,7 @@
     log: createLog("silent"),
     metrics: createMetrics(),
     runTimes: createRunTimeRatios(),
-    workRate: createWorkRate(),
+    demand: createDemandForecast(),
     jobs: new Map(),
     endings: new Map(),
     tasks: new Map(),
@@ -55,6 +55,7 @@
     listed: new Map(),
     awaited: new Set(),
     placeRecords: new Map(),
+    expectedRoom: [],
   };
 }
 
--- a/src/jobs/index.ts
+++ b/src/jobs/index.ts
@@ -6,6 +6,7 @@
   isFinalState,
   jobDefinitionSchema,
   queueTermsSchema,
+  resourcesSchema,
   type JobDefinition,
   type JobState,
   type QueueTerms,
--- a/src/scheduling/demand.ts
+++ b/src/scheduling/demand.ts
@@ -1,5 +1,5 @@
 /**
- * Measures the work that callers ask for, accepted or not, so that machines can follow it.
+ * How much work callers ask a pool for, and how much they are about to ask for.
  * @packageDocumentation
  */
 
@@ -7,19 +7,18 @@
 export interface WorkRate {
   /** Takes work that was asked for. */
   note(coreSeconds: number, now: number): void;
-  /** Core-seconds asked for a second, over about the last second. */
+  /** Core-seconds asked for a second, over about the decay time. */
   read(now: number): number;
 }
 
-/** Short enough to see a turn of demand within a second, long enough for a few jobs to come in it. */
-const decayMilliseconds = 900;
 const millisecondsPerSecond = 1_000;
 
 /**
- * Creates a rate of 0.
+ * Creates a rate that is zero.
+ * @param decayMilliseconds - the time over which work counts
  * @returns the rate
  */
-export function createWorkRate(): WorkRate {
+export function createWorkRate(decayMilliseconds: number): WorkRate {
   let sum = 0;
   let readAt = 0;
   const decay = (now: number): void => {
@@ -37,3 +36,48 @@
     },
   };
 }
+
+/** Short enough to see a turn of demand within a second, long enough for a few jobs to come in it. */
+const steadyMilliseconds = 900;
+/** Long enough that a few large jobs in a row do not pass for the height of a turn. */
+const heightMilliseconds = 2_000;
+/** Jobs that come this close together may begin a turn. */
+const onsetMilliseconds = 500;
+/** One large job alone is no turn. */
+const onsetJobs = 1.7;
+/** A turn has begun when work comes at this share of the height of earlier ones. */
+const onsetShare = 0.4;
+/** Earlier turns are forgotten in this time. */
+const memoryMilliseconds = 90_000;
+
+/**
+ * Creates a forecast of a pool's demand for a load that comes by turns: after a quiet time a pool is asked for several
+ * times its mean for some seconds. While a turn begins, the height of earlier ones is expected at once, since machines
+ * that come later come too late for its first jobs.
+ * @returns the forecast, zero; its rate is what is expected
+ */
+export function createDemandForecast(): WorkRate {
+  const steady = createWorkRate(steadyMilliseconds);
+  const height = createWorkRate(heightMilliseconds);
+  const onset = createWorkRate(onsetMilliseconds);
+  const arrivals = createWorkRate(onsetMilliseconds);
+  let highest = 0;
+  let highestAt = 0;
+
+  const known = (now: number): number => highest * Math.exp(-(now - highestAt) / memoryMilliseconds);
+  return {
+    note: (coreSeconds, now) => {
+      for (const rate of [steady, height, onset]) rate.note(coreSeconds, now);
+      arrivals.note(1, now);
+      const current = height.read(now);
+      if (current < known(now)) return;
+      highest = current;
+      highestAt = now;
+    },
+    read: (now) => {
+      const jobs = arrivals.read(now) * (onsetMilliseconds / millisecondsPerSecond);
+      const isTurn = jobs >= onsetJobs && onset.read(now) >= onsetShare * known(now);
+      return isTurn ? Math.max(steady.read(now), known(now)) : steady.read(now);
+    },
+  };
+}
--- a/src/scheduling/forecast.ts
+++ b/src/scheduling/forecast.ts
@@ -5,6 +5,7 @@
  * @packageDocumentation
  */
 import type { Resources } from "../jobs/index.js";
+import { add, subtract } from "./target-view.js";
 
 /** Like tasks of one step, as the forecast sees them. */
 export interface ForecastStep {
@@ -23,6 +24,13 @@
   readonly steps: readonly ForecastStep[];
 }
 
+/** Room that comes later. */
+export interface RoomArrival {
+  readonly resources: Resources;
+  /** When it comes, from now. */
+  readonly atMilliseconds: number;
+}
+
 interface OpenStep {
   readonly definition: ForecastStep;
   readonly job: OpenJob;
@@ -36,10 +44,12 @@
   left: number;
 }
 
-interface Completion {
+/** Room that becomes free, by the end of tasks or because it comes. */
+interface Release {
   readonly at: number;
-  readonly step: OpenStep;
-  readonly count: number;
+  readonly resources: Resources;
+  /** Tasks that end with it. */
+  readonly ended: { readonly step: OpenStep; readonly count: number } | undefined;
 }
 
 /** Targets are never full to the last core: tasks do not divide their room evenly. */
@@ -50,58 +60,71 @@
  * @param jobs - all open jobs in the order in which they get room, the asked one last
  * @param capacity - the room of all targets together, that of lasting tasks not counted
  * @param horizonMilliseconds - how far the forecast looks
+ * @param arrivals - room that comes later
  * @returns milliseconds until the last job ends; infinite beyond the horizon
  */
 export function forecastEnd(
   jobs: readonly ForecastJob[],
   capacity: Resources,
   horizonMilliseconds: number,
+  arrivals: readonly RoomArrival[] = [],
 ): number {
   const open = jobs.map(openJob);
   const asked = open.at(-1);
   if (asked === undefined) return 0;
   const room = new Room(capacity);
-  const completions: Completion[] = [];
-  for (const { steps } of open) startRunning(steps, room, completions);
+  const releases = arrivals.map(({ resources, atMilliseconds }): Release => ({
+    at: atMilliseconds,
+    resources: scale(resources, usableShare),
+    ended: undefined,
+  }));
+  for (const { steps } of open) startRunning(steps, room, releases);
   let now = 0;
   while (asked.left > 0) {
     for (const { steps } of open) {
-      for (const step of steps) startWaiting(step, room, now, completions);
+      for (const step of steps) startWaiting(step, room, now, releases);
     }
-    const next = earliest(completions);
+    const next = earliest(releases);
     if (next === undefined || next > horizonMilliseconds) return Number.POSITIVE_INFINITY;
     now = next;
-    finishUntil(now, room, completions);
+    finishUntil(now, room, releases);
   }
   return now;
 }
 
 class Room {
-  cpuMillicores: number;
-  memoryMegabytes: number;
-  accelerators: number;
+  #left: Resources;
 
   constructor(capacity: Resources) {
-    this.cpuMillicores = capacity.cpuMillicores * usableShare;
-    this.memoryMegabytes = capacity.memoryMegabytes * usableShare;
-    this.accelerators = capacity.accelerators;
+    this.#left = scale(capacity, usableShare);
   }
 
   /** How many tasks fit. */
   count(needs: Resources): number {
-    const byCpu = needs.cpuMillicores > 0 ? this.cpuMillicores / needs.cpuMillicores : Infinity;
-    const byMemory = needs.memoryMegabytes > 0 ? this.memoryMegabytes / needs.memoryMegabytes : Infinity;
-    const byAccelerators = needs.accelerators > 0 ? this.accelerators / needs.accelerators : Infinity;
+    const { cpuMillicores, memoryMegabytes, accelerators } = this.#left;
+    const byCpu = needs.cpuMillicores > 0 ? cpuMillicores / needs.cpuMillicores : Infinity;
+    const byMemory = needs.memoryMegabytes > 0 ? memoryMegabytes / needs.memoryMegabytes : Infinity;
+    const byAccelerators = needs.accelerators > 0 ? accelerators / needs.accelerators : Infinity;
     return Math.max(0, Math.floor(Math.min(byCpu, byMemory, byAccelerators)));
   }
 
-  take(needs: Resources, count: number): void {
-    this.cpuMillicores -= needs.cpuMillicores * count;
-    this.memoryMegabytes -= needs.memoryMegabytes * count;
-    this.accelerators -= needs.accelerators * count;
+  take(resources: Resources): void {
+    this.#left = subtract(this.#left, resources);
+  }
+
+  free(resources: Resources): void {
+    this.#left = add(this.#left, resources);
   }
 }
 
+function scale({ cpuMillicores, memoryMegabytes, accelerators }: Resources, factor: number): Resources {
+  return {
+    cpuMillicores: cpuMillicores * factor,
+    memoryMegabytes: memoryMegabytes * factor,
+    accelerators: accelerators * factor,
+  };
+}
+
 function openJob({ steps }: ForecastJob): OpenJob {
   const job: OpenJob = { steps: [], left: 0 };
   for (const definition of steps) {
@@ -112,46 +135,48 @@
   return job;
 }
 
-function startRunning(steps: readonly OpenStep[], room: Room, completions: Completion[]): void {
+function startRunning(steps: readonly OpenStep[], room: Room, releases: Release[]): void {
   for (const step of steps) {
     const { running, needs } = step.definition;
-    room.take(needs, running.length);
-    for (const at of running) completions.push({ at, step, count: 1 });
+    room.take(scale(needs, running.length));
+    for (const at of running) releases.push({ at, resources: needs, ended: { step, count: 1 } });
   }
 }
 
-function startWaiting(step: OpenStep, room: Room, now: number, completions: Completion[]): void {
+function startWaiting(step: OpenStep, room: Room, now: number, releases: Release[]): void {
   if (step.waiting === 0 || !isReady(step)) return;
   const { needs, runMilliseconds } = step.definition;
   const count = Math.min(step.waiting, room.count(needs));
   if (count === 0) return;
   step.waiting -= count;
-  room.take(needs, count);
-  completions.push({ at: now + runMilliseconds, step, count });
+  const resources = scale(needs, count);
+  room.take(resources);
+  releases.push({ at: now + runMilliseconds, resources, ended: { step, count } });
 }
 
 function isReady({ definition, job }: OpenStep): boolean {
   return definition.after.every((earlier) => (job.steps[earlier]?.left ?? 0) === 0);
 }
 
-function earliest(completions: readonly Completion[]): number | undefined {
+function earliest(releases: readonly Release[]): number | undefined {
   let first: number | undefined;
-  for (const { at } of completions) if (first === undefined || at < first) first = at;
+  for (const { at } of releases) if (first === undefined || at < first) first = at;
   return first;
 }
 
-function finishUntil(now: number, room: Room, completions: Completion[]): void {
+function finishUntil(now: number, room: Room, releases: Release[]): void {
   let kept = 0;
-  for (const completion of completions) {
-    if (completion.at > now) {
-      completions[kept] = completion;
+  for (const release of releases) {
+    if (release.at > now) {
+      releases[kept] = release;
       kept += 1;
       continue;
     }
-    const { step, count } = completion;
+    room.free(release.resources);
+    if (release.ended === undefined) continue;
+    const { step, count } = release.ended;
     step.left -= count;
     step.job.left -= count;
-    room.take(step.definition.needs, -count);
   }
-  completions.length = kept;
+  releases.length = kept;
 }
--- a/src/scheduling/index.ts
+++ b/src/scheduling/index.ts
@@ -3,8 +3,8 @@
  * @packageDocumentation
  */
 export { admitJob, type JobAdmission, type JobForecast } from "./admission.js";
-export { createWorkRate, type WorkRate } from "./demand.js";
-export { forecastEnd, type ForecastJob, type ForecastStep } from "./forecast.js";
+export { createDemandForecast, createWorkRate, type WorkRate } from "./demand.js";
+export { forecastEnd, type ForecastJob, type ForecastStep, type RoomArrival } from "./forecast.js";
 export { compareJobs, type OrderedJob } from "./order.js";
 export { choosePace, type ServedTail } from "./pacing.js";
 export { chooseGangPlaces, choosePlace, takePlace, type StepPlace } from "./placement.js";
--- a/src/scheduling/test/decisions.test.ts
+++ b/src/scheduling/test/decisions.test.ts
@@ -11,6 +11,7 @@
   choosePace,
   choosePlace,
   compareJobs,
+  createDemandForecast,
   createWorkRate,
   forecastEnd,
   takePlace,
@@ -18,6 +19,7 @@
   type OrderedJob,
   type StepPlace,
   type TargetView,
+  type WorkRate,
 } from "../index.js";
 
 const core = { cpuMillicores: 1_000, memoryMegabytes: 0, accelerators: 0 };
@@ -47,6 +49,13 @@
   expect(forecastEnd([total, asked], capacity, 60_000)).toBe(2_000);
 });
 
+test("a forecast counts on room that comes before the job would be late", () => {
+  const asked = forecastJob([{ waiting: 18, milliseconds: 1_000 }]);
+  const arrivals = [{ resources: capacity, atMilliseconds: 400 }];
+  expect(forecastEnd([asked], capacity, 60_000)).toBe(2_000);
+  expect(forecastEnd([asked], capacity, 60_000, arrivals)).toBe(1_400);
+});
+
 test("a forecast gives up beyond its horizon and for what fits nowhere", () => {
   const wide = {
     steps: [
@@ -227,9 +236,36 @@
 });
 
 test("a rate of work rises with a turn and falls after it", () => {
-  const rate = createWorkRate();
+  const rate = createDemandForecast();
   for (let now = 0; now <= 3_000; now += 100) rate.note(10, now);
   expect(rate.read(3_000)).toBeGreaterThan(90);
   expect(rate.read(3_000)).toBeLessThan(125);
   expect(rate.read(8_000)).toBeLessThan(1);
 });
+
+/** Plays jobs of 50 core-seconds, so many a second from one time to another. */
+function playJobs(rates: readonly WorkRate[], from: number, to: number, jobsPerSecond: number): void {
+  const step = 1_000 / jobsPerSecond;
+  for (let now = from; now < to; now += step) {
+    for (const rate of rates) rate.note(50, now);
+  }
+}
+
+test("the height of earlier turns is expected as soon as the next turn begins", () => {
+  const naive = createWorkRate(900);
+  const forecast = createDemandForecast();
+  playJobs([naive, forecast], 0, 4_000, 16);
+  playJobs([naive, forecast], 4_000, 15_000, 0.5);
+  playJobs([naive, forecast], 15_000, 15_200, 16);
+  expect(naive.read(15_200)).toBeLessThan(250);
+  expect(forecast.read(15_200)).toBeGreaterThan(600);
+  // Machines that come after the turn would stand idle.
+  expect(forecast.read(16_500)).toBeLessThan(300);
+});
+
+test("one large job in a quiet time is no turn", () => {
+  const forecast = createDemandForecast();
+  playJobs([forecast], 0, 4_000, 16);
+  forecast.note(400, 12_000);
+  expect(forecast.read(12_050)).toBeLessThan(500);
+});
--- a/src/store/prefix-follower.ts
+++ b/src/store/prefix-follower.ts
@@ -11,8 +11,8 @@
   readonly prefix: string;
   /** How long one call waits for changes. */
   readonly waitMilliseconds: number;
-  /** The pause between two calls, in which changes gather. */
-  readonly pauseMilliseconds: number;
+  /** The pause between two calls, in which changes gather; asked for anew before each. */
+  pauseMilliseconds(): number;
   /** Called when the copy changed, and once when it is first complete. */
   onChanged(records: ReadonlyMap<string, StoreRecord>): void;
   /** Called when calls begin to fail and when they succeed again. */
@@ -27,6 +27,8 @@
   ageMilliseconds(): number;
   /** Milliseconds since the last time that calls had been failing; infinite when they never did. */
   reachableForMilliseconds(): number;
+  /** Ends the pause before the next call. */
+  hurry(): void;
   close(): void;
 }
 
@@ -40,6 +42,7 @@
 export function followPrefix(options: PrefixFollowerOptions): PrefixFollower {
   const { store, prefix } = options;
   const stop = new AbortController();
+  let pause = new AbortController();
   let held = new Map<string, StoreRecord>();
   let currentAt = Number.NEGATIVE_INFINITY;
   let reachableSince = Number.NEGATIVE_INFINITY;
@@ -99,7 +102,9 @@
     let revision: number | undefined;
     while (!stop.signal.aborted) {
       revision = revision === undefined ? await readList() : await readChanges(revision);
-      await delay(revision === undefined ? retryMilliseconds : options.pauseMilliseconds, stop.signal);
+      pause = new AbortController();
+      const milliseconds = revision === undefined ? retryMilliseconds : options.pauseMilliseconds();
+      await delay(milliseconds, AbortSignal.any([stop.signal, pause.signal]));
     }
   };
 
@@ -108,6 +113,9 @@
     records: () => held,
     ageMilliseconds: () => performance.now() - currentAt,
     reachableForMilliseconds: () => performance.now() - reachableSince,
+    hurry: () => {
+      pause.abort();
+    },
     close: () => {
       stop.abort();
     },
--- a/src/wiring/job-entry.ts
+++ b/src/wiring/job-entry.ts
@@ -12,6 +12,7 @@
   type AdviceService,
   type EntrySession,
   type JobGateway,
+  type JobHome,
 } from "../job-homes/index.js";
 import {
   FleetManager,
@@ -31,6 +32,7 @@
   followMembers,
   followRegistry,
   type FollowedConfiguration,
+  type FollowedRegistry,
   type Members,
 } from "./job-followers.js";
 
@@ -125,24 +127,7 @@
     ingress.applyLimits(table);
   });
   const session = openEntrySession({ store, self, log, leaseMilliseconds: entryLeaseMilliseconds });
-  const registry = followRegistry(options, () => {
-    keeper.followTargets();
-  });
-  const keeper = new HomeKeeper({
-    entryId,
-    store,
-    session,
-    directory: members.directory,
-    pools: () => configuration.current()?.pools.map(({ pool }) => pool) ?? [],
-    listedTargets: registry.listedTargets,
-    orders: options.orders,
-    advice: options.advice,
-    log,
-    metrics,
-    runLeaseMilliseconds: options.runLeaseMilliseconds,
-    retentionMilliseconds: options.retentionMilliseconds,
-  });
-  void keeper.run();
+  const { registry, keeper } = wireHomes(options, { session, members, configuration });
   const gateway = new HomeGateway({ entryId, keeper, directory: members.directory, peers, store });
   const fleet = wireFleet(options, { session, members, configuration, gateway });
   const ingress = options.createIngress(gateway, configuration.usable);
@@ -192,13 +177,39 @@
   };
 }
 
-interface FleetParts {
+interface HomeParts {
   readonly session: EntrySession;
   readonly members: Members;
   readonly configuration: FollowedConfiguration;
+}
+
+interface FleetParts extends HomeParts {
   readonly gateway: HomeGateway;
 }
 
+/** The homes of this entry, and the registry of the targets that they use. */
+function wireHomes(
+  options: JobEntryOptions,
+  { session, members, configuration }: HomeParts,
+): { readonly registry: FollowedRegistry; readonly keeper: HomeKeeper } {
+  const heldHomes = (): JobHome[] => keeper.homes();
+  const registry = followRegistry(options, heldHomes, () => {
+    keeper.followTargets();
+  });
+  const keeper = new HomeKeeper({
+    ...options,
+    session,
+    directory: members.directory,
+    pools: () => configuration.current()?.pools.map(({ pool }) => pool) ?? [],
+    listedTargets: registry.listedTargets,
+    onTaken: () => {
+      registry.follower.hurry();
+    },
+  });
+  void keeper.run();
+  return { registry, keeper };
+}
+
 /** The duty on machines, where the platform takes orders for them. */
 function wireFleet(options: JobEntryOptions, parts: FleetParts): FleetManager | undefined {
   const { machines, entryId, store, log, metrics, orderLeaseMilliseconds } = options;
@@ -220,7 +231,8 @@
     machines,
     waves: configuration.waves,
     pools: () => configuration.current()?.pools ?? [],
-    vacate: async (pool, targetIds) => gateway.vacate(pool, targetIds, vacateTimeoutMilliseconds),
+    vacate: async (pool, targetIds, arrivals) =>
+      gateway.vacate(pool, targetIds, arrivals, vacateTimeoutMilliseconds),
     waveStatus: options.operators.waveStatus,
     orderLeaseMilliseconds,
     log,
--- a/src/wiring/job-followers.ts
+++ b/src/wiring/job-followers.ts
@@ -9,6 +9,7 @@
   membersPrefix,
   type HomeDirectory,
   type HomeRecord,
+  type JobHome,
 } from "../job-homes/index.js";
 import type { MaintenanceWave } from "../fleet/index.js";
 import type { QueueTable } from "../jobs/index.js";
@@ -27,7 +28,11 @@
 const configurationWaitMilliseconds = 500;
 const followPauseMilliseconds = 20;
 /** Targets renew their records all the time; news gather in this pause. */
-const registryPauseMilliseconds = 600;
+const registryPauseMilliseconds = 500;
+/** The pause while a home waits for machines that come to its pool. */
+const arrivalPauseMilliseconds = 120;
+/** The pause of an entry without homes, which only keeps its copy for the time when it takes one. */
+const idlePauseMilliseconds = 2_000;
 const registryWaitMilliseconds = 500;
 /** The entries and the homes that they hold. */
 export interface Members {
@@ -49,7 +54,7 @@
     store,
     prefix: membersPrefix,
     waitMilliseconds: membersWaitMilliseconds,
-    pauseMilliseconds: followPauseMilliseconds,
+    pauseMilliseconds: () => followPauseMilliseconds,
     onChanged: (records) => {
       entries = [...records.values()].flatMap(({ key, value }) =>
         key.startsWith(entryPrefix) ? (parseRosterRecord(value) ?? []) : [],
@@ -125,7 +130,7 @@
     store,
     prefix: operators.prefix,
     waitMilliseconds: configurationWaitMilliseconds,
-    pauseMilliseconds: followPauseMilliseconds,
+    pauseMilliseconds: () => followPauseMilliseconds,
     onChanged: (records) => {
       takeRecord(records.get(operators.configurationKey));
       waves = operators.decodeWaves(records);
@@ -149,11 +154,13 @@
 /**
  * Follows the records of targets.
  * @param options - the store, and how the records are read
+ * @param homes - the homes of this entry
  * @param onChanged - called when they changed
  * @returns the targets by pool
  */
 export function followRegistry(
   { store, registry }: JobEntryOptions,
+  homes: () => readonly JobHome[],
   onChanged: () => void,
 ): FollowedRegistry {
   let targets: readonly RegisteredTarget[] | undefined;
@@ -161,7 +168,7 @@
     store,
     prefix: registry.prefix,
     waitMilliseconds: registryWaitMilliseconds,
-    pauseMilliseconds: registryPauseMilliseconds,
+    pauseMilliseconds: () => choosePause(homes()),
     onChanged: (records) => {
       targets = registry.decode(records.values());
       onChanged();
@@ -175,3 +182,8 @@
     },
   };
 }
+
+function choosePause(homes: readonly JobHome[]): number {
+  if (homes.length === 0) return idlePauseMilliseconds;
+  return homes.some((home) => home.expectsTargets()) ? arrivalPauseMilliseconds : registryPauseMilliseconds;
+}
