A next holder of the duty on machines moves untouched ones at once

A new holder also took all machines for just come, and kept them 2.5 s more.

Found on the way: a lost answer to taking the duty left it with nobody until the entry's lease ended; a pool without any machine could get none; a duty lost and taken again between two steps kept what belonged to the earlier holding.

Change: machines about to be ordered are stored first, under the duty, so that a next holder waits only for those. An entry adopts the duty that the store says it holds. Acceptances log the forecast.

Tests fail without the change (the second waits 10 s in vain).

--- a/src/fleet/fleet-manager.ts
+++ b/src/fleet/fleet-manager.ts
@@ -17,6 +17,7 @@
 import type { MachineControl, MachineOrderOutcome, MaintenanceWave } from "./machine-control.js";
 import { planMoves, type PlannedMove, type PoolShortage } from "./move-plan.js";
 import { planWaveStep, type WaveCandidate } from "./wave-plan.js";
+import { OrderRecord } from "./order-record.js";
 import { storedWaveSchema, WaveProgress } from "./wave-progress.js";
 
 /** Prefix of what the manager keeps of each wave. */
@@ -55,6 +56,12 @@
   readonly metrics: Metrics;
 }
 
+/** A machine of a wave whose maintenance begins. */
+interface PlannedMaintenance {
+  readonly progress: WaveProgress;
+  readonly candidate: WaveCandidate;
+}
+
 const stepMilliseconds = 250;
 /** Orders of an earlier holder may arrive a little later than its lease ends. */
 const orderSettleMilliseconds = 500;
@@ -71,6 +78,10 @@
   #history = new MachineHistory();
   /** Targets that are being emptied, by pool. */
   #vacating: ReadonlyMap<string, readonly string[]> = new Map();
+  /** The holding of the duty that all of this belongs to. */
+  #fencingToken = 0;
+  /** Orders for machines, read anew with each holding of the duty. */
+  #orders: OrderRecord | undefined;
   /** Room that comes to each pool, or could. */
   #arrivals: ReadonlyMap<string, readonly RoomArrival[]> = new Map();
 
@@ -87,8 +98,9 @@
     const { duty } = this.#options;
     while (!this.#stop.signal.aborted) {
       await duty.compete();
+      // Another entry may have held the duty between two holdings of this one.
+      if (!duty.isHeld() || duty.fencingToken() !== this.#fencingToken) this.#forget();
       if (duty.isHeld()) await this.#step();
-      else this.#forget();
       await delay(stepMilliseconds, this.#stop.signal);
     }
   }
@@ -99,35 +111,66 @@
   }
 
   #forget(): void {
+    this.#fencingToken = this.#options.duty.fencingToken();
     this.#waves.clear();
     this.#vacating = new Map();
+    this.#orders = undefined;
     this.#arrivals = new Map();
     this.#history = new MachineHistory();
   }
 
   async #step(): Promise<void> {
     for (const wave of this.#options.waves()) await this.#openWave(wave);
+    const orders = (this.#orders ??= await this.#openOrders());
     const view = await this.#look();
-    if (view === undefined) return;
+    if (view === undefined || orders === undefined) return;
     this.#history.note(view);
-    const emptying: (WaveCandidate | PlannedMove)[] = [];
-    const maintained: { progress: WaveProgress; candidate: WaveCandidate }[] = [];
+    const waves = await this.#planWaves(view);
+    const machineIds = [...view.machines.keys()];
+    const excluded = new Set(machineIds.filter((machineId) => !orders.mayOrder(machineId)));
+    for (const { machineId } of waves.emptying) excluded.add(machineId);
+    const plan = planMoves(describePools(view, this.#history, excluded));
+    for (const shortage of plan.shortages) this.#logShortage(shortage);
+    this.#vacating = groupTargets([...waves.emptying, ...plan.vacate, ...plan.moves]);
+    this.#arrivals = describeArrivals(view, this.#history, plan.spare);
+    const moves = [...plan.moves, ...(await this.#emptyIdle(plan.vacate))];
+    // A machine that an earlier holder took down may not be listed as such yet.
+    const maintenance = orders.isSettled() ? waves.maintenance : [];
+    await this.#giveOrders(orders, maintenance, moves.slice(0, maximumMovesPerStep));
+  }
+
+  async #giveOrders(
+    orders: OrderRecord,
+    maintenance: readonly PlannedMaintenance[],
+    moves: readonly PlannedMove[],
+  ): Promise<void> {
+    const ordered = [...maintenance.map(({ candidate }) => candidate), ...moves];
+    if (ordered.length === 0 || !(await orders.note(ordered.map(({ machineId }) => machineId)))) return;
+    await Promise.all([
+      ...maintenance.map(async (planned) => this.#maintain(planned)),
+      ...moves.map(async (move) => this.#move(move)),
+    ]);
+  }
+
+  /** Chooses what is done next for all waves. */
+  async #planWaves(
+    view: FleetView,
+  ): Promise<{ emptying: readonly WaveCandidate[]; maintenance: readonly PlannedMaintenance[] }> {
+    const emptying: WaveCandidate[] = [];
+    const maintenance: PlannedMaintenance[] = [];
     for (const progress of this.#waves.values()) {
       if (progress.state === "complete") continue;
       const step = await this.#planWave(progress, view);
       emptying.push(...step.vacate, ...step.maintain);
-      maintained.push(...step.maintain.map((candidate) => ({ progress, candidate })));
+      maintenance.push(...step.maintain.map((candidate) => ({ progress, candidate })));
     }
-    const chosen = new Set(emptying.map(({ machineId }) => machineId));
-    const plan = planMoves(describePools(view, this.#history, chosen));
-    emptying.push(...plan.vacate, ...plan.moves);
-    this.#vacating = groupTargets(emptying);
-    for (const shortage of plan.shortages) this.#logShortage(shortage);
-    if (!this.#mayOrder()) return;
-    this.#arrivals = describeArrivals(view, this.#history, plan.spare);
-    await Promise.all(maintained.map(async ({ progress, candidate }) => this.#maintain(progress, candidate)));
-    const moves = [...plan.moves, ...(await this.#emptyIdle(plan.vacate))].slice(0, maximumMovesPerStep);
-    await Promise.all(moves.map(async (move) => this.#move(move)));
+    return { emptying, maintenance };
+  }
+
+  async #openOrders(): Promise<OrderRecord | undefined> {
+    const { store, duty, orderLeaseMilliseconds, log } = this.#options;
+    const waitMilliseconds = orderLeaseMilliseconds + orderSettleMilliseconds;
+    return OrderRecord.open({ store, duty, waitMilliseconds, log });
   }
 
   /** Empties what is about to move, and finds the machines on which nothing runs already. */
@@ -158,12 +201,6 @@
     });
   }
 
-  /** A new holder waits until orders of the one before can no longer be under way. */
-  #mayOrder(): boolean {
-    const { duty, orderLeaseMilliseconds } = this.#options;
-    return duty.isHeld() && duty.heldForMilliseconds() >= orderLeaseMilliseconds + orderSettleMilliseconds;
-  }
-
   /** Reads the list of machines and asks all homes for their pools' load. */
   async #look(): Promise<FleetView | undefined> {
     const { machines, pools, log } = this.#options;
@@ -237,7 +274,7 @@
     });
   }
 
-  async #maintain(progress: WaveProgress, candidate: WaveCandidate): Promise<void> {
+  async #maintain({ progress, candidate }: PlannedMaintenance): Promise<void> {
     const { duty, entryId, machines, log } = this.#options;
     if (!duty.isHeld()) return;
     const { machineId, targetId = "", pool } = candidate;
--- a/src/fleet/fleet-view.ts
+++ b/src/fleet/fleet-view.ts
@@ -82,6 +82,7 @@
   readonly #joinings = new Map<string, Joining>();
   readonly #idleSince = new Map<string, number>();
   #moveMilliseconds = usualMoveMilliseconds;
+  #hasLooked = false;
 
   /**
    * Takes a look at the fleet.
@@ -97,6 +98,7 @@
       if (runs > 0) this.#idleSince.delete(machineId);
       else if (!this.#idleSince.has(machineId)) this.#idleSince.set(machineId, now);
     }
+    this.#hasLooked = true;
   }
 
   /** How long a machine has been in its pool. */
@@ -113,7 +115,9 @@
     const { machineId, pool, state } = machine;
     const joining = this.#joinings.get(machineId);
     if (joining?.pool !== pool) {
-      this.#joinings.set(machineId, { pool, at: now, isServing: state !== "moving" });
+      // What was there before the first look has been there for long, as far as a new holder can know.
+      const at = this.#hasLooked ? now : Number.NEGATIVE_INFINITY;
+      this.#joinings.set(machineId, { pool, at, isServing: state !== "moving" || !this.#hasLooked });
       return;
     }
     if (joining.isServing || report === undefined || findLoad(report, machine)?.isKnown !== true) return;
@@ -139,7 +143,7 @@
   history: MachineHistory,
   excluded: ReadonlySet<string>,
 ): PlannedPool[] {
-  const pools = new Set([...view.machines.values()].map(({ pool }) => pool));
+  const pools = new Set([...view.reports.keys(), ...[...view.machines.values()].map(({ pool }) => pool)]);
   return [...pools].flatMap((pool): PlannedPool[] => {
     const isStandby = view.standbyPools.has(pool);
     const report = view.reports.get(pool);
--- /dev/null
+++ b/src/fleet/test/fleet-manager.test.ts
@@ -0,0 +1,196 @@
+/**
+ * Managers over one stand-in store, without machines: who orders which machine when, and what a lost answer does.
+ * @packageDocumentation
+ */
+import { Right } from "purify-ts";
+import { afterEach, expect, test } from "vitest";
+import { dutyPrefix, membersPrefix, openEntrySession, SessionDuty } from "../../job-homes/index.js";
+import type { PoolReport } from "../../job-homes/index.js";
+import { createStoreEngine, createStoreFaults, MemoryStoreClient } from "../../stand-ins/index.js";
+import type { StoreEngine, StoreFaults } from "../../stand-ins/index.js";
+import { followPrefix } from "../../store/index.js";
+import { createLog, createMetrics } from "../../telemetry/index.js";
+import { FleetManager } from "../fleet-manager.js";
+import type { Machine } from "../machine-control.js";
+
+const capacity = { cpuMillicores: 32_000, memoryMegabytes: 1_000, accelerators: 0 };
+const leaseMilliseconds = 900;
+const orderLeaseMilliseconds = 1_500;
+
+interface Order {
+  readonly entryId: string;
+  readonly machineId: string;
+  /** How long its holder had held the duty. */
+  readonly heldFor: number;
+}
+
+/** Machines of a standby pool that a busy pool asks for. */
+class Machines {
+  readonly orders: Order[] = [];
+  readonly pools = new Map<string, string>();
+
+  constructor(count: number) {
+    for (let index = 0; index < count; index += 1) this.pools.set(`machine-${index}`, "spare");
+  }
+
+  list(): Machine[] {
+    return [...this.pools].map(([machineId, pool]) => ({
+      machineId,
+      pool,
+      state: "up",
+      availabilityZone: "zone",
+      labels: [],
+      capacity,
+      targetId: pool === "spare" ? undefined : `target-${machineId}`,
+    }));
+  }
+
+  /** The report of the busy pool, which is always short of one machine; all that came to it is known. */
+  report(): PoolReport {
+    const here = this.list().filter(({ pool }) => pool === "busy");
+    const cores = here.length * 32;
+    const targets = here.map(({ targetId = "" }) => ({
+      targetId,
+      runs: 1,
+      lastingRuns: 1,
+      isVacating: false,
+      isKnown: true,
+    }));
+    const demandCores = this.isShort ? cores + 1 : cores;
+    return {
+      pool: "busy",
+      targets,
+      backlogCoreSeconds: 0,
+      cores,
+      busyCores: cores,
+      demandCores,
+      waitingLastingTasks: 0,
+    };
+  }
+
+  isShort = true;
+}
+
+interface TestManager {
+  readonly duty: SessionDuty;
+  readonly faults: StoreFaults;
+  crash(): void;
+}
+
+let engine: StoreEngine;
+const managers: TestManager[] = [];
+afterEach(() => {
+  for (const manager of managers.splice(0)) manager.crash();
+  engine.close();
+});
+
+function startManager(entryId: string, machines: Machines): TestManager {
+  const faults = createStoreFaults();
+  const store = new MemoryStoreClient(engine, faults);
+  const log = createLog("silent");
+  const self = { entryId, incarnation: 1, peerAddress: "127.0.0.1:1", zone: "zone" };
+  const session = openEntrySession({ store, self, log, leaseMilliseconds });
+  const members = followPrefix({
+    store,
+    prefix: membersPrefix,
+    waitMilliseconds: 20,
+    pauseMilliseconds: () => 1,
+    onChanged: () => undefined,
+  });
+  const holder = () => members.records().get(`${dutyPrefix}fleet`);
+  const duty = new SessionDuty({
+    name: "fleet",
+    entryId,
+    store,
+    session,
+    entries: () => [entryId],
+    holder,
+    log,
+  });
+  const manager = new FleetManager({
+    entryId,
+    duty,
+    store,
+    machines: {
+      list: async () => Promise.resolve(Right(machines.list())),
+      maintain: async () => Promise.reject(new Error("no wave was asked for")),
+      move: async ({ machineId, pool }) => {
+        machines.orders.push({ entryId, machineId, heldFor: duty.heldForMilliseconds() });
+        machines.pools.set(machineId, pool);
+        return Promise.resolve({ kind: "done" });
+      },
+    },
+    waves: () => [],
+    pools: () => [
+      { pool: "busy", isStandby: false },
+      { pool: "spare", isStandby: true },
+    ],
+    vacate: async (pool) => Promise.resolve(pool === "busy" ? machines.report() : undefined),
+    waveStatus: { key: (wave) => `status/${wave}`, encode: () => ({}) },
+    orderLeaseMilliseconds,
+    log,
+    metrics: createMetrics(),
+  });
+  void manager.run();
+  const crash = (): void => {
+    faults.mode = "down";
+    manager.close();
+    members.close();
+    void session.close();
+  };
+  const started = { duty, faults, crash };
+  managers.push(started);
+  return started;
+}
+
+async function waitFor(isTrue: () => boolean): Promise<void> {
+  for (let attempt = 0; attempt < 2_000 && !isTrue(); attempt += 1) {
+    await new Promise((resolve) => setTimeout(resolve, 5));
+  }
+  expect(isTrue()).toBe(true);
+}
+
+test("a next holder orders untouched machines at once, and those of the one before only after its orders are over", async () => {
+  engine = createStoreEngine();
+  const machines = new Machines(3);
+  const first = startManager("a", machines);
+  await waitFor(() => machines.orders.length === 1);
+  machines.isShort = false;
+  first.crash();
+  const ordered = machines.orders[0]?.machineId ?? "";
+  // The machine that was ordered last is back in the standby pool, so that the next holder could order it.
+  machines.pools.set(ordered, "spare");
+  machines.isShort = true;
+  startManager("b", machines);
+  await waitFor(() => machines.orders.length === 4);
+  const next = machines.orders.slice(1);
+  expect(next.map(({ entryId }) => entryId)).toEqual(["b", "b", "b"]);
+  expect(next.slice(0, 2).every(({ heldFor }) => heldFor < orderLeaseMilliseconds)).toBe(true);
+  expect(next[2]?.machineId).toBe(ordered);
+  expect(next[2]?.heldFor).toBeGreaterThanOrEqual(orderLeaseMilliseconds);
+});
+
+test("the duty is done although the answer to taking it was lost", async () => {
+  engine = createStoreEngine();
+  const machines = new Machines(1);
+  const { faults, duty } = startManager("a", machines);
+  await waitFor(() => engine.range(`${membersPrefix}entries/a`).length === 1);
+  faults.loseAnswers = 1;
+  await waitFor(() => machines.orders.length === 1);
+  expect(faults.loseAnswers).toBe(0);
+  expect(duty.isHeld()).toBe(true);
+});
+
+test("an entry that lost the duty unseen gives no order", async () => {
+  engine = createStoreEngine();
+  const machines = new Machines(3);
+  machines.isShort = false;
+  const { duty } = startManager("a", machines);
+  await waitFor(() => duty.isHeld());
+  const [record] = engine.range(`${dutyPrefix}fleet`);
+  const { value = "", revision = 0 } = record ?? {};
+  engine.write({ key: `${dutyPrefix}fleet`, value, expectedRevision: revision, leaseId: undefined });
+  machines.isShort = true;
+  await new Promise((resolve) => setTimeout(resolve, 600));
+  expect(machines.orders).toEqual([]);
+});
--- a/src/fleet/test/plans.test.ts
+++ b/src/fleet/test/plans.test.ts
@@ -139,6 +139,28 @@
   ]);
 });
 
+test("a new holder may move the machines that it finds, and keeps those that come later for a while", () => {
+  const machine = (machineId: string): Machine => ({
+    machineId,
+    pool: "presses",
+    state: "up",
+    availabilityZone: "zone",
+    labels: [],
+    capacity: { cpuMillicores: 32_000, memoryMegabytes: 1_000, accelerators: 0 },
+    targetId: `target-${machineId}`,
+  });
+  const look = (...machineIds: string[]): FleetView => ({
+    machines: new Map(machineIds.map((machineId) => [machineId, machine(machineId)])),
+    reports: new Map([["presses", createReport({})]]),
+    standbyPools: new Set(),
+  });
+  const history = new MachineHistory();
+  history.note(look("found"));
+  history.note(look("found", "later"));
+  expect(history.restedMilliseconds("found")).toBe(Infinity);
+  expect(history.restedMilliseconds("later")).toBeLessThan(1_000);
+});
+
 test("a machine that is down, or up without its home's knowledge for long, does not count as coming", () => {
   const base = { pool: "presses", availabilityZone: "zone", labels: [] };
   const capacity = { cpuMillicores: 32_000, memoryMegabytes: 1_000, accelerators: 0 };
--- a/src/job-homes/job-home.ts
+++ b/src/job-homes/job-home.ts
@@ -234,7 +234,7 @@
       const retryAfterMilliseconds = retryAfterStoreMilliseconds;
       return { kind: "refused", reason: "the store does not answer", retryAfterMilliseconds };
     }
-    this.#add(record);
+    this.#add(record, forecast);
     return { kind: "accepted" };
   }
 
@@ -264,18 +264,28 @@
     const found = await this.#options.store.get(`${jobPrefix}${jobId}`);
     const record = decodeJobRecord(found.orDefault(undefined)?.value);
     if (record === undefined) return { kind: "unknown", reason: "the stored job was not read" };
-    if (record.terms.pool === this.pool && !this.#state.jobs.has(jobId)) this.#add(record);
+    if (record.terms.pool === this.pool && !this.#state.jobs.has(jobId)) this.#add(record, undefined);
     return { kind: "accepted" };
   }
 
-  #add(record: JobRecord): void {
+  #add(record: JobRecord, forecast: JobForecast | undefined): void {
     addJob(this.#state, record, undefined, Date.now(), false);
     const { queue, pool } = record.terms;
-    this.#state.log.write("info", "job-accepted", { job: record.jobId, queue, pool });
+    this.#state.log.write("info", "job-accepted", {
+      job: record.jobId,
+      queue,
+      pool,
+      endMilliseconds: roundOrNone(forecast?.endMilliseconds),
+      objectiveMilliseconds: roundOrNone(forecast?.objectiveMilliseconds),
+    });
     this.#wake();
   }
 }
 
+function roundOrNone(value: number | undefined): number | undefined {
+  return value === undefined ? undefined : Math.round(value);
+}
+
 function isPending(job: Job): boolean {
   return job.finalState === undefined && !job.hasStarted;
 }
--- a/src/job-homes/session-duty.ts
+++ b/src/job-homes/session-duty.ts
@@ -2,8 +2,9 @@
  * A duty that one entry at a time does, held under the entry's lease.
  * @packageDocumentation
  */
-import { rendezvousOrder } from "../shared/index.js";
-import type { ExpectedRevision, TransactionalStore } from "../store/index.js";
+import { parseWith, rendezvousOrder } from "../shared/index.js";
+import { z } from "zod";
+import type { ExpectedRevision, StoreRecord, TransactionalStore } from "../store/index.js";
 import type { Log } from "../telemetry/index.js";
 import { membersPrefix, type EntrySession } from "./entry-session.js";
 
@@ -18,11 +19,13 @@
   readonly session: EntrySession;
   /** Entries that may do the duty. */
   readonly entries: () => readonly string[];
-  /** Whether the store shows a holder, as last heard. */
-  readonly hasHolder: () => boolean;
+  /** Who holds the duty by the store, as last heard. */
+  readonly holder: () => StoreRecord | undefined;
   readonly log: Log;
 }
 
+const dutyRecordSchema = z.object({ entryId: z.string(), leaseId: z.string() });
+
 interface Holding {
   readonly leaseId: string;
   readonly revision: number;
@@ -71,19 +74,31 @@
   async compete(): Promise<void> {
     if (this.isHeld()) return;
     this.#holding = undefined;
-    const { session, hasHolder, store, entryId, name, log } = this.#options;
+    const { session, holder, store, entryId } = this.#options;
     const leaseId = session.leaseId();
-    if (leaseId === undefined || hasHolder()) {
+    const record = holder();
+    if (leaseId === undefined || record !== undefined) {
       this.#vacantSince = undefined;
+      if (leaseId !== undefined && record !== undefined) this.#adopt(record, leaseId);
       return;
     }
     if (!this.#isMyTurn()) return;
     const value = { entryId, leaseId };
     const expected = [{ key: this.#key(), revision: 0 }];
     const result = await store.transact({ expected, writes: [{ key: this.#key(), value, leaseId }] });
-    if (result.kind !== "done") return;
-    this.#holding = { leaseId, revision: result.revision, heldSince: performance.now() };
-    log.write("info", "duty-acquired", { duty: name, fencingToken: result.revision });
+    if (result.kind === "done") this.#hold(leaseId, result.revision);
+  }
+
+  /** A write whose answer was lost may have made this entry the holder; nobody else can take the duty then. */
+  #adopt({ value, revision }: StoreRecord, leaseId: string): void {
+    const found = parseWith(dutyRecordSchema, value).toMaybe().extract();
+    if (found?.entryId === this.#options.entryId && found.leaseId === leaseId) this.#hold(leaseId, revision);
+  }
+
+  #hold(leaseId: string, revision: number): void {
+    const { log, name } = this.#options;
+    this.#holding = { leaseId, revision, heldSince: performance.now() };
+    log.write("info", "duty-acquired", { duty: name, fencingToken: revision });
   }
 
   #key(): string {
--- a/src/wiring/job-entry.ts
+++ b/src/wiring/job-entry.ts
@@ -221,7 +221,7 @@
     store,
     session,
     entries: members.directory.entries,
-    hasHolder: () => members.follower.records().has(`${dutyPrefix}${fleetDuty}`),
+    holder: () => members.follower.records().get(`${dutyPrefix}${fleetDuty}`),
     log,
   });
   const fleet = new FleetManager({
