A wave never empties a whole pool, and lasting tasks without a place bring a machine

Change: emptied targets are no room; lasting tasks that have to leave and find no place count as waiting; a wave takes at most half of a pool's machines at once; a pool with such tasks gets a machine even of a pool that is short.

--- a/src/fleet/fleet-view.ts
+++ b/src/fleet/fleet-view.ts
@@ -49,6 +49,7 @@
         runs: load?.runs ?? 0,
         lastingRuns: load?.lastingRuns ?? 0,
         isVacating: load?.isVacating ?? false,
+        poolMachines: view.standbyPools.has(machine.pool) ? Infinity : countServing(report),
         poolBacklogMilliseconds: backlogSeconds * millisecondsPerSecond,
       },
     ];
@@ -65,6 +66,10 @@
   return report !== undefined && findLoad(report, machine)?.isKnown === true;
 }
 
+function countServing({ targets }: PoolReport): number {
+  return targets.filter(({ isKnown }) => isKnown).length;
+}
+
 function findLoad(report: PoolReport, machine: Machine): TargetLoad | undefined {
   return report.targets.find(({ targetId }) => targetId === machine.targetId);
 }
--- a/src/fleet/move-plan.ts
+++ b/src/fleet/move-plan.ts
@@ -104,7 +104,9 @@
     let missing = lack;
     let count = 0;
     while (missing > 0) {
-      const supply = takeSupply(supplies, pool);
+      const supply =
+        takeSupply(supplies, pool) ??
+        (count === 0 ? takeAnyway(pools, pool, [...moves, ...vacate]) : undefined);
       if (supply === undefined) break;
       (isEmpty(supply) ? moves : vacate).push(describe(supply, pool.pool));
       missing -= supply.machine.cores;
@@ -172,6 +174,21 @@
   return best === undefined ? undefined : supplies.splice(best, 1)[0];
 }
 
+/** Takes the idlest machine of another pool, though that pool needs it, for lasting tasks that would not run at all. */
+function takeAnyway(
+  pools: readonly PlannedPool[],
+  taker: PlannedPool,
+  planned: readonly PlannedMove[],
+): Supply | undefined {
+  if (taker.waitingLastingTasks === 0) return undefined;
+  const supplies = pools
+    .filter((pool) => pool.pool !== taker.pool && pool.machines.length > fewestMachines)
+    .flatMap((pool) => pool.machines.map((machine) => ({ pool, machine })))
+    .filter(({ machine }) => machine.lastingRuns === 0)
+    .filter(({ machine }) => planned.every(({ machineId }) => machineId !== machine.machineId));
+  return supplies.sort((left, right) => left.machine.runs - right.machine.runs)[0];
+}
+
 function rank({ isStandby }: PlannedPool, { runs }: PlannedMachine): number {
   return isStandby ? -1 : runs;
 }
--- a/src/fleet/test/plans.test.ts
+++ b/src/fleet/test/plans.test.ts
@@ -22,6 +22,7 @@
   runs: 0,
   lastingRuns: 0,
   isVacating: false,
+  poolMachines: 8,
   poolBacklogMilliseconds: 0,
   ...changes,
 });
@@ -38,6 +39,18 @@
   expect(step.vacate.map(({ machineId }) => machineId)).toEqual(["idle"]);
 });
 
+test("a wave never empties all machines of a pool at once", () => {
+  const candidates = [
+    candidate("first", { poolMachines: 2 }),
+    candidate("second", { poolMachines: 2, isVacating: true }),
+    candidate("other", { pool: "mills", poolMachines: 1, runs: 3, poolBacklogMilliseconds: 100 }),
+    candidate("off", { pool: "spare", poolMachines: Infinity, targetId: undefined }),
+  ];
+  const step = planWaveStep(candidates, { freeSlots: 4, elapsedShare: 1, doneShare: 0 });
+  const chosen = [...step.maintain, ...step.vacate].map(({ machineId }) => machineId);
+  expect(chosen.sort()).toEqual(["off", "other", "second"]);
+});
+
 test("a wave leaves machines of a busy pool alone until it falls behind", () => {
   const candidates = [candidate("busy", { runs: 3, poolBacklogMilliseconds: 2_000 })];
   const early = planWaveStep(candidates, { freeSlots: 1, elapsedShare: 0.1, doneShare: 0.1 });
@@ -183,6 +196,15 @@
   expect(arrivals[0]?.atMilliseconds).toBeLessThan(arrivals[1]?.atMilliseconds ?? 0);
 });
 
+test("a lasting task without a place gets a machine even of a pool that lacks room itself", () => {
+  const pools = [
+    plannedPool("turn", { demandCores: 2_000, machines: machines(6, { runs: 8, idleMilliseconds: 0 }) }),
+    plannedPool("lasting", { waitingLastingTasks: 1, machines: machines(2, { lastingRuns: 1, runs: 1 }) }),
+  ];
+  const plan = planMoves(pools);
+  expect(plan.vacate.map(({ from, to }) => `${from}-${to}`)).toEqual(["turn-lasting"]);
+});
+
 test("idle machines rest in the standby pool, and a pool keeps a few", () => {
   const pools = [
     plannedPool("rest", { machines: machines(6) }),
--- a/src/fleet/wave-plan.ts
+++ b/src/fleet/wave-plan.ts
@@ -13,6 +13,8 @@
   readonly runs: number;
   readonly lastingRuns: number;
   readonly isVacating: boolean;
+  /** Machines of the pool that serve its home, this one among them; infinite for a pool that is off. */
+  readonly poolMachines: number;
   /** How long the pool's backlog lasts, in milliseconds. */
   readonly poolBacklogMilliseconds: number;
 }
@@ -56,13 +58,28 @@
       isBehind || isVacating || runs === 0 || poolBacklogMilliseconds <= patientBacklogMilliseconds,
   );
   const ordered = [...patient].sort((left, right) => cost(left) - cost(right));
-  const chosen = ordered.slice(0, Math.max(0, pressure.freeSlots));
+  const chosen = chooseApart(ordered, pressure.freeSlots);
   // A machine with a target is emptied first, so that nothing is started on it meanwhile.
   const isEmpty = ({ targetId, runs, isVacating }: WaveCandidate): boolean =>
     targetId === undefined || (runs === 0 && isVacating);
   return { maintain: chosen.filter(isEmpty), vacate: chosen.filter((candidate) => !isEmpty(candidate)) };
 }
 
+/** Takes the first candidates, but no more than half of a pool's machines at once: the others serve its callers. */
+function chooseApart(ordered: readonly WaveCandidate[], count: number): WaveCandidate[] {
+  const chosen: WaveCandidate[] = [];
+  const taken = new Map<string, number>();
+  for (const candidate of ordered) {
+    const { pool, poolMachines } = candidate;
+    const inPool = taken.get(pool) ?? 0;
+    if (chosen.length >= count) break;
+    if (inPool >= Math.max(1, Math.floor(poolMachines / 2))) continue;
+    taken.set(pool, inPool + 1);
+    chosen.push(candidate);
+  }
+  return chosen;
+}
+
 function cost({ runs, lastingRuns, isVacating, poolBacklogMilliseconds }: WaveCandidate): number {
   const work = lastingRuns * lastingRunCost + (runs - lastingRuns) * runCost;
   return work + poolBacklogMilliseconds - (isVacating ? vacatingBonus : 0);
--- a/src/job-homes/dispatcher.ts
+++ b/src/job-homes/dispatcher.ts
@@ -29,10 +29,10 @@
   if (!state.isActive()) return;
   const now = performance.now();
   const views = [...state.targets.values()].filter((target) => isUsable(target, now)).map(viewTarget);
-  if (views.length === 0) return;
   const ranked = [...state.jobs.values()].filter(isOpen).map((job) => rankJob(state, job));
   ranked.sort((left, right) => compareJobs(left, right, now));
-  moveLastingTasks(state, ranked, views);
+  state.stuckLastingTasks = moveLastingTasks(state, ranked, views);
+  if (views.length === 0) return;
   for (const { job } of ranked) {
     for (const occurrence of job.occurrences.values())
       placeOccurrence(state, advice, job, occurrence, views, now);
@@ -166,18 +166,25 @@
   }
 }
 
-/** Stops lasting tasks that should leave their targets once there is a place for them, and keeps that place. */
+/**
+ * Stops lasting tasks that should leave their targets once there is a place for them, and keeps that place.
+ * @returns how many have no place
+ */
 function moveLastingTasks(
   state: HomeState,
   ranked: readonly RankedJob[],
   views: readonly TargetView[],
-): void {
+): number {
+  let stuck = 0;
   for (const { job, isLasting } of ranked) {
     if (!isLasting) continue;
     for (const occurrence of job.occurrences.values()) {
-      for (const task of occurrence.steps.flat()) moveLastingTask(state, occurrence, task, views);
+      for (const task of occurrence.steps.flat()) {
+        if (moveLastingTask(state, occurrence, task, views) === "no-place") stuck += 1;
+      }
     }
   }
+  return stuck;
 }
 
 function moveLastingTask(
@@ -185,21 +192,22 @@
   occurrence: Occurrence,
   task: Task,
   views: readonly TargetView[],
-): void {
+): "stays" | "no-place" | "has-place" {
   const [run] = task.runs;
-  if (!task.definition.isLasting || run === undefined) return;
+  if (!task.definition.isLasting || run === undefined) return "stays";
   const from = findDeparture(state, task);
-  if (from === undefined && run.status !== "stopping") return;
+  if (from === undefined && run.status !== "stopping") return "stays";
   const tasks = occurrence.steps[task.step] ?? [];
   const place = describePlace(state, task, tasks);
   const elsewhere = views.filter(({ targetId }) => targetId !== run.targetId);
   const view = choosePlace(place, elsewhere);
   if (view === undefined) {
     reservePlace(state, place, elsewhere);
-    return;
+    return "no-place";
   }
   takePlace(view, place);
   if (from !== undefined && maySpare(state, occurrence, task, from)) run.status = "stopping";
+  return "has-place";
 }
 
 /** Keeps the target free whose short tasks leave room for a lasting one soonest. */
--- a/src/job-homes/home-state.ts
+++ b/src/job-homes/home-state.ts
@@ -89,6 +89,8 @@
   listed: ReadonlyMap<string, RegisteredTarget>;
   /** Targets of earlier homes that have neither reported nor lost their leases; what may run there waits. */
   awaited: Set<string>;
+  /** Lasting tasks that should leave their targets and have no other place. */
+  stuckLastingTasks: number;
   /** Room that is on its way to the pool, or could be had for it. */
   expectedRoom: readonly ExpectedRoom[];
   /** Planned for the callers of this moment; undefined once a job was accepted. */
@@ -169,10 +171,11 @@
 /**
  * Tells whether a target's room can be counted on.
  * @param target - the target
- * @returns false for one that leaves, that left, or that does not answer
+ * @returns false for one that is being emptied, that leaves, that left, or that does not answer
  */
-export function isInService({ session }: HomeTarget): boolean {
-  return session.isListed() && session.target().state === "ready" && session.failuresInARow() === 0;
+export function isInService({ session, isVacating }: HomeTarget): boolean {
+  const isReady = session.isListed() && session.target().state === "ready";
+  return isReady && !isVacating && session.failuresInARow() === 0;
 }
 
 /** Tells whether nothing more is to run for a task. */
--- a/src/job-homes/pool-report.ts
+++ b/src/job-homes/pool-report.ts
@@ -28,7 +28,7 @@
   readonly busyCores: number;
   /** Cores that callers' work asks for now, accepted or not. */
   readonly demandCores: number;
-  /** Lasting tasks that run nowhere. */
+  /** Lasting tasks that run nowhere, or have to leave their target and find no other place. */
   readonly waitingLastingTasks: number;
 }
 
@@ -124,7 +124,8 @@
   const { waitingCores, ...load } = readLoad(state);
   // What comes needs as many cores as what runs while a turn goes on; what waits needs its own besides.
   const demandCores = Math.max(state.demand.read(performance.now()), load.busyCores) + waitingCores;
-  return { pool: state.pool, targets, ...load, demandCores, waitingLastingTasks: countWaitingLasting(state) };
+  const waitingLastingTasks = countWaitingLasting(state) + state.stuckLastingTasks;
+  return { pool: state.pool, targets, ...load, demandCores, waitingLastingTasks };
 }
 
 function countWaitingLasting(state: HomeState): number {
--- a/src/job-homes/test/job-home.test.ts
+++ b/src/job-homes/test/job-home.test.ts
@@ -208,6 +208,19 @@
   expect(fewest).toBeGreaterThanOrEqual(2);
 });
 
+test("a pool whose targets are all being emptied says that it has no room and that lasting tasks need a place", async () => {
+  fixture = startHomeFixture({ targetCount: 2, coresPerTarget: 4, behaviour: behave({ isLasting: true }) });
+  const home = await fixture.home(fixture.startEntry("a"));
+  await home.submit(submission("job", createStep({ taskCount: 2, isLasting: true, maximumPerTarget: 1 })));
+  await waitFor(() => fixture.fleet.world.history.length === 2);
+  const all = [...fixture.fleet.targets.keys()];
+  const report = await waitFor(() => {
+    const found = home.vacate(all);
+    return found.waitingLastingTasks > 0 && found;
+  });
+  expect(report).toMatchObject({ cores: 0, waitingLastingTasks: 2 });
+});
+
 test("an accepted job is kept when the answer of the store is lost", async () => {
   fixture = startHomeFixture({ targetCount: 2, coresPerTarget: 4, behaviour: behave() });
   const entry = fixture.startEntry("a");
