A start may belong to the next life of its target until a report has shown it

And a late start, stopped in one life, was carried out by the next, which knows nothing of the stop.

Change: runs that no report has shown are looked for in the next life; that life is asked to refuse starts of the last seconds that brought no answer.

--- a/src/job-homes/home-keeper.ts
+++ b/src/job-homes/home-keeper.ts
@@ -270,6 +270,7 @@
     awaited: new Set(),
     placeRecords: new Map(),
     unsettledStarts: new Map(),
+    unansweredStarts: new Map(),
     stuckLastingTasks: 0,
     expectedRoom: [],
     roomPlan: undefined,
--- a/src/job-homes/home-state.ts
+++ b/src/job-homes/home-state.ts
@@ -60,6 +60,14 @@
   readonly plannedAt: number;
 }
 
+/** A start that brought no answer. */
+export interface UnansweredStart {
+  readonly task: string;
+  readonly run: number;
+  /** When it was asked for, by the monotonic clock. */
+  readonly startedAt: number;
+}
+
 /** What every part of a home works with. */
 export interface HomeState {
   readonly pool: string;
@@ -91,6 +99,8 @@
   awaited: Set<string>;
   /** Starts without an answer whose target has started again: the new life may still carry them out. By target. */
   readonly unsettledStarts: Map<string, readonly TargetRun[]>;
+  /** Starts that brought no answer lately, settled since or not. By target. */
+  readonly unansweredStarts: Map<string, readonly UnansweredStart[]>;
   /** Lasting tasks that should leave their targets and have no other place. */
   stuckLastingTasks: number;
   /** Room that is on its way to the pool, or could be had for it. */
--- a/src/job-homes/home-targets.ts
+++ b/src/job-homes/home-targets.ts
@@ -8,7 +8,7 @@
 import { removeRun, type HomeState, type HomeTarget } from "./home-state.js";
 import { inheritedLeaseMilliseconds } from "./home-takeover.js";
 import { takeReport } from "./run-ends.js";
-import { keepUnsettledStarts, takeUnsettledStarts } from "./unsettled-starts.js";
+import { keepUnsettledStarts, refuseLateStarts, takeUnsettledStarts } from "./unsettled-starts.js";
 
 /** How long renewals wait for an end, by what the target runs. */
 const idleWaitMilliseconds = 2_000;
@@ -127,7 +127,7 @@
       handlers: this.#handlers,
       inheritedLeaseUntil: Math.max(inheritedLeaseUntil, unsettledUntil),
     });
-    targets.set(target.targetId, {
+    const opened: HomeTarget = {
       session,
       runs: new Map(unsettled.map((each) => [each.task.name, each])),
       isRecorded: false,
@@ -137,7 +137,9 @@
       pacePercent: fullPercent,
       handledSequence: 0,
       acknowledging: Promise.resolve(),
-    });
+    };
+    targets.set(target.targetId, opened);
+    refuseLateStarts(this.#state, opened, this.#lateOrderMilliseconds());
     log.write("info", "target-session-opened", { pool, target: target.targetId, address: target.address });
     void session.run();
   }
--- a/src/job-homes/run-ends.ts
+++ b/src/job-homes/run-ends.ts
@@ -76,6 +76,7 @@
     run.confirmedAt ??= performance.now();
     task.job.hasStarted = true;
   }
+  run.isListed = true;
   if (run.percent !== present.percent) run.progressedAt = performance.now();
   run.percent = present.percent;
   run.usage = present.usage;
@@ -92,6 +93,7 @@
     isWhole: false,
     status: "running",
     confirmedAt: now,
+    isListed: true,
     stopAskedAt: undefined,
     stopConfirmedAt: undefined,
     percent: present.percent,
--- a/src/job-homes/start-orders.ts
+++ b/src/job-homes/start-orders.ts
@@ -6,6 +6,7 @@
 import type { OrderOutcome, OrderRefusal } from "../task-runs/index.js";
 import { isTaskOver, removeRun, type HomeState, type HomeTarget, type TargetRun } from "./home-state.js";
 import { storePlaces } from "./run-ends.js";
+import { noteUnansweredStart } from "./unsettled-starts.js";
 
 const startTimeoutMilliseconds = 800;
 /** A target is left alone for a while after it refused, by why it did. */
@@ -47,6 +48,7 @@
     isWhole: task.checkpoint === "",
     status: "starting",
     confirmedAt: undefined,
+    isListed: false,
     stopAskedAt: undefined,
     stopConfirmedAt: undefined,
     percent: 0,
@@ -122,6 +124,7 @@
   if (outcome.kind === "done") confirmStart(target, started, outcome.clockMilliseconds);
   if (outcome.kind === "unknown" && run.status === "starting") {
     run.status = "unresolved";
+    noteUnansweredStart(state, run.targetId, { task: task.name, run: run.run, startedAt: run.startedAt });
     target.distrust += distrustPerRefusal;
   }
   if (reason !== undefined) takeRefusal(state, target, started, reason);
--- a/src/job-homes/test/home-model.test.ts
+++ b/src/job-homes/test/home-model.test.ts
@@ -17,8 +17,8 @@
 import { HomeModel, type JobKind } from "./home-model.js";
 
 const targetCount = 4;
-/** The first found a start that the next life of a target carried out. */
-const seeds = [1, 20_261_204];
+/** The first two found starts that the next life of a target carried out. */
+const seeds = [1, 14, 20_261_204];
 const runs = 12;
 const commandsPerRun = 24;
 const oneCore = { cpuMillicores: 1_000, memoryMegabytes: 100, accelerators: 0 };
@@ -101,8 +101,8 @@
       this.target(index).isSilent = false;
       this.model.noteRevival(this.target(index).describe().targetId, performance.now());
     }
-    for (let attempt = 0; attempt < 150 && this.findUnsettled().length > 0; attempt += 1) await wait(100);
     await Promise.race([Promise.all(this.#pending), wait(4_000)]);
+    for (let attempt = 0; attempt < 150 && this.findUnsettled().length > 0; attempt += 1) await wait(100);
   }
 
   /** What callers would miss at the end. */
--- a/src/job-homes/test/run-ends.test.ts
+++ b/src/job-homes/test/run-ends.test.ts
@@ -56,6 +56,7 @@
     awaited: new Set(),
     placeRecords: new Map(),
     unsettledStarts: new Map(),
+    unansweredStarts: new Map(),
     stuckLastingTasks: 0,
     expectedRoom: [],
     roomPlan: undefined,
--- a/src/job-homes/unsettled-starts.ts
+++ b/src/job-homes/unsettled-starts.ts
@@ -1,12 +1,53 @@
 /**
- * Starts without an answer whose target has started again under its identifier: the new life knows nothing of fencing
- * tokens or stops before, and may still carry such an order out. It is stopped there before the task starts elsewhere.
+ * Starts of a target that has started again under its identifier: the new life knows nothing of fencing tokens or stops
+ * before. It may have taken a start that was meant for the life before, or may still do so; such a start is looked for,
+ * or stopped, there before the task starts elsewhere.
  * @packageDocumentation
  */
-import type { HomeState, HomeTarget, TargetRun } from "./home-state.js";
+import type { HomeState, HomeTarget, TargetRun, UnansweredStart } from "./home-state.js";
+
+const maximumUnanswered = 200;
+const stopTimeoutMilliseconds = 700;
+
+/**
+ * Remembers a start that brought no answer.
+ * @param state - the home
+ * @param targetId - where it was asked for
+ * @param start - the start
+ */
+export function noteUnansweredStart(state: HomeState, targetId: string, start: UnansweredStart): void {
+  const earlier = state.unansweredStarts.get(targetId) ?? [];
+  state.unansweredStarts.set(targetId, [...earlier, start].slice(-maximumUnanswered));
+}
+
+/**
+ * Asks a new life to refuse late starts that were stopped in the life before it, which it knows nothing of.
+ * @param state - the home
+ * @param target - the new life
+ * @param lateOrderMilliseconds - an order that is so old is carried out no more
+ */
+export function refuseLateStarts(state: HomeState, target: HomeTarget, lateOrderMilliseconds: number): void {
+  const { unansweredStarts, orders, fencingToken, log, pool } = state;
+  const { targetId } = target.session;
+  const oldest = performance.now() - lateOrderMilliseconds;
+  const recent = (unansweredStarts.get(targetId) ?? []).filter(({ startedAt }) => startedAt > oldest);
+  unansweredStarts.set(targetId, recent);
+  if (recent.length === 0) unansweredStarts.delete(targetId);
+  for (const { task, run } of recent) {
+    if (target.runs.has(task)) continue;
+    log.write("info", "late-start-refused", { pool, task, run, target: targetId });
+    void orders.stop({
+      target: target.session.target(),
+      fencingToken,
+      timeoutMilliseconds: stopTimeoutMilliseconds,
+      task,
+      run,
+    });
+  }
+}
 
 /**
- * Keeps the unanswered starts of a life that is over for the next one.
+ * Keeps the starts that no report of a life showed, which is over now, for the next one.
  * @param state - the home
  * @param target - the target, whose life is over
  * @param lateOrderMilliseconds - an order that is so old is carried out no more
@@ -18,10 +59,11 @@
 ): void {
   const { unsettledStarts } = state;
   const { targetId } = session;
-  const unsettled = [...runs.values()].filter(({ run }) => run.confirmedAt === undefined);
+  const unsettled = [...runs.values()].filter(({ run }) => !run.isListed);
   if (unsettled.length === 0) return;
   for (const { task, run } of unsettled) {
     runs.delete(task.name);
+    if (run.confirmedAt !== undefined) continue;
     run.status = "unresolved";
     run.stopAskedAt = undefined;
     run.stopConfirmedAt = undefined;
--- a/src/jobs/job.ts
+++ b/src/jobs/job.ts
@@ -19,6 +19,8 @@
   status: "starting" | "running" | "stopping" | "unresolved";
   /** When the target confirmed the start, by the monotonic clock; undefined before. */
   confirmedAt: number | undefined;
+  /** Whether a report of its target has shown it; until then a later life under the identifier may have taken the start. */
+  isListed: boolean;
   /** When a stop was last asked for, by the monotonic clock. */
   stopAskedAt: number | undefined;
   /** When the target confirmed a stop, by the monotonic clock. */
