An entry that starts again clears the duty record of its former process

The record of an entry's own earlier lease is removed at once, as homes' records already were. The test waits a minute in vain without the change.

--- a/src/fleet/test/fleet-manager.test.ts
+++ b/src/fleet/test/fleet-manager.test.ts
@@ -181,6 +181,18 @@
   expect(duty.isHeld()).toBe(true);
 });
 
+test("an entry that starts again takes the duty of its former process without waiting for that lease", async () => {
+  engine = createStoreEngine();
+  const machines = new Machines(1);
+  const leaseId = engine.grantLease(60_000);
+  const key = `${dutyPrefix}fleet`;
+  const value = JSON.stringify({ entryId: "a", leaseId });
+  engine.write({ key, value, expectedRevision: 0, leaseId });
+  const { duty } = startManager("a", machines);
+  await waitFor(() => machines.orders.length === 1);
+  expect(duty.isHeld()).toBe(true);
+});
+
 test("an entry that lost the duty unseen gives no order", async () => {
   engine = createStoreEngine();
   const machines = new Machines(3);
--- a/src/job-homes/session-duty.ts
+++ b/src/job-homes/session-duty.ts
@@ -79,7 +79,7 @@
     const record = holder();
     if (leaseId === undefined || record !== undefined) {
       this.#vacantSince = undefined;
-      if (leaseId !== undefined && record !== undefined) this.#adopt(record, leaseId);
+      if (leaseId !== undefined && record !== undefined) await this.#settleOwn(record, leaseId);
       return;
     }
     if (!this.#isMyTurn()) return;
@@ -89,10 +89,19 @@
     if (result.kind === "done") this.#hold(leaseId, result.revision);
   }
 
-  /** A write whose answer was lost may have made this entry the holder; nobody else can take the duty then. */
-  #adopt({ value, revision }: StoreRecord, leaseId: string): void {
+  /** Nobody else can take the duty while a record of this entry stands. */
+  async #settleOwn({ value, revision }: StoreRecord, leaseId: string): Promise<void> {
+    const { entryId, store } = this.#options;
     const found = parseWith(dutyRecordSchema, value).toMaybe().extract();
-    if (found?.entryId === this.#options.entryId && found.leaseId === leaseId) this.#hold(leaseId, revision);
+    if (found?.entryId !== entryId) return;
+    if (found.leaseId === leaseId) {
+      // The answer to the write that took the duty was lost.
+      this.#hold(leaseId, revision);
+      return;
+    }
+    // An earlier process of this entry held the duty, or this one under a lease that it has lost.
+    const key = this.#key();
+    await store.transact({ expected: [{ key, revision }], writes: [{ key, value: undefined }] });
   }
 
   #hold(leaseId: string, revision: number): void {
