Lasting tasks ask for one machine at a time; a task that was seen running waits for nobody

Change: only tasks that found no place in the last round count, and none while a machine is on its way; a run that was seen present proves that no other is on a silent target.

--- a/src/fleet/move-plan.ts
+++ b/src/fleet/move-plan.ts
@@ -28,8 +28,10 @@
   readonly cores: number;
   /** Cores that the pool's work asks for now. */
   readonly demandCores: number;
-  /** Lasting tasks that run nowhere. */
+  /** Lasting tasks that find no place. */
   readonly waitingLastingTasks: number;
+  /** Machines on their way to the pool. */
+  readonly comingMachines: number;
   readonly machines: readonly PlannedMachine[];
 }
 
@@ -134,13 +136,18 @@
 
 /** Lasting tasks have users all the time; a pool that cannot run them goes before a turn of any height. */
 function compareShortages(left: PlannedPool, right: PlannedPool): number {
-  return Number(right.waitingLastingTasks > 0) - Number(left.waitingLastingTasks > 0);
+  return Number(needsMachine(right)) - Number(needsMachine(left));
 }
 
-/** Cores that a pool lacks; lasting tasks that run nowhere ask for one machine more at a time. */
-function findLack({ demandCores, cores, waitingLastingTasks }: PlannedPool): number {
-  const lack = demandCores - cores * shortShare;
-  return waitingLastingTasks > 0 ? Math.max(lack, 1) : lack;
+/** Cores that a pool lacks; lasting tasks without a place ask for one machine more at a time. */
+function findLack(pool: PlannedPool): number {
+  const lack = pool.demandCores - pool.cores * shortShare;
+  return needsMachine(pool) ? Math.max(lack, 1) : lack;
+}
+
+/** Whether lasting tasks of a pool have no place, and no machine is on its way that may give them one. */
+function needsMachine({ waitingLastingTasks, comingMachines }: PlannedPool): boolean {
+  return waitingLastingTasks > 0 && comingMachines === 0;
 }
 
 /** Machines that a pool can spare. */
@@ -180,7 +187,7 @@
   taker: PlannedPool,
   planned: readonly PlannedMove[],
 ): Supply | undefined {
-  if (taker.waitingLastingTasks === 0) return undefined;
+  if (!needsMachine(taker)) return undefined;
   const supplies = pools
     .filter((pool) => pool.pool !== taker.pool && pool.machines.length > fewestMachines)
     .flatMap((pool) => pool.machines.map((machine) => ({ pool, machine })))
--- a/src/fleet/test/plans.test.ts
+++ b/src/fleet/test/plans.test.ts
@@ -114,6 +114,7 @@
   cores: 192,
   demandCores: 0,
   waitingLastingTasks: 0,
+  comingMachines: 0,
   machines: [],
   ...changes,
 });
@@ -196,6 +197,17 @@
   expect(arrivals[0]?.atMilliseconds).toBeLessThan(arrivals[1]?.atMilliseconds ?? 0);
 });
 
+test("a lasting task without a place asks for one machine, and for no other while that one is on its way", () => {
+  const spare = plannedPool("spare", {
+    isStandby: true,
+    cores: 0,
+    machines: machines(6, { targetId: undefined }),
+  });
+  const waiting = { waitingLastingTasks: 3, machines: machines(2, { lastingRuns: 1, runs: 1 }) };
+  expect(planMoves([plannedPool("lasting", waiting), spare]).moves).toHaveLength(1);
+  expect(planMoves([plannedPool("lasting", { ...waiting, comingMachines: 1 }), spare]).moves).toEqual([]);
+});
+
 test("a lasting task without a place gets a machine even of a pool that lacks room itself", () => {
   const pools = [
     plannedPool("turn", { demandCores: 2_000, machines: machines(6, { runs: 8, idleMilliseconds: 0 }) }),
--- a/src/job-homes/dispatcher.ts
+++ b/src/job-homes/dispatcher.ts
@@ -31,8 +31,7 @@
   const views = [...state.targets.values()].filter((target) => isUsable(target, now)).map(viewTarget);
   const ranked = [...state.jobs.values()].filter(isOpen).map((job) => rankJob(state, job));
   ranked.sort((left, right) => compareJobs(left, right, now));
-  state.stuckLastingTasks = moveLastingTasks(state, ranked, views);
-  if (views.length === 0) return;
+  state.unplacedLastingTasks = moveLastingTasks(state, ranked, views);
   for (const { job } of ranked) {
     for (const occurrence of job.occurrences.values())
       placeOccurrence(state, advice, job, occurrence, views, now);
@@ -117,8 +116,9 @@
 }
 
 /** Whether an earlier home may have started the task on a target that has not answered since. */
-function mayRunUnseen({ awaited }: HomeState, { job, definition, recordedPlaces }: Task): boolean {
-  if (awaited.size === 0 || !job.isInherited) return false;
+function mayRunUnseen({ awaited }: HomeState, task: Task): boolean {
+  const { job, definition, recordedPlaces, isAccountedFor } = task;
+  if (awaited.size === 0 || !job.isInherited || isAccountedFor) return false;
   return !definition.isLasting || recordedPlaces.some((targetId) => awaited.has(targetId));
 }
 
@@ -153,11 +153,13 @@
     });
     return;
   }
-  for (const task of idle) {
+  for (const [index, task] of idle.entries()) {
     const view = choosePlace(place, views, isAllowed);
     if (view === undefined) {
       // The tasks of a step need the same room. Room for a lasting one is kept free until it is enough.
-      if (place.definition.isLasting) reservePlace(state, place, views);
+      if (!place.definition.isLasting) return;
+      reservePlace(state, place, views);
+      state.unplacedLastingTasks += idle.length - index;
       return;
     }
     takePlace(view, place);
--- a/src/job-homes/home-keeper.ts
+++ b/src/job-homes/home-keeper.ts
@@ -271,7 +271,7 @@
     placeRecords: new Map(),
     unsettledStarts: new Map(),
     unansweredStarts: new Map(),
-    stuckLastingTasks: 0,
+    unplacedLastingTasks: 0,
     expectedRoom: [],
     roomPlan: undefined,
     forecastMargin: createForecastMargin(),
--- a/src/job-homes/home-state.ts
+++ b/src/job-homes/home-state.ts
@@ -101,8 +101,8 @@
   readonly unsettledStarts: Map<string, readonly TargetRun[]>;
   /** Starts that brought no answer lately, settled since or not. By target. */
   readonly unansweredStarts: Map<string, readonly UnansweredStart[]>;
-  /** Lasting tasks that should leave their targets and have no other place. */
-  stuckLastingTasks: number;
+  /** Lasting tasks for which the last round found no place: they run nowhere, or have to leave their target. */
+  unplacedLastingTasks: number;
   /** Room that is on its way to the pool, or could be had for it. */
   expectedRoom: readonly ExpectedRoom[];
   /** Planned for the callers of this moment; undefined once a job was accepted. */
--- a/src/job-homes/pool-report.ts
+++ b/src/job-homes/pool-report.ts
@@ -2,7 +2,7 @@
  * What a home tells about its pool.
  * @packageDocumentation
  */
-import { allTasks, isStepReady, type Occurrence } from "../jobs/index.js";
+import { isStepReady, type Occurrence } from "../jobs/index.js";
 import { stepCoreSeconds } from "../scheduling/index.js";
 import { isInService, type HomeState } from "./home-state.js";
 
@@ -28,7 +28,7 @@
   readonly busyCores: number;
   /** Cores that callers' work asks for now, accepted or not. */
   readonly demandCores: number;
-  /** Lasting tasks that run nowhere, or have to leave their target and find no other place. */
+  /** Lasting tasks that run nowhere, or have to leave their target, and find no place. */
   readonly waitingLastingTasks: number;
 }
 
@@ -124,14 +124,6 @@
   const { waitingCores, ...load } = readLoad(state);
   // What comes needs as many cores as what runs while a turn goes on; what waits needs its own besides.
   const demandCores = Math.max(state.demand.read(performance.now()), load.busyCores) + waitingCores;
-  const waitingLastingTasks = countWaitingLasting(state) + state.stuckLastingTasks;
+  const waitingLastingTasks = state.unplacedLastingTasks;
   return { pool: state.pool, targets, ...load, demandCores, waitingLastingTasks };
 }
-
-function countWaitingLasting(state: HomeState): number {
-  const open = [...state.jobs.values()].filter(
-    ({ finalState, isEnding }) => finalState === undefined && !isEnding,
-  );
-  return open.flatMap(allTasks).filter(({ definition, runs }) => definition.isLasting && runs.length === 0)
-    .length;
-}
--- a/src/job-homes/run-ends.ts
+++ b/src/job-homes/run-ends.ts
@@ -102,6 +102,8 @@
     usage: present.usage,
   };
   task.runs.push(run);
+  // An earlier home started a task again only after the run before was over.
+  task.isAccountedFor = true;
   task.lastRun = Math.max(task.lastRun, present.run);
   task.job.hasStarted = true;
   if (present.checkpoint !== "") task.checkpoint = present.checkpoint;
--- a/src/job-homes/test/job-home.test.ts
+++ b/src/job-homes/test/job-home.test.ts
@@ -185,6 +185,31 @@
   expect(overlaps(runsOf(fixture, silentTask))).toEqual([]);
 });
 
+test("a next home starts a task again that it saw running, while another target is silent", async () => {
+  fixture = startHomeFixture({
+    targetCount: 2,
+    coresPerTarget: 4,
+    behaviour: behave({ runMilliseconds: 60_000 }),
+  });
+  const first = fixture.startEntry("a");
+  const home = await fixture.home(first);
+  await home.submit(submission("job", createStep({ taskCount: 8 })));
+  await waitFor(() => fixture.fleet.world.history.length === 8);
+  const [silent, seen] = fixture.fleet.targets.values();
+  if (silent !== undefined) silent.isSilent = true;
+  first.crash();
+  const entry = fixture.startEntry("b");
+  await fixture.home(entry);
+  await waitFor(() => entry.lines.some((line) => line.includes("run-adopted")));
+  seen?.restart();
+  await waitFor(() => fixture.fleet.world.history.length > 8);
+  const silentId = silent?.describe().targetId ?? "";
+  const closed = entry.lines.find(
+    (line) => line.includes("target-session-closed") && line.includes(silentId),
+  );
+  expect(closed).toBeUndefined();
+});
+
 test("a next home does not wait for a target that was gone before the takeover", async () => {
   fixture = startHomeFixture({ targetCount: 3, coresPerTarget: 4, behaviour: behave() });
   const first = fixture.startEntry("a");
--- a/src/job-homes/test/run-ends.test.ts
+++ b/src/job-homes/test/run-ends.test.ts
@@ -57,7 +57,7 @@
     placeRecords: new Map(),
     unsettledStarts: new Map(),
     unansweredStarts: new Map(),
-    stuckLastingTasks: 0,
+    unplacedLastingTasks: 0,
     expectedRoom: [],
     roomPlan: undefined,
     forecastMargin: createForecastMargin(),
--- a/src/jobs/job.ts
+++ b/src/jobs/job.ts
@@ -48,6 +48,8 @@
   readonly runs: TaskRun[];
   succeeded: boolean;
   failures: number;
+  /** Whether this home has seen its only run: no other can be on a target that has not answered yet. */
+  isAccountedFor: boolean;
   /** Targets on which a lasting task may run, as the store knows it. */
   recordedPlaces: readonly string[];
   lastRun: number;
@@ -176,6 +178,7 @@
         runs: [],
         succeeded: succeeded.has(key),
         failures: progress?.failures[key] ?? 0,
+        isAccountedFor: false,
         recordedPlaces: progress?.places?.[key] ?? [],
         lastRun: 0,
         checkpoint: "",
