A failure that an earlier home has stored counts once

Change: the highest run among the failures is stored with their number; an end up to that run is only acknowledged. The test fails on the former code.

--- a/src/fleet/wave-plan.ts
+++ b/src/fleet/wave-plan.ts
@@ -58,22 +58,26 @@
       isBehind || isVacating || runs === 0 || poolBacklogMilliseconds <= patientBacklogMilliseconds,
   );
   const ordered = [...patient].sort((left, right) => cost(left) - cost(right));
-  const chosen = chooseApart(ordered, pressure.freeSlots);
+  const chosen = chooseApart(ordered, pressure.freeSlots, isBehind);
   // A machine with a target is emptied first, so that nothing is started on it meanwhile.
   const isEmpty = ({ targetId, runs, isVacating }: WaveCandidate): boolean =>
     targetId === undefined || (runs === 0 && isVacating);
   return { maintain: chosen.filter(isEmpty), vacate: chosen.filter((candidate) => !isEmpty(candidate)) };
 }
 
-/** Takes the first candidates, but no more than half of a pool's machines at once: the others serve its callers. */
-function chooseApart(ordered: readonly WaveCandidate[], count: number): WaveCandidate[] {
+/**
+ * Takes the first candidates, but no more than half of a pool's machines at once: the others serve its callers. A wave
+ * that is behind leaves only one.
+ */
+function chooseApart(ordered: readonly WaveCandidate[], count: number, isBehind: boolean): WaveCandidate[] {
   const chosen: WaveCandidate[] = [];
   const taken = new Map<string, number>();
   for (const candidate of ordered) {
     const { pool, poolMachines } = candidate;
     const inPool = taken.get(pool) ?? 0;
     if (chosen.length >= count) break;
-    if (inPool >= Math.max(1, Math.floor(poolMachines / 2))) continue;
+    const most = isBehind ? poolMachines - 1 : Math.floor(poolMachines / 2);
+    if (inPool >= Math.max(1, most)) continue;
     taken.set(pool, inPool + 1);
     chosen.push(candidate);
   }
--- a/src/job-homes/run-ends.ts
+++ b/src/job-homes/run-ends.ts
@@ -140,7 +140,7 @@
   task.lastRun = Math.max(task.lastRun, end.run);
   if (end.checkpoint !== "") task.checkpoint = end.checkpoint;
   if (end.kind === "succeeded") return takeSuccess(state, target, task, known?.run);
-  if (end.kind === "failed") return takeFailure(state, target, task);
+  if (end.kind === "failed") return takeFailure(target, task, end.run);
   return undefined;
 }
 
@@ -160,10 +160,13 @@
   return noteSuccess(task).length > 0 ? job : undefined;
 }
 
-function takeFailure(state: HomeState, target: HomeTarget, task: Task): Job | undefined {
+function takeFailure(target: HomeTarget, task: Task, run: number): Job | undefined {
+  // An end that was stored and not acknowledged is listed again to a next home.
+  if (run <= task.lastFailedRun) return undefined;
   target.distrust += distrustPerFailure;
   if (isTaskOver(task) || task.definition.isLasting) return undefined;
   task.failures += 1;
+  task.lastFailedRun = run;
   return task.job;
 }
 
--- a/src/job-homes/test/run-ends.test.ts
+++ b/src/job-homes/test/run-ends.test.ts
@@ -3,11 +3,13 @@
  * @packageDocumentation
  */
 import { expect, test } from "vitest";
+import { allTasks, encodeProgress } from "../../jobs/index.js";
 import { createDemandForecast, createForecastMargin, createRunTimeRatios } from "../../scheduling/index.js";
+import type { RunEnd, TargetSession } from "../../task-runs/index.js";
 import { createLog, createMetrics } from "../../telemetry/index.js";
 import type { HomeJournal, JournalResult } from "../home-journal.js";
-import { addJob, type HomeState } from "../home-state.js";
-import { endJob, storeProgress } from "../run-ends.js";
+import { addJob, type HomeState, type HomeTarget } from "../home-state.js";
+import { endJob, storeProgress, takeReport } from "../run-ends.js";
 import { createStep, pool, terms } from "./home-fixture.js";
 
 interface HeldWrite {
@@ -91,3 +93,37 @@
   expect(await ending).toBe(false);
   expect(job.finalState).toBeUndefined();
 });
+
+test("a failure that an earlier home has stored and not acknowledged counts once", () => {
+  const { journal } = createHeldJournal();
+  const state = createState(journal);
+  const definition = { spec: "", steps: [createStep({ taskCount: 1 })] };
+  const record = { jobId: "job", terms, definition, acceptedAt: 0, requestedAt: 0 };
+  const progress = { succeeded: [], failures: { "0.0.0": 1 }, failedRuns: { "0.0.0": 65 } };
+  const job = addJob(state, record, progress, 0, true);
+  const target = createTarget();
+  const report = (sequence: number, run: number): void => {
+    const end: RunEnd = { sequence, task: "job.0.0.0", run, kind: "failed", checkpoint: "" };
+    takeReport(state, target, { startedAtUnix: 1, clockMilliseconds: 0, present: [], ends: [end] }, [end], 0);
+  };
+  report(1, 65);
+  expect(allTasks(job)[0]?.failures).toBe(1);
+  expect(encodeProgress(job)).toMatchObject(progress);
+  report(2, 129);
+  expect(allTasks(job)[0]?.failures).toBe(2);
+});
+
+function createTarget(): HomeTarget {
+  const session = { targetId: "target", acknowledge: () => undefined } as unknown as TargetSession;
+  return {
+    session,
+    runs: new Map(),
+    isRecorded: true,
+    isVacating: false,
+    blockedUntil: 0,
+    distrust: 0,
+    pacePercent: 100,
+    handledSequence: 0,
+    acknowledging: Promise.resolve(),
+  };
+}
--- a/src/jobs/job.ts
+++ b/src/jobs/job.ts
@@ -48,6 +48,8 @@
   readonly runs: TaskRun[];
   succeeded: boolean;
   failures: number;
+  /** The highest run that counts among the failures. */
+  lastFailedRun: number;
   /** Whether this home has seen its only run: no other can be on a target that has not answered yet. */
   isAccountedFor: boolean;
   /** Targets on which a lasting task may run, as the store knows it. */
@@ -178,6 +180,7 @@
         runs: [],
         succeeded: succeeded.has(key),
         failures: progress?.failures[key] ?? 0,
+        lastFailedRun: progress?.failedRuns?.[key] ?? 0,
         isAccountedFor: false,
         recordedPlaces: progress?.places?.[key] ?? [],
         lastRun: 0,
@@ -254,15 +257,16 @@
   }
   const tasks = allTasks(job);
   const key = ({ occurrence, step, index }: Task): string => `${occurrence}.${step}.${index}`;
-  const failures = tasks
-    .filter((task) => task.failures > 0)
-    .map((task) => [key(task), task.failures] as const);
+  const failed = tasks.filter((task) => task.failures > 0);
+  const failures = failed.map((task) => [key(task), task.failures] as const);
+  const failedRuns = failed.map((task) => [key(task), task.lastFailedRun] as const);
   const places = tasks
     .filter(({ recordedPlaces }) => recordedPlaces.length > 0)
     .map((task): [string, string[]] => [key(task), [...task.recordedPlaces]]);
   return {
     succeeded: tasks.filter(({ succeeded }) => succeeded).map(key),
     failures: Object.fromEntries(failures),
+    ...(failed.length > 0 ? { failedRuns: Object.fromEntries(failedRuns) } : {}),
     ...(places.length > 0 ? { places: Object.fromEntries(places) } : {}),
   };
 }
--- a/src/scheduling/forecast-margin.ts
+++ b/src/scheduling/forecast-margin.ts
@@ -17,7 +17,8 @@
 const stepMilliseconds = 30;
 const firstMilliseconds = 100;
 const longestMilliseconds = 1_500;
-const shortestMilliseconds = -1_000;
+/** Jobs that seem late are not taken because others ended early: forecasts of one kind say little of another. */
+const shortestMilliseconds = 0;
 
 /**
  * Creates a margin that has learned nothing.
