--- a/src/job-homes/test/job-home.test.ts
+++ b/src/job-homes/test/job-home.test.ts
@@ -262,6 +262,26 @@
   expect(report).toMatchObject({ cores: 0, waitingLastingTasks: 2 });
 });
 
+test("nothing starts on a target that has said that it leaves, and lasting tasks leave it", async () => {
+  fixture = startHomeFixture({ targetCount: 2, coresPerTarget: 8, behaviour: behave({ isLasting: true }) });
+  const home = await fixture.home(fixture.startEntry("a"));
+  await home.submit(
+    submission("lasting", createStep({ taskCount: 2, isLasting: true, maximumPerTarget: 2 })),
+  );
+  await waitFor(() => fixture.fleet.world.history.length === 2);
+  const leavingId = fixture.fleet.world.history[0]?.targetId ?? "";
+  fixture.fleet.targets.get(leavingId)?.drain();
+  const isLeft = (): boolean => {
+    const running = fixture.fleet.world.history.filter(({ to }) => to === undefined);
+    return running.length === 2 && running.every(({ targetId }) => targetId !== leavingId);
+  };
+  await waitFor(isLeft);
+  const before = fixture.fleet.world.history.length;
+  await home.submit(submission("later", createStep({ taskCount: 4, isLasting: true })));
+  await waitFor(() => fixture.fleet.world.history.length === before + 4);
+  expect(fixture.fleet.world.history.slice(before).map(({ targetId }) => targetId)).not.toContain(leavingId);
+});
+
 test("an accepted job is kept when the answer of the store is lost", async () => {
   fixture = startHomeFixture({ targetCount: 2, coresPerTarget: 4, behaviour: behave() });
   const entry = fixture.startEntry("a");
--- a/src/wiring/job-followers.ts
+++ b/src/wiring/job-followers.ts
@@ -88,7 +88,7 @@
 export interface FollowedConfiguration {
   readonly follower: PrefixFollower;
   /** The newest configuration that was heard. */
-  current(): QueueTable | undefined;
+  readonly current: () => QueueTable | undefined;
   /** The same, while it is surely new enough for callers' requests. */
   readonly usable: () => QueueTable | undefined;
   /** Waves of maintenance that the operators have asked for. */
@@ -102,9 +102,10 @@
  * @returns the configuration and the waves
  */
 export function followConfiguration(
-  { store, operators, log, configurationMilliseconds }: JobEntryOptions,
+  options: Pick<JobEntryOptions, "store" | "log" | "configurationMilliseconds" | "operators">,
   onTable: (table: QueueTable) => void,
 ): FollowedConfiguration {
+  const { store, operators, log, configurationMilliseconds } = options;
   let current: QueueTable | undefined;
   let waves: readonly MaintenanceWave[] = [];
   const takeRecord = (record: StoreRecord | undefined): void => {
