Waves have a keeper of their own; a wave is played over a change of holder

The new test plays a wave of four machines, two at once, with a holder that crashes: each goes down once, never three at once.

--- a/src/fleet/fleet-manager.ts
+++ b/src/fleet/fleet-manager.ts
@@ -2,26 +2,15 @@
  * Gives the orders for machines: maintenance in waves, and moves between pools. One entry at a time does it.
  * @packageDocumentation
  */
-import type { PoolReport, SessionDuty } from "../job-homes/index.js";
+import type { PoolReport } from "../job-homes/index.js";
 import type { RoomArrival } from "../scheduling/index.js";
-import { delay, parseWith } from "../shared/index.js";
-import type { TransactionalStore } from "../store/index.js";
-import type { Log, Metrics } from "../telemetry/index.js";
-import {
-  describeArrivals,
-  describeCandidates,
-  describePools,
-  MachineHistory,
-  type FleetView,
-} from "./fleet-view.js";
-import type { MachineControl, MachineOrderOutcome, MaintenanceWave } from "./machine-control.js";
+import { delay } from "../shared/index.js";
+import { describeArrivals, describePools, MachineHistory, type FleetView } from "./fleet-view.js";
+import { countOrder } from "./machine-control.js";
 import { planMoves, type PlannedMove, type PoolShortage } from "./move-plan.js";
-import { planWaveStep, type WaveCandidate } from "./wave-plan.js";
 import { OrderRecord } from "./order-record.js";
-import { storedWaveSchema, WaveProgress } from "./wave-progress.js";
-
-/** Prefix of what the manager keeps of each wave. */
-export const waveProgressPrefix = "wave-progress/";
+import { WaveKeeper, type PlannedMaintenance, type WaveKeeperOptions } from "./wave-keeper.js";
+import type { WaveCandidate } from "./wave-plan.js";
 
 /** A pool as the operators describe it. */
 export interface FleetPool {
@@ -31,13 +20,7 @@
 }
 
 /** Settings of a manager. */
-export interface FleetManagerOptions {
-  readonly entryId: string;
-  readonly duty: SessionDuty;
-  readonly store: TransactionalStore;
-  readonly machines: MachineControl;
-  /** Waves that the operators have asked for. */
-  readonly waves: () => readonly MaintenanceWave[];
+export interface FleetManagerOptions extends WaveKeeperOptions {
   readonly pools: () => readonly FleetPool[];
   /** Empties targets of a pool and reads its load; undefined when its home does not answer. */
   readonly vacate: (
@@ -45,28 +28,13 @@
     targetIds: readonly string[],
     arrivals: readonly RoomArrival[],
   ) => Promise<PoolReport | undefined>;
-  /** Where the operators read a wave's state, and how it is written there. */
-  readonly waveStatus: {
-    key(wave: number): string;
-    encode(wave: number, state: "active" | "complete"): unknown;
-  };
-  /** A new holder waits so long before its first order. */
+  /** A new holder leaves machines alone that an earlier one ordered so lately. */
   readonly orderLeaseMilliseconds: number;
-  readonly log: Log;
-  readonly metrics: Metrics;
-}
-
-/** A machine of a wave whose maintenance begins. */
-interface PlannedMaintenance {
-  readonly progress: WaveProgress;
-  readonly candidate: WaveCandidate;
 }
 
 const stepMilliseconds = 250;
 /** Orders of an earlier holder may arrive a little later than its lease ends. */
 const orderSettleMilliseconds = 500;
-/** Time that the last machines of a wave need after their order. */
-const lastMachineMilliseconds = 5_000;
 /** Moves that are ordered in one step. */
 const maximumMovesPerStep = 16;
 
@@ -74,7 +42,7 @@
 export class FleetManager {
   readonly #options: FleetManagerOptions;
   readonly #stop = new AbortController();
-  readonly #waves = new Map<number, WaveProgress>();
+  readonly #waves: WaveKeeper;
   #history = new MachineHistory();
   /** Targets that are being emptied, by pool. */
   #vacating: ReadonlyMap<string, readonly string[]> = new Map();
@@ -91,6 +59,7 @@
    */
   constructor(options: FleetManagerOptions) {
     this.#options = options;
+    this.#waves = new WaveKeeper(options);
   }
 
   /** Competes for the duty and does it until the manager is closed. */
@@ -112,7 +81,7 @@
 
   #forget(): void {
     this.#fencingToken = this.#options.duty.fencingToken();
-    this.#waves.clear();
+    this.#waves.forget();
     this.#vacating = new Map();
     this.#orders = undefined;
     this.#arrivals = new Map();
@@ -120,12 +89,12 @@
   }
 
   async #step(): Promise<void> {
-    for (const wave of this.#options.waves()) await this.#openWave(wave);
+    await this.#waves.open();
     const orders = (this.#orders ??= await this.#openOrders());
     const view = await this.#look();
     if (view === undefined || orders === undefined) return;
     this.#history.note(view);
-    const waves = await this.#planWaves(view);
+    const waves = await this.#waves.plan(view);
     const machineIds = [...view.machines.keys()];
     const excluded = new Set(machineIds.filter((machineId) => !orders.mayOrder(machineId)));
     for (const { machineId } of waves.emptying) excluded.add(machineId);
@@ -147,26 +116,11 @@
     const ordered = [...maintenance.map(({ candidate }) => candidate), ...moves];
     if (ordered.length === 0 || !(await orders.note(ordered.map(({ machineId }) => machineId)))) return;
     await Promise.all([
-      ...maintenance.map(async (planned) => this.#maintain(planned)),
+      ...maintenance.map(async (planned) => this.#waves.maintain(planned)),
       ...moves.map(async (move) => this.#move(move)),
     ]);
   }
 
-  /** Chooses what is done next for all waves. */
-  async #planWaves(
-    view: FleetView,
-  ): Promise<{ emptying: readonly WaveCandidate[]; maintenance: readonly PlannedMaintenance[] }> {
-    const emptying: WaveCandidate[] = [];
-    const maintenance: PlannedMaintenance[] = [];
-    for (const progress of this.#waves.values()) {
-      if (progress.state === "complete") continue;
-      const step = await this.#planWave(progress, view);
-      emptying.push(...step.vacate, ...step.maintain);
-      maintenance.push(...step.maintain.map((candidate) => ({ progress, candidate })));
-    }
-    return { emptying, maintenance };
-  }
-
   async #openOrders(): Promise<OrderRecord | undefined> {
     const { store, duty, orderLeaseMilliseconds, log } = this.#options;
     const waitMilliseconds = orderLeaseMilliseconds + orderSettleMilliseconds;
@@ -220,92 +174,17 @@
     };
   }
 
-  /** Takes up a wave: reads what an earlier holder stored of it, or stores that it has begun. */
-  async #openWave(wave: MaintenanceWave): Promise<void> {
-    if (this.#waves.has(wave.wave)) return;
-    const found = await this.#options.store.get(`${waveProgressPrefix}${wave.wave}`);
-    if (found.isLeft()) return;
-    const record = found.orDefault(undefined);
-    const fresh = { startedAt: Date.now(), state: "active" as const, begun: {} };
-    const stored = parseWith(storedWaveSchema, record?.value).orDefault(fresh);
-    const progress = new WaveProgress(wave, stored);
-    if (record === undefined && !(await this.#storeProgress(progress))) return;
-    this.#waves.set(wave.wave, progress);
-    this.#options.log.write("info", "wave-opened", {
-      wave: wave.wave,
-      machines: wave.machineIds.length,
-      maximumDown: wave.maximumDown,
-      durationMilliseconds: wave.durationMilliseconds,
-      begun: progress.begunCount(),
-    });
-  }
-
-  async #storeProgress(progress: WaveProgress): Promise<boolean> {
-    const { store, duty, waveStatus, log } = this.#options;
-    const { wave } = progress.wave;
-    const result = await store.transact({
-      expected: [duty.expectHeld()],
-      writes: [
-        { key: `${waveProgressPrefix}${wave}`, value: progress.encode() },
-        { key: waveStatus.key(wave), value: waveStatus.encode(wave, progress.state) },
-      ],
-    });
-    const begun = progress.begunCount();
-    log.write("info", "wave-stored", { wave, state: progress.state, begun, result: result.kind });
-    return result.kind === "done";
-  }
-
-  /** Chooses what is done next for a wave; stores its end when all machines are done. */
-  async #planWave(progress: WaveProgress, view: FleetView): Promise<ReturnType<typeof planWaveStep>> {
-    progress.settle(view.machines);
-    const open = progress.open(view.machines);
-    const down = progress.countDown(view.machines);
-    if (open.length === 0 && down === 0) {
-      progress.state = "complete";
-      if (!(await this.#storeProgress(progress))) progress.state = "active";
-      return { maintain: [], vacate: [] };
-    }
-    const { maximumDown, durationMilliseconds, machineIds } = progress.wave;
-    const usable = Math.max(1, durationMilliseconds - lastMachineMilliseconds);
-    return planWaveStep(describeCandidates(view, open), {
-      freeSlots: maximumDown - down,
-      elapsedShare: (Date.now() - progress.startedAt) / usable,
-      doneShare: 1 - open.length / Math.max(1, machineIds.length),
-    });
-  }
-
-  async #maintain({ progress, candidate }: PlannedMaintenance): Promise<void> {
-    const { duty, entryId, machines, log } = this.#options;
-    if (!duty.isHeld()) return;
-    const { machineId, targetId = "", pool } = candidate;
-    const { wave } = progress.wave;
-    progress.noteOrder(machineId);
-    const order = { machineId, wave, holder: entryId, fencingToken: duty.fencingToken() };
-    const outcome = await machines.maintain(order);
-    progress.takeOutcome(machineId, targetId, outcome);
-    log.write("info", "maintenance-order", {
-      machine: machineId,
-      wave,
-      pool,
-      ...this.#count("maintain", outcome),
-    });
-    if (outcome.kind === "done") await this.#storeProgress(progress);
-  }
-
   async #move({ machineId, from, to }: PlannedMove): Promise<void> {
-    const { duty, entryId, machines, log } = this.#options;
+    const { duty, entryId, machines, metrics, log } = this.#options;
     if (!duty.isHeld()) return;
     const order = { machineId, pool: to, holder: entryId, fencingToken: duty.fencingToken() };
     const outcome = await machines.move(order);
-    log.write("info", "move-order", { machine: machineId, from, to, ...this.#count("move", outcome) });
-  }
-
-  #count(
-    order: "maintain" | "move",
-    outcome: MachineOrderOutcome,
-  ): { result: string; reason: string | undefined } {
-    this.#options.metrics.count("machine_orders_total", { order, result: outcome.kind });
-    return { result: outcome.kind, reason: outcome.kind === "done" ? undefined : outcome.reason };
+    log.write("info", "move-order", {
+      machine: machineId,
+      from,
+      to,
+      ...countOrder(metrics, "move", outcome),
+    });
   }
 }
 
--- a/src/fleet/index.ts
+++ b/src/fleet/index.ts
@@ -9,12 +9,7 @@
   MachineOrderOutcome,
   MaintenanceWave,
 } from "./machine-control.js";
-export {
-  FleetManager,
-  waveProgressPrefix,
-  type FleetManagerOptions,
-  type FleetPool,
-} from "./fleet-manager.js";
+export { FleetManager, type FleetManagerOptions, type FleetPool } from "./fleet-manager.js";
 export {
   planMoves,
   type MovePlan,
--- a/src/fleet/machine-control.ts
+++ b/src/fleet/machine-control.ts
@@ -2,6 +2,7 @@
  * The machines behind the targets, and the orders that the platform takes for them.
  * @packageDocumentation
  */
+import type { Metrics } from "../telemetry/index.js";
 import type { Either } from "purify-ts";
 import type { Resources } from "../jobs/index.js";
 
@@ -51,3 +52,19 @@
   /** Machines that may be down for it at once. */
   readonly maximumDown: number;
 }
+
+/**
+ * Counts an order.
+ * @param metrics - where it is counted
+ * @param order - its kind
+ * @param outcome - what it brought
+ * @returns the outcome as a log line tells it
+ */
+export function countOrder(
+  metrics: Metrics,
+  order: "maintain" | "move",
+  outcome: MachineOrderOutcome,
+): { result: string; reason: string | undefined } {
+  metrics.count("machine_orders_total", { order, result: outcome.kind });
+  return { result: outcome.kind, reason: outcome.kind === "done" ? undefined : outcome.reason };
+}
--- a/src/fleet/test/fleet-manager.test.ts
+++ b/src/fleet/test/fleet-manager.test.ts
@@ -11,11 +11,12 @@
 import { followPrefix } from "../../store/index.js";
 import { createLog, createMetrics } from "../../telemetry/index.js";
 import { FleetManager } from "../fleet-manager.js";
-import type { Machine } from "../machine-control.js";
+import type { Machine, MaintenanceWave } from "../machine-control.js";
 
 const capacity = { cpuMillicores: 32_000, memoryMegabytes: 1_000, accelerators: 0 };
 const leaseMilliseconds = 900;
 const orderLeaseMilliseconds = 1_500;
+const maintenanceMilliseconds = 400;
 
 interface Order {
   readonly entryId: string;
@@ -37,7 +38,7 @@
     return [...this.pools].map(([machineId, pool]) => ({
       machineId,
       pool,
-      state: "up",
+      state: this.down.has(machineId) ? "maintenance" : "up",
       availabilityZone: "zone",
       labels: [],
       capacity,
@@ -69,6 +70,31 @@
   }
 
   isShort = true;
+  /** Machines that are down for their maintenance, and how often each has been. */
+  readonly down = new Set<string>();
+  readonly maintained = new Map<string, number>();
+  mostDown = 0;
+
+  /** Takes a machine down for a while. */
+  maintain(machineId: string): void {
+    this.down.add(machineId);
+    this.maintained.set(machineId, (this.maintained.get(machineId) ?? 0) + 1);
+    this.mostDown = Math.max(this.mostDown, this.down.size);
+    setTimeout(() => this.down.delete(machineId), maintenanceMilliseconds);
+  }
+}
+
+/** The report of a pool that is off. */
+function emptyReport(pool: string): PoolReport {
+  return {
+    pool,
+    targets: [],
+    backlogCoreSeconds: 0,
+    cores: 0,
+    busyCores: 0,
+    demandCores: 0,
+    waitingLastingTasks: 0,
+  };
 }
 
 interface TestManager {
@@ -84,7 +110,7 @@
   engine.close();
 });
 
-function startManager(entryId: string, machines: Machines): TestManager {
+function startManager(entryId: string, machines: Machines, waves: MaintenanceWave[] = []): TestManager {
   const faults = createStoreFaults();
   const store = new MemoryStoreClient(engine, faults);
   const log = createLog("silent");
@@ -113,20 +139,23 @@
     store,
     machines: {
       list: async () => Promise.resolve(Right(machines.list())),
-      maintain: async () => Promise.reject(new Error("no wave was asked for")),
+      maintain: async ({ machineId }) => {
+        machines.maintain(machineId);
+        return Promise.resolve({ kind: "done" });
+      },
       move: async ({ machineId, pool }) => {
         machines.orders.push({ entryId, machineId, heldFor: duty.heldForMilliseconds() });
         machines.pools.set(machineId, pool);
         return Promise.resolve({ kind: "done" });
       },
     },
-    waves: () => [],
+    waves: () => waves,
     pools: () => [
       { pool: "busy", isStandby: false },
       { pool: "spare", isStandby: true },
     ],
-    vacate: async (pool) => Promise.resolve(pool === "busy" ? machines.report() : undefined),
-    waveStatus: { key: (wave) => `status/${wave}`, encode: () => ({}) },
+    vacate: async (pool) => Promise.resolve(pool === "busy" ? machines.report() : emptyReport(pool)),
+    waveStatus: { key: (wave) => `status/${wave}`, encode: (_, state) => state },
     orderLeaseMilliseconds,
     log,
     metrics: createMetrics(),
@@ -193,6 +222,22 @@
   expect(duty.isHeld()).toBe(true);
 });
 
+test("a wave takes each machine down once, no more at once than allowed, over a change of holder", async () => {
+  engine = createStoreEngine();
+  const machines = new Machines(4);
+  machines.isShort = false;
+  const machineIds = [...machines.pools.keys()];
+  const wave = { wave: 1, machineIds, durationMilliseconds: 10_000, maximumDown: 2 };
+  const first = startManager("a", machines, [wave]);
+  await waitFor(() => machines.maintained.size >= 2);
+  first.crash();
+  startManager("b", machines, [wave]);
+  await waitFor(() => engine.range("status/1")[0]?.value === JSON.stringify("complete"));
+  expect([...machines.maintained.values()]).toEqual([1, 1, 1, 1]);
+  expect(machines.mostDown).toBe(2);
+  expect(machines.down.size).toBe(0);
+});
+
 test("an entry that lost the duty unseen gives no order", async () => {
   engine = createStoreEngine();
   const machines = new Machines(3);
