--- a/src/job-homes/home-keeper.ts
+++ b/src/job-homes/home-keeper.ts
@@ -4,7 +4,6 @@
  */
 import { randomUUID } from "node:crypto";
 import { delay, rendezvousOrder } from "../shared/index.js";
-import { createDemandForecast, createForecastMargin, createRunTimeRatios } from "../scheduling/index.js";
 import type { TransactionalStore } from "../store/index.js";
 import type { RegisteredTarget, TargetOrders } from "../task-runs/index.js";
 import type { Log, Metrics } from "../telemetry/index.js";
@@ -12,7 +11,7 @@
 import type { EntrySession } from "./entry-session.js";
 import { StoredHomeJournal } from "./home-journal.js";
 import { homePrefix, type HomeRecord } from "./home-record.js";
-import type { HomeState } from "./home-state.js";
+import { createHomeState, loadJobs, type HomeState } from "./home-state.js";
 import { HomeTargets } from "./home-targets.js";
 import {
   inheritedLeaseMilliseconds,
@@ -21,7 +20,7 @@
   type StoredJobs,
   type TakenPool,
 } from "./home-takeover.js";
-import { JobHome, loadJobs } from "./job-home.js";
+import { JobHome } from "./job-home.js";
 
 /** What the keeper knows of the fleet of entries. */
 export interface HomeDirectory {
@@ -249,7 +248,7 @@
     metrics,
     onSuperseded: supersede,
   });
-  const state: HomeState = {
+  const state = createHomeState({
     pool,
     fencingToken: revision,
     firstRun: (inheritance.homes - 1) * runsPerHome + 1,
@@ -257,25 +256,9 @@
     journal,
     log,
     metrics,
-    runTimes: createRunTimeRatios(),
-    demand: createDemandForecast(),
-    jobs: new Map(),
-    endings: new Map(),
-    tasks: new Map(),
-    targets: new Map(),
     isActive: () => !isClosed && session.leaseId() === leaseId,
-    wake: () => undefined,
     supersede,
-    listed: new Map(),
-    awaited: new Set(),
-    placeRecords: new Map(),
-    unsettledStarts: new Map(),
-    unansweredStarts: new Map(),
-    unplacedLastingTasks: 0,
-    expectedRoom: [],
-    roomPlan: undefined,
-    forecastMargin: createForecastMargin(),
-  };
+  });
   loadJobs(state, jobs.records, jobs.progress);
   const targets = new HomeTargets(state, {
     leaseMilliseconds: runLeaseMilliseconds,
--- a/src/job-homes/home-state.ts
+++ b/src/job-homes/home-state.ts
@@ -14,7 +14,15 @@
   type Task,
   type TaskRun,
 } from "../jobs/index.js";
-import type { ForecastMargin, RoomPlan, RunTimeRatios, WorkRate } from "../scheduling/index.js";
+import {
+  createDemandForecast,
+  createForecastMargin,
+  createRunTimeRatios,
+  type ForecastMargin,
+  type RoomPlan,
+  type RunTimeRatios,
+  type WorkRate,
+} from "../scheduling/index.js";
 import type { RegisteredTarget, TargetOrders, TargetSession } from "../task-runs/index.js";
 import type { Log, Metrics } from "../telemetry/index.js";
 import type { HomeJournal } from "./home-journal.js";
@@ -113,6 +121,53 @@
   readonly placeRecords: Map<string, Promise<boolean>>;
 }
 
+/** What a home is created with; all else it finds out. */
+export type HomeParts = Pick<
+  HomeState,
+  "pool" | "fencingToken" | "firstRun" | "orders" | "journal" | "log" | "metrics" | "isActive" | "supersede"
+>;
+
+/**
+ * Creates the state of a home that knows no job and no target.
+ * @param parts - what the home works with
+ * @returns the state
+ */
+export function createHomeState(parts: HomeParts): HomeState {
+  return {
+    ...parts,
+    runTimes: createRunTimeRatios(),
+    demand: createDemandForecast(),
+    forecastMargin: createForecastMargin(),
+    jobs: new Map(),
+    endings: new Map(),
+    tasks: new Map(),
+    targets: new Map(),
+    wake: () => undefined,
+    listed: new Map(),
+    awaited: new Set(),
+    placeRecords: new Map(),
+    unsettledStarts: new Map(),
+    unansweredStarts: new Map(),
+    unplacedLastingTasks: 0,
+    expectedRoom: [],
+    roomPlan: undefined,
+  };
+}
+
+/**
+ * Fills a home with what the store holds of its pool.
+ * @param state - the home
+ * @param records - accepted jobs of the pool
+ * @param progress - stored progress by job
+ */
+export function loadJobs(
+  state: HomeState,
+  records: readonly JobRecord[],
+  progress: ReadonlyMap<string, ProgressRecord>,
+): void {
+  for (const record of records) addJob(state, record, progress.get(record.jobId), Date.now(), true);
+}
+
 /**
  * Adds a job to the home.
  * @param state - the home
--- a/src/job-homes/job-home.ts
+++ b/src/job-homes/job-home.ts
@@ -9,7 +9,6 @@
   readJobState,
   type Job,
   type JobRecord,
-  type ProgressRecord,
 } from "../jobs/index.js";
 import { admitJob, isLastingJob, jobCoreSeconds, type RoomArrival } from "../scheduling/index.js";
 import { delay } from "../shared/index.js";
@@ -21,7 +20,7 @@
 import { addJob, openDue, type HomeState, type HomeTarget } from "./home-state.js";
 import { readLoad, reportPool, type PoolReport } from "./pool-report.js";
 import type { CancelOutcome, JobSubmission, StateOutcome, SubmitOutcome } from "./job-outcomes.js";
-import { endJob, hasEnded, storeProgress } from "./run-ends.js";
+import { endJob, hasEnded, storeProgress } from "./job-progress.js";
 import { stopUnwanted } from "./stopper.js";
 
 /** Settings of a home. */
@@ -291,17 +290,3 @@
   state.journal.write(`${jobPrefix}${job.id}`, undefined, { urgency: "soon" });
   state.journal.write(`${progressPrefix}${job.id}`, undefined, { urgency: "soon" });
 }
-
-/**
- * Fills a home with what the store holds of its pool.
- * @param state - the home
- * @param records - accepted jobs of the pool
- * @param progress - stored progress by job
- */
-export function loadJobs(
-  state: HomeState,
-  records: readonly JobRecord[],
-  progress: ReadonlyMap<string, ProgressRecord>,
-): void {
-  for (const record of records) addJob(state, record, progress.get(record.jobId), Date.now(), true);
-}
--- a/src/job-homes/run-ends.ts
+++ b/src/job-homes/run-ends.ts
@@ -3,18 +3,10 @@
  * acknowledged.
  * @packageDocumentation
  */
-import {
-  allTasks,
-  encodeProgress,
-  isWorkDone,
-  noteSuccess,
-  progressPrefix,
-  type Job,
-  type Task,
-  type TaskRun,
-} from "../jobs/index.js";
+import { noteSuccess, type Job, type Task, type TaskRun } from "../jobs/index.js";
 import type { PresentRun, RunEnd, TargetReport } from "../task-runs/index.js";
-import { dropTasks, isTaskOver, removeRun, type HomeState, type HomeTarget } from "./home-state.js";
+import { isTaskOver, removeRun, type HomeState, type HomeTarget } from "./home-state.js";
+import { storeProgress } from "./job-progress.js";
 
 /** A target is trusted less after a failure, and more after a success. */
 const distrustPerFailure = 1;
@@ -209,108 +201,3 @@
     if (results.every((isStored) => isStored)) previous.acknowledge(highest);
   });
 }
-
-/**
- * Stores a job's progress, and its end once all work is done or an attempt too many has failed.
- * @param state - the home
- * @param job - the job
- * @returns whether it was stored
- */
-export async function storeProgress(state: HomeState, job: Job): Promise<boolean> {
-  if (job.finalState !== undefined) return true;
-  // A job's end replaces its progress, and must not be replaced by it.
-  const ending = state.endings.get(job.id);
-  if (ending !== undefined) return ending;
-  if (isWorkDone(job)) return endJob(state, job, "complete");
-  if (hasFailed(job)) return endJob(state, job, "failed");
-  const write = state.journal.write(progressKey(job), encodeProgress(job), { urgency: "soon" });
-  return (await write.result) === "stored";
-}
-
-/**
- * Stores on which targets a job's lasting tasks may run, once for all that are placed in one round.
- * @param state - the home
- * @param job - the job
- * @returns whether it was stored; false when the job has ended
- */
-export async function storePlaces(state: HomeState, job: Job): Promise<boolean> {
-  const pending = state.placeRecords.get(job.id) ?? writePlaces(state, job);
-  state.placeRecords.set(job.id, pending);
-  return pending;
-}
-
-async function writePlaces(state: HomeState, job: Job): Promise<boolean> {
-  // The rest of the round adds its places.
-  await Promise.resolve();
-  state.placeRecords.delete(job.id);
-  if (job.isEnding || job.finalState !== undefined) return false;
-  const write = state.journal.write(progressKey(job), encodeProgress(job));
-  return (await write.result) === "stored";
-}
-
-/**
- * Tells whether a job's tasks have decided its end.
- * @param job - the job
- * @returns true when all work is done or an attempt too many has failed
- */
-export function hasEnded(job: Job): boolean {
-  return isWorkDone(job) || hasFailed(job);
-}
-
-function hasFailed(job: Job): boolean {
-  return allTasks(job).some(({ failures }) => failures >= job.record.terms.attempts);
-}
-
-/**
- * Stores the end of a job, and lets callers see it once it is stored.
- * @param state - the home
- * @param job - the job
- * @param finalState - how it ended
- * @returns whether it was stored
- */
-export async function endJob(
-  state: HomeState,
-  job: Job,
-  finalState: NonNullable<Job["finalState"]>,
-): Promise<boolean> {
-  const ending = state.endings.get(job.id) ?? storeEnd(state, job, finalState);
-  state.endings.set(job.id, ending);
-  const isStored = await ending;
-  state.endings.delete(job.id);
-  return isStored;
-}
-
-async function storeEnd(
-  state: HomeState,
-  job: Job,
-  finalState: NonNullable<Job["finalState"]>,
-): Promise<boolean> {
-  if (job.finalState !== undefined) return true;
-  const endedAt = Date.now();
-  // No further task is started while the end is on its way to the store.
-  job.isEnding = true;
-  const progress = encodeProgress({ ...job, finalState, endedAt });
-  const result = await state.journal.write(progressKey(job), progress).result;
-  if (result !== "stored") return false;
-  job.finalState = finalState;
-  job.endedAt = endedAt;
-  noteEnd(state, job, finalState);
-  dropTasks(state, job);
-  state.wake();
-  return true;
-}
-
-function noteEnd(state: HomeState, job: Job, finalState: NonNullable<Job["finalState"]>): void {
-  const { expectedEndAt } = job;
-  if (finalState === "complete" && expectedEndAt !== undefined)
-    state.forecastMargin.learn(performance.now() - expectedEndAt);
-  const milliseconds = Math.round(performance.now() - job.acceptedAt);
-  const { queue } = job.record.terms;
-  state.log.write("info", "job-ended", { job: job.id, queue, state: finalState, milliseconds });
-  state.metrics.count("jobs_ended_total", { pool: state.pool, state: finalState });
-  state.metrics.observe("job_milliseconds", milliseconds, { state: finalState });
-}
-
-function progressKey(job: Job): string {
-  return `${progressPrefix}${job.id}`;
-}
--- a/src/job-homes/start-orders.ts
+++ b/src/job-homes/start-orders.ts
@@ -5,7 +5,7 @@
 import type { Task, TaskRun } from "../jobs/index.js";
 import type { OrderOutcome, OrderRefusal } from "../task-runs/index.js";
 import { isTaskOver, removeRun, type HomeState, type HomeTarget, type TargetRun } from "./home-state.js";
-import { storePlaces } from "./run-ends.js";
+import { storePlaces } from "./job-progress.js";
 import { noteUnansweredStart } from "./unsettled-starts.js";
 
 const startTimeoutMilliseconds = 800;
--- a/src/job-homes/test/run-ends.test.ts
+++ b/src/job-homes/test/run-ends.test.ts
@@ -4,12 +4,12 @@
  */
 import { expect, test } from "vitest";
 import { allTasks, encodeProgress } from "../../jobs/index.js";
-import { createDemandForecast, createForecastMargin, createRunTimeRatios } from "../../scheduling/index.js";
 import type { RunEnd, TargetSession } from "../../task-runs/index.js";
 import { createLog, createMetrics } from "../../telemetry/index.js";
 import type { HomeJournal, JournalResult } from "../home-journal.js";
-import { addJob, type HomeState, type HomeTarget } from "../home-state.js";
-import { endJob, storeProgress, takeReport } from "../run-ends.js";
+import { addJob, createHomeState, type HomeState, type HomeTarget } from "../home-state.js";
+import { endJob, storeProgress } from "../job-progress.js";
+import { takeReport } from "../run-ends.js";
 import { createStep, pool, terms } from "./home-fixture.js";
 
 interface HeldWrite {
@@ -37,7 +37,7 @@
 
 function createState(journal: HomeJournal): HomeState {
   const unused = async (): Promise<never> => Promise.reject(new Error("no orders are given here"));
-  return {
+  return createHomeState({
     pool,
     fencingToken: 1,
     firstRun: 1,
@@ -45,25 +45,9 @@
     journal,
     log: createLog("silent"),
     metrics: createMetrics(),
-    runTimes: createRunTimeRatios(),
-    demand: createDemandForecast(),
-    jobs: new Map(),
-    endings: new Map(),
-    tasks: new Map(),
-    targets: new Map(),
     isActive: () => true,
-    wake: () => undefined,
     supersede: () => undefined,
-    listed: new Map(),
-    awaited: new Set(),
-    placeRecords: new Map(),
-    unsettledStarts: new Map(),
-    unansweredStarts: new Map(),
-    unplacedLastingTasks: 0,
-    expectedRoom: [],
-    roomPlan: undefined,
-    forecastMargin: createForecastMargin(),
-  };
+  });
 }
 
 test("progress that comes while a job's end is being stored does not replace the end", async () => {
