The stand-in fleet hands its first text in again while an entry does not reach the store

Traced: the text is handed in as soon as the entries listen; starved of processor time, their first calls of the store had timed out and opened the breaker, and the entry said so with 503, as it should. An operator tries again; so does the fleet now, for 10 s, on 503 alone. Ruled out: the wave itself, which had not begun.

--- a/src/stand-ins/fleet/fleet.ts
+++ b/src/stand-ins/fleet/fleet.ts
@@ -156,11 +156,23 @@
   }).unsafeCoerce();
 }
 
+/** As an operator does: the same change again while the entry says that it does not reach the store yet. */
 async function applyFirstText(entry: Entry | undefined, text: unknown, token?: string): Promise<void> {
-  const response = await fetch(`http://${entry?.addresses.operators ?? ""}/operator/configuration`, {
-    method: "POST",
-    headers: token === undefined ? {} : { authorization: `Bearer ${token}` },
-    body: JSON.stringify({ changeId: "first", author: "fleet", baseRevision: 0, text }),
-  });
-  if (response.status !== 200) throw new Error(`the first text was not accepted: ${await response.text()}`);
+  const giveUpAt = performance.now() + firstTextMilliseconds;
+  for (;;) {
+    const response = await fetch(`http://${entry?.addresses.operators ?? ""}/operator/configuration`, {
+      method: "POST",
+      headers: token === undefined ? {} : { authorization: `Bearer ${token}` },
+      body: JSON.stringify({ changeId: "first", author: "fleet", baseRevision: 0, text }),
+    });
+    if (response.status === 200) return;
+    const answer = await response.text();
+    if (response.status !== serviceUnavailable || performance.now() > giveUpAt)
+      throw new Error(`the first text was not accepted: ${response.status} ${answer}`);
+    await delay(firstTextPauseMilliseconds);
+  }
 }
+
+const serviceUnavailable = 503;
+const firstTextMilliseconds = 10_000;
+const firstTextPauseMilliseconds = 200;
