Failed runs are counted by their numbers, whatever order their ends come in

Its test played rising runs only.

Change: the runs that count are stored by number. The test fails with the former code.

--- a/src/job-homes/run-ends.ts
+++ b/src/job-homes/run-ends.ts
@@ -154,11 +154,11 @@
 
 function takeFailure(target: HomeTarget, task: Task, run: number): Job | undefined {
   // An end that was stored and not acknowledged is listed again to a next home.
-  if (run <= task.lastFailedRun) return undefined;
+  if (task.failedRuns.includes(run)) return undefined;
   target.distrust += distrustPerFailure;
   if (isTaskOver(task) || task.definition.isLasting) return undefined;
   task.failures += 1;
-  task.lastFailedRun = run;
+  task.failedRuns.push(run);
   return task.job;
 }
 
--- a/src/job-homes/test/run-ends.test.ts
+++ b/src/job-homes/test/run-ends.test.ts
@@ -78,12 +78,18 @@
   expect(job.finalState).toBeUndefined();
 });
 
-test("a failure that an earlier home has stored and not acknowledged counts once", () => {
+test("a failure that an earlier home has stored and not acknowledged counts once, whatever order ends come in", () => {
   const { journal } = createHeldJournal();
   const state = createState(journal);
   const definition = { spec: "", steps: [createStep({ taskCount: 1 })] };
-  const record = { jobId: "job", terms, definition, acceptedAt: 0, requestedAt: 0 };
-  const progress = { succeeded: [], failures: { "0.0.0": 1 }, failedRuns: { "0.0.0": 65 } };
+  const record = {
+    jobId: "job",
+    terms: { ...terms, attempts: 9 },
+    definition,
+    acceptedAt: 0,
+    requestedAt: 0,
+  };
+  const progress = { succeeded: [], failures: { "0.0.0": 1 }, failedRuns: { "0.0.0": [65] } };
   const job = addJob(state, record, progress, 0, true);
   const target = createTarget();
   const report = (sequence: number, run: number): void => {
@@ -93,8 +99,9 @@
   report(1, 65);
   expect(allTasks(job)[0]?.failures).toBe(1);
   expect(encodeProgress(job)).toMatchObject(progress);
-  report(2, 129);
-  expect(allTasks(job)[0]?.failures).toBe(2);
+  report(2, 67);
+  report(3, 66);
+  expect(allTasks(job)[0]?.failures).toBe(3);
 });
 
 function createTarget(): HomeTarget {
--- a/src/jobs/job.ts
+++ b/src/jobs/job.ts
@@ -48,8 +48,8 @@
   readonly runs: TaskRun[];
   succeeded: boolean;
   failures: number;
-  /** The highest run that counts among the failures. */
-  lastFailedRun: number;
+  /** The runs that count among the failures. */
+  readonly failedRuns: number[];
   /** Whether this home has seen its only run: no other can be on a target that has not answered yet. */
   isAccountedFor: boolean;
   /** Targets on which a lasting task may run, as the store knows it. */
@@ -180,7 +180,7 @@
         runs: [],
         succeeded: succeeded.has(key),
         failures: progress?.failures[key] ?? 0,
-        lastFailedRun: progress?.failedRuns?.[key] ?? 0,
+        failedRuns: [...(progress?.failedRuns?.[key] ?? [])],
         isAccountedFor: false,
         recordedPlaces: progress?.places?.[key] ?? [],
         lastRun: 0,
@@ -259,7 +259,7 @@
   const key = ({ occurrence, step, index }: Task): string => `${occurrence}.${step}.${index}`;
   const failed = tasks.filter((task) => task.failures > 0);
   const failures = failed.map((task) => [key(task), task.failures] as const);
-  const failedRuns = failed.map((task) => [key(task), task.lastFailedRun] as const);
+  const failedRuns = failed.map((task): [string, number[]] => [key(task), [...task.failedRuns]]);
   const places = tasks
     .filter(({ recordedPlaces }) => recordedPlaces.length > 0)
     .map((task): [string, string[]] => [key(task), [...task.recordedPlaces]]);
--- a/src/jobs/records.ts
+++ b/src/jobs/records.ts
@@ -35,8 +35,8 @@
   succeeded: z.array(z.string()),
   /** Runs that have failed, by task. */
   failures: z.record(z.string(), z.number()),
-  /** The highest run that is among the failures, by task: a target may list its end again. */
-  failedRuns: z.record(z.string(), z.number()).optional(),
+  /** The runs that are among the failures, by task: targets may list their ends again, in any order. */
+  failedRuns: z.record(z.string(), z.array(z.number())).optional(),
   /** Targets on which a lasting task may run, by task; stored before a start is asked for. */
   places: z.record(z.string(), z.array(z.string())).optional(),
 });
