--- a/src/fleet/fleet-view.ts
+++ b/src/fleet/fleet-view.ts
@@ -15,7 +15,7 @@
 /** Weight of the newest move. */
 const learningRate = 0.2;
 /** From the need of a machine until the order to move it. */
-const stepMilliseconds = 300;
+const reactionMilliseconds = 300;
 const shortestArrivalMilliseconds = 150;
 /** A machine that is up but unknown to its home for longer has a fault. */
 const longestArrivalMilliseconds = 5_000;
@@ -212,7 +212,7 @@
     const capacities = others.flatMap(({ machineId }) => view.machines.get(machineId)?.capacity ?? []);
     if (capacities.length > 0) {
       const resources = capacities.reduce(add);
-      found.push({ resources, atMilliseconds: history.moveMilliseconds() + stepMilliseconds });
+      found.push({ resources, atMilliseconds: history.moveMilliseconds() + reactionMilliseconds });
     }
     arrivals.set(pool, found);
   }
