An end that a target lists again is acknowledged only once it is stored

Found by reading the change again: an end that a home had counted, and whose write was still on its way, was acknowledged at once when a second session with the same life listed it again; with the home lost at that moment, the task would have run after its acknowledged end (TWICE) or once more than its attempts (BUDGET).

Change: such an end waits for the job's progress like the first time, also while the job's end is being stored. Both cases of the test fail on the code before. The test's target is a real session in place of a cast.

--- a/src/job-homes/home-targets.ts
+++ b/src/job-homes/home-targets.ts
@@ -139,7 +139,7 @@
       acknowledging: Promise.resolve(),
     };
     targets.set(target.targetId, opened);
-    refuseLateStarts(this.#state, opened, this.#lateOrderMilliseconds());
+    refuseLateStarts(this.#state, opened);
     log.write("info", "target-session-opened", { pool, target: target.targetId, address: target.address });
     void session.run();
   }
--- a/src/job-homes/run-ends.ts
+++ b/src/job-homes/run-ends.ts
@@ -149,14 +149,16 @@
     const milliseconds = performance.now() - run.startedAt;
     state.runTimes.learn(job.record.terms.queue, definition.estimateMilliseconds, milliseconds);
   }
-  return noteSuccess(task).length > 0 ? job : undefined;
+  noteSuccess(task);
+  // An end that was not acknowledged is listed again; it is not before the job's progress is stored with it.
+  return definition.isLasting ? undefined : job;
 }
 
 function takeFailure(target: HomeTarget, task: Task, run: number): Job | undefined {
-  // An end that was stored and not acknowledged is listed again to a next home.
-  if (task.failedRuns.includes(run)) return undefined;
-  target.distrust += distrustPerFailure;
-  if (isTaskOver(task) || task.definition.isLasting) return undefined;
+  const isCounted = task.failedRuns.includes(run);
+  if (!isCounted) target.distrust += distrustPerFailure;
+  if (task.definition.isLasting || task.job.finalState !== undefined) return undefined;
+  if (isCounted || isTaskOver(task)) return task.job;
   task.failures += 1;
   task.failedRuns.push(run);
   return task.job;
--- a/src/job-homes/test/run-ends.test.ts
+++ b/src/job-homes/test/run-ends.test.ts
@@ -4,7 +4,7 @@
  */
 import { expect, test } from "vitest";
 import { allTasks, encodeProgress } from "../../jobs/index.js";
-import type { RunEnd, TargetSession } from "../../task-runs/index.js";
+import { TargetSession, type RunEnd, type RunEndKind } from "../../task-runs/index.js";
 import { createLog, createMetrics } from "../../telemetry/index.js";
 import type { HomeJournal, JournalResult } from "../home-journal.js";
 import { addJob, createHomeState, type HomeState, type HomeTarget } from "../home-state.js";
@@ -91,21 +91,80 @@
   };
   const progress = { succeeded: [], failures: { "0.0.0": 1 }, failedRuns: { "0.0.0": [65] } };
   const job = addJob(state, record, progress, 0, true);
-  const target = createTarget();
-  const report = (sequence: number, run: number): void => {
-    const end: RunEnd = { sequence, task: "job.0.0.0", run, kind: "failed", checkpoint: "" };
-    takeReport(state, target, { startedAtUnix: 1, clockMilliseconds: 0, present: [], ends: [end] }, [end], 0);
-  };
-  report(1, 65);
+  const target = createTarget(state);
+  reportFailure(state, target, 1, 65);
   expect(allTasks(job)[0]?.failures).toBe(1);
   expect(encodeProgress(job)).toMatchObject(progress);
-  report(2, 67);
-  report(3, 66);
+  reportFailure(state, target, 2, 67);
+  reportFailure(state, target, 3, 66);
   expect(allTasks(job)[0]?.failures).toBe(3);
 });
 
-function createTarget(): HomeTarget {
-  const session = { targetId: "target", acknowledge: () => undefined } as unknown as TargetSession;
+const counted: readonly RunEndKind[] = ["failed", "succeeded"];
+
+test.each(counted)("an end %s that is listed again is not acknowledged before it is stored", async (kind) => {
+  const { journal, writes } = createHeldJournal();
+  const state = createState(journal);
+  const definition = { spec: "", steps: [createStep({ taskCount: 2 })] };
+  const record = { jobId: "job", terms, definition, acceptedAt: 0, requestedAt: 0 };
+  addJob(state, record, undefined, 0, false);
+  reportEnd(state, createTarget(state), 1, 65, kind);
+  // The lease has ended meanwhile, and the next session with the same life hears all ends from the first.
+  const reopened = createTarget(state);
+  reportEnd(state, reopened, 1, 65, kind);
+  let isHandled = false;
+  const handled = reopened.acknowledging.then(() => {
+    isHandled = true;
+  });
+  await new Promise((resolve) => setTimeout(resolve, 20));
+  expect(isHandled).toBe(false);
+  for (const write of writes) write.settle("stored");
+  await handled;
+});
+
+function reportFailure(state: HomeState, target: HomeTarget, sequence: number, run: number): void {
+  reportEnd(state, target, sequence, run, "failed");
+}
+
+function reportEnd(
+  state: HomeState,
+  target: HomeTarget,
+  sequence: number,
+  run: number,
+  kind: RunEndKind,
+): void {
+  const end: RunEnd = { sequence, task: "job.0.0.0", run, kind, checkpoint: "" };
+  takeReport(state, target, { startedAtUnix: 1, clockMilliseconds: 0, present: [], ends: [end] }, [end], 0);
+}
+
+/** A target whose session does not renew. */
+function createTarget({ orders, metrics }: HomeState): HomeTarget {
+  const session = new TargetSession({
+    target: {
+      targetId: "target",
+      address: "127.0.0.1:1",
+      startedAtUnix: 1,
+      pool,
+      availabilityZone: "zone",
+      state: "ready",
+      capacity: { cpuMillicores: 0, memoryMegabytes: 0, accelerators: 0 },
+      rack: undefined,
+      labels: [],
+      remainingMilliseconds: undefined,
+    },
+    orders,
+    fencingToken: 1,
+    leaseMilliseconds: 1_000,
+    metrics,
+    handlers: {
+      onReport: () => undefined,
+      onGone: () => undefined,
+      onFenced: () => undefined,
+      isActive: () => true,
+      chooseWait: () => 0,
+    },
+    inheritedLeaseUntil: 0,
+  });
   return {
     session,
     runs: new Map(),
--- a/src/job-homes/unsettled-starts.ts
+++ b/src/job-homes/unsettled-starts.ts
@@ -7,6 +7,8 @@
 import type { HomeState, HomeTarget, TargetRun, UnansweredStart } from "./home-state.js";
 
 const maximumUnanswered = 200;
+/** An order without an answer may be carried out so much later by a life that does not know its lease. */
+const rememberedMilliseconds = 15_000;
 const stopTimeoutMilliseconds = 700;
 
 /**
@@ -24,12 +26,11 @@
  * Asks a new life to refuse late starts that were stopped in the life before it, which it knows nothing of.
  * @param state - the home
  * @param target - the new life
- * @param lateOrderMilliseconds - an order that is so old is carried out no more
  */
-export function refuseLateStarts(state: HomeState, target: HomeTarget, lateOrderMilliseconds: number): void {
+export function refuseLateStarts(state: HomeState, target: HomeTarget): void {
   const { unansweredStarts, orders, fencingToken, log, pool } = state;
   const { targetId } = target.session;
-  const oldest = performance.now() - lateOrderMilliseconds;
+  const oldest = performance.now() - rememberedMilliseconds;
   const recent = (unansweredStarts.get(targetId) ?? []).filter(({ startedAt }) => startedAt > oldest);
   unansweredStarts.set(targetId, recent);
   if (recent.length === 0) unansweredStarts.delete(targetId);
