Orders of a large pool's home go to its targets through other entries

Cause: one process made every call for its whole pool: a start and an end for each task, a renewal for each end of a target. Two pools lay on such entries while the large ones (1.35 cores, 200 Mbit/s) held none, since homes went by a hash of names.

Class: a hot spot whose cost grows with the load of a whole pool, on a machine that was not chosen for it.

Change: a home with more than 12 targets hands its orders to relays, entries near the targets, about eight targets a relay, several orders in a frame; the relays make the calls. The home keeps all state. Homes go to the entry with most capacity for each home, the duty on machines to a large entry; an entry that has just joined waits 0.7 s before it competes.

Why it is safe: an order through a relay may be late, doubled or lost as before; fencing tokens, absolute ends of leases and stops repeated until confirmed cover that. A relay drops orders that waited too long, and outcomes of an earlier process cannot answer the orders of the next.

Evidence: the test "a home of a large pool does not send the starts of a turn from its own process alone" gives 56 of 56 starts from one process with relays off (the way before), 0 of 56 with them.

Ruled out as the fix: larger machines only (moves the collapse), several homes for a pool (steps with one task a target need most of its targets).";

--- a/src/job-homes/home-keeper.ts
+++ b/src/job-homes/home-keeper.ts
@@ -3,13 +3,14 @@
  * @packageDocumentation
  */
 import { randomUUID } from "node:crypto";
-import { delay, rendezvousOrder } from "../shared/index.js";
+import { delay } from "../shared/index.js";
 import type { TransactionalStore } from "../store/index.js";
 import type { RegisteredTarget, TargetOrders } from "../task-runs/index.js";
 import type { Log, Metrics } from "../telemetry/index.js";
 import type { AdviceService } from "./advice-book.js";
 import type { EntrySession } from "./entry-session.js";
 import { StoredHomeJournal } from "./home-journal.js";
+import { orderForHome } from "./home-placement.js";
 import { homePrefix, type HomeRecord } from "./home-record.js";
 import { createHomeState, loadJobs, type HomeState } from "./home-state.js";
 import { HomeTargets } from "./home-targets.js";
@@ -24,8 +25,8 @@
 
 /** What the keeper knows of the fleet of entries. */
 export interface HomeDirectory {
-  /** Entries with a record. */
-  readonly entries: () => readonly string[];
+  /** Entries with a record, and how much work each can do, in cores. */
+  readonly entries: () => ReadonlyMap<string, number>;
   /** The home of each pool that has one. */
   homes(): ReadonlyMap<string, HomeRecord & { readonly revision: number }>;
   /** Milliseconds since this was known to be current. */
@@ -51,6 +52,8 @@
   /** How long a lease on runs lasts. */
   readonly runLeaseMilliseconds: number;
   readonly retentionMilliseconds: number;
+  /** An entry that has just joined waits so long, until others that start with it have joined. */
+  readonly settleMilliseconds: number;
 }
 
 interface HeldHome {
@@ -77,6 +80,8 @@
   readonly #held = new Map<string, HeldHome>();
   readonly #vacantSince = new Map<string, number>();
   readonly #taking = new Set<string>();
+  /** When this entry first had a lease, by the monotonic clock. */
+  #joinedAt: number | undefined;
 
   /**
    * Creates a keeper; `run` begins to compete.
@@ -135,8 +140,10 @@
   }
 
   #compete(): void {
-    const { session, directory, pools } = this.#options;
+    const { session, directory, pools, settleMilliseconds } = this.#options;
     if (session.leaseId() === undefined || directory.ageMilliseconds() > directoryAgeMilliseconds) return;
+    this.#joinedAt ??= performance.now();
+    if (performance.now() - this.#joinedAt < settleMilliseconds) return;
     for (const pool of pools()) {
       if (this.#held.has(pool) || this.#taking.has(pool)) continue;
       this.#taking.add(pool);
@@ -162,15 +169,18 @@
     return place >= 0 && now - since >= place * turnMilliseconds;
   }
 
-  /** This entry's place among those that could take a pool, 0 for the first: those with fewer homes go first. */
+  /** This entry's place among those that could take a pool, 0 for the first. */
   #placeInOrder(pool: string): number {
     const { directory, entryId } = this.#options;
     const counts = new Map<string, number>();
     for (const { entryId: holder } of directory.homes().values())
       counts.set(holder, (counts.get(holder) ?? 0) + 1);
-    const order = rendezvousOrder(pool, directory.entries());
-    order.sort((left, right) => (counts.get(left) ?? 0) - (counts.get(right) ?? 0));
-    return order.indexOf(entryId);
+    const candidates = [...directory.entries()].map(([candidate, capacityCores]) => ({
+      entryId: candidate,
+      capacityCores,
+      homes: counts.get(candidate) ?? 0,
+    }));
+    return orderForHome(pool, candidates).indexOf(entryId);
   }
 
   async #take(pool: string): Promise<void> {
--- a/src/job-homes/index.ts
+++ b/src/job-homes/index.ts
@@ -11,6 +11,7 @@
   type EntrySessionEvents,
   type EntrySessionOptions,
 } from "./entry-session.js";
+export { findLargeEntries, orderForHome, type HomeCandidate } from "./home-placement.js";
 export { HomeKeeper, type HomeDirectory, type HomeKeeperOptions } from "./home-keeper.js";
 export { decodeHomeRecord, homePrefix, type HomeRecord } from "./home-record.js";
 export { HomeGateway, type GatewayOutcome, type JobGateway, type JobGatewayOptions } from "./job-gateway.js";
--- a/src/job-homes/test/home-fixture.ts
+++ b/src/job-homes/test/home-fixture.ts
@@ -97,7 +97,11 @@
     entryId,
     store,
     session,
-    directory: { entries: () => [entryId], homes, ageMilliseconds: () => members.ageMilliseconds() },
+    directory: {
+      entries: () => new Map([[entryId, 1]]),
+      homes,
+      ageMilliseconds: () => members.ageMilliseconds(),
+    },
     pools: () => [pool],
     listedTargets: () =>
       new Map([...fleet.targets].map(([targetId, target]) => [targetId, target.describe()] as const)),
@@ -107,6 +111,7 @@
     metrics,
     runLeaseMilliseconds: 1_500,
     retentionMilliseconds: 60_000,
+    settleMilliseconds: 0,
   });
   void keeper.run();
   const follow = setInterval(() => {
--- a/src/measures/job-path/index.ts
+++ b/src/measures/job-path/index.ts
@@ -78,7 +78,7 @@
     entryId: "a",
     store,
     session,
-    directory: { entries: () => ["a"], homes: () => new Map(), ageMilliseconds: () => 0 },
+    directory: { entries: () => new Map([["a", 1]]), homes: () => new Map(), ageMilliseconds: () => 0 },
     pools: () => [pool],
     listedTargets: () => listed,
     orders,
@@ -87,6 +87,7 @@
     metrics: createMetrics(),
     runLeaseMilliseconds: 5_000,
     retentionMilliseconds: 120_000,
+    settleMilliseconds: 0,
   });
   void keeper.run();
   while (keeper.home(pool) === undefined) await delay(10);
--- a/src/membership/messages.ts
+++ b/src/membership/messages.ts
@@ -35,6 +35,8 @@
   /** `IP:port` where peers connect. */
   peerAddress: z.string(),
   zone: z.string(),
+  /** How much work the entry can do, in cores; entries that do not tell count as one. */
+  capacityCores: z.number().positive().optional(),
 });
 
 /** One entry's record. */
--- /dev/null
+++ b/src/order-relays/order-relay.ts
@@ -0,0 +1,114 @@
+/**
+ * Carries out orders that the homes of other entries hand to this one.
+ * @packageDocumentation
+ */
+import type { PeerNetwork } from "../membership/index.js";
+import type { OrderHeader, TargetOrders } from "../task-runs/index.js";
+import type { Log, Metrics } from "../telemetry/index.js";
+import { createFrameGatherer } from "./frame-gatherer.js";
+import { carryOutCall, outcomesCall, type RelayedOrder, type RelayedOutcome } from "./messages.js";
+import { encodeRenewal } from "./outcome-rows.js";
+import { createTransitClock, type TransitClock } from "./transit-clock.js";
+
+/** What a relay works with. */
+export interface OrderRelayOptions {
+  readonly peers: PeerNetwork;
+  /** Sends orders from this process. */
+  readonly orders: TargetOrders;
+  readonly log: Log;
+  readonly metrics: Metrics;
+}
+
+const gatherMilliseconds = 4;
+const outcomesTimeoutMilliseconds = 1_000;
+/** Orders in progress; more are refused, so that their homes send them another way. */
+const maximumInProgress = 2_000;
+
+/**
+ * Answers orders of other entries.
+ * @param options - the peers and the way to the targets
+ */
+export function startOrderRelay(options: OrderRelayOptions): void {
+  const { peers, log, metrics } = options;
+  const clocks = new Map<string, TransitClock>();
+  let inProgress = 0;
+  const outcomes = createFrameGatherer<RelayedOutcome>(gatherMilliseconds, (peerId, items) => {
+    void peers
+      .call(peerId, outcomesCall, { outcomes: [...items] }, outcomesTimeoutMilliseconds)
+      .then((reply) =>
+        reply.ifLeft(({ kind }) => {
+          metrics.count("relayed_outcomes_lost_total", { reason: kind }, items.length);
+          log.write("warn", "relayed-outcomes-lost", { peer: peerId, reason: kind, outcomes: items.length });
+        }),
+      );
+  });
+
+  const carryOut = async (peerId: string, order: RelayedOrder, specs: readonly string[]): Promise<void> => {
+    inProgress += 1;
+    const outcome = await sendOrder(options.orders, order, specs[specOf(order)] ?? "");
+    inProgress -= 1;
+    metrics.count("relayed_orders_total", { order: order.kind, result: outcome.kind });
+    outcomes.add(peerId, outcome);
+  };
+
+  peers.answer(carryOutCall, ({ sentAt, specs, orders }, peerId) => {
+    const clock = clocks.get(peerId) ?? createTransitClock();
+    clocks.set(peerId, clock);
+    const age = clock.ageMilliseconds(sentAt, performance.now());
+    let refused = 0;
+    for (const order of orders) {
+      const timeoutMilliseconds = order.timeoutMilliseconds - age;
+      // What waited too long is not carried out any more: its home counts on another course by now.
+      if (timeoutMilliseconds <= 0 || inProgress >= maximumInProgress) {
+        refused += 1;
+        outcomes.add(peerId, { id: order.id, kind: "refused", reason: "not-connected" });
+        continue;
+      }
+      void carryOut(peerId, { ...order, timeoutMilliseconds }, specs);
+    }
+    if (refused > 0)
+      log.write("warn", "relayed-orders-refused", {
+        peer: peerId,
+        orders: refused,
+        inProgress,
+        ageMilliseconds: Math.round(age),
+      });
+    return {};
+  });
+}
+
+function specOf(order: RelayedOrder): number {
+  return order.kind === "start" ? order.spec : -1;
+}
+
+async function sendOrder(orders: TargetOrders, order: RelayedOrder, spec: string): Promise<RelayedOutcome> {
+  const { id } = order;
+  const header = describeHeader(order);
+  switch (order.kind) {
+    case "start": {
+      const { task, run, leaseUntilMilliseconds, checkpoint, ticket } = order;
+      const start = { ...header, task, run, spec, leaseUntilMilliseconds, checkpoint, ticket };
+      return { id, ...(await orders.start(start)) };
+    }
+    case "stop":
+      return { id, ...(await orders.stop({ ...header, task: order.task, run: order.run })) };
+    case "pace": {
+      const { task, run, percent } = order;
+      return { id, ...(await orders.pace({ ...header, task, run, percent })) };
+    }
+    case "renew": {
+      const { acknowledgedSequence, leaseUntilMilliseconds, waitMilliseconds } = order;
+      const renewal = { ...header, acknowledgedSequence, leaseUntilMilliseconds, waitMilliseconds };
+      return encodeRenewal(id, await orders.renew(renewal));
+    }
+  }
+}
+
+function describeHeader(order: RelayedOrder): OrderHeader {
+  const { targetId, address, startedAtUnix, fencingToken, timeoutMilliseconds } = order;
+  return {
+    target: { targetId, address, startedAtUnix, availabilityZone: "" },
+    fencingToken,
+    timeoutMilliseconds,
+  };
+}
--- /dev/null
+++ b/src/order-relays/relay-directory.ts
@@ -0,0 +1,95 @@
+/**
+ * Which entries can relay orders now, and through which of them the orders for each target go.
+ * @packageDocumentation
+ */
+import type { PeerNetwork } from "../membership/index.js";
+import type { TargetIdentity } from "../task-runs/index.js";
+import { chooseRelays, type RelayCandidate } from "./relay-choice.js";
+
+/** What the directory works with. */
+export interface RelayDirectoryOptions {
+  readonly entryId: string;
+  readonly peers: PeerNetwork;
+  /** The entries of the roster, this one among them. */
+  readonly entries: () => readonly RelayCandidate[];
+}
+
+/** Knows the relays. */
+export interface RelayDirectory {
+  /** Entries through which orders for a target go, the best first; empty when this entry sends them itself. */
+  relaysFor(target: TargetIdentity): readonly string[];
+  /** A relay did not take orders: it is left out for a while. */
+  avoid(entryId: string): void;
+}
+
+const refreshMilliseconds = 100;
+const avoidMilliseconds = 1_000;
+/** A target that got no order for so long is not counted any more. */
+const forgetMilliseconds = 10_000;
+/** Homes with so few targets send all orders themselves, which saves the way through another entry. */
+const ownTargets = 12;
+
+/**
+ * Creates a directory.
+ * @param options - the entries and the links to them
+ * @returns the directory
+ */
+export function createRelayDirectory(options: RelayDirectoryOptions): RelayDirectory {
+  const avoidedUntil = new Map<string, number>();
+  const targets = new Map<string, { readonly zone: string; usedAt: number }>();
+  let chosen = new Map<string, readonly string[]>();
+  let zoneCounts = new Map<string, number>();
+  let candidates: readonly RelayCandidate[] = [];
+  let refreshedAt = Number.NEGATIVE_INFINITY;
+
+  const refresh = (now: number): void => {
+    if (now - refreshedAt < refreshMilliseconds) return;
+    refreshedAt = now;
+    for (const [targetId, { usedAt }] of targets) {
+      if (now - usedAt > forgetMilliseconds) targets.delete(targetId);
+    }
+    zoneCounts = countByZone([...targets.values()]);
+    candidates = findCandidates(options, avoidedUntil, now);
+    chosen = new Map();
+  };
+
+  return {
+    relaysFor: ({ targetId, availabilityZone: zone }) => {
+      const now = performance.now();
+      targets.set(targetId, { zone, usedAt: now });
+      refresh(now);
+      if (targets.size <= ownTargets) return [];
+      const known = chosen.get(targetId);
+      if (known !== undefined) return known;
+      const { entryId: homeEntryId } = options;
+      const targetsInZone = zoneCounts.get(zone) ?? 1;
+      const relays = chooseRelays({ homeEntryId, targetId, zone, targetsInZone, candidates });
+      chosen.set(targetId, relays);
+      return relays;
+    },
+    avoid: (entryId) => {
+      avoidedUntil.set(entryId, performance.now() + avoidMilliseconds);
+      refreshedAt = Number.NEGATIVE_INFINITY;
+    },
+  };
+}
+
+function countByZone(targets: readonly { readonly zone: string }[]): Map<string, number> {
+  const counts = new Map<string, number>();
+  for (const { zone } of targets) counts.set(zone, (counts.get(zone) ?? 0) + 1);
+  return counts;
+}
+
+/** Entries that answer, or to which no link was needed so far. */
+function findCandidates(
+  { entryId, peers, entries }: RelayDirectoryOptions,
+  avoidedUntil: ReadonlyMap<string, number>,
+  now: number,
+): RelayCandidate[] {
+  const states = new Map(peers.peers().map(({ peerId, state }) => [peerId, state]));
+  return entries().filter((entry) => {
+    if (entry.entryId === entryId || (avoidedUntil.get(entry.entryId) ?? 0) > now) return false;
+    const state = states.get(entry.entryId);
+    return state === undefined || state === "up";
+  });
+}
--- a/src/shared/index.ts
+++ b/src/shared/index.ts
@@ -3,7 +3,13 @@
  * @packageDocumentation
  */
 export { createRandom, type Random } from "./random.js";
-export { rendezvousOrder, rendezvousOwner, hashText } from "./rendezvous.js";
+export {
+  hashText,
+  rendezvousOrder,
+  rendezvousOwner,
+  weightedRendezvousOrder,
+  type WeightedMember,
+} from "./rendezvous.js";
 export { delay, withTimeout } from "./timers.js";
 export { formatPath, parseWith, type ParseFault } from "./parse.js";
 export { createHttpService, sendJson, readBody, type HttpService, type BodyFault } from "./http.js";
--- a/src/shared/rendezvous.ts
+++ b/src/shared/rendezvous.ts
@@ -42,6 +42,33 @@
   return rendezvousOrder(key, members)[0];
 }
 
+/** A candidate that takes a share of all keys in proportion to its weight. */
+export interface WeightedMember {
+  readonly id: string;
+  /** Above 0. */
+  readonly weight: number;
+}
+
+/**
+ * Orders members by their rendezvous score for a key, so that each owns a share of all keys in proportion to its weight.
+ * @param key - what is to be owned
+ * @param members - the candidates
+ * @returns identifiers of the members, the owner first
+ */
+export function weightedRendezvousOrder(key: string, members: readonly WeightedMember[]): string[] {
+  return members
+    .map(({ id, weight }) => ({ id, score: weightedScore(hashText(`${key}\u0000${id}`), weight) }))
+    .sort((left, right) => right.score - left.score || left.id.localeCompare(right.id))
+    .map(({ id }) => id);
+}
+
+const hashValues = 2 ** 32;
+
+/** The largest of such scores falls to each member in proportion to its weight. */
+function weightedScore(hash: number, weight: number): number {
+  return -weight / Math.log((hash + 0.5) / hashValues);
+}
+
 /** Spreads the bits of a hash whose low bits alone are well mixed. */
 function mixBits(hash: number): number {
   let mixed = hash;
--- a/src/task-runs/target-orders.ts
+++ b/src/task-runs/target-orders.ts
@@ -12,12 +12,13 @@
   readonly address: string;
   /** Unix time of its start: another value under the same identifier is another life that knows nothing. */
   readonly startedAtUnix: number;
+  /** Where it is; empty when that is not known. */
+  readonly availabilityZone: string;
 }
 
 /** A target as the registry lists it. */
 export interface RegisteredTarget extends TargetIdentity {
   readonly pool: string;
-  readonly availabilityZone: string;
   readonly state: "ready" | "draining";
   readonly capacity: Resources;
   /** The rack of its machine; undefined when it names none. */
--- a/src/wiring/job-entry.ts
+++ b/src/wiring/job-entry.ts
@@ -7,6 +7,7 @@
   HomeGateway,
   HomeKeeper,
   dutyPrefix,
+  findLargeEntries,
   openEntrySession,
   SessionDuty,
   type AdviceService,
@@ -21,7 +22,8 @@
   type MaintenanceWave,
 } from "../fleet/index.js";
 import type { QueueTable } from "../jobs/index.js";
-import { createPeerNetwork, type RosterRecord } from "../membership/index.js";
+import { createPeerNetwork, type PeerNetwork, type RosterRecord } from "../membership/index.js";
+import { createRelayDirectory, RelayedTargetOrders, startOrderRelay } from "../order-relays/index.js";
 import { createHttpService, delay, sendJson, type HttpService } from "../shared/index.js";
 import { type StoreRecord, type TransactionalStore } from "../store/index.js";
 import type { RegisteredTarget, TargetOrders } from "../task-runs/index.js";
@@ -87,6 +89,8 @@
   readonly configurationMilliseconds: number;
   /** How long a stop may take. */
   readonly graceMilliseconds: number;
+  /** How much work this entry can do, in cores. */
+  readonly capacityCores: number;
 }
 
 /** A running entry that takes jobs. */
@@ -101,6 +105,8 @@
 }
 
 const fleetDuty = "fleet";
+/** Entries of a fleet that starts as a whole join within this time. */
+const settleMilliseconds = 700;
 const vacateTimeoutMilliseconds = 700;
 const entryLeaseMilliseconds = 3_000;
 /** Part of the grace that is left for the last answers and the end of the process. */
@@ -120,14 +126,16 @@
   const peers = createPeerNetwork({ entryId, incarnation, zone }, log);
   await peers.listen(addresses.peers.host, addresses.peers.port);
   const peerAddress = `${addresses.peers.host}:${addresses.peers.port}`;
-  const self: RosterRecord = { entryId, incarnation, peerAddress, zone };
+  const { capacityCores } = options;
+  const self: RosterRecord = { entryId, incarnation, peerAddress, zone, capacityCores };
 
   const members = followMembers(store, peers, log);
   const configuration = followConfiguration(options, (table) => {
     ingress.applyLimits(table);
   });
   const session = openEntrySession({ store, self, log, leaseMilliseconds: entryLeaseMilliseconds });
-  const { registry, keeper } = wireHomes(options, { session, members, configuration });
+  const orders = wireOrders(options, peers, members);
+  const { registry, keeper } = wireHomes({ ...options, orders }, { session, members, configuration });
   const gateway = new HomeGateway({ entryId, keeper, directory: members.directory, peers, store });
   const fleet = wireFleet(options, { session, members, configuration, gateway });
   const ingress = options.createIngress(gateway, configuration.usable);
@@ -187,6 +195,14 @@
   readonly gateway: HomeGateway;
 }
 
+/** Takes orders of other entries' homes, and sends those of this entry's homes through other entries. */
+function wireOrders(options: JobEntryOptions, peers: PeerNetwork, members: Members): TargetOrders {
+  const { entryId, orders, log, metrics } = options;
+  startOrderRelay({ peers, orders, log, metrics });
+  const relays = createRelayDirectory({ entryId, peers, entries: members.relayCandidates });
+  return new RelayedTargetOrders({ peers, local: orders, relays, log, metrics });
+}
+
 /** The homes of this entry, and the registry of the targets that they use. */
 function wireHomes(
   options: JobEntryOptions,
@@ -205,6 +221,7 @@
     onTaken: () => {
       registry.follower.hurry();
     },
+    settleMilliseconds,
   });
   void keeper.run();
   return { registry, keeper };
@@ -220,7 +237,7 @@
     entryId,
     store,
     session,
-    entries: members.directory.entries,
+    entries: () => findLargeEntries(members.directory.entries()),
     holder: () => members.follower.records().get(`${dutyPrefix}${fleetDuty}`),
     log,
   });
--- a/src/wiring/job-followers.ts
+++ b/src/wiring/job-followers.ts
@@ -13,6 +13,7 @@
 } from "../job-homes/index.js";
 import type { MaintenanceWave } from "../fleet/index.js";
 import type { QueueTable } from "../jobs/index.js";
+import type { RelayCandidate } from "../order-relays/index.js";
 import { parseRosterRecord, type PeerNetwork, type RosterRecord } from "../membership/index.js";
 import {
   followPrefix,
@@ -24,6 +25,8 @@
 import type { Log } from "../telemetry/index.js";
 import type { JobEntryOptions } from "./job-entry.js";
 
+/** What an entry counts as that does not tell its capacity. */
+const usualCapacityCores = 1;
 const membersWaitMilliseconds = 1_000;
 const configurationWaitMilliseconds = 500;
 const followPauseMilliseconds = 20;
@@ -38,6 +41,8 @@
 export interface Members {
   readonly follower: PrefixFollower;
   readonly directory: HomeDirectory;
+  /** Entries that could relay orders. */
+  readonly relayCandidates: () => RelayCandidate[];
 }
 
 /**
@@ -67,11 +72,21 @@
     },
   });
   const directory: HomeDirectory = {
-    entries: () => entries.map(({ entryId }) => entryId),
+    entries: () =>
+      new Map(entries.map(({ entryId, capacityCores = usualCapacityCores }) => [entryId, capacityCores])),
     homes: () => homes,
     ageMilliseconds: () => follower.ageMilliseconds(),
   };
-  return { follower, directory };
+  const relayCandidates = (): RelayCandidate[] => {
+    const holders = new Set([...homes.values()].map(({ entryId }) => entryId));
+    return entries.map(({ entryId, zone, capacityCores = usualCapacityCores }) => ({
+      entryId,
+      zone,
+      capacityCores,
+      holdsHome: holders.has(entryId),
+    }));
+  };
+  return { follower, directory, relayCandidates };
 }
 
 function decodeHomes(records: Iterable<StoreRecord>): Map<string, HomeRecord & { revision: number }> {
