A begun job is late only when the rest of its work cannot be in time

Cause: the order of jobs compared a job's due time with its whole chain of steps, also when steps were done. A job of two steps therefore counted as late as soon as it had used its slack, went behind all newcomers, and its second step got no room until the turn was over; callers got a late end for work that was half done in time.

The rest is now the longest chain of what has not succeeded, less what running tasks have done.

--- a/src/job-homes/dispatcher.ts
+++ b/src/job-homes/dispatcher.ts
@@ -29,7 +29,7 @@
   if (!state.isActive()) return;
   const now = performance.now();
   const views = [...state.targets.values()].filter((target) => isUsable(target, now)).map(viewTarget);
-  const ranked = [...state.jobs.values()].filter(isOpen).map((job) => rankJob(state, job));
+  const ranked = [...state.jobs.values()].filter(isOpen).map((job) => rankJob(state, job, now));
   ranked.sort((left, right) => compareJobs(left, right, now));
   state.unplacedLastingTasks = moveLastingTasks(state, ranked, views);
   for (const { job } of ranked) {
--- a/src/job-homes/home-forecast.ts
+++ b/src/job-homes/home-forecast.ts
@@ -90,7 +90,7 @@
 
 function readOpenJobs(state: HomeState, now: number): ForecastJob[] {
   const open = [...state.jobs.values()].filter((job) => job.finalState === undefined && !job.isEnding);
-  const ranked = open.map((job) => rankJob(state, job)).filter(({ isLasting }) => !isLasting);
+  const ranked = open.map((job) => rankJob(state, job, now)).filter(({ isLasting }) => !isLasting);
   ranked.sort((left, right) => compareJobs(left, right, now));
   return ranked.flatMap(({ job }) =>
     [...job.occurrences.values()].map((occurrence) => readOccurrence(state, job, occurrence, now)),
--- a/src/job-homes/job-rank.ts
+++ b/src/job-homes/job-rank.ts
@@ -2,7 +2,7 @@
  * Where a home's jobs stand in the order in which they get room.
  * @packageDocumentation
  */
-import type { Job } from "../jobs/index.js";
+import type { Job, Occurrence, Task } from "../jobs/index.js";
 import { isLastingJob, longestChainMilliseconds, type OrderedJob } from "../scheduling/index.js";
 import type { HomeState } from "./home-state.js";
 
@@ -15,9 +15,10 @@
  * Reads what a job's order depends on.
  * @param state - the home, whose learned run times count
  * @param job - the job
+ * @param now - the monotonic clock
  * @returns the job with its rank
  */
-export function rankJob(state: HomeState, job: Job): RankedJob {
+export function rankJob(state: Pick<HomeState, "runTimes">, job: Job, now: number): RankedJob {
   const { definition, terms } = job.record;
   const ratio = state.runTimes.ratio(terms.queue);
   const chain = longestChainMilliseconds(definition, ratio);
@@ -27,7 +28,31 @@
     isLasting: isLastingJob(definition),
     hasStarted: job.hasStarted,
     dueAt: job.requestedAt + terms.slackFactor * chain + terms.objectiveMilliseconds,
-    remainingMilliseconds: chain,
+    remainingMilliseconds: Math.min(chain, remainingMilliseconds(job, ratio, now)),
     acceptedAt: job.acceptedAt,
   };
 }
+
+/** What the steps that are not done still take on idle targets, for the occurrence that takes longest. */
+function remainingMilliseconds(job: Job, ratio: number, now: number): number {
+  const rests = [...job.occurrences.values()].map((occurrence) => remainingChain(occurrence, ratio, now));
+  return Math.max(0, ...rests);
+}
+
+function remainingChain({ steps }: Occurrence, ratio: number, now: number): number {
+  const ends: number[] = [];
+  for (const tasks of steps) {
+    const after = tasks[0]?.definition.after ?? [];
+    const begin = after.reduce((latest, earlier) => Math.max(latest, ends[earlier] ?? 0), 0);
+    const rests = tasks.map((task) => remainingRun(task, ratio, now));
+    ends.push(begin + Math.max(0, ...rests));
+  }
+  return Math.max(0, ...ends);
+}
+
+function remainingRun({ succeeded, runs, definition }: Task, ratio: number, now: number): number {
+  if (succeeded) return 0;
+  const whole = definition.estimateMilliseconds * ratio;
+  const [run] = runs;
+  return run === undefined ? whole : Math.max(0, whole - (now - run.startedAt));
+}
