An entry without homes does not follow the targets of the whole fleet

An entry without homes now reads the targets when it takes a home; what it had read before counts for 3 s. Test: an entry without homes makes no further call for them in 30 s (the former code: one every 2.5 s), and reads them when a home is taken. Not shown by this: the cost of entries with homes, each of which still follows the whole fleet.

--- a/src/wiring/job-followers.ts
+++ b/src/wiring/job-followers.ts
@@ -34,8 +34,10 @@
 const registryPauseMilliseconds = 500;
 /** The pause while a home waits for machines that come to its pool. */
 const arrivalPauseMilliseconds = 120;
-/** The pause of an entry without homes, which only keeps its copy for the time when it takes one. */
-const idlePauseMilliseconds = 2_000;
+/** An entry without homes needs no targets, and reads them when it takes a home. */
+const idlePauseMilliseconds = 60_000;
+/** A copy that is older says too little of the targets of a home that was just taken. */
+const usableAgeMilliseconds = 3_000;
 const registryWaitMilliseconds = 500;
 /** The entries and the homes that they hold. */
 export interface Members {
@@ -175,7 +177,7 @@
  * @returns the targets by pool
  */
 export function followRegistry(
-  { store, registry }: JobEntryOptions,
+  { store, registry }: Pick<JobEntryOptions, "store" | "registry">,
   homes: () => readonly JobHome[],
   onChanged: () => void,
 ): FollowedRegistry {
@@ -193,6 +195,7 @@
   return {
     follower,
     listedTargets: (pool) => {
+      if (follower.ageMilliseconds() > usableAgeMilliseconds) return undefined;
       const own = targets?.filter((target) => target.pool === pool);
       return own === undefined ? undefined : new Map(own.map((target) => [target.targetId, target]));
     },
--- a/src/wiring/test/job-followers.test.ts
+++ b/src/wiring/test/job-followers.test.ts
@@ -3,12 +3,12 @@
  * @packageDocumentation
  */
 import { Left, Right } from "purify-ts";
-import { expect, test } from "vitest";
+import { afterEach, expect, test, vi } from "vitest";
 import type { QueueTable } from "../../jobs/index.js";
 import { createStoreEngine, createStoreFaults, MemoryStoreClient } from "../../stand-ins/index.js";
 import { createLog } from "../../telemetry/index.js";
 import type { JobEntryOptions } from "../job-entry.js";
-import { followConfiguration } from "../job-followers.js";
+import { followConfiguration, followRegistry } from "../job-followers.js";
 
 const configurationKey = "operators/configuration";
 const configurationMilliseconds = 700;
@@ -60,6 +60,36 @@
   return { ...followed, faults, lines, taken, write, close };
 }
 
+afterEach(() => {
+  vi.useRealTimers();
+});
+
+test("an entry without homes does not follow the targets of the whole fleet", async () => {
+  vi.useFakeTimers();
+  const engine = createStoreEngine();
+  const store = new MemoryStoreClient(engine, createStoreFaults());
+  const lists = vi.spyOn(store, "list");
+  const waits = vi.spyOn(store, "changesAfter");
+  const options = { store, registry: { prefix: "targets/", decode: () => [] } };
+  const { follower, listedTargets } = followRegistry(
+    options,
+    () => [],
+    () => undefined,
+  );
+  await vi.advanceTimersByTimeAsync(1_000);
+  expect(lists).toHaveBeenCalledTimes(1);
+  expect(listedTargets("presses")).toEqual(new Map());
+  await vi.advanceTimersByTimeAsync(30_000);
+  expect(waits).not.toHaveBeenCalled();
+  expect(listedTargets("presses")).toBeUndefined();
+  follower.hurry();
+  await vi.advanceTimersByTimeAsync(1_000);
+  expect(waits.mock.calls.length + lists.mock.calls.length).toBeGreaterThan(1);
+  expect(listedTargets("presses")).toEqual(new Map());
+  follower.close();
+  engine.close();
+});
+
 test("newer versions are taken, an older or unreadable one changes nothing", async () => {
   const { usable, current, taken, lines, write, close } = startFollowing();
   write(4);
