A lease is asked for by the best reading of a target's clock

Cause: a session took the clock of every answer together with the time of reading it. A process that is behind by d milliseconds so believes the clock to be d lower than it is, and asks for a lease that is d shorter. Nothing was wrong in the other direction: the target's clock shows at least the answer's value when the answer is read, so that the time after which a lease counts as lapsed was late, never early.

Evidence: test, handed-in time: an answer that is read 3 s late gave a lease of 3 s instead of 6 s. The test failed before.

Fix: of two readings the one stays that says more now, the earlier one counted on at the slowest rate that a clock may have. What is believed of the end of leases is computed from the same reading and stays on the safe side, for which a second test stands (it passed before as well).

--- a/src/task-runs/target-session.ts
+++ b/src/task-runs/target-session.ts
@@ -53,6 +53,11 @@
   readonly readAt: number;
 }
 
+/** What a clock shows at least at a later time. */
+function earliestValue({ value, readAt }: ClockReading, now: number): number {
+  return value + (now - readAt) * slowestClockRate;
+}
+
 /** A home's connection to one life of a target. */
 export class TargetSession {
   readonly targetId: string;
@@ -132,8 +137,9 @@
     return end;
   }
 
-  /** Notes the target's clock as an answer told it. */
+  /** Notes the target's clock as an answer told it; one that was read late says less than the reading before. */
   noteClock(clockMilliseconds: number, receivedAt: number): void {
+    if (this.#clock !== undefined && clockMilliseconds < earliestValue(this.#clock, receivedAt)) return;
     this.#clock = { value: clockMilliseconds, readAt: receivedAt };
   }
 
--- /dev/null
+++ b/src/task-runs/test/target-session.test.ts
@@ -0,0 +1,83 @@
+/**
+ * What a session believes of its target's clock and of the leases that it asked for, with time handed in.
+ * @packageDocumentation
+ */
+import { afterEach, beforeEach, expect, test, vi } from "vitest";
+import { createMetrics } from "../../telemetry/index.js";
+import { TargetSession, type TargetSessionHandlers } from "../target-session.js";
+import type { TargetOrders } from "../target-orders.js";
+
+beforeEach(() => {
+  vi.useFakeTimers();
+});
+afterEach(() => {
+  vi.useRealTimers();
+});
+
+const leaseMilliseconds = 6_000;
+const clockAtStart = 100_000;
+
+const handlers: TargetSessionHandlers = {
+  onReport: () => undefined,
+  onGone: () => undefined,
+  onFenced: () => undefined,
+  isActive: () => true,
+  chooseWait: () => 0,
+};
+
+function createSession(): TargetSession {
+  const unused = async (): Promise<never> => Promise.reject(new Error("no orders are given here"));
+  const orders: TargetOrders = { start: unused, stop: unused, pace: unused, renew: unused };
+  return new TargetSession({
+    target: {
+      targetId: "target",
+      address: "127.0.0.1:1",
+      startedAtUnix: 1,
+      pool: "presses",
+      availabilityZone: "zone",
+      state: "ready",
+      capacity: { cpuMillicores: 0, memoryMegabytes: 0, accelerators: 0 },
+      rack: undefined,
+      labels: [],
+      remainingMilliseconds: undefined,
+    },
+    orders,
+    fencingToken: 1,
+    leaseMilliseconds,
+    metrics: createMetrics(),
+    handlers,
+    inheritedLeaseUntil: 0,
+  });
+}
+
+test("an answer that is read late does not shorten the lease that is asked for next", () => {
+  const session = createSession();
+  session.noteClock(clockAtStart, performance.now());
+  const answeredAt = 1_000;
+  const readLateBy = 3_000;
+  vi.advanceTimersByTime(answeredAt + readLateBy);
+  session.noteClock(clockAtStart + answeredAt, performance.now());
+  const clockNow = clockAtStart + answeredAt + readLateBy;
+  expect(session.nextLeaseEnd()).toBe(clockNow + leaseMilliseconds);
+});
+
+test("the lease counts as lapsed only after it has ended on the slowest clock, whichever answers were read late", () => {
+  const slowestRate = 0.98;
+  const session = createSession();
+  const readings = [
+    { answeredAt: 0, readAt: 0 },
+    { answeredAt: 1_000, readAt: 4_000 },
+    { answeredAt: 3_500, readAt: 4_200 },
+    { answeredAt: 20_000, readAt: 20_000 },
+    { answeredAt: 20_100, readAt: 24_000 },
+  ];
+  const clock = (at: number): number => clockAtStart + at * slowestRate;
+  const startedAt = performance.now();
+  for (const { answeredAt, readAt } of readings) {
+    vi.advanceTimersByTime(startedAt + readAt - performance.now());
+    session.noteClock(clock(answeredAt), performance.now());
+    const end = session.nextLeaseEnd() ?? 0;
+    const endsAt = startedAt + (end - clockAtStart) / slowestRate;
+    expect(session.leaseLapsesAt()).toBeGreaterThanOrEqual(endsAt);
+  }
+});
