A refused write does not let an older value of its key overtake a newer one

Cause: while a transaction is on its way, a further write of one of its keys waits behind it. When the store refuses the transaction (429, 503, not connected, or a conflict about another key), its writes wait again, so that the key waits twice. A third write then replaced the value of the first of the two, was reported as stored with it, and was overwritten by the second. A success that was acknowledged, the end of a job that callers had seen, or a target on which something may run could so be missing in the store, and a next home would start the task again (TWICE), or show an ended job as active.

Evidence: the test, without load: one, two and three are written, the first transaction is refused; the store held one and two.

Fix: a write replaces only the last one of its key, and only while that one is not on its way; values of a key reach the store in the order in which they were written.

--- a/src/job-homes/home-journal.ts
+++ b/src/job-homes/home-journal.ts
@@ -147,8 +147,9 @@
   }
 
   #add(key: string, value: unknown, mustBeAbsent: boolean, settle: (result: JournalResult) => void): Waiting {
-    const earlier = this.#waiting.find((item) => !item.isSent && item.key === key);
-    if (earlier !== undefined) {
+    // An older write of the key may be waiting again before the last one; what replaced it would be overwritten.
+    const earlier = this.#waiting.findLast((item) => item.key === key);
+    if (earlier?.isSent === false) {
       earlier.value = value;
       earlier.settles.push(settle);
       return earlier;
--- a/src/job-homes/test/home-journal.test.ts
+++ b/src/job-homes/test/home-journal.test.ts
@@ -125,3 +125,29 @@
   store.transact = carryOut;
   expect(await write.result).toBe("exists");
 });
+
+test("an older value does not follow a newer one of its key into the store when a transaction is refused", async () => {
+  const { journal, store } = await openJournal();
+  const carryOut = store.transact.bind(store);
+  const failure = { kind: "unavailable", message: "too many calls" } as const;
+  let refuse: () => void = () => undefined;
+  const refused = new Promise<void>((resolve) => {
+    refuse = resolve;
+  });
+  let calls = 0;
+  store.transact = async () => {
+    calls += 1;
+    await refused;
+    store.transact = carryOut;
+    return { kind: "not-done", failure };
+  };
+  const first = journal.write("progress/a", ["one"]);
+  while (calls < 1) await new Promise((resolve) => setTimeout(resolve, 5));
+  const second = journal.write("progress/a", ["one", "two"]);
+  refuse();
+  await new Promise((resolve) => setTimeout(resolve, 5));
+  const third = journal.write("progress/a", ["one", "two", "three"]);
+  const results = await Promise.all([first, second, third].map(async ({ result }) => result));
+  expect(results).toEqual(["stored", "stored", "stored"]);
+  expect((await store.get("progress/a")).unsafeCoerce()?.value).toEqual(["one", "two", "three"]);
+});
