The jobs measure shows one home's slopes and which part takes its time

One home in one process, without HTTP: processor time by tasks a second, targets, jobs that wait, jobs that have ended and refused submissions, a turn at the size of a grown deployment, and the rate of tasks at which one home fills what an entry may take for control or what the machines of deployments give one process. Parts are told apart by samples of the running process, by the innermost frame that belongs to one. Lines of the log are written and thrown away, as they cost a running entry too. Of two runs of a size the cheaper counts.

--- a/src/measures/job-path/index.ts
+++ b/src/measures/job-path/index.ts
@@ -1,167 +1,125 @@
 /**
- * The job path of one home without HTTP: processor time for each task, and the time from acceptance to the first start,
- * by the rate of jobs and by the number of targets.
+ * The job path of one home without HTTP: how its processor time grows with tasks, targets, jobs that wait and refused
+ * submissions, which part takes it, and at which size one home no longer fits a machine.
  * @packageDocumentation
  */
 import { build } from "hdr-histogram-js";
-import { HomeKeeper, openEntrySession } from "../../job-homes/index.js";
-import type { JobHome, JobSubmission } from "../../job-homes/index.js";
-import type { QueueTerms, StepDefinition } from "../../jobs/index.js";
-import { delay } from "../../shared/index.js";
-import { createStoreEngine, createStoreFaults, MemoryStoreClient } from "../../stand-ins/store/index.js";
-import { createLog, createMetrics } from "../../telemetry/index.js";
 import type { Figure, Measure } from "../measure.js";
-import { createMeasuredTargets } from "./targets.js";
+import { describeSeries, fitLine, type Point } from "../slopes/fit.js";
+import { tasksPerJob } from "./load.js";
+import { measureHome, type HomeCost, type HomeSize } from "./measured-home.js";
 
-const pool = "presses";
-const seconds = 6;
-const warmUpSeconds = 3;
-const tasksPerStep = 6;
-const runMilliseconds = 600;
-const coresPerTarget = 32;
-/** Jobs a second, targets of the home. */
-const sizes = [
-  { jobsPerSecond: 15, targets: 10 },
-  { jobsPerSecond: 30, targets: 20 },
-  { jobsPerSecond: 60, targets: 40 },
-] as const;
-const microsecondsPerMillisecond = 1_000;
-const leaseMilliseconds = 3_000;
-/** Of nine submissions one finds room: what callers do while a pool is short. */
-const refusedPerAccepted = 8;
+/** About a turn of demand at the size that the others are compared with. */
+const base: HomeSize = { jobsPerSecond: 30, targets: 55, waitingJobs: 0, refusedPerSecond: 0, endedJobs: 0 };
+/** A turn of demand of a grown deployment. */
+const turn: HomeSize = {
+  jobsPerSecond: 120,
+  targets: 55,
+  waitingJobs: 40,
+  refusedPerSecond: 120,
+  endedJobs: 2_000,
+};
+
+interface Series {
+  readonly name: string;
+  readonly per: string;
+  readonly sizes: readonly HomeSize[];
+  readonly sizeOf: (size: HomeSize) => number;
+}
+
+const tasksPerSecond = ({ jobsPerSecond }: HomeSize): number => jobsPerSecond * tasksPerJob;
 
-const terms: QueueTerms = {
-  queue: "quotes",
-  pool,
-  priority: 0,
-  attempts: 2,
-  slackFactor: 1.6,
-  objectiveMilliseconds: 600,
-  needsAdvice: false,
+const taskSeries: Series = {
+  name: "by tasks a second",
+  per: "task/s",
+  sizes: [30, 60, 120].map((jobsPerSecond) => ({ ...base, jobsPerSecond })),
+  sizeOf: tasksPerSecond,
 };
+const otherSeries: readonly Series[] = [
+  {
+    name: "by targets",
+    per: "target",
+    sizes: [10, 55, 200].map((targets) => ({ ...base, targets })),
+    sizeOf: ({ targets }) => targets,
+  },
+  {
+    name: "by jobs that wait",
+    per: "job",
+    sizes: [0, 50, 200].map((waitingJobs) => ({ ...base, waitingJobs })),
+    sizeOf: ({ waitingJobs }) => waitingJobs,
+  },
+  {
+    name: "by jobs that have ended",
+    per: "job",
+    sizes: [0, 2_000, 8_000].map((endedJobs) => ({ ...base, endedJobs })),
+    sizeOf: ({ endedJobs }) => endedJobs,
+  },
+  {
+    name: "by refused submissions a second",
+    per: "submission/s",
+    sizes: [0, 120, 480].map((refusedPerSecond) => ({ ...base, refusedPerSecond })),
+    sizeOf: ({ refusedPerSecond }) => refusedPerSecond,
+  },
+];
+/** What an entry may take for control, and what the machines of deployments give one process; in cores. */
+const bounds = [0.044, 0.324, 0.675, 1.35] as const;
+/** Of so many runs the cheapest counts: what else runs on the machine only adds to it. */
+const repeats = 2;
+const microsecondsPerMillisecond = 1_000;
 
 /** Measures one home in this process; stand-ins that cost little are part of it. */
 export const jobPathMeasure: Measure = {
   name: "jobs",
-  description: "one home without HTTP: processor time for each task, from acceptance to start",
+  description:
+    "one home without HTTP: slopes of its processor time, which part takes it, where it no longer fits",
   run: async () => {
-    const figures: Figure[] = [];
-    for (const { jobsPerSecond, targets } of sizes) {
-      const label = `${jobsPerSecond} jobs/s, ${targets} targets`;
-      figures.push(...(await measureHome(jobsPerSecond, targets, 0, label)));
-    }
-    const [{ jobsPerSecond, targets }] = sizes;
-    const label = `${jobsPerSecond} jobs/s and ${refusedPerAccepted} times as many refused`;
-    figures.push(...(await measureHome(jobsPerSecond, targets, refusedPerAccepted, label)));
+    const warmUp = { ...base, targets: 10 };
+    await measureHome(warmUp, false);
+    const figures = describeTurn(await measureHome(turn, false), await measureHome(turn, true));
+    const byTasks = await measureSeries(taskSeries);
+    figures.push(...byTasks.figures, ...describeBounds(byTasks.points));
+    for (const series of otherSeries) figures.push(...(await measureSeries(series)).figures);
     return figures;
   },
 };
 
-async function measureHome(
-  jobsPerSecond: number,
-  targetCount: number,
-  refused: number,
-  label: string,
-): Promise<Figure[]> {
-  const engine = createStoreEngine();
-  const store = new MemoryStoreClient(engine, createStoreFaults());
-  const log = createLog("silent");
-  const self = { entryId: "a", incarnation: 1, peerAddress: "127.0.0.1:1", zone: "zone" };
-  const session = openEntrySession({ store, self, log, leaseMilliseconds });
-  const { listed, orders, startedAt } = createMeasuredTargets(
-    pool,
-    targetCount,
-    coresPerTarget,
-    runMilliseconds,
-  );
-  const keeper = new HomeKeeper({
-    entryId: "a",
-    store,
-    session,
-    directory: { entries: () => ["a"], homes: () => new Map(), ageMilliseconds: () => 0 },
-    pools: () => [pool],
-    listedTargets: () => listed,
-    orders,
-    advice: undefined,
-    log,
-    metrics: createMetrics(),
-    runLeaseMilliseconds: 5_000,
-    retentionMilliseconds: 120_000,
-  });
-  void keeper.run();
-  while (keeper.home(pool) === undefined) await delay(10);
-  const home = keeper.home(pool);
-  if (home === undefined) throw new Error("the pool has no home");
-  await delay(300);
-  await play(home, jobsPerSecond, refused, warmUpSeconds, "warm");
-  const before = process.cpuUsage();
-  const acceptedAt = await play(home, jobsPerSecond, refused, seconds, "job");
-  const used = process.cpuUsage(before);
-  await delay(2_000);
-  await keeper.close();
-  await session.close();
-  engine.close();
-  const tasks = jobsPerSecond * seconds * tasksPerStep * 2;
-  const waits = build({ numberOfSignificantValueDigits: 3 });
-  for (const [jobId, at] of acceptedAt) {
-    const first = startedAt.get(`${jobId}.0.0.0`);
-    if (first !== undefined) waits.recordValue(Math.max(0, (first - at) * microsecondsPerMillisecond));
+async function measureSeries(series: Series): Promise<{ figures: Figure[]; points: Point[] }> {
+  const costs = series.sizes.map(() => Number.POSITIVE_INFINITY);
+  for (let repeat = 0; repeat < repeats; repeat += 1) {
+    for (const [index, size] of series.sizes.entries()) {
+      const { shareOfCore } = await measureHome(size, false);
+      costs[index] = Math.min(costs[index] ?? Number.POSITIVE_INFINITY, shareOfCore);
+    }
   }
-  const toMilliseconds = (value: number): number => value / microsecondsPerMillisecond;
-  return [
-    { name: `${label}: processor time for each task`, value: (used.user + used.system) / tasks, unit: "µs" },
-    { name: `${label}: share of a core`, value: (used.user + used.system) / (seconds * 1e6), unit: "share" },
-    {
-      name: `${label}: acceptance to start, p50`,
-      value: toMilliseconds(waits.getValueAtPercentile(50)),
-      unit: "ms",
-    },
-    {
-      name: `${label}: acceptance to start, p99`,
-      value: toMilliseconds(waits.getValueAtPercentile(99)),
-      unit: "ms",
-    },
-  ];
+  const points = series.sizes.map((size, index) => ({ size: series.sizeOf(size), cost: costs[index] ?? 0 }));
+  const { name, per } = series;
+  return { figures: describeSeries({ name, unit: "of a core", per }, points), points };
 }
 
-/** Hands jobs in evenly; returns when each was accepted. */
-async function play(
-  home: JobHome,
-  jobsPerSecond: number,
-  refused: number,
-  length: number,
-  prefix: string,
-): Promise<Map<string, number>> {
-  const acceptedAt = new Map<string, number>();
-  const startedAt = performance.now();
-  const submit = async (submission: JobSubmission): Promise<void> => {
-    const outcome = await home.submit(submission);
-    if (outcome.kind === "accepted") acceptedAt.set(submission.jobId, performance.now());
-  };
-  for (let index = 0; index < jobsPerSecond * length; index += 1) {
-    const wait = startedAt + (index * 1_000) / jobsPerSecond - performance.now();
-    if (wait > 0) await delay(wait);
-    void submit(describeJob(`${prefix}-${index}`, tasksPerStep));
-    for (let other = 0; other < refused; other += 1) {
-      void submit(describeJob(`${prefix}-${index}-refused-${other}`, 5_000));
-    }
-  }
-  return acceptedAt;
+function describeTurn(cost: HomeCost, sampled: HomeCost): Figure[] {
+  const { jobsPerSecond, targets, waitingJobs, refusedPerSecond, endedJobs } = turn;
+  const load = `${jobsPerSecond} jobs/s, ${refusedPerSecond} refused/s`;
+  const name = `turn (${load}; ${waitingJobs} wait, ${endedJobs} ended, ${targets} targets)`;
+  const waits = build({ numberOfSignificantValueDigits: 3 });
+  for (const wait of cost.waits) waits.recordValue(wait * microsecondsPerMillisecond);
+  const wait = (percentile: number): number =>
+    waits.getValueAtPercentile(percentile) / microsecondsPerMillisecond;
+  const parts = [...(sampled.parts ?? [])].sort(([, left], [, right]) => right - left);
+  return [
+    { name, value: cost.shareOfCore, unit: "of a core" },
+    { name: `${name}: for each task`, value: cost.microsecondsPerTask, unit: "µs" },
+    { name: `${name}: acceptance to start, p50`, value: wait(50), unit: "ms" },
+    { name: `${name}: acceptance to start, p99`, value: wait(99), unit: "ms" },
+    ...parts.map(([part, value]) => ({ name: `turn, share of ${part}`, value, unit: "share" })),
+  ];
 }
 
-function describeJob(jobId: string, taskCount: number): JobSubmission {
-  const step: StepDefinition = {
-    taskCount,
-    resources: { cpuMillicores: 1_800, memoryMegabytes: 500, accelerators: 0 },
-    estimateMilliseconds: runMilliseconds,
-    after: [],
-    isCheckpointed: false,
-    isGang: false,
-    prefersOneRack: false,
-    allowsCopies: false,
-    isLasting: false,
-    isFiller: false,
-  };
-  const definition = { spec: "spec", steps: [step, { ...step, after: [0] }] };
-  return { jobId, terms, definition, deadlineMilliseconds: 3_000 };
+/** At which rate of tasks a home takes all that it may; below the smallest measured size it never fits. */
+function describeBounds(points: readonly Point[]): Figure[] {
+  const { slope, intercept } = fitLine(points);
+  return bounds.map((cores) => ({
+    name: `tasks a second that fit ${cores} of a core`,
+    value: Math.max(0, (cores - intercept) / slope),
+    unit: "tasks/s",
+  }));
 }
--- /dev/null
+++ b/src/measures/job-path/measured-home.ts
@@ -0,0 +1,121 @@
+/**
+ * One home in this process, over stand-ins that cost little.
+ * @packageDocumentation
+ */
+import { HomeKeeper, openEntrySession, type JobHome } from "../../job-homes/index.js";
+import { delay } from "../../shared/index.js";
+import { createStoreEngine, createStoreFaults, MemoryStoreClient } from "../../stand-ins/store/index.js";
+import { createLog, createMetrics } from "../../telemetry/index.js";
+import { coresPerTask, measuredPool, runMilliseconds, type HomeLoad } from "./load.js";
+import { addWaitingJobs, playLoad, storeEndedJobs, tasksPerJob } from "./load.js";
+import { sampleParts, type PartShares } from "./parts.js";
+import { createMeasuredTargets, type MeasuredTargets } from "./targets.js";
+
+/** What a home is measured with. */
+export interface HomeSize extends HomeLoad {
+  readonly targets: number;
+  /** Open jobs that find no place meanwhile. */
+  readonly waitingJobs: number;
+  /** Jobs that have ended and are still answered for. */
+  readonly endedJobs: number;
+}
+
+/** What a home took. */
+export interface HomeCost {
+  /** Of user and system, those of the stand-ins included. */
+  readonly shareOfCore: number;
+  readonly microsecondsPerTask: number;
+  /** From acceptance to a job's first start, in milliseconds. */
+  readonly waits: readonly number[];
+  /** Which parts took it; undefined when that was not sampled. */
+  readonly parts: PartShares | undefined;
+}
+
+const seconds = 3;
+const warmUpSeconds = 1;
+const settleMilliseconds = 300;
+const pollMilliseconds = 10;
+const leaseMilliseconds = 3_000;
+const runLeaseMilliseconds = 5_000;
+const retentionMilliseconds = 120_000;
+/** Room of the pool in relation to what its jobs take. */
+const spareFactor = 1.4;
+const smallestPoolCores = 320;
+const microsecondsPerSecond = 1e6;
+
+/**
+ * Measures a home in this process.
+ * @param size - its load
+ * @param isSampled - whether to sample which part takes the time
+ * @returns its processor time
+ */
+export async function measureHome(size: HomeSize, isSampled: boolean): Promise<HomeCost> {
+  const targets = createMeasuredTargets(measuredPool, size.targets, chooseCores(size), runMilliseconds);
+  const { home, close } = await startHome(targets, size.endedJobs);
+  await addWaitingJobs(home, size.waitingJobs);
+  await playLoad(home, size, warmUpSeconds, "warm");
+  const measure = async (): Promise<{ used: NodeJS.CpuUsage; acceptedAt: Map<string, number> }> => {
+    const before = process.cpuUsage();
+    const acceptedAt = await playLoad(home, size, seconds, "job");
+    return { used: process.cpuUsage(before), acceptedAt };
+  };
+  const { value, shares } = isSampled
+    ? await sampleParts(measure)
+    : { value: await measure(), shares: undefined };
+  await delay(2 * runMilliseconds);
+  await close();
+  const microseconds = value.used.user + value.used.system;
+  const waits = [...value.acceptedAt].flatMap(([jobId, at]) => {
+    const first = targets.startedAt.get(`${jobId}.0.0.0`);
+    return first === undefined ? [] : [Math.max(0, first - at)];
+  });
+  return {
+    shareOfCore: microseconds / (seconds * microsecondsPerSecond),
+    microsecondsPerTask: microseconds / (size.jobsPerSecond * seconds * tasksPerJob),
+    waits,
+    parts: shares,
+  };
+}
+
+function chooseCores({ jobsPerSecond, targets }: HomeSize): number {
+  const busyCores = (jobsPerSecond * tasksPerJob * coresPerTask * runMilliseconds) / 1_000;
+  return Math.ceil(Math.max(smallestPoolCores, busyCores * spareFactor) / targets);
+}
+
+async function startHome(
+  { listed, orders }: MeasuredTargets,
+  endedJobs: number,
+): Promise<{ home: JobHome; close: () => Promise<void> }> {
+  const engine = createStoreEngine();
+  const store = new MemoryStoreClient(engine, createStoreFaults());
+  await storeEndedJobs(store, endedJobs);
+  // Lines are written as in a running entry, and thrown away.
+  const log = createLog("info", () => undefined);
+  const self = { entryId: "a", incarnation: 1, peerAddress: "127.0.0.1:1", zone: "zone" };
+  const session = openEntrySession({ store, self, log, leaseMilliseconds });
+  const keeper = new HomeKeeper({
+    entryId: "a",
+    store,
+    session,
+    directory: { entries: () => ["a"], homes: () => new Map(), ageMilliseconds: () => 0 },
+    pools: () => [measuredPool],
+    listedTargets: () => listed,
+    orders,
+    advice: undefined,
+    log,
+    metrics: createMetrics(),
+    runLeaseMilliseconds,
+    retentionMilliseconds,
+  });
+  void keeper.run();
+  while (keeper.home(measuredPool) === undefined) await delay(pollMilliseconds);
+  const home = keeper.home(measuredPool);
+  if (home === undefined) throw new Error("the pool has no home");
+  await delay(settleMilliseconds);
+  const close = async (): Promise<void> => {
+    await keeper.close();
+    await session.close();
+    engine.close();
+  };
+  return { home, close };
+}
--- /dev/null
+++ b/src/measures/job-path/parts.ts
@@ -0,0 +1,85 @@
+/**
+ * Which part of a home takes the processor time: samples of the running process, by the innermost frame that belongs to
+ * a part.
+ * @packageDocumentation
+ */
+import { Session, type Profiler } from "node:inspector";
+
+/** Shares of the busy processor time by part; they add up to 1. */
+export type PartShares = ReadonlyMap<string, number>;
+
+const parts: readonly (readonly [part: string, files: RegExp])[] = [
+  ["callers and targets of the measurement", /\/measures\/|\/stand-ins\//],
+  [
+    "submission and forecast",
+    /\/(home-forecast|forecast|forecast-margin|admission|demand|first-requests)\.ts$/,
+  ],
+  ["load of the pool", /\/pool-report\.ts$/],
+  ["rounds of placing", /\/(dispatcher|dispatch-round|placement|job-rank|lasting-moves|target-room)\.ts$/],
+  ["starts and stops", /\/(start-orders|stopper|unsettled-starts)\.ts$/],
+  ["reports", /\/(run-ends|home-targets|job-progress)\.ts$/],
+  ["sessions", /\/target-session\.ts$/],
+  ["journal", /\/(home-journal|entry-session)\.ts$/],
+  ["log and metrics", /\/telemetry\/|\/consola\/|hdr-histogram/],
+  ["ticks and submissions", /\/job-home\.ts$/],
+];
+const sampleMicroseconds = 500;
+const garbage = "collection of garbage";
+const other = "other";
+const notBusy: ReadonlySet<string> = new Set(["(idle)", "(root)"]);
+
+/**
+ * Runs work and samples what the process does meanwhile, which costs some processor time itself.
+ * @param work - the work
+ * @returns what it returned, and the shares of the busy time
+ */
+export async function sampleParts<Value>(
+  work: () => Promise<Value>,
+): Promise<{ value: Value; shares: PartShares }> {
+  const session = new Session();
+  session.connect();
+  session.post("Profiler.enable");
+  session.post("Profiler.setSamplingInterval", { interval: sampleMicroseconds });
+  session.post("Profiler.start");
+  const value = await work();
+  const profile = await new Promise<Profiler.Profile>((resolve, reject) => {
+    session.post("Profiler.stop", (error, found) => {
+      if (error === null) resolve(found.profile);
+      else reject(error);
+    });
+  });
+  session.disconnect();
+  return { value, shares: countShares(profile) };
+}
+
+function countShares({ nodes, samples = [] }: Profiler.Profile): PartShares {
+  const byId = new Map(nodes.map((node) => [node.id, node] as const));
+  const parents = new Map(
+    nodes.flatMap(({ id, children = [] }) => children.map((child) => [child, id] as const)),
+  );
+  const counts = new Map<string, number>();
+  let busy = 0;
+  for (const sample of samples) {
+    if (notBusy.has(byId.get(sample)?.callFrame.functionName ?? "")) continue;
+    const part = findPart(sample, byId, parents);
+    counts.set(part, (counts.get(part) ?? 0) + 1);
+    busy += 1;
+  }
+  return new Map([...counts].map(([part, count]) => [part, count / busy] as const));
+}
+
+function findPart(
+  sample: number,
+  byId: ReadonlyMap<number, Profiler.ProfileNode>,
+  parents: ReadonlyMap<number, number>,
+): string {
+  if (byId.get(sample)?.callFrame.functionName === "(garbage collector)") return garbage;
+  let id: number | undefined = sample;
+  while (id !== undefined) {
+    const url = byId.get(id)?.callFrame.url ?? "";
+    const found = parts.find(([, files]) => files.test(url));
+    if (found !== undefined) return found[0];
+    id = parents.get(id);
+  }
+  return other;
+}
