--- /dev/null
+++ b/src/job-homes/test/home-cost.test.ts
@@ -0,0 +1,170 @@
+/**
+ * What one more job, task or piece of news costs a home, counted and not timed: it must not grow with what the home
+ * already holds.
+ * @packageDocumentation
+ */
+import { afterEach, expect, test } from "vitest";
+import type { Job, ProgressRecord, StepDefinition } from "../../jobs/index.js";
+import { createLog, createMetrics } from "../../telemetry/index.js";
+import { MemoryStoreClient, createStoreEngine, createStoreFaults } from "../../stand-ins/index.js";
+import type { HomeJournal } from "../home-journal.js";
+import { addJob, createHomeState, type HomeState } from "../home-state.js";
+import { JobHome } from "../job-home.js";
+import { createStep, pool, submission, terms } from "./home-fixture.js";
+
+let home: JobHome | undefined;
+afterEach(() => {
+  home?.close();
+});
+
+/** A journal that stores everything at once. */
+const journal: HomeJournal = {
+  write: () => ({ result: Promise.resolve("stored"), withdraw: () => undefined }),
+  waiting: () => 0,
+  flush: async () => Promise.resolve(),
+  close: () => undefined,
+};
+
+interface Counted {
+  readonly home: JobHome;
+  readonly state: HomeState;
+  /** How often a learned run time was looked up: for each job that is ranked, forecast or counted as load. */
+  lookUps(): number;
+}
+
+/** A home without targets that counts what it looks at. */
+function createCountedHome(isActive: () => boolean = () => true): Counted {
+  const unused = async (): Promise<never> => Promise.reject(new Error("no orders are given here"));
+  const created = createHomeState({
+    pool,
+    fencingToken: 1,
+    firstRun: 1,
+    orders: { start: unused, stop: unused, pace: unused, renew: unused },
+    journal,
+    log: createLog("silent"),
+    metrics: createMetrics(),
+    isActive,
+    supersede: () => undefined,
+  });
+  let lookUps = 0;
+  const runTimes = {
+    learn: () => undefined,
+    ratio: () => {
+      lookUps += 1;
+      return 1;
+    },
+  };
+  const state = { ...created, runTimes };
+  const store = new MemoryStoreClient(createStoreEngine(), createStoreFaults());
+  home = new JobHome({ state, store, advice: undefined, retentionMilliseconds: 60_000 });
+  return { home, state, lookUps: () => lookUps };
+}
+
+function addJobs(state: HomeState, count: number, progress?: ProgressRecord): Job[] {
+  const now = Date.now();
+  return Array.from({ length: count }, (_, index) => {
+    const definition = { spec: "", steps: [createStep()] };
+    const record = { jobId: `known-${index}`, terms, definition, acceptedAt: now, requestedAt: now };
+    return addJob(state, record, progress, now, false);
+  });
+}
+
+async function wait(milliseconds: number): Promise<void> {
+  await new Promise((resolve) => setTimeout(resolve, milliseconds));
+}
+
+const openJobs = 400;
+const submissions = 50;
+/** A shared plan may run out of its time once or twice on a slow machine. */
+const sharedLooks = 5 * openJobs;
+
+test("refused submissions do not each look at every open job", async () => {
+  const counted = createCountedHome();
+  addJobs(counted.state, openJobs);
+  for (let index = 0; index < submissions; index += 1) {
+    const outcome = await counted.home.submit(submission(`refused-${index}`, createStep()));
+    expect(outcome.kind).toBe("refused");
+  }
+  expect(counted.lookUps()).toBeLessThan(sharedLooks);
+});
+
+test("accepted jobs do not each let the next caller plan the room of every open job again", async () => {
+  const counted = createCountedHome();
+  addJobs(counted.state, openJobs);
+  const room = { cpuMillicores: 1_000_000, memoryMegabytes: 1_000_000, accelerators: 0 };
+  counted.state.expectedRoom = [{ resources: room, at: performance.now() }];
+  for (let index = 0; index < submissions; index += 1) {
+    const outcome = await counted.home.submit(submission(`accepted-${index}`, createStep()));
+    expect(outcome.kind).toBe("accepted");
+  }
+  expect(counted.lookUps()).toBeLessThan(sharedLooks);
+});
+
+test("accepted jobs take room from the plan that later callers share", async () => {
+  const counted = createCountedHome();
+  const room = { cpuMillicores: 10_000, memoryMegabytes: 10_000, accelerators: 0 };
+  counted.state.expectedRoom = [{ resources: room, at: performance.now() }];
+  const step: StepDefinition = createStep({ taskCount: 4, estimateMilliseconds: 4_000 });
+  const kinds: string[] = [];
+  for (let index = 0; index < 6; index += 1) {
+    const outcome = await counted.home.submit({
+      ...submission(`job-${index}`, step),
+      terms: { ...terms, slackFactor: 1, objectiveMilliseconds: 1_000 },
+    });
+    kinds.push(outcome.kind);
+  }
+  // Nine tenths of ten cores hold two jobs of four tasks at once, and the next would be late.
+  expect(kinds).toEqual(["accepted", "accepted", "refused", "refused", "refused", "refused"]);
+});
+
+test("jobs that have ended are not looked at in every round and tick", async () => {
+  const counted = createCountedHome();
+  const ended: ProgressRecord = { finalState: "complete", endedAt: Date.now(), succeeded: [], failures: {} };
+  const jobs = addJobs(counted.state, 200, ended);
+  let reads = 0;
+  for (const job of jobs) {
+    Object.defineProperty(job, "finalState", {
+      get: () => {
+        reads += 1;
+        return "complete";
+      },
+    });
+  }
+  counted.home.start();
+  await wait(50);
+  reads = 0;
+  for (let news = 0; news < 20; news += 1) {
+    counted.state.wake();
+    await wait(20);
+  }
+  expect(reads).toBeLessThan(jobs.length);
+});
+
+test("jobs that have ended are forgotten after their time", async () => {
+  const counted = createCountedHome();
+  const endedAt = Date.now() - 120_000;
+  addJobs(counted.state, 20, { finalState: "complete", endedAt, succeeded: [], failures: {} });
+  counted.home.start();
+  await wait(250);
+  expect(counted.state.jobs.size).toBe(0);
+});
+
+test("rounds that take long are not held as often as news comes", async () => {
+  let rounds = 0;
+  const roundMilliseconds = 10;
+  const counted = createCountedHome(() => {
+    rounds += 1;
+    const end = performance.now() + roundMilliseconds;
+    while (performance.now() < end);
+    return true;
+  });
+  counted.home.start();
+  const news = setInterval(() => {
+    counted.state.wake();
+  }, 1);
+  await wait(1_200);
+  clearInterval(news);
+  // Each also counts the stops that a tick asks for, ten a second.
+  const busyShare = (rounds * roundMilliseconds) / 1_200;
+  expect(busyShare).toBeLessThan(0.4);
+});
