Jobs that have ended are kept apart from those that are worked on

Every round of placing, every plan of the room, every refusal and ten ticks a second walked all jobs of the last two minutes, most of which have ended. Open jobs now have a map of their own; ended ones wait for the end of their time in the order of their ends, of which a tick looks at the first.

--- a/src/job-homes/dispatcher.ts
+++ b/src/job-homes/dispatcher.ts
@@ -29,7 +29,9 @@
   if (!state.isActive()) return;
   const now = performance.now();
   const views = [...state.targets.values()].filter((target) => isUsable(target, now)).map(viewTarget);
-  const ranked = [...state.jobs.values()].filter(isOpen).map((job) => rankJob(state, job));
+  const ranked = [...state.openJobs.values()]
+    .filter(({ isEnding }) => !isEnding)
+    .map((job) => rankJob(state, job));
   ranked.sort((left, right) => compareJobs(left, right, now));
   state.unplacedLastingTasks = moveLastingTasks(state, ranked, views);
   for (const { job } of ranked) {
@@ -38,10 +40,6 @@
   }
 }
 
-function isOpen(job: Job): boolean {
-  return job.finalState === undefined && !job.isEnding;
-}
-
 function isUsable(target: HomeTarget, now: number): boolean {
   const { session } = target;
   return (
--- a/src/job-homes/home-forecast.ts
+++ b/src/job-homes/home-forecast.ts
@@ -89,7 +89,7 @@
 }
 
 function readOpenJobs(state: HomeState, now: number): ForecastJob[] {
-  const open = [...state.jobs.values()].filter((job) => job.finalState === undefined && !job.isEnding);
+  const open = [...state.openJobs.values()].filter(({ isEnding }) => !isEnding);
   const ranked = open.map((job) => rankJob(state, job)).filter(({ isLasting }) => !isLasting);
   ranked.sort((left, right) => compareJobs(left, right, now));
   return ranked.flatMap(({ job }) =>
--- a/src/job-homes/home-state.ts
+++ b/src/job-homes/home-state.ts
@@ -89,7 +89,12 @@
   readonly runTimes: RunTimeRatios;
   /** Work that callers ask for, accepted or not. */
   readonly demand: WorkRate;
+  /** All jobs that are answered for. */
   readonly jobs: Map<string, Job>;
+  /** Those of them that have not ended, by name. */
+  readonly openJobs: Map<string, Job>;
+  /** Those that have, in the order of their ends. */
+  readonly endedJobs: Set<Job>;
   /** Ends of jobs that are being stored, by job. */
   readonly endings: Map<string, Promise<boolean>>;
   /** Tasks of jobs that go on, by name. */
@@ -139,6 +144,8 @@
     demand: createDemandForecast(),
     forecastMargin: createForecastMargin(),
     jobs: new Map(),
+    openJobs: new Map(),
+    endedJobs: new Set(),
     endings: new Map(),
     tasks: new Map(),
     targets: new Map(),
@@ -165,7 +172,9 @@
   records: readonly JobRecord[],
   progress: ReadonlyMap<string, ProgressRecord>,
 ): void {
-  for (const record of records) addJob(state, record, progress.get(record.jobId), Date.now(), true);
+  const endedAt = ({ jobId }: JobRecord): number => progress.get(jobId)?.endedAt ?? 0;
+  const byEnd = [...records].sort((left, right) => endedAt(left) - endedAt(right));
+  for (const record of byEnd) addJob(state, record, progress.get(record.jobId), Date.now(), true);
 }
 
 /**
@@ -188,10 +197,36 @@
   const job = createJob(record, progress, performance.now() - age, isInherited);
   state.roomPlan = undefined;
   state.jobs.set(job.id, job);
-  if (job.finalState === undefined) openDue(state, job, unixMilliseconds, progress);
+  if (job.finalState !== undefined) {
+    state.endedJobs.add(job);
+    return job;
+  }
+  state.openJobs.set(job.id, job);
+  openDue(state, job, unixMilliseconds, progress);
   return job;
 }
 
+/**
+ * Takes a job out of those that are worked on; it is still answered for.
+ * @param state - the home
+ * @param job - the job, whose end is stored
+ */
+export function retireJob(state: HomeState, job: Job): void {
+  state.openJobs.delete(job.id);
+  state.endedJobs.add(job);
+  dropTasks(state, job);
+}
+
+/**
+ * Forgets a job that has ended.
+ * @param state - the home
+ * @param job - the job
+ */
+export function forgetJob(state: HomeState, job: Job): void {
+  state.jobs.delete(job.id);
+  state.endedJobs.delete(job);
+}
+
 /**
  * Creates the tasks of occurrences that have become due.
  * @param state - the home
@@ -211,12 +246,8 @@
   for (const task of allTasks(job)) state.tasks.set(task.name, task);
 }
 
-/**
- * Drops the tasks of a job that has ended; runs that are still present stay with their targets.
- * @param state - the home
- * @param job - the job
- */
-export function dropTasks(state: HomeState, job: Job): void {
+/** Drops the tasks of a job that has ended; runs that are still present stay with their targets. */
+function dropTasks(state: HomeState, job: Job): void {
   for (const task of allTasks(job)) {
     if (task.runs.length === 0) state.tasks.delete(task.name);
   }
--- a/src/job-homes/job-home.ts
+++ b/src/job-homes/job-home.ts
@@ -17,7 +17,7 @@
 import { dispatch } from "./dispatcher.js";
 import { createFirstRequests } from "./first-requests.js";
 import { forecastJob, type HomeForecast } from "./home-forecast.js";
-import { addJob, openDue, type HomeState, type HomeTarget } from "./home-state.js";
+import { addJob, forgetJob, openDue, type HomeState, type HomeTarget } from "./home-state.js";
 import { readLoad, reportPool, type PoolReport } from "./pool-report.js";
 import type { CancelOutcome, JobSubmission, StateOutcome, SubmitOutcome } from "./job-outcomes.js";
 import { endJob, hasEnded, storeProgress } from "./job-progress.js";
@@ -119,8 +119,8 @@
    * @returns how many there are
    */
   countPending(queue: string): number {
-    const jobs = [...this.#state.jobs.values()];
-    return jobs.filter((job) => job.record.terms.queue === queue && isPending(job)).length;
+    const jobs = [...this.#state.openJobs.values()];
+    return jobs.filter(({ record, hasStarted }) => record.terms.queue === queue && !hasStarted).length;
   }
 
   /**
@@ -152,8 +152,8 @@
   start(): void {
     this.#isStarted = true;
     // Work that was done before the takeover may have been all that was left.
-    for (const job of this.#state.jobs.values()) {
-      if (job.finalState === undefined && hasEnded(job)) void storeProgress(this.#state, job);
+    for (const job of this.#state.openJobs.values()) {
+      if (hasEnded(job)) void storeProgress(this.#state, job);
     }
     void this.#run();
   }
@@ -190,17 +190,22 @@
   #tick(): void {
     const now = performance.now();
     const unixNow = Date.now();
-    for (const job of this.#state.jobs.values()) {
-      if (job.finalState === undefined) openDue(this.#state, job, unixNow);
-      else if (unixNow - (job.endedAt ?? unixNow) > this.#options.retentionMilliseconds)
-        forget(this.#state, job);
-    }
+    for (const job of this.#state.openJobs.values()) openDue(this.#state, job, unixNow);
+    this.#forgetEnded(unixNow);
     // Whoever asked for emptied targets asks again while it needs them.
     if (now - this.#vacatedAt > vacateMilliseconds) this.vacate([]);
     stopUnwanted(this.#state);
     this.#wake();
   }
 
+  #forgetEnded(unixNow: number): void {
+    for (const job of this.#state.endedJobs) {
+      // The others have ended later.
+      if (unixNow - (job.endedAt ?? unixNow) <= this.#options.retentionMilliseconds) return;
+      forget(this.#state, job);
+    }
+  }
+
   async #accept(submission: JobSubmission): Promise<SubmitOutcome> {
     const { jobId, terms, definition, deadlineMilliseconds } = submission;
     const now = performance.now();
@@ -281,12 +286,8 @@
   return value === undefined ? undefined : Math.round(value);
 }
 
-function isPending(job: Job): boolean {
-  return job.finalState === undefined && !job.hasStarted;
-}
-
 function forget(state: HomeState, job: Job): void {
-  state.jobs.delete(job.id);
+  forgetJob(state, job);
   state.journal.write(`${jobPrefix}${job.id}`, undefined, { urgency: "soon" });
   state.journal.write(`${progressPrefix}${job.id}`, undefined, { urgency: "soon" });
 }
--- a/src/job-homes/job-progress.ts
+++ b/src/job-homes/job-progress.ts
@@ -3,7 +3,7 @@
  * @packageDocumentation
  */
 import { allTasks, encodeProgress, isWorkDone, progressPrefix, type Job } from "../jobs/index.js";
-import { dropTasks, type HomeState } from "./home-state.js";
+import { retireJob, type HomeState } from "./home-state.js";
 
 /**
  * Stores a job's progress, and its end once all work is done or an attempt too many has failed.
@@ -90,7 +90,7 @@
   job.finalState = finalState;
   job.endedAt = endedAt;
   noteEnd(state, job, finalState);
-  dropTasks(state, job);
+  retireJob(state, job);
   state.wake();
   return true;
 }
--- a/src/job-homes/pool-report.ts
+++ b/src/job-homes/pool-report.ts
@@ -55,8 +55,7 @@
  */
 export function readLoad(state: HomeState): PoolLoad {
   const load = { backlogCoreSeconds: 0, waitingCores: 0 };
-  for (const job of state.jobs.values()) {
-    if (job.finalState !== undefined) continue;
+  for (const job of state.openJobs.values()) {
     const ratio = state.runTimes.ratio(job.record.terms.queue);
     for (const occurrence of job.occurrences.values()) {
       for (const step of occurrence.steps.keys()) {
