How late a process's timers run, and how much of its link it uses

A probe with one timer records its lateness, and writes one process-load line for each window of three seconds in which a timer ran more than 100 ms late: the maximum and the tail, the share of a processor, the bytes exchanged and the orders without an answer. Bytes count by whom they are exchanged with; peers' are read from their links. Metrics give out series that are found once, and take numbers from whoever keeps them.

--- a/src/membership/frame-codec.ts
+++ b/src/membership/frame-codec.ts
@@ -8,6 +8,15 @@
 import { parseWith } from "../shared/index.js";
 import { frameSchema, type Frame } from "./messages.js";
 
+/**
+ * Tells the size of a frame as it arrived.
+ * @param data - bytes from the connection
+ * @returns their number
+ */
+export function sizeOf(data: WebSocket.RawData): number {
+  return Array.isArray(data) ? data.reduce((sum, part) => sum + part.length, 0) : data.byteLength;
+}
+
 /**
  * Decodes a frame.
  * @param data - bytes from the connection
--- a/src/membership/peer-link.ts
+++ b/src/membership/peer-link.ts
@@ -6,7 +6,7 @@
 import { pack } from "msgpackr";
 import WebSocket from "ws";
 import { delay, parseWith } from "../shared/index.js";
-import { decodeFrame } from "./frame-codec.js";
+import { decodeFrame, sizeOf } from "./frame-codec.js";
 import type { Frame, PeerCall } from "./messages.js";
 import { createPendingCalls, type PendingCalls } from "./pending-calls.js";
 import { createSilenceClock } from "./silence-clock.js";
@@ -34,6 +34,8 @@
   heardAt(): number;
   /** Bytes of all frames sent so far. */
   bytesSent(): number;
+  /** Bytes of all frames received so far. */
+  bytesReceived(): number;
   /** Calls the peer. */
   call<Request, Reply>(
     definition: PeerCall<Request, Reply>,
@@ -92,6 +94,7 @@
   #state: PeerState = "connecting";
   #heardAt = 0;
   #bytesSent = 0;
+  #bytesReceived = 0;
 
   constructor(options: PeerLinkOptions) {
     this.peerId = options.peerId;
@@ -112,6 +115,10 @@
     return this.#bytesSent;
   }
 
+  bytesReceived(): number {
+    return this.#bytesReceived;
+  }
+
   async call<Request, Reply>(
     definition: PeerCall<Request, Reply>,
     request: Request,
@@ -175,6 +182,7 @@
   }
 
   #receive(socket: WebSocket, data: WebSocket.RawData): void {
+    this.#bytesReceived += sizeOf(data) + frameOverheadBytes;
     const decoded = decodeFrame(data);
     decoded.ifRight((frame) => {
       if (frame.kind === "heartbeat") this.#takeHeartbeat(socket, frame);
--- a/src/membership/peer-links.ts
+++ b/src/membership/peer-links.ts
@@ -40,6 +40,7 @@
     timeoutMilliseconds: number,
   ): Promise<Either<PeerFailure, Reply>>;
   bytesSent(): number;
+  bytesReceived(): number;
   close(): void;
 }
 
@@ -63,7 +64,7 @@
   const links = new Map<string, OpenLink>();
   let known = new Map<string, RosterRecord>();
   let chosen = new Set<string>();
-  let droppedBytes = 0;
+  const bytes = countBytes(links);
   let isClosed = false;
 
   const open = (record: RosterRecord): OpenLink => {
@@ -88,7 +89,7 @@
     const dropped = links.get(peerId);
     links.delete(peerId);
     if (dropped === undefined) return;
-    droppedBytes += dropped.link.bytesSent();
+    bytes.keep(dropped.link);
     dropped.link.close();
     handlers.onDropped(peerId);
   };
@@ -136,7 +137,7 @@
       const left = await waitUntilUp(opened.link, timeoutMilliseconds);
       return opened.link.call(definition, request, left);
     },
-    bytesSent: () => [...links.values()].reduce((sum, { link }) => sum + link.bytesSent(), droppedBytes),
+    ...bytes.totals,
     close: () => {
       isClosed = true;
       known = new Map();
@@ -145,6 +146,26 @@
   };
 }
 
+/** Sums the bytes of the links that are open and of those that were. */
+function countBytes(links: ReadonlyMap<string, OpenLink>): {
+  keep(dropped: PeerLink): void;
+  readonly totals: Pick<PeerLinks, "bytesSent" | "bytesReceived">;
+} {
+  let sent = 0;
+  let received = 0;
+  return {
+    keep: (dropped) => {
+      sent += dropped.bytesSent();
+      received += dropped.bytesReceived();
+    },
+    totals: {
+      bytesSent: () => [...links.values()].reduce((sum, { link }) => sum + link.bytesSent(), sent),
+      bytesReceived: () =>
+        [...links.values()].reduce((sum, { link }) => sum + link.bytesReceived(), received),
+    },
+  };
+}
+
 /** Waits until a link is up; returns what is left of the bound. */
 async function waitUntilUp(link: PeerLink, timeoutMilliseconds: number): Promise<number> {
   const deadlineAt = performance.now() + timeoutMilliseconds;
--- a/src/membership/peer-listener.ts
+++ b/src/membership/peer-listener.ts
@@ -9,7 +9,7 @@
 import { parseWith } from "../shared/index.js";
 import type { Log } from "../telemetry/index.js";
 import type { Frame, PeerCall } from "./messages.js";
-import { decodeFrame } from "./frame-codec.js";
+import { decodeFrame, sizeOf } from "./frame-codec.js";
 
 /** Answers a call; the peer's identifier tells who asked. */
 export type PeerAnswer<Request, Reply> = (request: Request, peerId: string) => Reply | Promise<Reply>;
@@ -28,6 +28,8 @@
   broadcast(frame: Frame): void;
   /** Bytes of all frames sent so far. */
   bytesSent(): number;
+  /** Bytes of all frames received so far. */
+  bytesReceived(): number;
   close(): Promise<void>;
 }
 
@@ -52,6 +54,7 @@
   });
   const answers = new Map<string, RawAnswer>();
   let bytesSent = 0;
+  let bytesReceived = 0;
 
   const sendBytes = (socket: WebSocket, bytes: Buffer): void => {
     bytesSent += bytes.length + frameOverheadBytes;
@@ -85,6 +88,7 @@
       log.write("debug", "peer-connection-failed", { peer: peerId, message: error.message });
     });
     socket.on("message", (data) => {
+      bytesReceived += sizeOf(data) + frameOverheadBytes;
       decodeFrame(data).ifRight((frame) => {
         if (frame.kind === "hello") peerId = frame.entryId;
         if (frame.kind === "call") void answerCall(socket, peerId, frame);
@@ -112,6 +116,7 @@
       for (const socket of sockets.clients) sendBytes(socket, bytes);
     },
     bytesSent: () => bytesSent,
+    bytesReceived: () => bytesReceived,
     close: async () => {
       for (const socket of sockets.clients) socket.terminate();
       await new Promise<void>((resolve) => {
--- a/src/membership/peer-network.ts
+++ b/src/membership/peer-network.ts
@@ -43,6 +43,8 @@
   listen(host: string, port: number): Promise<number>;
   /** Bytes of all frames sent to peers so far. */
   bytesSent(): number;
+  /** Bytes of all frames received from peers so far. */
+  bytesReceived(): number;
   /** Asks the entry at an address for the roster that it knows; empty when nobody answers. */
   fetchRoster(address: string): Promise<RosterRecord[]>;
   /**
@@ -122,6 +124,7 @@
     peers: () =>
       links.all().map((link) => ({ peerId: link.peerId, state: link.state(), heardAt: link.heardAt() })),
     bytesSent: () => links.bytesSent() + listener.bytesSent(),
+    bytesReceived: () => links.bytesReceived() + listener.bytesReceived(),
     fetchRoster: async (address) => seeds.fetchRoster(address),
     listen: async (host, port) => listener.listen(host, port),
     follow: (roster) => {
--- a/src/membership/test/peer-network.test.ts
+++ b/src/membership/test/peer-network.test.ts
@@ -158,4 +158,5 @@
   other.follow([record, otherRecord]);
   await until(() => network.reported("b", "load") === 7);
   expect(other.bytesSent()).toBeGreaterThan(50);
+  expect(other.bytesReceived()).toBeGreaterThan(50);
 });
--- a/src/pools/test/fake-entries.ts
+++ b/src/pools/test/fake-entries.ts
@@ -213,6 +213,7 @@
     upPeers: () => others().filter((other) => stateOf(other) === "up"),
     peers: () => others().map((peerId) => ({ peerId, state: stateOf(peerId), heardAt: 0 })),
     bytesSent: () => 0,
+    bytesReceived: () => 0,
     fetchRoster: async () => Promise.resolve([]),
     listen: async () => Promise.resolve(0),
     follow: () => undefined,
--- a/src/telemetry/index.ts
+++ b/src/telemetry/index.ts
@@ -4,7 +4,28 @@
  */
 export { createBoundedSink, type BoundedSink } from "./bounded-sink.js";
 export { readJobStory, type StoryLine } from "./job-story.js";
+export {
+  createLinkMeter,
+  followLink,
+  readLinkUse,
+  type LinkMeter,
+  type LinkPeer,
+  type LinkUse,
+} from "./link-use.js";
 export { createLog, type Log, type LogFields, type LogLevel, type LogValue } from "./log.js";
-export { createMetrics, type HistogramSummary, type MetricLabels, type Metrics } from "./metrics.js";
+export {
+  createLoopDelayProbe,
+  type LoopDelayOptions,
+  type LoopDelayProbe,
+  type ProcessUse,
+} from "./loop-delay.js";
+export {
+  createMetrics,
+  type Counter,
+  type DurationHistogram,
+  type HistogramSummary,
+  type MetricLabels,
+  type Metrics,
+} from "./metrics.js";
 export { createSpanExporter, type TraceSettings } from "./span-exporters.js";
 export { createTracing, type TraceHeaders, type Tracing } from "./tracing.js";
--- a/src/telemetry/metrics.ts
+++ b/src/telemetry/metrics.ts
@@ -15,6 +15,18 @@
   readonly maximum: number;
 }
 
+/** One series of a counter, found once and used often. */
+export interface Counter {
+  /** Adds to the counter, 1 by default. */
+  add(amount?: number): void;
+}
+
+/** One series of a histogram, found once and used often. */
+export interface DurationHistogram {
+  /** Records a duration in milliseconds. */
+  observe(milliseconds: number): void;
+}
+
 /** Records what the process does. */
 export interface Metrics {
   /**
@@ -28,6 +40,27 @@
   set(name: string, value: number, labels?: MetricLabels): void;
   /** Records a duration in milliseconds. */
   observe(name: string, milliseconds: number, labels?: MetricLabels): void;
+  /**
+   * Finds a series of a counter, for a caller that adds to it often.
+   * @param name - the metric's name without prefix
+   * @param labels - its labels
+   * @returns the series
+   */
+  counter(name: string, labels?: MetricLabels): Counter;
+  /**
+   * Finds a series of a histogram, for a caller that records in it often.
+   * @param name - the metric's name without prefix
+   * @param labels - its labels
+   * @returns the series
+   */
+  histogram(name: string, labels?: MetricLabels): DurationHistogram;
+  /**
+   * Takes a counter or gauge from whoever keeps it.
+   * @param name - the metric's name without prefix
+   * @param read - tells its value whenever it is read
+   * @param labels - its labels
+   */
+  follow(name: string, read: () => number, labels?: MetricLabels): void;
   /** Summarises a histogram; undefined when nothing was recorded. */
   summary(name: string, labels?: MetricLabels): HistogramSummary | undefined;
   /** Reads a counter or gauge; 0 when it was never written. */
@@ -45,10 +78,19 @@
  * @returns the metrics
  */
 export function createMetrics(): Metrics {
-  const numbers = new Map<string, number>();
+  const numbers = new Map<string, NumberSeries>();
   const histograms = new Map<string, Histogram>();
 
-  const histogram = (key: string): Histogram => {
+  const number = (name: string, labels: MetricLabels): NumberSeries => {
+    const key = seriesKey(name, labels);
+    const existing = numbers.get(key);
+    if (existing !== undefined) return existing;
+    const created = new NumberSeries();
+    numbers.set(key, created);
+    return created;
+  };
+  const histogram = (name: string, labels: MetricLabels): Histogram => {
+    const key = seriesKey(name, labels);
     const existing = histograms.get(key);
     if (existing !== undefined) return existing;
     const created = build({ highestTrackableValue: highestMicroseconds, numberOfSignificantValueDigits: 2 });
@@ -58,25 +100,63 @@
 
   return {
     count: (name, labels = {}, amount = 1) => {
-      const key = seriesKey(name, labels);
-      numbers.set(key, (numbers.get(key) ?? 0) + amount);
+      number(name, labels).add(amount);
     },
     set: (name, value, labels = {}) => {
-      numbers.set(seriesKey(name, labels), value);
+      number(name, labels).set(value);
     },
     observe: (name, milliseconds, labels = {}) => {
-      const microseconds = Math.max(0, Math.round(milliseconds * microsecondsPerMillisecond));
-      histogram(seriesKey(name, labels)).recordValue(Math.min(microseconds, highestMicroseconds));
+      record(histogram(name, labels), milliseconds);
+    },
+    counter: (name, labels = {}) => number(name, labels),
+    histogram: (name, labels = {}) => {
+      const found = histogram(name, labels);
+      return {
+        observe: (milliseconds) => {
+          record(found, milliseconds);
+        },
+      };
+    },
+    follow: (name, read, labels = {}) => {
+      number(name, labels).follow(read);
     },
     summary: (name, labels = {}) => {
       const found = histograms.get(seriesKey(name, labels));
       return found === undefined ? undefined : summarise(found);
     },
-    value: (name, labels = {}) => numbers.get(seriesKey(name, labels)) ?? 0,
+    value: (name, labels = {}) => numbers.get(seriesKey(name, labels))?.value() ?? 0,
     expose: () => [...exposeNumbers(numbers), ...exposeHistograms(histograms), ""].join("\n"),
   };
 }
 
+/** One series of a counter or gauge. */
+class NumberSeries implements Counter {
+  #value = 0;
+  #read: (() => number) | undefined;
+
+  add(amount = 1): void {
+    this.#value += amount;
+  }
+
+  set(value: number): void {
+    this.#value = value;
+  }
+
+  /** Takes the value from whoever keeps it. */
+  follow(read: () => number): void {
+    this.#read = read;
+  }
+
+  value(): number {
+    return this.#read?.() ?? this.#value;
+  }
+}
+
+function record(histogram: Histogram, milliseconds: number): void {
+  const microseconds = Math.max(0, Math.round(milliseconds * microsecondsPerMillisecond));
+  histogram.recordValue(Math.min(microseconds, highestMicroseconds));
+}
+
 function seriesKey(name: string, labels: MetricLabels): string {
   const pairs = Object.entries(labels).map(([label, value]) => `${label}=${JSON.stringify(value)}`);
   return pairs.length === 0 ? name : `${name}{${pairs.join(",")}}`;
@@ -88,8 +168,8 @@
   return { count: histogram.totalCount, p50: at(50), p99: at(99), maximum: at(100) };
 }
 
-function exposeNumbers(numbers: ReadonlyMap<string, number>): string[] {
-  return [...numbers].map(([key, value]) => `dogwoodhoist_${key} ${value}`);
+function exposeNumbers(numbers: ReadonlyMap<string, NumberSeries>): string[] {
+  return [...numbers].map(([key, series]) => `dogwoodhoist_${key} ${series.value()}`);
 }
 
 function exposeHistograms(histograms: ReadonlyMap<string, Histogram>): string[] {
--- a/src/telemetry/test/events.test.ts
+++ b/src/telemetry/test/events.test.ts
@@ -2,18 +2,14 @@
  * docs/EVENTS.md lists exactly the events that the code writes.
  * @packageDocumentation
  */
-import { readdir, readFile } from "node:fs/promises";
-import { fileURLToPath } from "node:url";
 import { expect, test } from "vitest";
+import { readPage, readSources } from "./sources.js";
 
-const root = fileURLToPath(new URL("../../../", import.meta.url));
 const eventPattern = /\.write\(\s*(?:"(?:debug|info|warn|error)"|[a-zA-Z]+),\s*([^;]*?)\s*(?:,\s*\{|\))/gs;
 
 async function writtenEvents(): Promise<Set<string>> {
-  const files = await readdir(`${root}src`, { recursive: true });
-  const sources = files.filter((path) => path.endsWith(".ts") && !path.includes("test/"));
-  const texts = await Promise.all(sources.map(async (path) => readFile(`${root}src/${path}`, "utf8")));
-  const calls = texts.flatMap((text) => [...text.matchAll(eventPattern)].map(([, event]) => event ?? ""));
+  const files = await readSources("src", "platform");
+  const calls = files.flatMap(({ text }) => [...text.matchAll(eventPattern)].map(([, event]) => event ?? ""));
   const names = calls.flatMap((event) =>
     [...event.matchAll(/"([a-z]+(?:-[a-z]+)*)"/g)].map(([, name]) => name),
   );
@@ -21,7 +17,7 @@
 }
 
 test("the page of events is complete", async () => {
-  const page = await readFile(`${root}docs/EVENTS.md`, "utf8");
+  const page = await readPage("EVENTS.md");
   const listed = [...page.matchAll(/^\| `([a-z-]+)`/gm)].map(([, name]) => name);
   const written = await writtenEvents();
   expect(written.size).toBeGreaterThan(10);
--- a/src/wiring/job-entry.ts
+++ b/src/wiring/job-entry.ts
@@ -21,11 +21,18 @@
   type MaintenanceWave,
 } from "../fleet/index.js";
 import type { QueueTable } from "../jobs/index.js";
-import { createPeerNetwork, type RosterRecord } from "../membership/index.js";
+import { createPeerNetwork, type PeerNetwork, type RosterRecord } from "../membership/index.js";
 import { createHttpService, delay, sendJson, type HttpService } from "../shared/index.js";
 import { type StoreRecord, type TransactionalStore } from "../store/index.js";
 import type { RegisteredTarget, TargetOrders } from "../task-runs/index.js";
-import type { Log, Metrics } from "../telemetry/index.js";
+import {
+  createLoopDelayProbe,
+  followLink,
+  readLinkUse,
+  type Log,
+  type LoopDelayProbe,
+  type Metrics,
+} from "../telemetry/index.js";
 
 import {
   followConfiguration,
@@ -119,6 +126,7 @@
   const zone = options.availabilityZone;
   const peers = createPeerNetwork({ entryId, incarnation, zone }, log);
   await peers.listen(addresses.peers.host, addresses.peers.port);
+  const loopDelay = probeLoad(options, peers);
   const peerAddress = `${addresses.peers.host}:${addresses.peers.port}`;
   const self: RosterRecord = { entryId, incarnation, peerAddress, zone };
 
@@ -146,6 +154,7 @@
     registry.follower.close();
   };
   const closeServices = async (): Promise<void> => {
+    loopDelay.close();
     readiness.abort();
     metricsService.abort();
     await peers.close();
@@ -177,6 +186,22 @@
   };
 }
 
+/** Tells how late this process runs, and what it does meanwhile. */
+function probeLoad({ log, metrics }: JobEntryOptions, peers: PeerNetwork): LoopDelayProbe {
+  followLink(metrics, "peers", {
+    sent: () => peers.bytesSent(),
+    received: () => peers.bytesReceived(),
+  });
+  return createLoopDelayProbe({
+    log,
+    metrics,
+    use: () => ({
+      ...readLinkUse(metrics),
+      ordersInFlight: metrics.value("target_calls_in_flight"),
+    }),
+  });
+}
+
 interface HomeParts {
   readonly session: EntrySession;
   readonly members: Members;
