How long an order waits before it is written, and its answer takes

Each call is an own handler of undici's dispatcher, which notes when the request goes to its connection; the handler also gathers the answer, in place of a stream and an abort signal for each call. Histograms by kind of order (target_call_queue_milliseconds, target_call_milliseconds), orders in flight, bytes by peer; an outcome tells the wait when it was above 20 ms, and a call that was given up before it had a connection says so. What counts as which outcome is as before.

Seen while testing, and left as it is here: a call whose time is over while it waits for a connection does not end before it gets one (undici knows no abort of a queued request), and its end then destroys that connection though nothing was written on it; its start counts as unknown though it was never sent.

--- a/src/task-runs/index.ts
+++ b/src/task-runs/index.ts
@@ -6,6 +6,7 @@
   OrderHeader,
   OrderOutcome,
   OrderRefusal,
+  OrderTiming,
   PresentRun,
   RegisteredTarget,
   RenewOrder,
--- a/src/task-runs/target-orders.ts
+++ b/src/task-runs/target-orders.ts
@@ -63,8 +63,16 @@
   readonly ends: readonly RunEnd[];
 }
 
+/** What was measured of an order. */
+export interface OrderTiming {
+  /** How long it waited in its sender before it was written; left out when that was short or is not known. */
+  readonly queueMilliseconds?: number;
+}
+
 /** What an order brought. */
-export type OrderOutcome =
+export type OrderOutcome = OrderTiming & OrderResult;
+
+type OrderResult =
   | { readonly kind: "done"; readonly clockMilliseconds: number }
   /** The target refused and has done nothing. */
   | { readonly kind: "refused"; readonly reason: OrderRefusal }
