Why a machine is moved

Lines of moves and shortages tell the cause (demand, lasting tasks without a place, the same at the cost of a pool that needs the machine, or rest in standby), the demand and cores of both pools as the plan saw them, and how long the machine had been there and idle. The plan is as before.

Tests: plans.test.ts for the causes, fleet-manager.test.ts for the lines.

--- a/src/fleet/fleet-manager.ts
+++ b/src/fleet/fleet-manager.ts
@@ -5,9 +5,10 @@
 import type { PoolReport } from "../job-homes/index.js";
 import type { RoomArrival } from "../scheduling/index.js";
 import { delay } from "../shared/index.js";
+import type { LogFields } from "../telemetry/index.js";
 import { describeArrivals, describePools, MachineHistory, type FleetView } from "./fleet-view.js";
 import { countOrder } from "./machine-control.js";
-import { planMoves, type PlannedMove, type PoolShortage } from "./move-plan.js";
+import { planMoves, type MoveCircumstances, type PlannedMove, type PoolShortage } from "./move-plan.js";
 import { OrderRecord } from "./order-record.js";
 import { WaveKeeper, type PlannedMaintenance, type WaveKeeperOptions } from "./wave-keeper.js";
 import type { WaveCandidate } from "./wave-plan.js";
@@ -144,9 +145,11 @@
     return this.#options.vacate(pool, this.#vacating.get(pool) ?? [], this.#arrivals.get(pool) ?? []);
   }
 
-  #logShortage({ pool, demandCores, cores, lackCores, waitingLastingTasks, machines }: PoolShortage): void {
+  #logShortage(shortage: PoolShortage): void {
+    const { pool, cause, demandCores, cores, lackCores, waitingLastingTasks, machines } = shortage;
     this.#options.log.write("info", "pool-short", {
       pool,
+      cause,
       demandCores: Math.round(demandCores),
       cores: Math.round(cores),
       lackCores: Math.round(lackCores),
@@ -174,7 +177,7 @@
     };
   }
 
-  async #move({ machineId, from, to }: PlannedMove): Promise<void> {
+  async #move({ machineId, from, to, cause, seen }: PlannedMove): Promise<void> {
     const { duty, entryId, machines, metrics, log } = this.#options;
     if (!duty.isHeld()) return;
     const order = { machineId, pool: to, holder: entryId, fencingToken: duty.fencingToken() };
@@ -183,11 +186,21 @@
       machine: machineId,
       from,
       to,
+      cause,
+      ...describeSeen(seen),
       ...countOrder(metrics, "move", outcome),
     });
   }
 }
 
+/** Rounds what a move was decided on; what has been so for as long as is known is left out. */
+function describeSeen(seen: MoveCircumstances): LogFields {
+  const rounded = Object.entries(seen).map(([name, value]: [string, number]) => {
+    return [name, Number.isFinite(value) ? Math.round(value) : undefined] as const;
+  });
+  return Object.fromEntries(rounded);
+}
+
 function groupTargets(
   emptying: readonly (WaveCandidate | PlannedMove)[],
 ): ReadonlyMap<string, readonly string[]> {
--- a/src/fleet/move-plan.ts
+++ b/src/fleet/move-plan.ts
@@ -35,12 +35,31 @@
   readonly machines: readonly PlannedMachine[];
 }
 
+/**
+ * Why a machine changes its pool: the taker is asked for more than it has, or has lasting tasks without a place, for which a
+ * pool may have to give a machine that it needs, or nothing runs on it and it rests in the standby pool.
+ */
+export type MoveCause = "demand" | "lasting-tasks" | "lasting-tasks-anyway" | "standby";
+
 /** A change of pool. */
 export interface PlannedMove {
   readonly machineId: string;
   readonly targetId: string | undefined;
   readonly from: string;
   readonly to: string;
+  readonly cause: MoveCause;
+  /** The pools and the machine as they were when the move was planned. */
+  readonly seen: MoveCircumstances;
+}
+
+/** What a move was decided on. */
+export interface MoveCircumstances {
+  readonly fromDemandCores: number;
+  readonly fromCores: number;
+  readonly toDemandCores: number;
+  readonly toCores: number;
+  readonly restedMilliseconds: number;
+  readonly idleMilliseconds: number;
 }
 
 /** What is done next. */
@@ -58,6 +77,7 @@
 /** A pool that lacks room. */
 export interface PoolShortage {
   readonly pool: string;
+  readonly cause: MoveCause;
   readonly demandCores: number;
   readonly cores: number;
   readonly lackCores: number;
@@ -106,11 +126,11 @@
     let missing = lack;
     let count = 0;
     while (missing > 0) {
-      const supply =
-        takeSupply(supplies, pool) ??
-        (count === 0 ? takeAnyway(pools, pool, [...moves, ...vacate]) : undefined);
+      const spared = takeSupply(supplies, pool);
+      const supply = spared ?? (count === 0 ? takeAnyway(pools, pool, [...moves, ...vacate]) : undefined);
       if (supply === undefined) break;
-      (isEmpty(supply) ? moves : vacate).push(describe(supply, pool.pool));
+      const cause = spared === undefined ? "lasting-tasks-anyway" : findCause(pool);
+      (isEmpty(supply) ? moves : vacate).push(describe(supply, pool, cause));
       missing -= supply.machine.cores;
       count += 1;
     }
@@ -123,7 +143,7 @@
   if (standby !== undefined) {
     for (const supply of supplies) {
       if (supply.pool.isStandby || supply.machine.idleMilliseconds < parkAfterIdleMilliseconds) continue;
-      (isEmpty(supply) ? moves : vacate).push(describe(supply, standby.pool));
+      (isEmpty(supply) ? moves : vacate).push(describe(supply, standby, "standby"));
     }
   }
   return { moves, vacate, shortages: described, spare };
@@ -131,7 +151,12 @@
 
 function describeShortage(pool: PlannedPool, lackCores: number, machines: number): PoolShortage {
   const { demandCores, cores, waitingLastingTasks } = pool;
-  return { pool: pool.pool, demandCores, cores, lackCores, waitingLastingTasks, machines };
+  const cause = findCause(pool);
+  return { pool: pool.pool, cause, demandCores, cores, lackCores, waitingLastingTasks, machines };
+}
+
+function findCause(pool: PlannedPool): MoveCause {
+  return needsMachine(pool) ? "lasting-tasks" : "demand";
 }
 
 /** Lasting tasks have users all the time; a pool that cannot run them goes before a turn of any height. */
@@ -204,6 +229,15 @@
   return pool.isStandby || machine.targetId === undefined || (machine.runs === 0 && machine.isVacating);
 }
 
-function describe({ pool, machine }: Supply, to: string): PlannedMove {
-  return { machineId: machine.machineId, targetId: machine.targetId, from: pool.pool, to };
+function describe({ pool, machine }: Supply, to: PlannedPool, cause: MoveCause): PlannedMove {
+  const { machineId, targetId, restedMilliseconds, idleMilliseconds } = machine;
+  const seen: MoveCircumstances = {
+    fromDemandCores: pool.demandCores,
+    fromCores: pool.cores,
+    toDemandCores: to.demandCores,
+    toCores: to.cores,
+    restedMilliseconds,
+    idleMilliseconds,
+  };
+  return { machineId, targetId, from: pool.pool, to: to.pool, cause, seen };
 }
--- a/src/fleet/test/fleet-manager.test.ts
+++ b/src/fleet/test/fleet-manager.test.ts
@@ -100,6 +100,8 @@
 interface TestManager {
   readonly duty: SessionDuty;
   readonly faults: StoreFaults;
+  /** Log lines so far. */
+  readonly lines: readonly string[];
   crash(): void;
 }
 
@@ -113,7 +115,8 @@
 function startManager(entryId: string, machines: Machines, waves: MaintenanceWave[] = []): TestManager {
   const faults = createStoreFaults();
   const store = new MemoryStoreClient(engine, faults);
-  const log = createLog("silent");
+  const lines: string[] = [];
+  const log = createLog("info", (line) => lines.push(line));
   const self = { entryId, incarnation: 1, peerAddress: "127.0.0.1:1", zone: "zone" };
   const session = openEntrySession({ store, self, log, leaseMilliseconds });
   const members = followPrefix({
@@ -167,7 +170,7 @@
     members.close();
     void session.close();
   };
-  const started = { duty, faults, crash };
+  const started = { duty, faults, lines, crash };
   managers.push(started);
   return started;
 }
@@ -250,3 +253,19 @@
   await new Promise((resolve) => setTimeout(resolve, 600));
   expect(machines.orders).toEqual([]);
 });
+
+test("the lines of a shortage and of its move tell the cause, and the pools as they were seen", async () => {
+  engine = createStoreEngine();
+  const machines = new Machines(1);
+  const { lines } = startManager("a", machines);
+  await waitFor(() => machines.orders.length === 1);
+  await waitFor(() => lines.some((line) => line.includes("event=move-order")));
+  const moved = lines.find((line) => line.includes("event=move-order"));
+  expect(moved).toMatch(
+    /from=spare to=busy cause=demand fromDemandCores=0 fromCores=0 toDemandCores=1 toCores=0 /,
+  );
+  // The first look of a holder does not know for how long a machine has been in its pool.
+  expect(moved).toMatch(/ idleMilliseconds=\d+ result=done$/);
+  const short = lines.find((line) => line.includes("event=pool-short"));
+  expect(short).toContain("pool=busy cause=demand demandCores=1 cores=0 ");
+});
--- a/src/fleet/test/plans.test.ts
+++ b/src/fleet/test/plans.test.ts
@@ -226,3 +226,33 @@
   expect(plan.moves).toEqual([]);
   expect(plan.vacate).toHaveLength(4);
 });
+
+test("a move tells why it was planned, and on what", () => {
+  const busy = plannedPool("busy", {
+    demandCores: 200,
+    machines: machines(6, { runs: 8, idleMilliseconds: 0 }),
+  });
+  const spare = plannedPool("spare", {
+    isStandby: true,
+    cores: 0,
+    machines: machines(1, { targetId: undefined, restedMilliseconds: 9_000, idleMilliseconds: 800 }),
+  });
+  const [demanded] = planMoves([busy, spare]).moves;
+  expect(demanded?.cause).toBe("demand");
+  expect(demanded?.seen).toEqual({
+    fromDemandCores: 0,
+    fromCores: 0,
+    toDemandCores: 200,
+    toCores: 192,
+    restedMilliseconds: 9_000,
+    idleMilliseconds: 800,
+  });
+  const waiting = plannedPool("waiting", { waitingLastingTasks: 1 });
+  const lasting = planMoves([waiting, spare]);
+  expect(lasting.moves[0]?.cause).toBe("lasting-tasks");
+  expect(lasting.shortages[0]?.cause).toBe("lasting-tasks");
+  expect(planMoves([waiting, busy]).vacate[0]?.cause).toBe("lasting-tasks-anyway");
+  const idle = plannedPool("idle", { machines: machines(6) });
+  expect(planMoves([idle, spare]).vacate[0]?.cause).toBe("standby");
+  expect(planMoves([busy]).shortages[0]?.cause).toBe("demand");
+});
