What a home knew of a run that vanished, and how long answers to orders took

run-vanished tells the ages of the run's steps, its status, how old the report was when it was handled and what it held; start-order and stop-order how long the answer took, the wait before the order was written, why there is no answer, and start-order whether the home still waited for it. Nothing is decided otherwise.

Tests: run-ends.test.ts for the vanished run, failed-requests.test.ts for the orders.

--- a/src/job-homes/run-ends.ts
+++ b/src/job-homes/run-ends.ts
@@ -7,6 +7,7 @@
 import type { PresentRun, RunEnd, TargetReport } from "../task-runs/index.js";
 import { isTaskOver, removeRun, type HomeState, type HomeTarget } from "./home-state.js";
 import { storeProgress } from "./job-progress.js";
+import { describeVanished } from "./run-trace.js";
 
 /** A target is trusted less after a failure, and more after a success. */
 const distrustPerFailure = 1;
@@ -36,7 +37,7 @@
     const job = takeEnd(state, target, end);
     if (job !== undefined) touched.add(job);
   }
-  dropVanished(state, target, (name) => present.has(name) || ended.has(name), askedAt);
+  dropVanished(state, target, report, (name) => present.has(name) || ended.has(name), askedAt);
   acknowledgeStored(state, target, freshEnds, touched);
   if (state.awaited.delete(target.session.targetId))
     state.log.write("info", "inherited-target-known", {
@@ -168,6 +169,7 @@
 function dropVanished(
   state: HomeState,
   target: HomeTarget,
+  report: TargetReport,
   isAccountedFor: (taskName: string) => boolean,
   askedAt: number,
 ): void {
@@ -180,6 +182,7 @@
       task: each.task.name,
       run: each.run.run,
       target: each.run.targetId,
+      ...describeVanished(each.run, report, askedAt, performance.now()),
     });
     removeRun(state, target, each);
     state.wake();
--- /dev/null
+++ b/src/job-homes/run-trace.ts
@@ -0,0 +1,52 @@
+/**
+ * What a home tells of a run in its log, so that a later reader can see what the decision was taken on.
+ * @packageDocumentation
+ */
+import type { TaskRun } from "../jobs/index.js";
+import type { OrderOutcome, TargetReport } from "../task-runs/index.js";
+import type { LogFields } from "../telemetry/index.js";
+
+/**
+ * Describes a run that a report does not show, as the home knew it.
+ * @param run - the run
+ * @param report - the report
+ * @param askedAt - when the report was asked for, by the monotonic clock
+ * @param now - when it is handled, by the monotonic clock
+ * @returns ages in milliseconds, and what the report held; ages of what has not been are left out
+ */
+export function describeVanished(
+  run: TaskRun,
+  report: TargetReport,
+  askedAt: number,
+  now: number,
+): LogFields {
+  const age = (at: number | undefined): number | undefined =>
+    at === undefined ? undefined : Math.round(now - at);
+  return {
+    status: run.status,
+    isListed: run.isListed,
+    startedAgo: age(run.startedAt),
+    confirmedAgo: age(run.confirmedAt),
+    stopAskedAgo: age(run.stopAskedAt),
+    stopConfirmedAgo: age(run.stopConfirmedAt),
+    reportAskedAgo: age(askedAt),
+    present: report.present.length,
+    ends: report.ends.length,
+  };
+}
+
+/**
+ * Describes what an order brought.
+ * @param outcome - what it brought
+ * @param askedAt - when it was handed to its sender, by the monotonic clock
+ * @param now - when its answer is handled, by the monotonic clock
+ * @returns how long the answer took, how long the order waited where that was long, and why there is no answer
+ */
+export function describeAnswer(outcome: OrderOutcome, askedAt: number, now: number): LogFields {
+  const { queueMilliseconds } = outcome;
+  return {
+    answerMilliseconds: Math.round(now - askedAt),
+    queueMilliseconds: queueMilliseconds === undefined ? undefined : Math.round(queueMilliseconds),
+    message: outcome.kind === "unknown" ? outcome.message : undefined,
+  };
+}
--- a/src/job-homes/start-orders.ts
+++ b/src/job-homes/start-orders.ts
@@ -6,6 +6,7 @@
 import type { OrderOutcome, OrderRefusal } from "../task-runs/index.js";
 import { isTaskOver, removeRun, type HomeState, type HomeTarget, type TargetRun } from "./home-state.js";
 import { storePlaces } from "./job-progress.js";
+import { describeAnswer } from "./run-trace.js";
 import { noteUnansweredStart } from "./unsettled-starts.js";
 
 const startTimeoutMilliseconds = 800;
@@ -97,8 +98,9 @@
     checkpoint: task.checkpoint,
     ticket,
   };
+  const askedAt = performance.now();
   void state.orders.start(order).then((outcome) => {
-    takeStartOutcome(state, target, started, outcome);
+    takeStartOutcome(state, target, started, outcome, askedAt);
   });
 }
 
@@ -107,6 +109,7 @@
   target: HomeTarget,
   started: TargetRun,
   outcome: OrderOutcome,
+  askedAt: number,
 ): void {
   const { task, run } = started;
   const reason = outcome.kind === "refused" ? outcome.reason : undefined;
@@ -120,6 +123,8 @@
     target: run.targetId,
     result: reason ?? outcome.kind,
     waited: Math.round(run.startedAt - task.job.acceptedAt),
+    isAwaited: target.runs.get(task.name)?.run === run && run.status === "starting",
+    ...describeAnswer(outcome, askedAt, performance.now()),
   });
   if (outcome.kind === "done") confirmStart(target, started, outcome.clockMilliseconds);
   if (outcome.kind === "unknown" && run.status === "starting") {
--- a/src/job-homes/stopper.ts
+++ b/src/job-homes/stopper.ts
@@ -3,6 +3,7 @@
  * @packageDocumentation
  */
 import { isTaskOver, type HomeState, type HomeTarget, type TargetRun } from "./home-state.js";
+import { describeAnswer } from "./run-trace.js";
 
 const stopTimeoutMilliseconds = 700;
 const repeatMilliseconds = 500;
@@ -31,6 +32,7 @@
 }
 
 async function stopRun(state: HomeState, target: HomeTarget, { task, run }: TargetRun): Promise<void> {
+  const askedAt = performance.now();
   const outcome = await state.orders.stop({
     target: target.session.target(),
     fencingToken: state.fencingToken,
@@ -39,7 +41,13 @@
     run: run.run,
   });
   const result = outcome.kind === "refused" ? outcome.reason : outcome.kind;
-  state.log.write("info", "stop-order", { task: task.name, run: run.run, target: run.targetId, result });
+  state.log.write("info", "stop-order", {
+    task: task.name,
+    run: run.run,
+    target: run.targetId,
+    result,
+    ...describeAnswer(outcome, askedAt, performance.now()),
+  });
   if (outcome.kind === "done") {
     run.stopConfirmedAt = performance.now();
     target.session.hurry();
--- a/src/job-homes/test/failed-requests.test.ts
+++ b/src/job-homes/test/failed-requests.test.ts
@@ -66,7 +66,15 @@
     find(storyOf(entry, "late"), "job-ended").some((line) => line.includes("state=complete")),
   );
   const events = storyOf(entry, "late").map(({ event }) => event);
-  expect(events.filter((event) => event === "start-order").length).toBeGreaterThan(1);
+  const starts = find(storyOf(entry, "late"), "start-order");
+  expect(starts.length).toBeGreaterThan(1);
+  expect(starts.find((line) => line.includes("result=unknown"))).toMatch(
+    /waited=\d+ isAwaited=true answerMilliseconds=\d+ message=/,
+  );
+  expect(starts.find((line) => line.includes("result=done"))).toMatch(
+    /isAwaited=\S+ answerMilliseconds=\d+$/,
+  );
+  expect(find(storyOf(entry, "late"), "stop-order")[0]).toMatch(/result=\S+ answerMilliseconds=\d+/);
   expect(events).toContain("stop-order");
 });
 
--- a/src/job-homes/test/run-ends.test.ts
+++ b/src/job-homes/test/run-ends.test.ts
@@ -3,9 +3,9 @@
  * @packageDocumentation
  */
 import { expect, test } from "vitest";
-import { allTasks, encodeProgress } from "../../jobs/index.js";
+import { allTasks, encodeProgress, type TaskRun } from "../../jobs/index.js";
 import { TargetSession, type RunEnd, type RunEndKind } from "../../task-runs/index.js";
-import { createLog, createMetrics } from "../../telemetry/index.js";
+import { createLog, createMetrics, type Log } from "../../telemetry/index.js";
 import type { HomeJournal, JournalResult } from "../home-journal.js";
 import { addJob, createHomeState, type HomeState, type HomeTarget } from "../home-state.js";
 import { endJob, storeProgress } from "../job-progress.js";
@@ -35,7 +35,7 @@
   return { journal, writes };
 }
 
-function createState(journal: HomeJournal): HomeState {
+function createState(journal: HomeJournal, log: Log = createLog("silent")): HomeState {
   const unused = async (): Promise<never> => Promise.reject(new Error("no orders are given here"));
   return createHomeState({
     pool,
@@ -43,7 +43,7 @@
     firstRun: 1,
     orders: { start: unused, stop: unused, pace: unused, renew: unused },
     journal,
-    log: createLog("silent"),
+    log,
     metrics: createMetrics(),
     isActive: () => true,
     supersede: () => undefined,
@@ -122,6 +122,56 @@
   await handled;
 });
 
+test("a run that vanished is told with its ages, its state and what the report held", () => {
+  const lines: string[] = [];
+  const state = createState(
+    createHeldJournal().journal,
+    createLog("info", (line) => lines.push(line)),
+  );
+  const definition = { spec: "", steps: [createStep({ taskCount: 1 })] };
+  const job = addJob(
+    state,
+    { jobId: "job", terms, definition, acceptedAt: 0, requestedAt: 0 },
+    undefined,
+    0,
+    false,
+  );
+  const target = createTarget(state);
+  state.targets.set("target", target);
+  const [task] = allTasks(job);
+  if (task === undefined) throw new Error("the job has no task");
+  const now = performance.now();
+  const run = { ...createRun(), startedAt: now - 3_000, confirmedAt: now - 2_000 };
+  task.runs.push(run);
+  target.runs.set(task.name, { task, run });
+  const earlier: RunEnd = { sequence: 1, task: "other.0.0.0", run: 1, kind: "stopped", checkpoint: "" };
+  const report = { startedAtUnix: 1, clockMilliseconds: 0, present: [], ends: [earlier] };
+  takeReport(state, target, report, [], now - 1_000);
+  const line = lines.find((each) => each.includes("event=run-vanished"));
+  expect(line).toMatch(
+    /task=job.0.0.0 run=5 target=target status=running isListed=false startedAgo=30\d\d confirmedAgo=20\d\d reportAskedAgo=10\d\d present=0 ends=1$/,
+  );
+});
+
+/** A run that its target has confirmed and not yet shown. */
+function createRun(): TaskRun {
+  return {
+    targetId: "target",
+    run: 5,
+    startedAt: 0,
+    isWhole: true,
+    status: "running",
+    confirmedAt: 0,
+    isListed: false,
+    stopAskedAt: undefined,
+    stopConfirmedAt: undefined,
+    percent: 0,
+    progressedAt: 0,
+    pacePercent: 100,
+    usage: 0,
+  };
+}
+
 function reportFailure(state: HomeState, target: HomeTarget, sequence: number, run: number): void {
   reportEnd(state, target, sequence, run, "failed");
 }
