--- a/src/order-relays/messages.ts
+++ b/src/order-relays/messages.ts
@@ -72,10 +72,16 @@
   "gang-incomplete",
 ] as const;
 
+const outcomeBase = {
+  id: z.number(),
+  /** How long the order waited for a connection, where that was long. */
+  queueMilliseconds: z.number().optional(),
+};
+
 const relayedOutcomeSchema = z.discriminatedUnion("kind", [
-  z.object({ id: z.number(), kind: z.literal("done"), clockMilliseconds: z.number() }),
-  z.object({ id: z.number(), kind: z.literal("refused"), reason: z.enum(refusals) }),
-  z.object({ id: z.number(), kind: z.literal("unknown"), message: z.string() }),
+  z.object({ ...outcomeBase, kind: z.literal("done"), clockMilliseconds: z.number() }),
+  z.object({ ...outcomeBase, kind: z.literal("refused"), reason: z.enum(refusals) }),
+  z.object({ ...outcomeBase, kind: z.literal("unknown"), message: z.string() }),
   z.object({
     id: z.number(),
     kind: z.literal("report"),
--- a/src/wiring/job-entry.ts
+++ b/src/wiring/job-entry.ts
@@ -27,7 +27,14 @@
 import { createHttpService, delay, sendJson, type HttpService } from "../shared/index.js";
 import { type StoreRecord, type TransactionalStore } from "../store/index.js";
 import type { RegisteredTarget, TargetOrders } from "../task-runs/index.js";
-import type { Log, Metrics } from "../telemetry/index.js";
+import {
+  createLoopDelayProbe,
+  followLink,
+  readLinkUse,
+  type Log,
+  type LoopDelayProbe,
+  type Metrics,
+} from "../telemetry/index.js";
 
 import {
   followConfiguration,
@@ -125,6 +132,7 @@
   const zone = options.availabilityZone;
   const peers = createPeerNetwork({ entryId, incarnation, zone }, log);
   await peers.listen(addresses.peers.host, addresses.peers.port);
+  const loopDelay = probeLoad(options, peers);
   const peerAddress = `${addresses.peers.host}:${addresses.peers.port}`;
   const { capacityCores } = options;
   const self: RosterRecord = { entryId, incarnation, peerAddress, zone, capacityCores };
@@ -154,6 +162,7 @@
     registry.follower.close();
   };
   const closeServices = async (): Promise<void> => {
+    loopDelay.close();
     readiness.abort();
     metricsService.abort();
     await peers.close();
@@ -185,6 +194,22 @@
   };
 }
 
+/** Tells how late this process runs, and what it does meanwhile. */
+function probeLoad({ log, metrics }: JobEntryOptions, peers: PeerNetwork): LoopDelayProbe {
+  followLink(metrics, "peers", {
+    sent: () => peers.bytesSent(),
+    received: () => peers.bytesReceived(),
+  });
+  return createLoopDelayProbe({
+    log,
+    metrics,
+    use: () => ({
+      ...readLinkUse(metrics),
+      ordersInFlight: metrics.value("target_calls_in_flight"),
+    }),
+  });
+}
+
 interface HomeParts {
   readonly session: EntrySession;
   readonly members: Members;
