A turn takes machines of a turn that is over before those that are off

A machine that would be parked anyway goes first now. plans.test.ts: the former code took three machines that were off.

--- a/src/fleet/move-plan.ts
+++ b/src/fleet/move-plan.ts
@@ -195,7 +195,7 @@
   return supplies;
 }
 
-/** Takes the machine that moves soonest: one that is off, then the idlest. */
+/** Takes a machine that would be parked anyway, then one that is off, then the idlest. */
 function takeSupply(supplies: Supply[], taker: PlannedPool): Supply | undefined {
   let best: number | undefined;
   supplies.forEach(({ pool, machine }, index) => {
@@ -221,8 +221,11 @@
   return supplies.sort((left, right) => left.machine.runs - right.machine.runs)[0];
 }
 
-function rank({ isStandby }: PlannedPool, { runs }: PlannedMachine): number {
-  return isStandby ? -1 : runs;
+function rank({ isStandby }: PlannedPool, { runs, idleMilliseconds }: PlannedMachine): number {
+  if (isStandby) return -1;
+  const isUnused = runs === 0 && idleMilliseconds >= parkAfterIdleMilliseconds;
+  // One move in place of two: to the standby pool and from it.
+  return isUnused ? -2 : runs;
 }
 
 function isEmpty({ pool, machine }: Supply): boolean {
--- a/src/fleet/test/plans.test.ts
+++ b/src/fleet/test/plans.test.ts
@@ -129,6 +129,17 @@
   expect(moves.map(({ from, to }) => `${from}-${to}`)).toEqual(["spare-busy", "spare-busy", "spare-busy"]);
 });
 
+test("a pool in its turn takes the machines of a turn that is over, which would be parked, before those that are off", () => {
+  const pools = [
+    plannedPool("busy", { demandCores: 260, machines: machines(6, { runs: 8, idleMilliseconds: 0 }) }),
+    plannedPool("over", { demandCores: 0, machines: machines(6, { idleMilliseconds: 1_500 }) }),
+    plannedPool("spare", { isStandby: true, cores: 0, machines: machines(6, { targetId: undefined }) }),
+  ];
+  const { moves, vacate } = planMoves(pools);
+  const toBusy = [...moves, ...vacate].filter(({ to }) => to === "busy");
+  expect(toBusy.map(({ from }) => from)).toEqual(["over", "over", "over"]);
+});
+
 test("machines with lasting tasks, and those of a pool whose lasting tasks wait, stay", () => {
   const pools = [
     plannedPool("busy", { demandCores: 900, machines: machines(6, { runs: 8, idleMilliseconds: 0 }) }),
