Machines come to a turn as fast as the platform takes orders, not 16 in a step

Cause: a fixed number of moves a step, from deployments a fifth of the size, and steps that took half a second: the list, the order record and 16 orders over two connections came before a pause of 250 ms. Machines whose turn was over were parked 4 s late for the same reason: their moves stood behind those of the next turn. Class: a constant that does not grow with the fleet.

The platform states what it takes (215 orders a second there, 64 on the small sites).

--- a/src/fleet/fleet-manager.ts
+++ b/src/fleet/fleet-manager.ts
@@ -9,6 +9,7 @@
 import { describeArrivals, describePools, MachineHistory, type FleetView } from "./fleet-view.js";
 import { countOrder } from "./machine-control.js";
 import { planMoves, type MoveCircumstances, type PlannedMove, type PoolShortage } from "./move-plan.js";
+import { createOrderBudget, type OrderBudget } from "./order-budget.js";
 import { OrderRecord } from "./order-record.js";
 import { WaveKeeper, type PlannedMaintenance, type WaveKeeperOptions } from "./wave-keeper.js";
 import type { WaveCandidate } from "./wave-plan.js";
@@ -31,19 +32,22 @@
   ) => Promise<PoolReport | undefined>;
   /** A new holder leaves machines alone that an earlier one ordered so lately. */
   readonly orderLeaseMilliseconds: number;
+  /** Orders for machines that the platform takes in a second from all entries together. */
+  readonly ordersPerSecond: number;
 }
 
 const stepMilliseconds = 250;
+/** The pause after a step that took long. */
+const shortestPauseMilliseconds = 50;
 /** Orders of an earlier holder may arrive a little later than its lease ends. */
 const orderSettleMilliseconds = 500;
-/** Moves that are ordered in one step. */
-const maximumMovesPerStep = 16;
 
 /** Gives the orders for machines while this entry holds the duty. */
 export class FleetManager {
   readonly #options: FleetManagerOptions;
   readonly #stop = new AbortController();
   readonly #waves: WaveKeeper;
+  readonly #budget: OrderBudget;
   #history = new MachineHistory();
   /** Targets that are being emptied, by pool. */
   #vacating: ReadonlyMap<string, readonly string[]> = new Map();
@@ -61,6 +65,7 @@
   constructor(options: FleetManagerOptions) {
     this.#options = options;
     this.#waves = new WaveKeeper(options);
+    this.#budget = createOrderBudget(options.ordersPerSecond);
   }
 
   /** Competes for the duty and does it until the manager is closed. */
@@ -70,8 +75,9 @@
       await duty.compete();
       // Another entry may have held the duty between two holdings of this one.
       if (!duty.isHeld() || duty.fencingToken() !== this.#fencingToken) this.#forget();
+      const nextAt = performance.now() + stepMilliseconds;
       if (duty.isHeld()) await this.#step();
-      await delay(stepMilliseconds, this.#stop.signal);
+      await delay(Math.max(shortestPauseMilliseconds, nextAt - performance.now()), this.#stop.signal);
     }
   }
 
@@ -106,14 +112,18 @@
     const moves = [...plan.moves, ...(await this.#emptyIdle(plan.vacate))];
     // A machine that an earlier holder took down may not be listed as such yet.
     const maintenance = orders.isSettled() ? waves.maintenance : [];
-    await this.#giveOrders(orders, maintenance, moves.slice(0, maximumMovesPerStep));
+    await this.#giveOrders(orders, maintenance, moves);
   }
 
   async #giveOrders(
     orders: OrderRecord,
-    maintenance: readonly PlannedMaintenance[],
-    moves: readonly PlannedMove[],
+    plannedMaintenance: readonly PlannedMaintenance[],
+    plannedMoves: readonly PlannedMove[],
   ): Promise<void> {
+    const available = this.#budget.available(performance.now());
+    const maintenance = plannedMaintenance.slice(0, available);
+    const moves = plannedMoves.slice(0, available - maintenance.length);
+    this.#budget.take(maintenance.length + moves.length);
     const ordered = [...maintenance.map(({ candidate }) => candidate), ...moves];
     if (ordered.length === 0 || !(await orders.note(ordered.map(({ machineId }) => machineId)))) return;
     await Promise.all([
--- a/src/fleet/test/fleet-manager.test.ts
+++ b/src/fleet/test/fleet-manager.test.ts
@@ -160,6 +160,7 @@
     vacate: async (pool) => Promise.resolve(pool === "busy" ? machines.report() : emptyReport(pool)),
     waveStatus: { key: (wave) => `status/${wave}`, encode: (_, state) => state },
     orderLeaseMilliseconds,
+    ordersPerSecond: 64,
     log,
     metrics: createMetrics(),
   });
--- a/src/wiring/job-entry.ts
+++ b/src/wiring/job-entry.ts
@@ -87,6 +87,8 @@
   readonly machines: MachineControl | undefined;
   /** A new holder of the duty on machines waits so long before its first order. */
   readonly orderLeaseMilliseconds: number;
+  /** Orders for machines that the platform takes in a second from all entries together. */
+  readonly machineOrdersPerSecond: number;
   createIngress(gateway: JobGateway, table: () => QueueTable | undefined): JobIngress;
   readonly log: Log;
   readonly metrics: Metrics;
@@ -277,6 +279,7 @@
       gateway.vacate(pool, targetIds, arrivals, vacateTimeoutMilliseconds),
     waveStatus: options.operators.waveStatus,
     orderLeaseMilliseconds,
+    ordersPerSecond: options.machineOrdersPerSecond,
     log,
     metrics,
   });
