A plan of the room outlives accepted jobs, and refusals share a reading of the load

An accepted job threw the plan away, so that in a turn nearly every submission planned the room of all open jobs anew, and each refusal read the load of all open tasks and runs for its line in the log.

--- a/src/job-homes/home-forecast.ts
+++ b/src/job-homes/home-forecast.ts
@@ -5,9 +5,11 @@
 import type { Job, JobDefinition, Occurrence, QueueTerms, Resources, Task } from "../jobs/index.js";
 import {
   add,
+  bookJob,
   chargedResources,
   compareJobs,
   forecastEnd,
+  isLastingJob,
   longestChainMilliseconds,
   planRoom,
   subtract,
@@ -21,8 +23,10 @@
 /** A job is worth something until this many times its objective. */
 const latestFactor = 3;
 const horizonMilliseconds = 20_000;
-/** A plan of the room serves callers for so long, unless a job is accepted meanwhile. */
-const planAgeMilliseconds = 40;
+/** A plan of the room serves callers for so many times the time that it took, within these bounds. */
+const planAgeFactor = 10;
+const shortestPlanMilliseconds = 40;
+const longestPlanMilliseconds = 250;
 /** A task that runs longer than expected is expected to end soon. */
 const shortestRestMilliseconds = 50;
 
@@ -49,16 +53,12 @@
   const now = performance.now();
   const ratio = state.runTimes.ratio(terms.queue);
   const plan = readRoomPlan(state, now);
-  const asked: ForecastJob = {
-    steps: definition.steps.map((step) => ({
-      waiting: step.taskCount,
-      running: [],
-      needs: chargedResources(step),
-      runMilliseconds: step.estimateMilliseconds * ratio,
-      after: step.after,
-    })),
-  };
-  const end = forecastEnd(plan.room, asked, horizonMilliseconds, now - plan.plannedAt);
+  const end = forecastEnd(
+    plan.room,
+    describeNewJob(definition, ratio),
+    horizonMilliseconds,
+    now - plan.plannedAt,
+  );
   const endMilliseconds = end + state.forecastMargin.milliseconds();
   const chain = longestChainMilliseconds(definition, ratio);
   const objective = terms.slackFactor * chain + terms.objectiveMilliseconds;
@@ -71,19 +71,51 @@
   };
 }
 
+/**
+ * Takes the room of a job that has just been accepted from the plan that callers share.
+ * @param state - the home
+ * @param terms - the terms of the job's queue
+ * @param definition - the job
+ */
+export function bookAccepted(state: HomeState, terms: QueueTerms, definition: JobDefinition): void {
+  const plan = state.roomPlan;
+  if (plan === undefined) return;
+  if (isLastingJob(definition) || definition.repetition !== undefined) {
+    state.roomPlan = undefined;
+    return;
+  }
+  const asked = describeNewJob(definition, state.runTimes.ratio(terms.queue));
+  const age = performance.now() - plan.plannedAt;
+  state.roomPlan = { ...plan, room: bookJob(plan.room, asked, horizonMilliseconds, age) };
+}
+
+function describeNewJob({ steps }: JobDefinition, ratio: number): ForecastJob {
+  return {
+    steps: steps.map((step) => ({
+      waiting: step.taskCount,
+      running: [],
+      needs: chargedResources(step),
+      runMilliseconds: step.estimateMilliseconds * ratio,
+      after: step.after,
+    })),
+  };
+}
+
 /** A job that ends so little after its shortest time has not waited. */
 const gracePerJobMilliseconds = 100;
 
 /** The room that accepted jobs leave; many callers that come together share one plan. */
 function readRoomPlan(state: HomeState, now: number): PlannedRoom {
   const known = state.roomPlan;
-  if (known !== undefined && now - known.plannedAt < planAgeMilliseconds) return known;
+  if (known !== undefined && now - known.plannedAt < known.lastsMilliseconds) return known;
   const arrivals = state.expectedRoom.map(({ resources, at }) => ({
     resources,
     atMilliseconds: Math.max(0, at - now),
   }));
   const room = planRoom(readOpenJobs(state, now), readCapacity(state), horizonMilliseconds, arrivals);
-  const planned = { room, plannedAt: now };
+  const lasts = planAgeFactor * (performance.now() - now);
+  const lastsMilliseconds = Math.min(longestPlanMilliseconds, Math.max(shortestPlanMilliseconds, lasts));
+  const planned = { room, plannedAt: now, lastsMilliseconds };
   state.roomPlan = planned;
   return planned;
 }
--- a/src/job-homes/home-state.ts
+++ b/src/job-homes/home-state.ts
@@ -26,6 +26,7 @@
 import type { RegisteredTarget, TargetOrders, TargetSession } from "../task-runs/index.js";
 import type { Log, Metrics } from "../telemetry/index.js";
 import type { HomeJournal } from "./home-journal.js";
+import type { PoolLoad } from "./pool-load.js";
 
 /** A run together with its task. */
 export interface TargetRun {
@@ -66,6 +67,8 @@
   readonly room: RoomPlan;
   /** By the monotonic clock. */
   readonly plannedAt: number;
+  /** It serves callers so long. */
+  readonly lastsMilliseconds: number;
 }
 
 /** A start that brought no answer. */
@@ -118,8 +121,10 @@
   unplacedLastingTasks: number;
   /** Room that is on its way to the pool, or could be had for it. */
   expectedRoom: readonly ExpectedRoom[];
-  /** Planned for the callers of this moment; undefined once a job was accepted. */
+  /** Planned for the callers of this moment, less what jobs take that were accepted meanwhile; undefined without one. */
   roomPlan: PlannedRoom | undefined;
+  /** The pool's load as it was read last, with when, by the monotonic clock; undefined before. */
+  recentLoad: { readonly load: PoolLoad; readonly readAt: number } | undefined;
   /** By how much forecasts have missed. */
   readonly forecastMargin: ForecastMargin;
   /** Records of where lasting tasks may run, on their way to the store, by job. */
@@ -158,6 +163,7 @@
     unplacedLastingTasks: 0,
     expectedRoom: [],
     roomPlan: undefined,
+    recentLoad: undefined,
   };
 }
 
@@ -195,7 +201,6 @@
 ): Job {
   const age = Math.max(0, unixMilliseconds - record.acceptedAt);
   const job = createJob(record, progress, performance.now() - age, isInherited);
-  state.roomPlan = undefined;
   state.jobs.set(job.id, job);
   if (job.finalState !== undefined) {
     state.endedJobs.add(job);
--- a/src/job-homes/job-home.ts
+++ b/src/job-homes/job-home.ts
@@ -16,9 +16,9 @@
 import { createAdviceBook, type AdviceBook, type AdviceService } from "./advice-book.js";
 import { dispatch } from "./dispatcher.js";
 import { createFirstRequests } from "./first-requests.js";
-import { forecastJob, type HomeForecast } from "./home-forecast.js";
+import { bookAccepted, forecastJob, type HomeForecast } from "./home-forecast.js";
 import { addJob, forgetJob, openDue, type HomeState, type HomeTarget } from "./home-state.js";
-import { readLoad, reportPool, type PoolReport } from "./pool-report.js";
+import { readRecentLoad, reportPool, type PoolReport } from "./pool-report.js";
 import type { CancelOutcome, JobSubmission, StateOutcome, SubmitOutcome } from "./job-outcomes.js";
 import { endJob, hasEnded, storeProgress } from "./job-progress.js";
 import { stopUnwanted } from "./stopper.js";
@@ -243,7 +243,7 @@
   }
 
   #logRefusal({ jobId, terms }: JobSubmission, forecast: HomeForecast, retryAfterMilliseconds: number): void {
-    const { backlogCoreSeconds, cores, busyCores } = readLoad(this.#state);
+    const { backlogCoreSeconds, cores, busyCores } = readRecentLoad(this.#state);
     this.#state.log.write("info", "job-refused", {
       job: jobId,
       queue: terms.queue,
@@ -268,6 +268,7 @@
 
   #add(record: JobRecord, forecast: HomeForecast | undefined): void {
     const job = addJob(this.#state, record, undefined, Date.now(), false);
+    bookAccepted(this.#state, record.terms, record.definition);
     if (forecast !== undefined && Number.isFinite(forecast.uncorrectedEndMilliseconds))
       job.expectedEndAt = performance.now() + forecast.uncorrectedEndMilliseconds;
     const { queue, pool } = record.terms;
--- a/src/job-homes/pool-report.ts
+++ b/src/job-homes/pool-report.ts
@@ -5,6 +5,7 @@
 import { isStepReady, type Occurrence } from "../jobs/index.js";
 import { stepCoreSeconds } from "../scheduling/index.js";
 import { isInService, type HomeState } from "./home-state.js";
+import type { PoolLoad } from "./pool-load.js";
 
 /** A target as its home sees it. */
 export interface TargetLoad {
@@ -36,16 +37,21 @@
 /** Work that waits for room asks for the cores that end it in this time. */
 const catchUpSeconds = 1.5;
 
-/** How much a pool has to do, and what it has for it. */
-export interface PoolLoad {
-  /** Accepted work that has not ended, in core-seconds. */
-  readonly backlogCoreSeconds: number;
-  /** Cores that would soon end what waits for room. */
-  readonly waitingCores: number;
-  /** Cores that serve such work, those of lasting tasks not counted. */
-  readonly cores: number;
-  /** Those of them that are in use. */
-  readonly busyCores: number;
+/** Refusals tell a load that is no older than this. */
+const loadAgeMilliseconds = 100;
+
+/**
+ * Measures a pool's load unless it was measured just now; callers that are refused together share a measurement.
+ * @param state - the home
+ * @returns the load
+ */
+export function readRecentLoad(state: HomeState): PoolLoad {
+  const now = performance.now();
+  const known = state.recentLoad;
+  if (known !== undefined && now - known.readAt < loadAgeMilliseconds) return known.load;
+  const load = readLoad(state);
+  state.recentLoad = { load, readAt: now };
+  return load;
 }
 
 /**
@@ -53,7 +59,7 @@
  * @param state - the home
  * @returns accepted work, the cores that serve it, and how many of them are in use
  */
-export function readLoad(state: HomeState): PoolLoad {
+function readLoad(state: HomeState): PoolLoad {
   const load = { backlogCoreSeconds: 0, waitingCores: 0 };
   for (const job of state.openJobs.values()) {
     const ratio = state.runTimes.ratio(job.record.terms.queue);
--- a/src/scheduling/forecast.ts
+++ b/src/scheduling/forecast.ts
@@ -6,6 +6,8 @@
  * @packageDocumentation
  */
 import type { Resources } from "../jobs/index.js";
+import { noResources, Room } from "./room.js";
+import { subtract } from "./target-view.js";
 
 /** Like tasks of one step, as the forecast sees them. */
 export interface ForecastStep {
@@ -113,77 +115,83 @@
  * @returns milliseconds until the job ends; infinite beyond the horizon
  */
 export function forecastEnd(
-  { points }: RoomPlan,
+  plan: RoomPlan,
   job: ForecastJob,
   horizonMilliseconds: number,
   ageMilliseconds = 0,
+): number {
+  return walkJob(plan, job, horizonMilliseconds, ageMilliseconds, () => undefined);
+}
+
+/**
+ * Takes the room of one more job, as `forecastEnd` forecasts it, from that which others leave.
+ * @param plan - the room that others leave
+ * @param job - the job
+ * @param horizonMilliseconds - how far the plan looks
+ * @param ageMilliseconds - how long ago the room was planned
+ * @returns the room that is left beside the job, of the same age
+ */
+export function bookJob(
+  plan: RoomPlan,
+  job: ForecastJob,
+  horizonMilliseconds: number,
+  ageMilliseconds: number,
+): RoomPlan {
+  const taken: RoomPoint[] = [];
+  walkJob(plan, job, horizonMilliseconds, ageMilliseconds, (now, own) => {
+    taken.push({ atMilliseconds: now + ageMilliseconds, free: own.taken() });
+  });
+  return { points: takeFrom(plan.points, taken) };
+}
+
+/** Goes through the times at which a job can take room or gives it back; tells after each what it has taken. */
+function walkJob(
+  { points }: RoomPlan,
+  job: ForecastJob,
+  horizonMilliseconds: number,
+  ageMilliseconds: number,
+  onStep: (now: number, own: Room) => void,
 ): number {
   const asked = openJob(job);
   const own = new Room(noResources);
   const releases = new Releases(horizonMilliseconds);
-  const pointTimes = points.map(({ atMilliseconds }) => atMilliseconds - ageMilliseconds);
+  const pointAt = (index: number): number => (points[index]?.atMilliseconds ?? Infinity) - ageMilliseconds;
   let point = 0;
   let now = 0;
   while (asked.left > 0) {
-    while ((pointTimes[point + 1] ?? Infinity) <= now) point += 1;
+    while (pointAt(point + 1) <= now) point += 1;
     own.setShared(points[point]?.free ?? noResources);
     for (const step of asked.steps) startWaiting(step, own, now, releases);
-    const next = Math.min(pointTimes[point + 1] ?? Infinity, releases.nextAt() ?? Infinity);
+    onStep(now, own);
+    const next = Math.min(pointAt(point + 1), releases.nextAt() ?? Infinity);
     if (next > horizonMilliseconds) return Number.POSITIVE_INFINITY;
     now = next;
     if (releases.nextAt() !== now) continue;
     for (const release of releases.takeNext()?.releases ?? []) free(release, own);
   }
+  onStep(now, own);
   return now;
 }
 
-const noResources: Resources = { cpuMillicores: 0, memoryMegabytes: 0, accelerators: 0 };
-
-class Room {
-  #cpuMillicores = 0;
-  #memoryMegabytes = 0;
-  #accelerators = 0;
-  #shared: Resources;
-
-  constructor(capacity: Resources) {
-    this.#shared = capacity;
-  }
-
-  /** Replaces the room that is shared with others; what was taken here stays taken. */
-  setShared(shared: Resources): void {
-    this.#shared = shared;
+/** Takes what changes over time from what else changes over time. */
+function takeFrom(points: readonly RoomPoint[], taken: readonly RoomPoint[]): RoomPoint[] {
+  const left: RoomPoint[] = [];
+  let [point, step] = [0, 0];
+  let [free, used] = [noResources, noResources];
+  while (point < points.length || step < taken.length) {
+    const pointAt = points[point]?.atMilliseconds ?? Infinity;
+    const stepAt = taken[step]?.atMilliseconds ?? Infinity;
+    if (pointAt <= stepAt) {
+      free = points[point]?.free ?? free;
+      point += 1;
+    }
+    if (stepAt <= pointAt) {
+      used = taken[step]?.free ?? used;
+      step += 1;
+    }
+    left.push({ atMilliseconds: Math.min(pointAt, stepAt), free: subtract(free, used) });
   }
-
-  left(): Resources {
-    const { cpuMillicores, memoryMegabytes, accelerators } = this.#shared;
-    return {
-      cpuMillicores: cpuMillicores - this.#cpuMillicores,
-      memoryMegabytes: memoryMegabytes - this.#memoryMegabytes,
-      accelerators: accelerators - this.#accelerators,
-    };
-  }
-
-  /** How many tasks fit. */
-  count(needs: Resources): number {
-    const { cpuMillicores, memoryMegabytes, accelerators } = this.#shared;
-    const byCpu = howOften(cpuMillicores - this.#cpuMillicores, needs.cpuMillicores);
-    if (byCpu === 0) return 0;
-    const byMemory = howOften(memoryMegabytes - this.#memoryMegabytes, needs.memoryMegabytes);
-    const byAccelerators = howOften(accelerators - this.#accelerators, needs.accelerators);
-    return Math.min(byCpu, byMemory, byAccelerators);
-  }
-
-  /** Takes room `count` times; a negative number gives it back. */
-  take({ cpuMillicores, memoryMegabytes, accelerators }: Resources, count: number): void {
-    this.#cpuMillicores += cpuMillicores * count;
-    this.#memoryMegabytes += memoryMegabytes * count;
-    this.#accelerators += accelerators * count;
-  }
-}
-
-function howOften(left: number, needed: number): number {
-  if (needed <= 0) return Infinity;
-  return Math.max(0, Math.floor(left / needed));
+  return left;
 }
 
 /** Releases by the tick in which they come. */
--- a/src/scheduling/index.ts
+++ b/src/scheduling/index.ts
@@ -5,6 +5,7 @@
 export { admitJob, type JobAdmission, type JobForecast } from "./admission.js";
 export { createDemandForecast, createWorkRate, type WorkRate } from "./demand.js";
 export {
+  bookJob,
   forecastEnd,
   planRoom,
   type ForecastJob,
