Rounds of placing take a bounded share of the process

A round was held 4 ms after the first news, however long the rounds took, so that a slow process placed without end and read its targets' answers late. A round only ranks jobs that it can decide something for, views the targets only when there are some, counts what they run without a name for each run, and looks at racks only for steps that choose by them.

--- a/src/job-homes/dispatcher.ts
+++ b/src/job-homes/dispatcher.ts
@@ -2,13 +2,21 @@
  * Rounds of placing: goes through the jobs in their order and starts what has room.
  * @packageDocumentation
  */
-import { isStepReady, type Job, type Occurrence, type Resources, type Task } from "../jobs/index.js";
+import {
+  isStepReady,
+  type Job,
+  type Occurrence,
+  type Resources,
+  type StepDefinition,
+  type Task,
+} from "../jobs/index.js";
 import {
   add,
   chargedResources,
   chooseGangPlaces,
   choosePlace,
   compareJobs,
+  isLastingJob,
   subtract,
   takePlace,
   type StepPlace,
@@ -28,10 +36,13 @@
 export function dispatch(state: HomeState, advice: AdviceBook): void {
   if (!state.isActive()) return;
   const now = performance.now();
+  const wanting = [...state.openJobs.values()].filter((job) => !job.isEnding && wantsPlace(state, job, now));
+  if (wanting.length === 0) {
+    state.unplacedLastingTasks = 0;
+    return;
+  }
   const views = [...state.targets.values()].filter((target) => isUsable(target, now)).map(viewTarget);
-  const ranked = [...state.openJobs.values()]
-    .filter(({ isEnding }) => !isEnding)
-    .map((job) => rankJob(state, job));
+  const ranked = wanting.map((job) => rankJob(state, job));
   ranked.sort((left, right) => compareJobs(left, right, now));
   state.unplacedLastingTasks = moveLastingTasks(state, ranked, views);
   for (const { job } of ranked) {
@@ -40,6 +51,18 @@
   }
 }
 
+/** Whether a round has anything to decide for a job: most open ones only wait for the ends of what runs. */
+function wantsPlace(state: HomeState, job: Job, now: number): boolean {
+  if (isLastingJob(job.record.definition)) return true;
+  for (const occurrence of job.occurrences.values()) {
+    const isWanting = occurrence.steps.some(
+      (tasks, step) => tasks.some((task) => isIdle(state, task, now)) && isStepReady(occurrence, step),
+    );
+    if (isWanting) return true;
+  }
+  return false;
+}
+
 function isUsable(target: HomeTarget, now: number): boolean {
   const { session } = target;
   return (
@@ -55,12 +78,17 @@
 
 function viewTarget(target: HomeTarget): TargetView {
   const { capacity, labels, rack, targetId } = target.session.target();
-  let free = capacity;
+  const taken = { cpuMillicores: 0, memoryMegabytes: 0, accelerators: 0 };
   const stepCounts = new Map<string, number>();
   let lastingCount = 0;
   for (const { task } of target.runs.values()) {
-    free = subtract(free, chargedResources(task.definition));
-    if (task.definition.isLasting) lastingCount += 1;
+    const { definition } = task;
+    const { cpuMillicores, memoryMegabytes, accelerators } = definition.resources;
+    if (!definition.isFiller) taken.cpuMillicores += cpuMillicores;
+    taken.memoryMegabytes += memoryMegabytes;
+    taken.accelerators += accelerators;
+    if (definition.isLasting) lastingCount += 1;
+    if (!countsOnTargets(definition)) continue;
     const key = stepKey(task);
     stepCounts.set(key, (stepCounts.get(key) ?? 0) + 1);
   }
@@ -69,7 +97,7 @@
     rack,
     labels,
     capacity,
-    free,
+    free: subtract(capacity, taken),
     stepCounts,
     runCount: target.runs.size,
     lastingCount,
@@ -77,6 +105,11 @@
   };
 }
 
+/** Whether it matters how many tasks of the step a target runs. */
+function countsOnTargets({ isLasting, maximumPerTarget }: StepDefinition): boolean {
+  return isLasting || maximumPerTarget !== undefined;
+}
+
 function stepKey({ job, occurrence, step }: Task): string {
   return `${job.id}.${occurrence}.${step}`;
 }
@@ -109,7 +142,7 @@
 }
 
 function isIdle(state: HomeState, task: Task, now: number): boolean {
-  if (isTaskOver(task) || task.runs.length > 0 || task.notBefore > now) return false;
+  if (task.runs.length > 0 || task.notBefore > now || isTaskOver(task)) return false;
   return !mayRunUnseen(state, task);
 }
 
@@ -122,6 +155,9 @@
 
 function countRacks(state: HomeState, tasks: readonly Task[]): Map<string, number> {
   const racks = new Map<string, number>();
+  const [first] = tasks;
+  // Only these choose their targets by the racks of the others.
+  if (first === undefined || !(first.definition.isLasting || first.definition.prefersOneRack)) return racks;
   for (const { targetId } of tasks.flatMap(({ runs }) => runs)) {
     const rack = state.targets.get(targetId)?.session.target().rack;
     if (rack !== undefined) racks.set(rack, (racks.get(rack) ?? 0) + 1);
--- a/src/job-homes/job-home.ts
+++ b/src/job-homes/job-home.ts
@@ -21,6 +21,7 @@
 import { readRecentLoad, reportPool, type PoolReport } from "./pool-report.js";
 import type { CancelOutcome, JobSubmission, StateOutcome, SubmitOutcome } from "./job-outcomes.js";
 import { endJob, hasEnded, storeProgress } from "./job-progress.js";
+import { chooseRoundPause } from "./round-pause.js";
 import { stopUnwanted } from "./stopper.js";
 
 /** Settings of a home. */
@@ -33,8 +34,6 @@
 }
 
 const tickMilliseconds = 100;
-/** Placing waits this long for news that comes together. */
-const gatherMilliseconds = 4;
 /** Part of a caller's time that is kept for the answer's way back. */
 const answerMarginMilliseconds = 250;
 /** Targets are used again when nobody asked for so long to empty them. */
@@ -53,6 +52,7 @@
   readonly #firstRequests = createFirstRequests();
   readonly #accepting = new Map<string, Promise<SubmitOutcome>>();
   #round: NodeJS.Timeout | undefined;
+  #lastRoundMilliseconds = 0;
   #isStarted = false;
   /** When emptied targets were last asked for, by the monotonic clock. */
   #vacatedAt = 0;
@@ -176,8 +176,10 @@
     if (!this.#isStarted || this.#stop.signal.aborted) return;
     this.#round ??= setTimeout(() => {
       this.#round = undefined;
+      const startedAt = performance.now();
       dispatch(this.#state, this.#advice);
-    }, gatherMilliseconds);
+      this.#lastRoundMilliseconds = performance.now() - startedAt;
+    }, chooseRoundPause(this.#lastRoundMilliseconds));
   }
 
   async #run(): Promise<void> {
