--- a/src/job-homes/dispatcher.ts
+++ b/src/job-homes/dispatcher.ts
@@ -42,7 +42,7 @@
     return;
   }
   const views = [...state.targets.values()].filter((target) => isUsable(target, now)).map(viewTarget);
-  const ranked = wanting.map((job) => rankJob(state, job));
+  const ranked = wanting.map((job) => rankJob(state, job, now));
   ranked.sort((left, right) => compareJobs(left, right, now));
   state.unplacedLastingTasks = moveLastingTasks(state, ranked, views);
   for (const { job } of ranked) {
--- a/src/measures/job-path/measured-home.ts
+++ b/src/measures/job-path/measured-home.ts
@@ -97,7 +97,7 @@
     entryId: "a",
     store,
     session,
-    directory: { entries: () => ["a"], homes: () => new Map(), ageMilliseconds: () => 0 },
+    directory: { entries: () => new Map([["a", 1]]), homes: () => new Map(), ageMilliseconds: () => 0 },
     pools: () => [measuredPool],
     listedTargets: () => listed,
     orders,
@@ -106,6 +106,7 @@
     metrics: createMetrics(),
     runLeaseMilliseconds,
     retentionMilliseconds,
+    settleMilliseconds: 0,
   });
   void keeper.run();
   while (keeper.home(measuredPool) === undefined) await delay(pollMilliseconds);
--- a/src/wiring/job-followers.ts
+++ b/src/wiring/job-followers.ts
@@ -13,6 +13,7 @@
 } from "../job-homes/index.js";
 import type { MaintenanceWave } from "../fleet/index.js";
 import type { QueueTable } from "../jobs/index.js";
+import type { RelayCandidate } from "../order-relays/index.js";
 import { parseRosterRecord, type PeerNetwork, type RosterRecord } from "../membership/index.js";
 import {
   followPrefix,
@@ -24,6 +25,8 @@
 import type { Log } from "../telemetry/index.js";
 import type { JobEntryOptions } from "./job-entry.js";
 
+/** What an entry counts as that does not tell its capacity. */
+const usualCapacityCores = 1;
 const membersWaitMilliseconds = 1_000;
 const configurationWaitMilliseconds = 500;
 const followPauseMilliseconds = 20;
@@ -31,13 +34,17 @@
 const registryPauseMilliseconds = 500;
 /** The pause while a home waits for machines that come to its pool. */
 const arrivalPauseMilliseconds = 120;
-/** The pause of an entry without homes, which only keeps its copy for the time when it takes one. */
-const idlePauseMilliseconds = 2_000;
+/** An entry without homes needs no targets, and reads them when it takes a home. */
+const idlePauseMilliseconds = 60_000;
+/** A copy that is older says too little of the targets of a home that was just taken. */
+const usableAgeMilliseconds = 3_000;
 const registryWaitMilliseconds = 500;
 /** The entries and the homes that they hold. */
 export interface Members {
   readonly follower: PrefixFollower;
   readonly directory: HomeDirectory;
+  /** Entries that could relay orders. */
+  readonly relayCandidates: () => RelayCandidate[];
 }
 
 /**
@@ -67,11 +74,21 @@
     },
   });
   const directory: HomeDirectory = {
-    entries: () => entries.map(({ entryId }) => entryId),
+    entries: () =>
+      new Map(entries.map(({ entryId, capacityCores = usualCapacityCores }) => [entryId, capacityCores])),
     homes: () => homes,
     ageMilliseconds: () => follower.ageMilliseconds(),
   };
-  return { follower, directory };
+  const relayCandidates = (): RelayCandidate[] => {
+    const holders = new Set([...homes.values()].map(({ entryId }) => entryId));
+    return entries.map(({ entryId, zone, capacityCores = usualCapacityCores }) => ({
+      entryId,
+      zone,
+      capacityCores,
+      holdsHome: holders.has(entryId),
+    }));
+  };
+  return { follower, directory, relayCandidates };
 }
 
 function decodeHomes(records: Iterable<StoreRecord>): Map<string, HomeRecord & { revision: number }> {
@@ -160,7 +177,7 @@
  * @returns the targets by pool
  */
 export function followRegistry(
-  { store, registry }: JobEntryOptions,
+  { store, registry }: Pick<JobEntryOptions, "store" | "registry">,
   homes: () => readonly JobHome[],
   onChanged: () => void,
 ): FollowedRegistry {
@@ -178,6 +195,7 @@
   return {
     follower,
     listedTargets: (pool) => {
+      if (follower.ageMilliseconds() > usableAgeMilliseconds) return undefined;
       const own = targets?.filter((target) => target.pool === pool);
       return own === undefined ? undefined : new Map(own.map((target) => [target.targetId, target]));
     },
