--- a/src/job-homes/home-journal.ts
+++ b/src/job-homes/home-journal.ts
@@ -95,6 +95,8 @@
 export class StoredHomeJournal implements HomeJournal {
   readonly #options: HomeJournalOptions;
   #waiting: Waiting[] = [];
+  /** The last of the waiting writes of each key. */
+  readonly #last = new Map<string, Waiting>();
   #revision: number;
   #record: HomeRecord;
   #isClosed = false;
@@ -148,7 +150,7 @@
 
   #add(key: string, value: unknown, mustBeAbsent: boolean, settle: (result: JournalResult) => void): Waiting {
     // An older write of the key may be waiting again before the last one; what replaced it would be overwritten.
-    const earlier = this.#waiting.findLast((item) => item.key === key);
+    const earlier = this.#last.get(key);
     if (earlier?.isSent === false) {
       earlier.value = value;
       earlier.settles.push(settle);
@@ -156,6 +158,7 @@
     }
     const item: Waiting = { key, value, mustBeAbsent, settles: [settle], isSent: false, mayBeStored: false };
     this.#waiting.push(item);
+    this.#last.set(key, item);
     return item;
   }
 
@@ -202,15 +205,17 @@
     let bytes = 0;
     let entries = 1;
     const batch: Waiting[] = [];
+    const keys = new Set<string>();
     for (const item of this.#waiting) {
       // A transaction holds a key once.
-      if (batch.some(({ key }) => key === item.key)) break;
+      if (keys.has(item.key)) break;
       bytes += item.value === undefined ? 0 : JSON.stringify(item.value).length;
       entries += item.mustBeAbsent ? 2 : 1;
       const isFull = entries > maximumTransactionEntries || bytes > bytesPerTransaction;
       if (isFull && batch.length > 0) break;
       item.isSent = true;
       batch.push(item);
+      keys.add(item.key);
     }
     return batch;
   }
@@ -286,7 +291,11 @@
   }
 
   #settle(items: readonly Waiting[], result: JournalResult): void {
-    this.#waiting = this.#waiting.filter((item) => !items.includes(item));
+    const settled = new Set(items);
+    this.#waiting = this.#waiting.filter((item) => !settled.has(item));
+    for (const item of items) {
+      if (this.#last.get(item.key) === item) this.#last.delete(item.key);
+    }
     for (const { settles } of items) {
       for (const settle of settles) settle(result);
     }
