The model of homes and targets plays answers that are read late

Stand-in targets answer in time, and the home reads each answer up to 0.3, 1 or 2.5 s later, or not within its bound, so that answers overtake each other.

--- a/src/job-homes/test/home-model.test.ts
+++ b/src/job-homes/test/home-model.test.ts
@@ -97,6 +97,7 @@
   /** Ends all faults and waits until nothing more is to be done. */
   async settle(): Promise<void> {
     this.fixture.fleet.setLate(undefined);
+    this.fixture.fleet.setAnswerDelay(0);
     for (let index = 0; index < targetCount; index += 1) {
       this.target(index).isSilent = false;
       this.model.noteRevival(this.target(index).describe().targetId, performance.now());
@@ -144,12 +145,14 @@
   { weight: 2, arbitrary: targetIndex.map(reviveStep) },
   { weight: 2, arbitrary: targetIndex.map(restartStep) },
   { weight: 1, arbitrary: fc.constantFrom(80, 400, 900).map(lateStep) },
+  { weight: 2, arbitrary: fc.constantFrom(300, 1_000, 2_500).map(slowReadingStep) },
   {
     weight: 2,
     arbitrary: fc.constant<Step>({
       name: "on time",
       act: ({ fixture }) => {
         fixture.fleet.setLate(undefined);
+        fixture.fleet.setAnswerDelay(0);
       },
     }),
   },
@@ -230,6 +233,15 @@
   };
 }
 
+function slowReadingStep(milliseconds: number): Step {
+  return {
+    name: `answers read late ${milliseconds}`,
+    act: ({ fixture }) => {
+      fixture.fleet.setAnswerDelay(milliseconds);
+    },
+  };
+}
+
 /** Plays steps with pauses between them; returns what is wrong. */
 async function playSteps(
   steps: readonly { readonly step: Step; readonly pause: number }[],
--- a/src/stand-ins/job-targets/job-fleet.ts
+++ b/src/stand-ins/job-targets/job-fleet.ts
@@ -3,7 +3,7 @@
  * @packageDocumentation
  */
 import { Left } from "purify-ts";
-import { delay } from "../../shared/index.js";
+import { createRandom, delay } from "../../shared/index.js";
 import type { OrderHeader, OrderOutcome, TargetOrders } from "../../task-runs/index.js";
 import { JobTarget, type JobTargetWorld, type TaskBehaviour } from "./job-target.js";
 
@@ -14,6 +14,8 @@
   readonly orders: TargetOrders;
   /** Orders that bring no answer and are carried out so much later; undefined for none. */
   setLate(milliseconds: number | undefined): void;
+  /** Answers are read up to so much later, each at another time, as by a process that has much to do. */
+  setAnswerDelay(milliseconds: number): void;
   close(): void;
 }
 
@@ -29,6 +31,7 @@
 const millicoresPerCore = 1_000;
 const targetsPerRack = 4;
 const lostTimeoutMilliseconds = 100;
+const answerSeed = 17;
 
 /**
  * Starts a fleet.
@@ -44,6 +47,8 @@
     }),
   );
   let late: number | undefined;
+  let answerDelay = 0;
+  const random = createRandom(answerSeed);
   const timer = setInterval(() => {
     for (const target of targets.values()) target.advance();
   }, advanceMilliseconds);
@@ -62,7 +67,14 @@
     }
     await delay(1);
     const outcome = carryOut(found);
-    return found.losesAnswers ? lost : outcome;
+    const isRead = await awaitAnswer(timeoutMilliseconds);
+    return found.losesAnswers || !isRead ? lost : outcome;
+  };
+  /** Lets the time until an answer is read pass; tells whether it was read in time. */
+  const awaitAnswer = async (timeoutMilliseconds: number): Promise<boolean> => {
+    const readAfter = answerDelay === 0 ? 0 : random.fraction() * answerDelay;
+    await delay(Math.min(readAfter, timeoutMilliseconds));
+    return readAfter < timeoutMilliseconds;
   };
 
   return {
@@ -80,12 +92,17 @@
           await delay(lostTimeoutMilliseconds);
           return Left({ kind: "unknown", message: "no answer in time" });
         }
-        return found.renew(order);
+        const report = found.renew(order);
+        const isRead = await awaitAnswer(order.timeoutMilliseconds);
+        return isRead ? report : Left({ kind: "unknown", message: "no answer in time" });
       },
     },
     setLate: (milliseconds) => {
       late = milliseconds;
     },
+    setAnswerDelay: (milliseconds) => {
+      answerDelay = milliseconds;
+    },
     close: () => {
       clearInterval(timer);
     },
