A start without an answer is looked for before it is stopped

Cause: a start whose answer was not read within 0.8 s was stopped at once. A target that had carried it out lost a task that was at work; one that had not yet got it was made to refuse it. Nobody had looked.

Fix: the target is asked what it shows, without waiting for an end. A start that it shows goes on; one whose end it lists is left to the session; only one that it does not show, and may carry out later, is stopped, as before. Reports of another life settle nothing. A stop that used to be sent blindly is replaced by one look for all such starts of a target.

Tests: start-looks.test.ts; three of its four failed before (the fourth holds that what is not shown is stopped).

--- a/src/job-homes/run-ends.ts
+++ b/src/job-homes/run-ends.ts
@@ -5,7 +5,7 @@
  */
 import { noteSuccess, type Job, type Task, type TaskRun } from "../jobs/index.js";
 import type { PresentRun, RunEnd, TargetReport } from "../task-runs/index.js";
-import { isTaskOver, removeRun, type HomeState, type HomeTarget } from "./home-state.js";
+import { isTaskOver, removeRun, type HomeState, type HomeTarget, type TargetRun } from "./home-state.js";
 import { storeProgress } from "./job-progress.js";
 
 /** A target is trusted less after a failure, and more after a success. */
@@ -52,7 +52,7 @@
   const task = state.tasks.get(present.task);
   const known = target.runs.get(present.task);
   if (task !== undefined && known?.run.run === present.run) {
-    updateRun(task, known.run, present);
+    updateRun(known, present);
     return;
   }
   if (task !== undefined && !isTaskOver(task) && task.runs.length === 0) {
@@ -62,13 +62,21 @@
   stopStray(state, target, present);
 }
 
-function updateRun(task: Task, run: TaskRun, present: PresentRun): void {
-  if (run.status === "starting" || run.status === "unresolved") {
-    run.status = "running";
-    run.confirmedAt ??= performance.now();
-    task.job.hasStarted = true;
-  }
+/**
+ * Notes that a target shows a run: its start was carried out.
+ * @param shown - the run
+ */
+export function confirmShown({ task, run }: TargetRun): void {
   run.isListed = true;
+  if (run.status === "running" || run.status === "stopping") return;
+  run.status = "running";
+  run.confirmedAt ??= performance.now();
+  task.job.hasStarted = true;
+}
+
+function updateRun(known: TargetRun, present: PresentRun): void {
+  const { task, run } = known;
+  confirmShown(known);
   if (run.percent !== present.percent) run.progressedAt = performance.now();
   run.percent = present.percent;
   run.usage = present.usage;
--- /dev/null
+++ b/src/job-homes/start-looks.ts
@@ -0,0 +1,58 @@
+/**
+ * Looks on a target for starts that brought no answer. A start that the target shows goes on; only one that it does not
+ * show, and may carry out later, has to be stopped.
+ * @packageDocumentation
+ */
+import type { RunEnd, TargetReport } from "../task-runs/index.js";
+import { isTaskOver, type HomeState, type HomeTarget, type TargetRun } from "./home-state.js";
+import { confirmShown } from "./run-ends.js";
+
+const lookTimeoutMilliseconds = 700;
+const repeatMilliseconds = 500;
+
+/**
+ * Looks for the starts of a target that brought no answer.
+ * @param state - the home
+ * @param target - the target
+ */
+export function lookForStarts(state: HomeState, target: HomeTarget): void {
+  const now = performance.now();
+  const due = [...target.runs.values()].filter((each) => needsLook(each, now));
+  if (due.length === 0) return;
+  for (const { run } of due) run.lookedForAt = now;
+  void look(state, target, due);
+}
+
+function needsLook({ task, run }: TargetRun, now: number): boolean {
+  if (run.status !== "unresolved" || isTaskOver(task)) return false;
+  return (run.lookedForAt ?? -Infinity) + repeatMilliseconds <= now;
+}
+
+async function look(state: HomeState, { session }: HomeTarget, runs: readonly TargetRun[]): Promise<void> {
+  const answer = await state.orders.renew({
+    target: session.target(),
+    fencingToken: state.fencingToken,
+    acknowledgedSequence: 0,
+    leaseUntilMilliseconds: undefined,
+    waitMilliseconds: 0,
+    timeoutMilliseconds: lookTimeoutMilliseconds,
+  });
+  answer.ifRight((report) => {
+    if (report.startedAtUnix !== session.target().startedAtUnix) return;
+    for (const each of runs) settle(each, report);
+    // The session's own report brings the ends.
+    session.hurry();
+  });
+}
+
+function settle(each: TargetRun, report: TargetReport): void {
+  const { task, run } = each;
+  if (run.status !== "unresolved") return;
+  const present = report.present.find((shown) => shown.task === task.name && shown.run === run.run);
+  if (present !== undefined) confirmShown(each);
+  else if (!report.ends.some((end) => isEndOf(end, each))) run.status = "missing";
+}
+
+function isEndOf(end: RunEnd, { task, run }: TargetRun): boolean {
+  return end.task === task.name && end.run === run.run;
+}
--- a/src/job-homes/stopper.ts
+++ b/src/job-homes/stopper.ts
@@ -1,8 +1,10 @@
 /**
- * Stops runs that are no longer wanted, and settles starts that brought no answer, until the target has confirmed it.
+ * Stops runs that are no longer wanted, and starts that brought no answer and are not shown, until the target has
+ * confirmed it.
  * @packageDocumentation
  */
 import { isTaskOver, type HomeState, type HomeTarget, type TargetRun } from "./home-state.js";
+import { lookForStarts } from "./start-looks.js";
 
 const stopTimeoutMilliseconds = 700;
 const repeatMilliseconds = 500;
@@ -15,6 +17,7 @@
   if (!state.isActive()) return;
   const now = performance.now();
   for (const target of state.targets.values()) {
+    lookForStarts(state, target);
     for (const each of target.runs.values()) {
       if (!needsStop(each)) continue;
       const { stopAskedAt, stopConfirmedAt } = each.run;
@@ -26,8 +29,8 @@
 }
 
 function needsStop({ task, run }: TargetRun): boolean {
-  if (run.status === "stopping" || run.status === "unresolved") return true;
-  return isTaskOver(task) && run.status === "running";
+  if (run.status === "stopping" || run.status === "missing") return true;
+  return isTaskOver(task) && run.status !== "starting";
 }
 
 async function stopRun(state: HomeState, target: HomeTarget, { task, run }: TargetRun): Promise<void> {
--- /dev/null
+++ b/src/job-homes/test/start-looks.test.ts
@@ -0,0 +1,146 @@
+/**
+ * Starts that brought no answer: what the target shows goes on, what it does not show is stopped.
+ * @packageDocumentation
+ */
+import { Right } from "purify-ts";
+import { expect, test } from "vitest";
+import type { OrderOutcome, PresentRun, RunEnd, TargetOrders } from "../../task-runs/index.js";
+import { TargetSession } from "../../task-runs/index.js";
+import { createLog, createMetrics } from "../../telemetry/index.js";
+import type { HomeJournal } from "../home-journal.js";
+import { addJob, createHomeState, type HomeState, type HomeTarget } from "../home-state.js";
+import { startRun } from "../start-orders.js";
+import { stopUnwanted } from "../stopper.js";
+import { createStep, pool, terms } from "./home-fixture.js";
+
+const unanswered: OrderOutcome = { kind: "unknown", message: "no answer in time" };
+const targetId = "target";
+
+interface Told {
+  readonly state: HomeState;
+  readonly stops: string[];
+}
+
+/** A home that has started one lasting task, without an answer, on a target that shows what is given. */
+async function startUnanswered(shown: {
+  readonly present?: readonly PresentRun[];
+  readonly ends?: readonly RunEnd[];
+  readonly startedAtUnix?: number;
+}): Promise<Told> {
+  const stops: string[] = [];
+  const { present = [], ends = [], startedAtUnix = 1 } = shown;
+  const orders: TargetOrders = {
+    start: async () => Promise.resolve(unanswered),
+    stop: async ({ task }) => {
+      stops.push(task);
+      return Promise.resolve(unanswered);
+    },
+    pace: async () => Promise.resolve(unanswered),
+    renew: async () => Promise.resolve(Right({ startedAtUnix, clockMilliseconds: 1, present, ends })),
+  };
+  const state = createState(orders);
+  const definition = { spec: "", steps: [createStep({ taskCount: 1, isLasting: true })] };
+  const record = { jobId: "job", terms, definition, acceptedAt: 0, requestedAt: 0 };
+  addJob(state, record, undefined, 0, false);
+  state.targets.set(targetId, createTarget(state));
+  const task = state.tasks.get("job.0.0.0");
+  if (task === undefined) throw new Error("the job has no task");
+  startRun(state, task, 1, targetId, undefined);
+  await pass();
+  expect(task.runs[0]?.status).toBe("unresolved");
+  stopUnwanted(state);
+  await pass();
+  stopUnwanted(state);
+  await pass();
+  return { state, stops };
+}
+
+async function pass(): Promise<void> {
+  await new Promise((resolve) => setTimeout(resolve, 5));
+}
+
+function createState(orders: TargetOrders): HomeState {
+  const journal: HomeJournal = {
+    write: () => ({ result: Promise.resolve("stored"), withdraw: () => undefined }),
+    waiting: () => 0,
+    flush: async () => Promise.resolve(),
+    close: () => undefined,
+  };
+  return createHomeState({
+    pool,
+    fencingToken: 1,
+    firstRun: 1,
+    orders,
+    journal,
+    log: createLog("silent"),
+    metrics: createMetrics(),
+    isActive: () => true,
+    supersede: () => undefined,
+  });
+}
+
+function createTarget({ orders, metrics }: HomeState): HomeTarget {
+  const session = new TargetSession({
+    target: {
+      targetId,
+      address: "127.0.0.1:1",
+      startedAtUnix: 1,
+      pool,
+      availabilityZone: "zone",
+      state: "ready",
+      capacity: { cpuMillicores: 1_000, memoryMegabytes: 100, accelerators: 0 },
+      rack: undefined,
+      labels: [],
+      remainingMilliseconds: undefined,
+    },
+    orders,
+    fencingToken: 1,
+    leaseMilliseconds: 1_000,
+    metrics,
+    handlers: {
+      onReport: () => undefined,
+      onGone: () => undefined,
+      onFenced: () => undefined,
+      isActive: () => true,
+      chooseWait: () => 0,
+    },
+    inheritedLeaseUntil: 0,
+  });
+  session.noteClock(1, performance.now());
+  return {
+    session,
+    runs: new Map(),
+    isRecorded: true,
+    isVacating: false,
+    blockedUntil: 0,
+    distrust: 0,
+    pacePercent: 100,
+    handledSequence: 0,
+    acknowledging: Promise.resolve(),
+  };
+}
+
+const run = { task: "job.0.0.0", run: 1, checkpoint: "" };
+
+test("a lasting task that its target carried out without an answer is not stopped", async () => {
+  const { state, stops } = await startUnanswered({ present: [{ ...run, percent: 100, usage: 0 }] });
+  expect(stops).toEqual([]);
+  expect(state.tasks.get("job.0.0.0")?.runs[0]?.status).toBe("running");
+});
+
+test("a start without an answer that its target does not show is stopped", async () => {
+  const { stops } = await startUnanswered({});
+  expect(stops).toEqual(["job.0.0.0"]);
+});
+
+test("a start without an answer whose end is listed is not stopped", async () => {
+  const { stops } = await startUnanswered({ ends: [{ ...run, sequence: 1, kind: "failed" }] });
+  expect(stops).toEqual([]);
+});
+
+test("what another life of the target shows settles no start", async () => {
+  const present = [{ ...run, percent: 100, usage: 0 }];
+  const { state, stops } = await startUnanswered({ present, startedAtUnix: 2 });
+  expect(stops).toEqual([]);
+  expect(state.tasks.get("job.0.0.0")?.runs[0]?.status).toBe("unresolved");
+});
--- a/src/job-homes/unsettled-starts.ts
+++ b/src/job-homes/unsettled-starts.ts
@@ -66,6 +66,7 @@
     runs.delete(task.name);
     if (run.confirmedAt !== undefined) continue;
     run.status = "unresolved";
+    run.lookedForAt = undefined;
     run.stopAskedAt = undefined;
     run.stopConfirmedAt = undefined;
   }
--- a/src/jobs/job.ts
+++ b/src/jobs/job.ts
@@ -14,13 +14,16 @@
   /** Whether the run does all of the task's work, so that its time can be learned from. */
   readonly isWhole: boolean;
   /**
-   * `starting` until the target confirmed it, `unresolved` when no answer came, `stopping` once a stop was asked for.
+   * `starting` until the target confirmed it, `unresolved` when no answer came, `missing` when the target did not show
+   * it after that, `stopping` once a stop was asked for.
    */
-  status: "starting" | "running" | "stopping" | "unresolved";
+  status: "starting" | "running" | "stopping" | "unresolved" | "missing";
   /** When the target confirmed the start, by the monotonic clock; undefined before. */
   confirmedAt: number | undefined;
   /** Whether a report of its target has shown it; until then a later life under the identifier may have taken the start. */
   isListed: boolean;
+  /** When a start without an answer was last looked for, by the monotonic clock. */
+  lookedForAt?: number | undefined;
   /** When a stop was last asked for, by the monotonic clock. */
   stopAskedAt: number | undefined;
   /** When the target confirmed a stop, by the monotonic clock. */
