--- a/src/telemetry/log.ts
+++ b/src/telemetry/log.ts
@@ -2,7 +2,7 @@
  * Structured logs: one line of key=value pairs for each event.
  * @packageDocumentation
  */
-import { createConsola, type ConsolaReporter, type LogType } from "consola";
+import { createConsola, type ConsolaReporter } from "consola";
 
 /** What a field of an event may hold. */
 export type LogValue = string | number | boolean | undefined;
@@ -38,6 +38,8 @@
   debug: 4,
 };
 
+const needsQuotes = /[\s"=]/;
+
 /**
  * Creates a log.
  * @param level - the lowest level that is written, or `silent`
@@ -48,19 +50,28 @@
   level: LogLevel | "silent",
   sink: (line: string) => void = writeToStandardError,
 ): Log {
+  const describeTime = createTimeText();
   const reporter: ConsolaReporter = {
     log: ({ type, args, date }) => {
-      const [event, fields] = args as [string, LogFields];
-      sink(formatLine(date, type, event, fields));
+      const [event, pairs] = args as [string, string];
+      sink(`time=${describeTime(date)} level=${type} event=${event}${pairs}`);
     },
   };
   const consola = createConsola({ level: levelNumbers[level], reporters: [reporter], throttle: 0 });
-  const create = (base: LogFields): Log => ({
-    write: (eventLevel, event, fields = {}) => {
-      consola[eventLevel](event, { ...base, ...fields });
-    },
-    with: (fields) => create({ ...base, ...fields }),
-  });
+  const create = (base: LogFields): Log => {
+    const basePairs = describeFields(base);
+    return {
+      write: (eventLevel, event, fields = {}) => {
+        // What is not written is not put into words either.
+        if (levelNumbers[eventLevel] > consola.level) return;
+        const pairs = isOverridden(base, fields)
+          ? describeFields({ ...base, ...fields })
+          : basePairs + describeFields(fields);
+        consola[eventLevel](event, pairs);
+      },
+      with: (fields) => create({ ...base, ...fields }),
+    };
+  };
   return create({});
 }
 
@@ -68,14 +79,36 @@
   process.stderr.write(`${line}\n`);
 }
 
-function formatLine(date: Date, level: LogType, event: string, fields: LogFields): string {
-  const pairs = Object.entries(fields)
-    .filter(([, value]) => value !== undefined)
-    .map(([name, value]) => `${name}=${formatValue(value)}`);
-  return [`time=${date.toISOString()}`, `level=${level}`, `event=${event}`, ...pairs].join(" ");
+function isOverridden(base: LogFields, fields: LogFields): boolean {
+  for (const name in fields) if (Object.hasOwn(base, name)) return true;
+  return false;
+}
+
+/** Writes each field with a space before it. */
+function describeFields(fields: LogFields): string {
+  let text = "";
+  for (const name in fields) {
+    const value = fields[name];
+    if (value !== undefined) text += ` ${name}=${describeValue(value)}`;
+  }
+  return text;
+}
+
+function describeValue(value: string | number | boolean): string {
+  if (typeof value !== "string") return String(value);
+  return value === "" || needsQuotes.test(value) ? JSON.stringify(value) : value;
 }
 
-function formatValue(value: LogValue): string {
-  const text = String(value);
-  return /^[^\s"=]+$/.test(text) ? text : JSON.stringify(text);
+/** Lines of one millisecond share the text of their time. */
+function createTimeText(): (date: Date) => string {
+  let at = Number.NaN;
+  let text = "";
+  return (date) => {
+    const milliseconds = date.getTime();
+    if (milliseconds !== at) {
+      at = milliseconds;
+      text = date.toISOString();
+    }
+    return text;
+  };
 }
--- a/src/telemetry/metrics.ts
+++ b/src/telemetry/metrics.ts
@@ -71,6 +71,8 @@
 
 const microsecondsPerMillisecond = 1_000;
 const highestMicroseconds = 3_600_000_000;
+/** Characters that JSON writes in another form. */
+const needsEscape = /["\\\p{Cc}\p{Cs}]/u;
 const exposedQuantiles = [50, 90, 99, 100];
 
 /**
@@ -157,9 +159,15 @@
   histogram.recordValue(Math.min(microseconds, highestMicroseconds));
 }
 
+/** Names a series as the exposition writes it. */
 function seriesKey(name: string, labels: MetricLabels): string {
-  const pairs = Object.entries(labels).map(([label, value]) => `${label}=${JSON.stringify(value)}`);
-  return pairs.length === 0 ? name : `${name}{${pairs.join(",")}}`;
+  let pairs = "";
+  for (const label in labels) {
+    const value = labels[label] ?? "";
+    const quoted = needsEscape.test(value) ? JSON.stringify(value) : `"${value}"`;
+    pairs += pairs === "" ? `${label}=${quoted}` : `,${label}=${quoted}`;
+  }
+  return pairs === "" ? name : `${name}{${pairs}}`;
 }
 
 function summarise(histogram: Histogram): HistogramSummary {
--- a/src/telemetry/test/telemetry.test.ts
+++ b/src/telemetry/test/telemetry.test.ts
@@ -23,6 +23,61 @@
   );
 });
 
+test("a field of an event stands in place of a bound one of that name, and an empty value in quotes", () => {
+  const lines: string[] = [];
+  const log = createLog("debug", (line) => lines.push(line)).with({ entry: "entry-1", pool: "quotes" });
+  log.write("debug", "first", { pool: "parts", isHeld: false, share: Number.NaN });
+  log.with({ pool: "presses", peer: undefined }).write("error", "second", { name: "", backslash: "a\\b" });
+  log.write("warn", "third", { entry: undefined });
+  expect(lines.map((line) => line.replace(/^time=\d{4}-\d\d-\d\dT\d\d:\d\d:\d\d\.\d{3}Z /, ""))).toEqual([
+    "level=debug event=first entry=entry-1 pool=parts isHeld=false share=NaN",
+    'level=error event=second entry=entry-1 pool=presses name="" backslash=a\\b',
+    "level=warn event=third pool=quotes",
+  ]);
+});
+
+test("what is below the log's level is not put into words", () => {
+  const log = createLog("warn", () => undefined);
+  const fields = {
+    get costly(): string {
+      throw new Error("it was read");
+    },
+  };
+  expect(() => {
+    log.write("info", "hidden", fields);
+  }).not.toThrow();
+  expect(() => {
+    log.write("warn", "shown", fields);
+  }).toThrow("it was read");
+});
+
+test("label values are written as JSON writes them, whatever they hold", () => {
+  const metrics = createMetrics();
+  const values = ["plain", "", 'a"b', "back\\slash", "line\nbreak", "tab\t", "bell\u0007", "é中😀", "\ud800"];
+  for (const value of values) metrics.count("answers_total", { first: "x", value });
+  const lines = metrics.expose().split("\n").slice(0, -1);
+  expect(lines).toEqual(
+    values.map((value) => `dogwoodhoist_answers_total{first="x",value=${JSON.stringify(value)}} 1`),
+  );
+});
+
+test("a series that is found once is the one that its name and labels count", () => {
+  const metrics = createMetrics();
+  const counter = metrics.counter("answers_total", { outcome: "answered" });
+  counter.add();
+  metrics.count("answers_total", { outcome: "answered" }, 2);
+  counter.add(4);
+  expect(metrics.value("answers_total", { outcome: "answered" })).toBe(7);
+  metrics.histogram("wait_milliseconds").observe(5);
+  metrics.observe("wait_milliseconds", 7);
+  expect(metrics.summary("wait_milliseconds")?.count).toBe(2);
+  let kept = 3;
+  metrics.follow("held", () => kept, { pool: "quotes" });
+  kept = 4;
+  expect(metrics.value("held", { pool: "quotes" })).toBe(4);
+  expect(metrics.expose()).toContain('dogwoodhoist_held{pool="quotes"} 4');
+});
+
 test("metrics are exposed with labels and quantiles", () => {
   const metrics = createMetrics();
   metrics.count("answers_total", { outcome: "answered" });
