Entries keep no links that no call needs

Each entry kept 24 links of its own and was linked by as many: some 200 heartbeats a second sent and heard by each, whatever it did.

An entry that takes jobs now opens links when calls need them (to homes, to relays, from relays) and drops them after 30 s without a call. A call over a link that is still being opened waits for it; it returned `not-connected` at once before, so that relays were left out for a second when several orders went to a new one together.

peer-network.test.ts: three calls at once over a new link are answered, no other link is opened (fails before: two of three calls were not connected, three links). Not done: failure detection between entries that do not call each other; nothing uses it on the job path.

--- a/src/membership/peer-links.ts
+++ b/src/membership/peer-links.ts
@@ -52,15 +52,20 @@
 }
 
 const idleMilliseconds = 30_000;
-const connectPollMilliseconds = 20;
+const connectPollMilliseconds = 5;
 
 /**
  * Creates an empty set of links.
  * @param self - who this entry is
  * @param handlers - what is called
+ * @param maximumLinks - links to peers that are kept whether calls need them or not
  * @returns the links
  */
-export function createPeerLinks(self: PeerIdentity, handlers: PeerLinksHandlers): PeerLinks {
+export function createPeerLinks(
+  self: PeerIdentity,
+  handlers: PeerLinksHandlers,
+  maximumLinks = maximumPeerLinks,
+): PeerLinks {
   const links = new Map<string, OpenLink>();
   let known = new Map<string, RosterRecord>();
   let chosen = new Set<string>();
@@ -105,7 +110,7 @@
   const follow = (roster: readonly RosterRecord[]): void => {
     if (isClosed) return;
     known = new Map(roster.map((record) => [record.entryId, record]));
-    chosen = new Set(choosePeers(roster, self, maximumPeerLinks));
+    chosen = new Set(choosePeers(roster, self, maximumLinks));
     for (const [peerId, { record }] of [...links]) {
       const next = known.get(peerId);
       if (next !== undefined && isSuccessor(next, record)) drop(peerId);
@@ -123,19 +128,15 @@
     follow,
     dropUnused,
     call: async (peerId, definition, request, timeoutMilliseconds) => {
-      const existing = links.get(peerId);
-      if (existing !== undefined) {
-        existing.calledAt = performance.now();
-        return existing.link.call(definition, request, timeoutMilliseconds);
-      }
       const record = known.get(peerId);
-      if (record === undefined || peerId === self.entryId) {
+      const found = links.get(peerId) ?? (record === undefined ? undefined : open(record));
+      if (found === undefined || peerId === self.entryId) {
         return Left({ kind: "not-connected", message: `${peerId} is not in the roster` });
       }
-      const opened = open(record);
-      opened.calledAt = performance.now();
-      const left = await waitUntilUp(opened.link, timeoutMilliseconds);
-      return opened.link.call(definition, request, left);
+      found.calledAt = performance.now();
+      const isOpening = found.link.state() === "connecting";
+      const left = isOpening ? await waitUntilUp(found.link, timeoutMilliseconds) : timeoutMilliseconds;
+      return found.link.call(definition, request, left);
     },
     ...bytes.totals,
     close: () => {
@@ -169,7 +170,8 @@
 /** Waits until a link is up; returns what is left of the bound. */
 async function waitUntilUp(link: PeerLink, timeoutMilliseconds: number): Promise<number> {
   const deadlineAt = performance.now() + timeoutMilliseconds;
-  while (link.state() !== "up" && performance.now() < deadlineAt) await delay(connectPollMilliseconds);
+  while (link.state() === "connecting" && performance.now() < deadlineAt)
+    await delay(connectPollMilliseconds);
   return Math.max(0, deadlineAt - performance.now());
 }
 
--- a/src/membership/peer-network.ts
+++ b/src/membership/peer-network.ts
@@ -61,9 +61,10 @@
  * Creates the network of this entry.
  * @param self - who this entry is
  * @param log - takes events
+ * @param maximumLinks - links to peers that are kept whether calls need them or not
  * @returns the network, not yet listening and without peers
  */
-export function createPeerNetwork(self: PeerIdentity, log: Log): PeerNetwork {
+export function createPeerNetwork(self: PeerIdentity, log: Log, maximumLinks?: number): PeerNetwork {
   const events = new Emittery<PeerNetworkEvents>();
   const reports = new Map<string, () => number>();
   const heard = new Map<string, Readonly<Record<string, number>>>();
@@ -79,19 +80,23 @@
     return createHeartbeat();
   };
   const listener = createPeerListener(createGreeting, log);
-  const links = createPeerLinks(self, {
-    onState: (peerId, state) => {
-      log.write("info", "peer-state", { peer: peerId, state });
-      void events.emit("peerState", { peerId, state });
+  const links = createPeerLinks(
+    self,
+    {
+      onState: (peerId, state) => {
+        log.write("info", "peer-state", { peer: peerId, state });
+        void events.emit("peerState", { peerId, state });
+      },
+      onHeartbeat: (peerId, values) => {
+        if (values !== undefined) heard.set(peerId, values);
+        void events.emit("heartbeat", { peerId });
+      },
+      onDropped: (peerId) => {
+        heard.delete(peerId);
+      },
     },
-    onHeartbeat: (peerId, values) => {
-      if (values !== undefined) heard.set(peerId, values);
-      void events.emit("heartbeat", { peerId });
-    },
-    onDropped: (peerId) => {
-      heard.delete(peerId);
-    },
-  });
+    maximumLinks,
+  );
   const seeds = createSeedDialler(self);
 
   const tick = (): void => {
--- a/src/membership/test/peer-network.test.ts
+++ b/src/membership/test/peer-network.test.ts
@@ -10,6 +10,7 @@
 import { delay } from "../../shared/index.js";
 import { createLog } from "../../telemetry/index.js";
 import { createPeerNetwork, type PeerNetwork, type PeerState, type RosterRecord } from "../index.js";
+import { rosterCall } from "../messages.js";
 
 const log = createLog("silent");
 const cleanUp: (() => Promise<void> | void)[] = [];
@@ -160,3 +161,21 @@
   expect(other.bytesSent()).toBeGreaterThan(50);
   expect(other.bytesReceived()).toBeGreaterThan(50);
 });
+
+test("an entry that opens links by calls alone sends and hears heartbeats only where it calls", async () => {
+  const records: RosterRecord[] = [];
+  const networks: PeerNetwork[] = [];
+  for (const entryId of ["a", "b", "c", "d"]) {
+    const network = createPeerNetwork({ entryId, incarnation: 1, zone: "z" }, log, 0);
+    cleanUp.push(async () => network.close());
+    records.push(createRecord(entryId, await network.listen("127.0.0.1", 0)));
+    networks.push(network);
+  }
+  for (const network of networks) network.follow(records);
+  const [first] = networks;
+  expect(first?.peers()).toEqual([]);
+  const calls = [1, 2, 3].map(async () => first?.call("b", rosterCall, {}, 2_000));
+  const replies = await Promise.all(calls);
+  expect(replies.every((reply) => reply?.isRight())).toBe(true);
+  expect(first?.peers().map(({ peerId }) => peerId)).toEqual(["b"]);
+});
--- a/src/wiring/job-entry.ts
+++ b/src/wiring/job-entry.ts
@@ -113,6 +113,8 @@
   kill(): Promise<void>;
 }
 
+/** Links are opened by calls: to homes, to relays and from relays. All others would only carry heartbeats. */
+const standingLinks = 0;
 const fleetDuty = "fleet";
 /** Entries of a fleet that starts as a whole join within this time. */
 const settleMilliseconds = 700;
@@ -132,7 +134,7 @@
   const { log, store, entryId, metrics, addresses } = options;
   const incarnation = Date.now();
   const zone = options.availabilityZone;
-  const peers = createPeerNetwork({ entryId, incarnation, zone }, log);
+  const peers = createPeerNetwork({ entryId, incarnation, zone }, log, standingLinks);
   await peers.listen(addresses.peers.host, addresses.peers.port);
   const loopDelay = probeLoad(options, peers);
   const peerAddress = `${addresses.peers.host}:${addresses.peers.port}`;
