A booked job adds points to the plan only where its room changes

Every time of the walk became a point of the plan, a hair beside the point it came from, so that plans doubled with each booking and every forecast walked them.

--- a/src/scheduling/forecast.ts
+++ b/src/scheduling/forecast.ts
@@ -7,7 +7,7 @@
  */
 import type { Resources } from "../jobs/index.js";
 import { noResources, Room } from "./room.js";
-import { subtract } from "./target-view.js";
+import { fits, subtract } from "./target-view.js";
 
 /** Like tasks of one step, as the forecast sees them. */
 export interface ForecastStep {
@@ -139,7 +139,9 @@
 ): RoomPlan {
   const taken: RoomPoint[] = [];
   walkJob(plan, job, horizonMilliseconds, ageMilliseconds, (now, own) => {
-    taken.push({ atMilliseconds: now + ageMilliseconds, free: own.taken() });
+    const used = own.taken();
+    const before = taken.at(-1)?.free ?? noResources;
+    if (!isSame(used, before)) taken.push({ atMilliseconds: now + ageMilliseconds, free: used });
   });
   return { points: takeFrom(plan.points, taken) };
 }
@@ -173,6 +175,10 @@
   return now;
 }
 
+function isSame(left: Resources, right: Resources): boolean {
+  return fits(left, right) && fits(right, left);
+}
+
 /** Takes what changes over time from what else changes over time. */
 function takeFrom(points: readonly RoomPoint[], taken: readonly RoomPoint[]): RoomPoint[] {
   const left: RoomPoint[] = [];
