Ends gather longer where they come fast

A target was renewed again 25 ms after each report, and its next report waits for one end only, so that a target of which tasks end all the time was asked up to forty times a second, each time with the list of all that it runs. The pause is also ended by one signal instead of a pair made for each.

--- a/src/task-runs/target-session.ts
+++ b/src/task-runs/target-session.ts
@@ -41,8 +41,13 @@
 
 const renewTimeoutMilliseconds = 1_000;
 const retryMilliseconds = 150;
-/** Pause after a report, in which further ends gather. */
-const pauseMilliseconds = 25;
+/** Pause after a report, in which further ends gather; longer where ends come fast. */
+const shortestPauseMilliseconds = 25;
+const longestPauseMilliseconds = 60;
+/** By how much the pause grows for each end a second. */
+const pausePerEnd = 1.4;
+/** Over about this time ends are counted. */
+const rateMilliseconds = 1_000;
 /** A target's clock may be this much slower than true time. */
 export const slowestClockRate = 0.98;
 const lapseMarginMilliseconds = 150;
@@ -71,6 +76,8 @@
   #leaseLapsesAt: number;
   #acknowledgedSequence = 0;
   #reportedSequence = 0;
+  #endsPerSecond = 0;
+  #reportedAt = performance.now();
   #pause = new AbortController();
 
   /**
@@ -164,12 +171,16 @@
     while (!this.#stop.signal.aborted) {
       if (this.#options.handlers.isActive()) await this.#renewOnce();
       if (this.#failuresInARow > 0 && performance.now() > this.#leaseLapsesAt) this.#finish("lease-lapsed");
-      this.#pause = new AbortController();
-      const pause = this.#failuresInARow > 0 ? retryMilliseconds : pauseMilliseconds;
-      await delay(pause, AbortSignal.any([this.#stop.signal, this.#pause.signal]));
+      await this.#rest(this.#failuresInARow > 0 ? retryMilliseconds : this.#choosePause());
     }
   }
 
+  async #rest(milliseconds: number): Promise<void> {
+    if (this.#stop.signal.aborted) return;
+    this.#pause = new AbortController();
+    await delay(milliseconds, this.#pause.signal);
+  }
+
   async #renewOnce(): Promise<void> {
     const { orders, fencingToken, handlers, metrics } = this.#options;
     // While nothing answers no lease is asked for: an order without an answer may have renewed it, so that what runs
@@ -206,10 +217,23 @@
     this.#failuresInARow = 0;
     this.noteClock(report.clockMilliseconds, performance.now());
     const fresh = report.ends.filter(({ sequence }) => sequence > this.#reportedSequence);
+    this.#countEnds(fresh.length);
     for (const { sequence } of fresh) this.#reportedSequence = Math.max(this.#reportedSequence, sequence);
     this.#options.handlers.onReport(this, report, fresh, askedAt);
   }
 
+  #countEnds(count: number): void {
+    const now = performance.now();
+    const elapsed = Math.max(1, now - this.#reportedAt);
+    this.#reportedAt = now;
+    const weight = Math.min(1, elapsed / rateMilliseconds);
+    this.#endsPerSecond += weight * ((count * 1_000) / elapsed - this.#endsPerSecond);
+  }
+
+  #choosePause(): number {
+    return Math.min(longestPauseMilliseconds, shortestPauseMilliseconds + pausePerEnd * this.#endsPerSecond);
+  }
+
   #finish(reason: SessionEndReason): void {
     if (this.#stop.signal.aborted) return;
     this.close();
