--- a/src/fleet/test/plans.test.ts
+++ b/src/fleet/test/plans.test.ts
@@ -129,6 +129,17 @@
   expect(moves.map(({ from, to }) => `${from}-${to}`)).toEqual(["spare-busy", "spare-busy", "spare-busy"]);
 });
 
+test("a pool in its turn takes the machines of a turn that is over, which would be parked, before those that are off", () => {
+  const pools = [
+    plannedPool("busy", { demandCores: 260, machines: machines(6, { runs: 8, idleMilliseconds: 0 }) }),
+    plannedPool("over", { demandCores: 0, machines: machines(6, { idleMilliseconds: 1_500 }) }),
+    plannedPool("spare", { isStandby: true, cores: 0, machines: machines(6, { targetId: undefined }) }),
+  ];
+  const { moves, vacate } = planMoves(pools);
+  const toBusy = [...moves, ...vacate].filter(({ to }) => to === "busy");
+  expect(toBusy.map(({ from }) => from)).toEqual(["over", "over", "over"]);
+});
+
 test("machines with lasting tasks, and those of a pool whose lasting tasks wait, stay", () => {
   const pools = [
     plannedPool("busy", { demandCores: 900, machines: machines(6, { runs: 8, idleMilliseconds: 0 }) }),
@@ -226,3 +237,33 @@
   expect(plan.moves).toEqual([]);
   expect(plan.vacate).toHaveLength(4);
 });
+
+test("a move tells why it was planned, and on what", () => {
+  const busy = plannedPool("busy", {
+    demandCores: 200,
+    machines: machines(6, { runs: 8, idleMilliseconds: 0 }),
+  });
+  const spare = plannedPool("spare", {
+    isStandby: true,
+    cores: 0,
+    machines: machines(1, { targetId: undefined, restedMilliseconds: 9_000, idleMilliseconds: 800 }),
+  });
+  const [demanded] = planMoves([busy, spare]).moves;
+  expect(demanded?.cause).toBe("demand");
+  expect(demanded?.seen).toEqual({
+    fromDemandCores: 0,
+    fromCores: 0,
+    toDemandCores: 200,
+    toCores: 192,
+    restedMilliseconds: 9_000,
+    idleMilliseconds: 800,
+  });
+  const waiting = plannedPool("waiting", { waitingLastingTasks: 1 });
+  const lasting = planMoves([waiting, spare]);
+  expect(lasting.moves[0]?.cause).toBe("lasting-tasks");
+  expect(lasting.shortages[0]?.cause).toBe("lasting-tasks");
+  expect(planMoves([waiting, busy]).vacate[0]?.cause).toBe("lasting-tasks-anyway");
+  const idle = plannedPool("idle", { machines: machines(6) });
+  expect(planMoves([idle, spare]).vacate[0]?.cause).toBe("standby");
+  expect(planMoves([busy]).shortages[0]?.cause).toBe("demand");
+});
--- a/src/job-homes/stopper.ts
+++ b/src/job-homes/stopper.ts
@@ -1,8 +1,11 @@
 /**
- * Stops runs that are no longer wanted, and settles starts that brought no answer, until the target has confirmed it.
+ * Stops runs that are no longer wanted, and starts that brought no answer and are not shown, until the target has
+ * confirmed it.
  * @packageDocumentation
  */
 import { isTaskOver, type HomeState, type HomeTarget, type TargetRun } from "./home-state.js";
+import { describeAnswer } from "./run-trace.js";
+import { lookForStarts } from "./start-looks.js";
 
 const stopTimeoutMilliseconds = 700;
 const repeatMilliseconds = 500;
@@ -15,6 +18,7 @@
   if (!state.isActive()) return;
   const now = performance.now();
   for (const target of state.targets.values()) {
+    lookForStarts(state, target);
     for (const each of target.runs.values()) {
       if (!needsStop(each)) continue;
       const { stopAskedAt, stopConfirmedAt } = each.run;
@@ -26,11 +30,12 @@
 }
 
 function needsStop({ task, run }: TargetRun): boolean {
-  if (run.status === "stopping" || run.status === "unresolved") return true;
-  return isTaskOver(task) && run.status === "running";
+  if (run.status === "stopping" || run.status === "missing") return true;
+  return isTaskOver(task) && run.status !== "starting";
 }
 
 async function stopRun(state: HomeState, target: HomeTarget, { task, run }: TargetRun): Promise<void> {
+  const askedAt = performance.now();
   const outcome = await state.orders.stop({
     target: target.session.target(),
     fencingToken: state.fencingToken,
@@ -39,7 +44,13 @@
     run: run.run,
   });
   const result = outcome.kind === "refused" ? outcome.reason : outcome.kind;
-  state.log.write("info", "stop-order", { task: task.name, run: run.run, target: run.targetId, result });
+  state.log.write("info", "stop-order", {
+    task: task.name,
+    run: run.run,
+    target: run.targetId,
+    result,
+    ...describeAnswer(outcome, askedAt, performance.now()),
+  });
   if (outcome.kind === "done") {
     run.stopConfirmedAt = performance.now();
     target.session.hurry();
--- a/src/wiring/job-entry.ts
+++ b/src/wiring/job-entry.ts
@@ -27,7 +27,14 @@
 import { createHttpService, delay, sendJson, type HttpService } from "../shared/index.js";
 import { type StoreRecord, type TransactionalStore } from "../store/index.js";
 import type { RegisteredTarget, TargetOrders } from "../task-runs/index.js";
-import type { Log, Metrics } from "../telemetry/index.js";
+import {
+  createLoopDelayProbe,
+  followLink,
+  readLinkUse,
+  type Log,
+  type LoopDelayProbe,
+  type Metrics,
+} from "../telemetry/index.js";
 
 import {
   followConfiguration,
@@ -80,6 +87,8 @@
   readonly machines: MachineControl | undefined;
   /** A new holder of the duty on machines waits so long before its first order. */
   readonly orderLeaseMilliseconds: number;
+  /** Orders for machines that the platform takes in a second from all entries together. */
+  readonly machineOrdersPerSecond: number;
   createIngress(gateway: JobGateway, table: () => QueueTable | undefined): JobIngress;
   readonly log: Log;
   readonly metrics: Metrics;
@@ -125,6 +134,7 @@
   const zone = options.availabilityZone;
   const peers = createPeerNetwork({ entryId, incarnation, zone }, log);
   await peers.listen(addresses.peers.host, addresses.peers.port);
+  const loopDelay = probeLoad(options, peers);
   const peerAddress = `${addresses.peers.host}:${addresses.peers.port}`;
   const { capacityCores } = options;
   const self: RosterRecord = { entryId, incarnation, peerAddress, zone, capacityCores };
@@ -154,6 +164,7 @@
     registry.follower.close();
   };
   const closeServices = async (): Promise<void> => {
+    loopDelay.close();
     readiness.abort();
     metricsService.abort();
     await peers.close();
@@ -185,6 +196,22 @@
   };
 }
 
+/** Tells how late this process runs, and what it does meanwhile. */
+function probeLoad({ log, metrics }: JobEntryOptions, peers: PeerNetwork): LoopDelayProbe {
+  followLink(metrics, "peers", {
+    sent: () => peers.bytesSent(),
+    received: () => peers.bytesReceived(),
+  });
+  return createLoopDelayProbe({
+    log,
+    metrics,
+    use: () => ({
+      ...readLinkUse(metrics),
+      ordersInFlight: metrics.value("target_calls_in_flight"),
+    }),
+  });
+}
+
 interface HomeParts {
   readonly session: EntrySession;
   readonly members: Members;
@@ -252,6 +279,7 @@
       gateway.vacate(pool, targetIds, arrivals, vacateTimeoutMilliseconds),
     waveStatus: options.operators.waveStatus,
     orderLeaseMilliseconds,
+    ordersPerSecond: options.machineOrdersPerSecond,
     log,
     metrics,
   });
