An entry that cannot read a pool's jobs gives the pool up

Fix: the jobs are read for 4 s at most, attempts together. Then the record is cleared, by what clears orphans, and the entry leaves the pool to others for 3 s. Fencing and inheritance are those of any change of home. The loop moved to home-takeover.ts.

Test: an entry that cannot read the jobs, and another one (failed before: the other one never got the pool).

--- a/src/job-homes/home-keeper.ts
+++ b/src/job-homes/home-keeper.ts
@@ -16,7 +16,7 @@
 import { HomeTargets } from "./home-targets.js";
 import {
   inheritedLeaseMilliseconds,
-  readPoolJobs,
+  loadPoolJobs,
   takePool,
   type StoredJobs,
   type TakenPool,
@@ -71,7 +71,8 @@
 const directoryAgeMilliseconds = 2_500;
 /** Run numbers that each home of a pool has for itself. */
 const runsPerHome = 64;
-const loadRetryMilliseconds = 100;
+/** An entry that could not read a pool's jobs leaves the pool to others for so long. */
+const standBackMilliseconds = 3_000;
 
 /** Competes for the homes of pools and runs those that this entry holds. */
 export class HomeKeeper {
@@ -80,6 +81,8 @@
   readonly #held = new Map<string, HeldHome>();
   readonly #vacantSince = new Map<string, number>();
   readonly #taking = new Set<string>();
+  /** Pools whose jobs this entry could not read; others go first until then, by the monotonic clock. */
+  readonly #standsBackUntil = new Map<string, number>();
   /** When this entry first had a lease, by the monotonic clock. */
   #joinedAt: number | undefined;
 
@@ -163,6 +166,7 @@
 
   #isMyTurn(pool: string): boolean {
     const now = performance.now();
+    if (now < (this.#standsBackUntil.get(pool) ?? 0)) return false;
     const since = this.#vacantSince.get(pool) ?? now;
     this.#vacantSince.set(pool, since);
     const place = this.#placeInOrder(pool);
@@ -195,7 +199,8 @@
     }
     const found = taken.unsafeCoerce();
     const goesOn = (): boolean => session.leaseId() === leaseId && !this.#stop.signal.aborted;
-    const jobs = await loadUntilRead(this.#options, pool, goesOn);
+    const jobs = await loadPoolJobs(store, pool, log, goesOn);
+    if (jobs === undefined) this.#standsBackUntil.set(pool, performance.now() + standBackMilliseconds);
     if (jobs === undefined) return;
     const onSuperseded = (reason: string): void => {
       this.#drop(pool, reason);
@@ -212,7 +217,7 @@
     });
   }
 
-  /** Removes a record of this entry that no running home stands for: a write whose answer was lost. */
+  /** Removes a record of this entry that no running home stands for: its answer was lost, or its jobs were not read. */
   async #clearOrphan(pool: string, revision: number): Promise<void> {
     const key = `${homePrefix}${pool}`;
     const writes = [{ key, value: undefined }];
@@ -221,20 +226,6 @@
   }
 }
 
-async function loadUntilRead(
-  { store, log }: HomeKeeperOptions,
-  pool: string,
-  goesOn: () => boolean,
-): Promise<StoredJobs | undefined> {
-  while (goesOn()) {
-    const jobs = await readPoolJobs(store, pool, log);
-    if (jobs.isRight()) return jobs.unsafeCoerce();
-    log.write("warn", "home-load-failed", { pool, reason: jobs.swap().unsafeCoerce() });
-    await delay(loadRetryMilliseconds);
-  }
-  return undefined;
-}
-
 function startHome(
   options: HomeKeeperOptions,
   pool: string,
--- a/src/job-homes/home-takeover.ts
+++ b/src/job-homes/home-takeover.ts
@@ -11,6 +11,7 @@
   type JobRecord,
   type ProgressRecord,
 } from "../jobs/index.js";
+import { delay, withTimeout } from "../shared/index.js";
 import type { StoreRecord, TransactionalStore } from "../store/index.js";
 import { slowestClockRate } from "../task-runs/index.js";
 import type { Log } from "../telemetry/index.js";
@@ -91,6 +92,35 @@
   readonly progress: ReadonlyMap<string, ProgressRecord>;
 }
 
+const loadRetryMilliseconds = 100;
+/** An entry that has not read a pool's jobs for so long leaves the pool to another one. */
+const loadMilliseconds = 4_000;
+
+/**
+ * Reads the jobs of a pool until that succeeds, for a bounded time.
+ * @param store - the store
+ * @param pool - the pool
+ * @param log - takes what fails
+ * @param goesOn - whether the pool is still held
+ * @returns the jobs; undefined when they were not read
+ */
+export async function loadPoolJobs(
+  store: TransactionalStore,
+  pool: string,
+  log: Log,
+  goesOn: () => boolean,
+): Promise<StoredJobs | undefined> {
+  const until = performance.now() + loadMilliseconds;
+  const isLate: Either<string, StoredJobs> = Left("not read in time");
+  while (goesOn() && performance.now() < until) {
+    const jobs = await withTimeout(readPoolJobs(store, pool, log), until - performance.now(), isLate);
+    if (jobs.isRight()) return jobs.unsafeCoerce();
+    log.write("warn", "home-load-failed", { pool, reason: jobs.swap().unsafeCoerce() });
+    await delay(loadRetryMilliseconds);
+  }
+  return undefined;
+}
+
 /**
  * Reads the jobs of a pool.
  * @param store - the store
@@ -98,7 +128,7 @@
  * @param log - takes records that cannot be read
  * @returns the jobs, or why they were not read
  */
-export async function readPoolJobs(
+async function readPoolJobs(
   store: TransactionalStore,
   pool: string,
   log: Log,
--- a/src/job-homes/test/home-fixture.ts
+++ b/src/job-homes/test/home-fixture.ts
@@ -10,7 +10,7 @@
   startJobFleet,
 } from "../../stand-ins/index.js";
 import type { JobFleet, JobFleetOptions, StoreEngine, StoreFaults } from "../../stand-ins/index.js";
-import { followPrefix } from "../../store/index.js";
+import { followPrefix, type TransactionalStore } from "../../store/index.js";
 import { createLog, createMetrics } from "../../telemetry/index.js";
 import { membersPrefix, openEntrySession, type EntrySession } from "../entry-session.js";
 import { HomeKeeper } from "../home-keeper.js";
@@ -36,7 +36,8 @@
 export interface HomeFixture {
   readonly fleet: JobFleet;
   readonly engine: StoreEngine;
-  startEntry(entryId: string): TestEntry;
+  /** Starts an entry, whose store a test may adapt. */
+  startEntry(entryId: string, adapt?: (store: TransactionalStore) => TransactionalStore): TestEntry;
   /** Waits until an entry holds the pool. */
   home(entry: TestEntry): Promise<JobHome>;
   close(): void;
@@ -57,8 +58,8 @@
   return {
     engine,
     fleet,
-    startEntry: (entryId) => {
-      const entry = startEntry(entryId, engine, fleet);
+    startEntry: (entryId, adapt = (store) => store) => {
+      const entry = startEntry(entryId, engine, fleet, adapt);
       entries.push(entry);
       return entry;
     },
@@ -71,9 +72,14 @@
   };
 }
 
-function startEntry(entryId: string, engine: StoreEngine, fleet: JobFleet): TestEntry {
+function startEntry(
+  entryId: string,
+  engine: StoreEngine,
+  fleet: JobFleet,
+  adapt: (store: TransactionalStore) => TransactionalStore,
+): TestEntry {
   const faults = createStoreFaults();
-  const store = new MemoryStoreClient(engine, faults);
+  const store = adapt(new MemoryStoreClient(engine, faults));
   const lines: string[] = [];
   const log = createLog("info", (line) => lines.push(line));
   const metrics = createMetrics();
--- a/src/job-homes/test/home-takeover.test.ts
+++ b/src/job-homes/test/home-takeover.test.ts
@@ -1,9 +1,37 @@
 /**
- * How long a next home waits for targets that do not answer.
+ * Takeovers: how long a next home waits for targets that do not answer, and entries that cannot read a pool's jobs.
  * @packageDocumentation
  */
-import { expect, test } from "vitest";
+import { Left } from "purify-ts";
+import { afterEach, expect, test } from "vitest";
+import { jobPrefix } from "../../jobs/index.js";
+import type { TransactionalStore } from "../../store/index.js";
+import { homePrefix } from "../home-record.js";
 import { inheritedLeaseMilliseconds } from "../home-takeover.js";
+import { pool, startHomeFixture, waitFor, type HomeFixture } from "./home-fixture.js";
+
+let fixture: HomeFixture | undefined;
+afterEach(() => {
+  fixture?.close();
+  fixture = undefined;
+});
+
+function startFixture(): HomeFixture {
+  const behaviour = () => ({
+    needs: { cpuMillicores: 1_000, memoryMegabytes: 100, accelerators: 0 },
+    runMilliseconds: 50,
+    isLasting: false,
+    fails: false,
+  });
+  return startHomeFixture({ targetCount: 1, coresPerTarget: 4, behaviour });
+}
+
+/** A store of which the jobs are read as a test wants. */
+function readJobsBy(store: TransactionalStore, read: TransactionalStore["list"]): TransactionalStore {
+  const list = store.list.bind(store);
+  store.list = async (prefix) => (prefix === jobPrefix ? read(prefix) : list(prefix));
+  return store;
+}
 
 test("the wait covers the longest lease on the slowest clock, and is over within two seconds of that", () => {
   const runLease = 5_900;
@@ -12,3 +40,15 @@
   // Lasting tasks have to run again within seconds, so that no further time may be added to a lease.
   expect(inheritedLeaseMilliseconds(runLease)).toBeLessThan(longest + 2_000);
 });
+
+test("an entry that cannot read a pool's jobs leaves the pool to another one", async () => {
+  const found = startFixture();
+  fixture = found;
+  const failure = { kind: "timeout", message: "no answer in time" } as const;
+  const unable = async () => Promise.resolve(Left(failure));
+  const first = found.startEntry("a", (store) => readJobsBy(store, unable));
+  await waitFor(() => first.lines.some((line) => line.includes("home-load-failed")));
+  const next = found.startEntry("b");
+  expect(await found.home(next)).toBeDefined();
+  expect(first.keeper.home(pool)).toBeUndefined();
+});
