A home is not opened under a lease that ended while its jobs were read

Cause: whether the entry's lease still stands was asked before each reading of the jobs and not after the last. A lease that ended meanwhile had told its end before the home was entered in the list, so that a dead home stayed there: it gives no order, and the entry never competes for that pool again in its lifetime.

Fix: asked once more after the reading.

--- a/src/job-homes/home-keeper.ts
+++ b/src/job-homes/home-keeper.ts
@@ -201,7 +201,8 @@
     const goesOn = (): boolean => session.leaseId() === leaseId && !this.#stop.signal.aborted;
     const jobs = await loadPoolJobs(store, pool, log, goesOn);
     if (jobs === undefined) this.#standsBackUntil.set(pool, performance.now() + standBackMilliseconds);
-    if (jobs === undefined) return;
+    // The lease may have ended while the jobs were read.
+    if (jobs === undefined || !goesOn()) return;
     const onSuperseded = (reason: string): void => {
       this.#drop(pool, reason);
     };
--- a/src/job-homes/test/home-takeover.test.ts
+++ b/src/job-homes/test/home-takeover.test.ts
@@ -52,3 +52,25 @@
   expect(await found.home(next)).toBeDefined();
   expect(first.keeper.home(pool)).toBeUndefined();
 });
+
+test("an entry whose lease ended while it read a pool's jobs takes the pool again", async () => {
+  const found = startFixture();
+  fixture = found;
+  let goOn: () => void = () => undefined;
+  const held = new Promise<void>((resolve) => {
+    goOn = resolve;
+  });
+  const entry = found.startEntry("a", (store) => {
+    const list = store.list.bind(store);
+    return readJobsBy(store, async (prefix) => {
+      await held;
+      return list(prefix);
+    });
+  });
+  await waitFor(() => found.engine.range(`${homePrefix}${pool}`).length > 0);
+  entry.faults.mode = "refusing";
+  await waitFor(() => entry.lines.some((line) => line.includes("entry-session-lost")));
+  entry.faults.mode = "up";
+  goOn();
+  expect(await found.home(entry)).toBeDefined();
+});
