A run whose end a full report may have left out does not count as gone

Cause: a target lists at most 500 ends at once. A report that holds as many says nothing of later ones. A run that had ended among those counted as vanished and started again, and its end was acknowledged later; and a next home counted the target as known, and started what had ended there.

Evidence: test: a confirmed run, a report of 500 other ends; the run was dropped and the inherited target no longer awaited. It failed before; with 499 ends both still happen.

Fix: nothing is concluded from what is missing in such a report. The ends are acknowledged as before, so that a later report holds all.

--- a/src/job-homes/run-ends.ts
+++ b/src/job-homes/run-ends.ts
@@ -4,7 +4,7 @@
  * @packageDocumentation
  */
 import { noteSuccess, type Job, type Task, type TaskRun } from "../jobs/index.js";
-import type { PresentRun, RunEnd, TargetReport } from "../task-runs/index.js";
+import { mostEndsListed, type PresentRun, type RunEnd, type TargetReport } from "../task-runs/index.js";
 import { isTaskOver, removeRun, type HomeState, type HomeTarget, type TargetRun } from "./home-state.js";
 import { storeProgress } from "./job-progress.js";
 import { describeVanished } from "./run-trace.js";
@@ -37,9 +37,11 @@
     const job = takeEnd(state, target, end);
     if (job !== undefined) touched.add(job);
   }
-  dropVanished(state, target, report, (name) => present.has(name) || ended.has(name), askedAt);
+  const listsAllEnds = report.ends.length < mostEndsListed;
+  if (listsAllEnds)
+    dropVanished(state, target, report, (name) => present.has(name) || ended.has(name), askedAt);
   acknowledgeStored(state, target, freshEnds, touched);
-  if (state.awaited.delete(target.session.targetId))
+  if (listsAllEnds && state.awaited.delete(target.session.targetId))
     state.log.write("info", "inherited-target-known", {
       pool: state.pool,
       target: target.session.targetId,
--- a/src/job-homes/test/run-ends.test.ts
+++ b/src/job-homes/test/run-ends.test.ts
@@ -153,6 +153,34 @@
   );
 });
 
+const listedEnds = [
+  { count: 499, runsLeft: 0, awaitedLeft: 0 },
+  { count: 500, runsLeft: 1, awaitedLeft: 1 },
+];
+
+test.each(listedEnds)(
+  "a run whose end a full report may have left out does not count as gone ($count ends)",
+  ({ count, runsLeft, awaitedLeft }) => {
+    const state = createState(createHeldJournal().journal);
+    const definition = { spec: "", steps: [createStep({ taskCount: 1 })] };
+    const record = { jobId: "job", terms, definition, acceptedAt: 0, requestedAt: 0 };
+    const [task] = allTasks(addJob(state, record, undefined, 0, false));
+    if (task === undefined) throw new Error("the job has no task");
+    const target = createTarget(state);
+    const run = createRun();
+    task.runs.push(run);
+    target.runs.set(task.name, { task, run });
+    state.awaited.add("target");
+    const ends = Array.from({ length: count }, (_, index): RunEnd => {
+      return { sequence: index + 1, task: `other.0.0.${index}`, run: 1, kind: "succeeded", checkpoint: "" };
+    });
+    const report = { startedAtUnix: 1, clockMilliseconds: 0, present: [], ends };
+    takeReport(state, target, report, ends, performance.now());
+    expect(task.runs).toHaveLength(runsLeft);
+    expect(state.awaited.size).toBe(awaitedLeft);
+  },
+);
+
 /** A run that its target has confirmed and not yet shown. */
 function createRun(): TaskRun {
   return {
--- a/src/stand-ins/job-targets/job-target.ts
+++ b/src/stand-ins/job-targets/job-target.ts
@@ -5,6 +5,7 @@
  */
 import { Left, Right, type Either } from "purify-ts";
 import type { Resources } from "../../jobs/index.js";
+import { mostEndsListed } from "../../task-runs/index.js";
 import type {
   OrderHeader,
   OrderOutcome,
@@ -157,7 +158,7 @@
       startedAtUnix: this.#startedAtUnix,
       clockMilliseconds: this.#clock(),
       present,
-      ends: [...this.#ends],
+      ends: this.#ends.slice(0, mostEndsListed),
     });
   }
 
--- a/src/task-runs/index.ts
+++ b/src/task-runs/index.ts
@@ -17,6 +17,7 @@
   TargetOrders,
   TargetReport,
 } from "./target-orders.js";
+export { mostEndsListed } from "./target-orders.js";
 export {
   slowestClockRate,
   TargetSession,
--- a/src/task-runs/target-orders.ts
+++ b/src/task-runs/target-orders.ts
@@ -54,6 +54,9 @@
   readonly usage: number;
 }
 
+/** A target lists at most so many ends at once, the earliest; a report of as many may leave later ones out. */
+export const mostEndsListed = 500;
+
 /** What a target answers to a renewal. */
 export interface TargetReport {
   /** Which life answered. */
