A target that has never answered is asked again after a pause

Cause: after a lapse, or for a new target that does not answer yet, a session begins without a lease. Its first failed renewal counted as a lapse of that lease, which had never been; the home closed the session and opened the next at once, without the pause between retries, and wrote the list of its targets and two lines of log each time.

Evidence: test with handed-in time: the session ended with its first refused renewal. It failed before.

Fix: only a lease that was given or inherited can lapse. The session stays and asks again each 150 ms; what uses targets asks for one that answers, as before.

--- a/src/task-runs/target-session.ts
+++ b/src/task-runs/target-session.ts
@@ -163,13 +163,18 @@
   async run(): Promise<void> {
     while (!this.#stop.signal.aborted) {
       if (this.#options.handlers.isActive()) await this.#renewOnce();
-      if (this.#failuresInARow > 0 && performance.now() > this.#leaseLapsesAt) this.#finish("lease-lapsed");
+      if (this.#failuresInARow > 0 && this.#hasLapsed()) this.#finish("lease-lapsed");
       this.#pause = new AbortController();
       const pause = this.#failuresInARow > 0 ? retryMilliseconds : pauseMilliseconds;
       await delay(pause, AbortSignal.any([this.#stop.signal, this.#pause.signal]));
     }
   }
 
+  /** Whether a lease was given or inherited here, and has surely ended. */
+  #hasLapsed(): boolean {
+    return this.#leaseLapsesAt > 0 && performance.now() > this.#leaseLapsesAt;
+  }
+
   async #renewOnce(): Promise<void> {
     const { orders, fencingToken, handlers, metrics } = this.#options;
     // While nothing answers no lease is asked for: an order without an answer may have renewed it, so that what runs
--- a/src/task-runs/test/target-session.test.ts
+++ b/src/task-runs/test/target-session.test.ts
@@ -2,6 +2,7 @@
  * What a session believes of its target's clock and of the leases that it asked for, with time handed in.
  * @packageDocumentation
  */
+import { Left } from "purify-ts";
 import { afterEach, beforeEach, expect, test, vi } from "vitest";
 import { createMetrics } from "../../telemetry/index.js";
 import { TargetSession, type TargetSessionHandlers } from "../target-session.js";
@@ -25,9 +26,10 @@
   chooseWait: () => 0,
 };
 
-function createSession(): TargetSession {
-  const unused = async (): Promise<never> => Promise.reject(new Error("no orders are given here"));
-  const orders: TargetOrders = { start: unused, stop: unused, pace: unused, renew: unused };
+const unused = async (): Promise<never> => Promise.reject(new Error("no orders are given here"));
+
+function createSession(changes: Partial<TargetOrders & TargetSessionHandlers> = {}): TargetSession {
+  const orders: TargetOrders = { start: unused, stop: unused, pace: unused, renew: unused, ...changes };
   return new TargetSession({
     target: {
       targetId: "target",
@@ -45,7 +47,7 @@
     fencingToken: 1,
     leaseMilliseconds,
     metrics: createMetrics(),
-    handlers,
+    handlers: { ...handlers, ...changes },
     inheritedLeaseUntil: 0,
   });
 }
@@ -81,3 +83,23 @@
     expect(session.leaseLapsesAt()).toBeGreaterThanOrEqual(endsAt);
   }
 });
+
+test("a target that has never answered is asked again after a pause, and is not opened anew each time", async () => {
+  let renewals = 0;
+  let gone = 0;
+  const session = createSession({
+    renew: async () => {
+      renewals += 1;
+      return Promise.resolve(Left({ kind: "refused", reason: "not-connected" }));
+    },
+    onGone: () => {
+      gone += 1;
+    },
+  });
+  const running = session.run();
+  await vi.advanceTimersByTimeAsync(1_500);
+  session.close();
+  await running;
+  expect(gone).toBe(0);
+  expect(renewals).toBe(11);
+});
