An entry that started again has its orders taken by relays at once

Callers would see, after an entry was killed and took a home again under its identifier: runs that lose their lease and starts that are refused for 10 to 16 s, longer than the 6 s that a run's lease lasts.

Cause: a relay keeps the transit clock of each peer by its identifier. The monotonic clock of a new process begins anew, so that its frames looked as old as the former process had run, and all their orders were refused as too late until two windows had passed.

Evidence: order-relay.test.ts, the first test, failed before: of a stop before the restart and one after it only the first was carried out.

Fix: a frame names its sender's process, and each process has a clock of its own.

--- a/src/order-relays/messages.ts
+++ b/src/order-relays/messages.ts
@@ -44,6 +44,8 @@
 export const carryOutCall = definePeerCall(
   "orders.carry-out",
   z.object({
+    /** Names the sender's process: each has a monotonic clock of its own. */
+    senderProcess: z.number(),
     /** When the frame was sent, by the sender's monotonic clock, in milliseconds. */
     sentAt: z.number(),
     specs: z.array(z.string()),
--- a/src/order-relays/order-relay.ts
+++ b/src/order-relays/order-relay.ts
@@ -19,6 +19,12 @@
   readonly metrics: Metrics;
 }
 
+/** How long frames of one process of a peer are on their way. */
+interface ProcessClock {
+  readonly senderProcess: number;
+  readonly clock: TransitClock;
+}
+
 const gatherMilliseconds = 4;
 const outcomesTimeoutMilliseconds = 1_000;
 /** Orders in progress; more are refused, so that their homes send them another way. */
@@ -30,7 +36,7 @@
  */
 export function startOrderRelay(options: OrderRelayOptions): void {
   const { peers, log, metrics } = options;
-  const clocks = new Map<string, TransitClock>();
+  const clocks = new Map<string, ProcessClock>();
   let inProgress = 0;
   const outcomes = createFrameGatherer<RelayedOutcome>(gatherMilliseconds, (peerId, items) => {
     void peers
@@ -51,9 +57,16 @@
     outcomes.add(peerId, outcome);
   };
 
-  peers.answer(carryOutCall, ({ sentAt, specs, orders }, peerId) => {
-    const clock = clocks.get(peerId) ?? createTransitClock();
-    clocks.set(peerId, clock);
+  const findClock = (peerId: string, senderProcess: number): TransitClock => {
+    const known = clocks.get(peerId);
+    if (known?.senderProcess === senderProcess) return known.clock;
+    const clock = createTransitClock();
+    clocks.set(peerId, { senderProcess, clock });
+    return clock;
+  };
+
+  peers.answer(carryOutCall, ({ senderProcess, sentAt, specs, orders }, peerId) => {
+    const clock = findClock(peerId, senderProcess);
     const age = clock.ageMilliseconds(sentAt, performance.now());
     let refused = 0;
     for (const order of orders) {
--- a/src/order-relays/relayed-orders.ts
+++ b/src/order-relays/relayed-orders.ts
@@ -29,6 +29,7 @@
 const relayMilliseconds = 150;
 
 const largestFirstId = 2 ** 47;
+const processNames = 2 ** 47;
 
 type Body<Kind extends RelayedOrder["kind"]> = Omit<
   Extract<RelayedOrder, { kind: Kind }>,
@@ -57,6 +58,7 @@
   });
   /** Outcomes for an earlier process of this entry must not be taken for those of this one. */
   #nextId = randomInt(largestFirstId);
+  readonly #senderProcess = randomInt(processNames);
 
   /**
    * Creates the orders, and takes outcomes from other entries.
@@ -144,7 +146,7 @@
   async #sendFrame(relay: string, pending: readonly PendingOrder[]): Promise<void> {
     const specs = [...new Set(pending.map(({ spec }) => spec))];
     const orders = pending.map((each) => encodeOrder(each, specs.indexOf(each.spec)));
-    const frame = { sentAt: performance.now(), specs, orders };
+    const frame = { senderProcess: this.#senderProcess, sentAt: performance.now(), specs, orders };
     const reply = await this.#options.peers.call(relay, carryOutCall, frame, arrivalTimeoutMilliseconds);
     reply.ifLeft((failure) => {
       this.#takeFailure(relay, pending, failure);
--- /dev/null
+++ b/src/order-relays/test/order-relay.test.ts
@@ -0,0 +1,62 @@
+/**
+ * What a relay carries out, played without a network.
+ * @packageDocumentation
+ */
+import { Left } from "purify-ts";
+import { expect, test } from "vitest";
+import { delay } from "../../shared/index.js";
+import type { OrderOutcome, TargetOrders } from "../../task-runs/index.js";
+import { createLog, createMetrics } from "../../telemetry/index.js";
+import { startOrderRelay } from "../index.js";
+import { createFakePeers, type FakePeers } from "./fake-peers.js";
+
+const done: OrderOutcome = { kind: "done", clockMilliseconds: 7 };
+
+/** A relay that notes the tasks whose stops it sent. */
+function startRelay(): { readonly sent: string[]; readonly receive: FakePeers["receive"] } {
+  const sent: string[] = [];
+  const { peers, receive } = createFakePeers();
+  const orders: TargetOrders = {
+    start: async () => Promise.resolve(done),
+    stop: async ({ task }) => {
+      sent.push(task);
+      return Promise.resolve(done);
+    },
+    pace: async () => Promise.resolve(done),
+    renew: async () => Promise.resolve(Left({ kind: "refused", reason: "not-connected" })),
+  };
+  startOrderRelay({ peers, orders, log: createLog("silent"), metrics: createMetrics() });
+  return { sent, receive };
+}
+
+function createFrame(senderProcess: number, sentAt: number, task: string): unknown {
+  const order = {
+    id: 1,
+    kind: "stop",
+    targetId: "target-1",
+    address: "127.0.0.1:1",
+    startedAtUnix: 1,
+    fencingToken: 9,
+    timeoutMilliseconds: 700,
+    task,
+    run: 1,
+  };
+  return { senderProcess, sentAt, specs: [], orders: [order] };
+}
+
+test("orders of an entry that has started again do not count as old by the clock of its former process", async () => {
+  const { sent, receive } = startRelay();
+  receive("home", "orders.carry-out", createFrame(1, 500_000, "before"));
+  receive("home", "orders.carry-out", createFrame(2, 1_000, "after"));
+  await delay(10);
+  expect(sent).toEqual(["before", "after"]);
+});
+
+test("an order that waited longer than its time is not carried out", async () => {
+  const { sent, receive } = startRelay();
+  const now = performance.now();
+  receive("home", "orders.carry-out", createFrame(1, now, "fresh"));
+  receive("home", "orders.carry-out", createFrame(1, now - 1_000, "late"));
+  await delay(10);
+  expect(sent).toEqual(["fresh"]);
+});
