An order that its relay declines goes another way, and the relay is left out for a while

Callers would see tasks lose their lease and starts fail on all targets of one relay, for as long as that relay has too much to do or is behind, though other entries and the home itself could carry the orders out.

Cause: a relay answered what it did not carry out as `not-connected`, which the home takes for the target's: it left the target alone for half a second, counted the renewal as failed, and sent the next order the same way. The relay's comment promised that such orders go another way; nothing did that.

Evidence: relayed-orders.test.ts failed before (the start ended with the relay's word, no other relay was asked), and order-relay.test.ts for what the relay says.

Fix: the relay's own refusal is an outcome of its own, `declined`. Such an order was surely not carried out, so that the next relay or the home sends it; the relay that declined is avoided as one that cannot be reached.

--- a/src/order-relays/messages.ts
+++ b/src/order-relays/messages.ts
@@ -84,6 +84,8 @@
   z.object({ ...outcomeBase, kind: z.literal("done"), clockMilliseconds: z.number() }),
   z.object({ ...outcomeBase, kind: z.literal("refused"), reason: z.enum(refusals) }),
   z.object({ ...outcomeBase, kind: z.literal("unknown"), message: z.string() }),
+  /** The relay itself did not carry the order out. */
+  z.object({ ...outcomeBase, kind: z.literal("declined") }),
   z.object({
     id: z.number(),
     kind: z.literal("report"),
--- a/src/order-relays/order-relay.ts
+++ b/src/order-relays/order-relay.ts
@@ -27,7 +27,7 @@
 
 const gatherMilliseconds = 4;
 const outcomesTimeoutMilliseconds = 1_000;
-/** Orders in progress; more are refused, so that their homes send them another way. */
+/** Orders in progress; more are declined, so that their homes send them another way. */
 const maximumInProgress = 2_000;
 
 /**
@@ -68,21 +68,21 @@
   peers.answer(carryOutCall, ({ senderProcess, sentAt, specs, orders }, peerId) => {
     const clock = findClock(peerId, senderProcess);
     const age = clock.ageMilliseconds(sentAt, performance.now());
-    let refused = 0;
+    let declined = 0;
     for (const order of orders) {
       const timeoutMilliseconds = order.timeoutMilliseconds - age;
       // What waited too long is not carried out any more: its home counts on another course by now.
       if (timeoutMilliseconds <= 0 || inProgress >= maximumInProgress) {
-        refused += 1;
-        outcomes.add(peerId, { id: order.id, kind: "refused", reason: "not-connected" });
+        declined += 1;
+        outcomes.add(peerId, { id: order.id, kind: "declined" });
         continue;
       }
       void carryOut(peerId, { ...order, timeoutMilliseconds }, specs);
     }
-    if (refused > 0)
+    if (declined > 0)
       log.write("warn", "relayed-orders-refused", {
         peer: peerId,
-        orders: refused,
+        orders: declined,
         inProgress,
         ageMilliseconds: Math.round(age),
       });
--- a/src/order-relays/outcome-rows.ts
+++ b/src/order-relays/outcome-rows.ts
@@ -9,6 +9,9 @@
 /** What a renewal brings. */
 export type RenewalOutcome = Either<Exclude<OrderOutcome, { kind: "done" }>, TargetReport>;
 
+/** What an order brought that its relay did not decline. */
+export type CarriedOut = Exclude<RelayedOutcome, { kind: "declined" }>;
+
 /**
  * Encodes what a renewal brought.
  * @param id - the order
@@ -40,7 +43,7 @@
  * @param outcome - the outcome of a frame
  * @returns the report, or why there is none
  */
-export function decodeRenewal(outcome: RelayedOutcome): RenewalOutcome {
+export function decodeRenewal(outcome: CarriedOut): RenewalOutcome {
   if (outcome.kind === "done") return Left({ kind: "unknown", message: "the relay gave no report" });
   if (outcome.kind !== "report") return Left(outcome);
   const { startedAtUnix, clockMilliseconds, present, ends } = outcome;
@@ -63,6 +66,6 @@
  * @param outcome - the outcome of a frame
  * @returns what the order brought
  */
-export function decodeOutcome(outcome: RelayedOutcome): OrderOutcome {
+export function decodeOutcome(outcome: CarriedOut): OrderOutcome {
   return outcome.kind === "report" ? { kind: "unknown", message: "the relay gave a report" } : outcome;
 }
--- a/src/order-relays/relayed-orders.ts
+++ b/src/order-relays/relayed-orders.ts
@@ -9,7 +9,7 @@
 import type { Log, Metrics } from "../telemetry/index.js";
 import { createFrameGatherer } from "./frame-gatherer.js";
 import { carryOutCall, outcomesCall, type RelayedOrder, type RelayedOutcome } from "./messages.js";
-import { decodeOutcome, decodeRenewal, type RenewalOutcome } from "./outcome-rows.js";
+import { decodeOutcome, decodeRenewal, type CarriedOut, type RenewalOutcome } from "./outcome-rows.js";
 import type { RelayDirectory } from "./relay-directory.js";
 
 /** What relayed orders work with. */
@@ -46,7 +46,7 @@
   readonly header: OrderHeader;
   readonly spec: string;
   /** Ends the wait; `not-sent` when the order surely was not carried out. */
-  readonly settle: (outcome: RelayedOutcome | "not-sent") => void;
+  readonly settle: (outcome: CarriedOut | "not-sent") => void;
 }
 
 /** Sends orders through relays, and from this process where there are none. */
@@ -67,7 +67,7 @@
   constructor(options: RelayedOrdersOptions) {
     this.#options = options;
     options.peers.answer(outcomesCall, ({ outcomes }) => {
-      for (const outcome of outcomes) this.#pending.get(outcome.id)?.settle(outcome);
+      for (const outcome of outcomes) this.#takeOutcome(outcome);
       return {};
     });
     options.peers.events.on("peerState", ({ peerId, state }) => {
@@ -106,7 +106,7 @@
   }
 
   /** Sends an order through the first relay that takes it; undefined when none did and it surely did not leave. */
-  async #relay(header: OrderHeader, body: OrderBody, spec = ""): Promise<RelayedOutcome | undefined> {
+  async #relay(header: OrderHeader, body: OrderBody, spec = ""): Promise<CarriedOut | undefined> {
     const { relays, metrics } = this.#options;
     const startedAt = performance.now();
     for (const relay of relays.relaysFor(header.target).slice(0, relayAttempts)) {
@@ -125,14 +125,14 @@
     header: OrderHeader,
     body: OrderBody,
     spec: string,
-  ): Promise<RelayedOutcome | "not-sent"> {
+  ): Promise<CarriedOut | "not-sent"> {
     const id = this.#nextId;
     this.#nextId += 1;
     return new Promise((resolve) => {
       const timer = setTimeout(() => {
         settle({ id, kind: "unknown", message: "the relay brought no outcome in time" });
       }, header.timeoutMilliseconds + relayMilliseconds);
-      const settle = (outcome: RelayedOutcome | "not-sent"): void => {
+      const settle = (outcome: CarriedOut | "not-sent"): void => {
         clearTimeout(timer);
         this.#pending.delete(id);
         resolve(outcome);
@@ -153,6 +153,17 @@
     });
   }
 
+  #takeOutcome(outcome: RelayedOutcome): void {
+    const pending = this.#pending.get(outcome.id);
+    if (pending === undefined) return;
+    if (outcome.kind !== "declined") {
+      pending.settle(outcome);
+      return;
+    }
+    this.#options.relays.avoid(pending.relay);
+    pending.settle("not-sent");
+  }
+
   #takeFailure(relay: string, pending: readonly PendingOrder[], { kind, message }: PeerFailure): void {
     const { log, relays } = this.#options;
     const waiting = pending.filter(({ order }) => this.#pending.has(order.id));
--- a/src/order-relays/test/order-relay.test.ts
+++ b/src/order-relays/test/order-relay.test.ts
@@ -2,7 +2,7 @@
  * What a relay carries out, played without a network.
  * @packageDocumentation
  */
-import { Left } from "purify-ts";
+import { Left, Right } from "purify-ts";
 import { expect, test } from "vitest";
 import { delay } from "../../shared/index.js";
 import type { OrderOutcome, TargetOrders } from "../../task-runs/index.js";
@@ -12,11 +12,8 @@
 
 const done: OrderOutcome = { kind: "done", clockMilliseconds: 7 };
 
-/** A relay that notes the tasks whose stops it sent. */
-function startRelay(): { readonly sent: string[]; readonly receive: FakePeers["receive"] } {
-  const sent: string[] = [];
-  const { peers, receive } = createFakePeers();
-  const orders: TargetOrders = {
+function createOrders(sent: string[]): TargetOrders {
+  return {
     start: async () => Promise.resolve(done),
     stop: async ({ task }) => {
       sent.push(task);
@@ -25,7 +22,13 @@
     pace: async () => Promise.resolve(done),
     renew: async () => Promise.resolve(Left({ kind: "refused", reason: "not-connected" })),
   };
-  startOrderRelay({ peers, orders, log: createLog("silent"), metrics: createMetrics() });
+}
+
+/** A relay that notes the tasks whose stops it sent. */
+function startRelay(): { readonly sent: string[]; readonly receive: FakePeers["receive"] } {
+  const sent: string[] = [];
+  const { peers, receive } = createFakePeers();
+  startOrderRelay({ peers, orders: createOrders(sent), log: createLog("silent"), metrics: createMetrics() });
   return { sent, receive };
 }
 
@@ -60,3 +63,20 @@
   await delay(10);
   expect(sent).toEqual(["fresh"]);
 });
+
+test("a relay says of an order that it did not carry out that it declined it", async () => {
+  const told: unknown[] = [];
+  const { peers, receive } = createFakePeers(async (_peerId, _name, request) => {
+    told.push(...(request as { outcomes: object[] }).outcomes);
+    return Promise.resolve(Right({}));
+  });
+  startOrderRelay({ peers, orders: createOrders([]), log: createLog("silent"), metrics: createMetrics() });
+  const now = performance.now();
+  receive("home", "orders.carry-out", createFrame(1, now, "fresh"));
+  receive("home", "orders.carry-out", createFrame(1, now - 1_000, "late"));
+  await delay(20);
+  expect(told).toEqual([
+    { id: 1, kind: "declined" },
+    { id: 1, ...done },
+  ]);
+});
--- /dev/null
+++ b/src/order-relays/test/relayed-orders.test.ts
@@ -0,0 +1,94 @@
+/**
+ * The ways that an order takes from its home, played without a network.
+ * @packageDocumentation
+ */
+import { Left, Right, type Either } from "purify-ts";
+import { expect, test } from "vitest";
+import type { PeerFailure } from "../../membership/index.js";
+import type { OrderOutcome, StartOrder, TargetOrders } from "../../task-runs/index.js";
+import { createLog, createMetrics } from "../../telemetry/index.js";
+import { createRelayDirectory, RelayedTargetOrders, type RelayDirectory } from "../index.js";
+import { createFakePeers } from "./fake-peers.js";
+
+const done: OrderOutcome = { kind: "done", clockMilliseconds: 7 };
+
+/** What a relay does with an order: replies whether it arrived, and tells the outcome. */
+type Relay = (order: { id: number }, tell: (outcome: object) => void) => Promise<Either<PeerFailure, object>>;
+
+const arrived = async (): Promise<Either<PeerFailure, object>> => Promise.resolve(Right({}));
+
+interface TestHome {
+  readonly orders: RelayedTargetOrders;
+  readonly relays: RelayDirectory;
+  /** Which relays got orders, one after the other; `home` for an order that this entry sent. */
+  readonly ways: string[];
+  /** Orders that this entry sent. */
+  readonly local: StartOrder[];
+}
+
+function startHome(relaysByName: Readonly<Record<string, Relay>>): TestHome {
+  const ways: string[] = [];
+  const local: StartOrder[] = [];
+  const { peers, receive } = createFakePeers(async (peerId, _name, request) => {
+    ways.push(peerId);
+    const [order] = (request as { orders: { id: number }[] }).orders;
+    const tell = (outcome: object): void => {
+      setTimeout(() => receive(peerId, "orders.outcomes", { outcomes: [outcome] }), 1);
+    };
+    return order === undefined ? arrived() : (relaysByName[peerId]?.(order, tell) ?? arrived());
+  });
+  const candidates = Object.keys(relaysByName).map((entryId) => ({
+    entryId,
+    zone: "zone",
+    capacityCores: 1,
+    holdsHome: false,
+  }));
+  const relays = createRelayDirectory({ entryId: "home", peers, entries: () => candidates });
+  // A home with few targets sends its orders itself.
+  for (let target = 0; target < 40; target += 1) relays.relaysFor(createStart(`other-${target}`).target);
+  const own: TargetOrders = {
+    start: async (order) => {
+      ways.push("home");
+      local.push(order);
+      return Promise.resolve(done);
+    },
+    stop: async () => Promise.resolve(done),
+    pace: async () => Promise.resolve(done),
+    renew: async () => Promise.resolve(Left({ kind: "refused", reason: "not-connected" })),
+  };
+  const orders = new RelayedTargetOrders({
+    peers,
+    local: own,
+    relays,
+    log: createLog("silent"),
+    metrics: createMetrics(),
+  });
+  return { orders, relays, ways, local };
+}
+
+function createStart(targetId: string): StartOrder {
+  return {
+    target: { targetId, address: "127.0.0.1:1", startedAtUnix: 1, availabilityZone: "zone" },
+    fencingToken: 9,
+    timeoutMilliseconds: 200,
+    task: "job.0.0.0",
+    run: 1,
+    spec: "the job's spec",
+    leaseUntilMilliseconds: 1_000,
+    checkpoint: "",
+    ticket: undefined,
+  };
+}
+
+test("an order that its relay declined goes another way, and further orders leave that relay out", async () => {
+  const declines: Relay = async ({ id }, tell) => {
+    tell({ id, kind: "declined" });
+    return arrived();
+  };
+  const home = startHome({ a: declines, b: declines });
+  expect(await home.orders.start(createStart("target"))).toEqual(done);
+  expect([...home.ways].sort()).toEqual(["a", "b", "home"]);
+  home.ways.length = 0;
+  await home.orders.start(createStart("target"));
+  expect(home.ways).toEqual(["home"]);
+});
