An order has one time for all its ways, and is not sent after it

Callers could see a start carried out for a home that has ended meanwhile, or a start that counts as unanswered only after 1.6 s instead of 0.8 s.

Cause: when no relay took an order, this process sent it with its whole time again, also when that time had passed. On the way to relays an order waits: for others of its frame, and up to 500 ms for a link. A process that was paused there sent the orders of its former homes when it woke; only fencing tokens stood against that, which a target's next life does not know.

Evidence: two tests of relayed-orders.test.ts failed before: an order of 200 ms was sent after 300 ms, and one whose relay cost 100 ms was sent with 200 ms.

Fix: the way from this process gets what is left; without time left an order ends as not sent.

--- a/src/order-relays/relayed-orders.ts
+++ b/src/order-relays/relayed-orders.ts
@@ -49,6 +49,12 @@
   readonly settle: (outcome: CarriedOut | "not-sent") => void;
 }
 
+/** No relay took an order, which surely did not leave: this process has so much time to send it. */
+interface TimeLeft {
+  readonly kind: "own-way";
+  readonly timeoutMilliseconds: number;
+}
+
 /** Sends orders through relays, and from this process where there are none. */
 export class RelayedTargetOrders implements TargetOrders {
   readonly #options: RelayedOrdersOptions;
@@ -80,13 +86,15 @@
     const optional = ticket === undefined ? {} : { ticket };
     const body = { kind: "start" as const, task, run, leaseUntilMilliseconds, checkpoint, ...optional };
     const outcome = await this.#relay(order, body, spec);
-    return outcome === undefined ? this.#options.local.start(order) : decodeOutcome(outcome);
+    if (outcome.kind !== "own-way") return decodeOutcome(outcome);
+    return this.#options.local.start({ ...order, timeoutMilliseconds: outcome.timeoutMilliseconds });
   }
 
   async stop(order: OrderHeader & { readonly task: string; readonly run: number }): Promise<OrderOutcome> {
     const { task, run } = order;
     const outcome = await this.#relay(order, { kind: "stop", task, run });
-    return outcome === undefined ? this.#options.local.stop(order) : decodeOutcome(outcome);
+    if (outcome.kind !== "own-way") return decodeOutcome(outcome);
+    return this.#options.local.stop({ ...order, timeoutMilliseconds: outcome.timeoutMilliseconds });
   }
 
   async pace(
@@ -94,7 +102,8 @@
   ): Promise<OrderOutcome> {
     const { task, run, percent } = order;
     const outcome = await this.#relay(order, { kind: "pace", task, run, percent });
-    return outcome === undefined ? this.#options.local.pace(order) : decodeOutcome(outcome);
+    if (outcome.kind !== "own-way") return decodeOutcome(outcome);
+    return this.#options.local.pace({ ...order, timeoutMilliseconds: outcome.timeoutMilliseconds });
   }
 
   async renew(order: RenewOrder): Promise<RenewalOutcome> {
@@ -102,22 +111,25 @@
     const optional = leaseUntilMilliseconds === undefined ? {} : { leaseUntilMilliseconds };
     const body = { kind: "renew" as const, acknowledgedSequence, waitMilliseconds, ...optional };
     const outcome = await this.#relay(order, body);
-    return outcome === undefined ? this.#options.local.renew(order) : decodeRenewal(outcome);
+    if (outcome.kind !== "own-way") return decodeRenewal(outcome);
+    return this.#options.local.renew({ ...order, timeoutMilliseconds: outcome.timeoutMilliseconds });
   }
 
-  /** Sends an order through the first relay that takes it; undefined when none did and it surely did not leave. */
-  async #relay(header: OrderHeader, body: OrderBody, spec = ""): Promise<CarriedOut | undefined> {
+  /** Sends an order through the first relay that takes it; else tells how long it may still take from this process. */
+  async #relay(header: OrderHeader, body: OrderBody, spec = ""): Promise<CarriedOut | TimeLeft> {
     const { relays, metrics } = this.#options;
-    const startedAt = performance.now();
+    const endsAt = performance.now() + header.timeoutMilliseconds;
+    let left = header.timeoutMilliseconds;
     for (const relay of relays.relaysFor(header.target).slice(0, relayAttempts)) {
-      const left = header.timeoutMilliseconds - (performance.now() - startedAt);
-      if (left <= 0) break;
       const outcome = await this.#sendThrough(relay, { ...header, timeoutMilliseconds: left }, body, spec);
       const result = outcome === "not-sent" ? outcome : outcome.kind;
       metrics.count("orders_through_relays_total", { order: body.kind, result });
       if (outcome !== "not-sent") return outcome;
+      left = endsAt - performance.now();
+      // Its home may have ended meanwhile, as after a pause of this process.
+      if (left <= 0) return { id: 0, kind: "refused", reason: "not-connected" };
     }
-    return undefined;
+    return { kind: "own-way", timeoutMilliseconds: left };
   }
 
   async #sendThrough(
--- a/src/order-relays/test/relayed-orders.test.ts
+++ b/src/order-relays/test/relayed-orders.test.ts
@@ -5,6 +5,7 @@
 import { Left, Right, type Either } from "purify-ts";
 import { expect, test } from "vitest";
 import type { PeerFailure } from "../../membership/index.js";
+import { delay } from "../../shared/index.js";
 import type { OrderOutcome, StartOrder, TargetOrders } from "../../task-runs/index.js";
 import { createLog, createMetrics } from "../../telemetry/index.js";
 import { createRelayDirectory, RelayedTargetOrders, type RelayDirectory } from "../index.js";
@@ -92,3 +93,26 @@
   await home.orders.start(createStart("target"));
   expect(home.ways).toEqual(["home"]);
 });
+
+test("an order that used up its time on the way to relays is not sent any more", async () => {
+  const neverConnects: Relay = async () => {
+    await delay(300);
+    return Left({ kind: "not-connected", message: "no link" });
+  };
+  const home = startHome({ a: neverConnects });
+  expect(await home.orders.start(createStart("target"))).toMatchObject({
+    kind: "refused",
+    reason: "not-connected",
+  });
+  expect(home.local).toEqual([]);
+});
+
+test("what an order used of its time on the way to relays is not given to it again", async () => {
+  const connectsNot: Relay = async () => {
+    await delay(100);
+    return Left({ kind: "not-connected", message: "no link" });
+  };
+  const home = startHome({ a: connectsNot });
+  expect(await home.orders.start(createStart("target"))).toEqual(done);
+  expect(home.local[0]?.timeoutMilliseconds).toBeLessThan(110);
+});
