The first orders of a home that was just taken are spread over its relays

Callers of a large pool would wait longer after each takeover: the entry that gets the first renewals of a whole pool answers late.

Cause: how many relays a zone needs was counted every 100 ms, first with the first target alone, so that all targets of a zone that a home meets at once shared one relay until the next count.

Evidence: relay-directory.test.ts failed before: 84 of 96 first orders went through one of nine entries.

Fix: a new target counts at once.

--- a/src/order-relays/relay-directory.ts
+++ b/src/order-relays/relay-directory.ts
@@ -53,10 +53,16 @@
     chosen = new Map();
   };
 
+  /** A home that was just taken meets all its targets at once, so that a new one counts before the next refresh. */
+  const noteUse = (targetId: string, zone: string, now: number): void => {
+    if (!targets.has(targetId)) zoneCounts.set(zone, (zoneCounts.get(zone) ?? 0) + 1);
+    targets.set(targetId, { zone, usedAt: now });
+  };
+
   return {
     relaysFor: ({ targetId, availabilityZone: zone }) => {
       const now = performance.now();
-      targets.set(targetId, { zone, usedAt: now });
+      noteUse(targetId, zone, now);
       refresh(now);
       if (targets.size <= ownTargets) return [];
       const known = chosen.get(targetId);
