A target that its relay does not reach gets its next order another way

Callers would see tasks on a sound target lose their lease when one link is cut: the one from its relay to it, or the one from the relay back to the home.

Cause: the relay of a target follows from names and is left out only when it does not take a frame. One that takes orders, and brings no answer to them, kept them: each renewal failed for as long as the cut lasted, though other entries and the home reach the target. Without relays only a cut of the home itself did that.

Evidence: three tests of relayed-orders.test.ts failed before (starts on eight targets, of which the second must be carried out): a relay that does not reach targets, one whose outcomes are lost, and one that is the only one.

Fix: after an order without an answer the target's next ones go the next way, at last the home's own, for 30 s.

--- a/src/order-relays/relay-directory.ts
+++ b/src/order-relays/relay-directory.ts
@@ -20,10 +20,14 @@
   relaysFor(target: TargetIdentity): readonly string[];
   /** A relay did not take orders: it is left out for a while. */
   avoid(entryId: string): void;
+  /** An order for a target brought no answer through a relay: further ones go another way for a while. */
+  passOver(targetId: string, entryId: string): void;
 }
 
 const refreshMilliseconds = 100;
 const avoidMilliseconds = 1_000;
+/** A target goes back to the relay that was chosen for it after so long. */
+const passOverMilliseconds = 30_000;
 /** A target that got no order for so long is not counted any more. */
 const forgetMilliseconds = 10_000;
 /** Homes with so few targets send all orders themselves, which saves the way through another entry. */
@@ -37,6 +41,7 @@
 export function createRelayDirectory(options: RelayDirectoryOptions): RelayDirectory {
   const avoidedUntil = new Map<string, number>();
   const targets = new Map<string, { readonly zone: string; usedAt: number }>();
+  const passedOver = new Map<string, { readonly ways: number; readonly until: number }>();
   let chosen = new Map<string, readonly string[]>();
   let zoneCounts = new Map<string, number>();
   let candidates: readonly RelayCandidate[] = [];
@@ -48,6 +53,7 @@
     for (const [targetId, { usedAt }] of targets) {
       if (now - usedAt > forgetMilliseconds) targets.delete(targetId);
     }
+    for (const [targetId, { until }] of passedOver) if (until < now) passedOver.delete(targetId);
     zoneCounts = countByZone([...targets.values()]);
     candidates = findCandidates(options, avoidedUntil, now);
     chosen = new Map();
@@ -69,7 +75,8 @@
       if (known !== undefined) return known;
       const { entryId: homeEntryId } = options;
       const targetsInZone = zoneCounts.get(zone) ?? 1;
-      const relays = chooseRelays({ homeEntryId, targetId, zone, targetsInZone, candidates });
+      const question = { homeEntryId, targetId, zone, targetsInZone, candidates };
+      const relays = skipWays(chooseRelays(question), passedOver.get(targetId)?.ways ?? 0);
       chosen.set(targetId, relays);
       return relays;
     },
@@ -77,9 +84,22 @@
       avoidedUntil.set(entryId, performance.now() + avoidMilliseconds);
       refreshedAt = Number.NEGATIVE_INFINITY;
     },
+    passOver: (targetId, entryId) => {
+      // Of several orders that fail on one way, the first has the next one taken.
+      if (chosen.get(targetId)?.[0] !== entryId) return;
+      const ways = (passedOver.get(targetId)?.ways ?? 0) + 1;
+      passedOver.set(targetId, { ways, until: performance.now() + passOverMilliseconds });
+      chosen.delete(targetId);
+    },
   };
 }
 
+/** The ways in turn, the last of which is that of this entry itself. */
+function skipWays(relays: readonly string[], ways: number): readonly string[] {
+  const skipped = ways % (relays.length + 1);
+  return skipped === relays.length ? [] : [...relays.slice(skipped), ...relays.slice(0, skipped)];
+}
+
 function countByZone(targets: readonly { readonly zone: string }[]): Map<string, number> {
   const counts = new Map<string, number>();
   for (const { zone } of targets) counts.set(zone, (counts.get(zone) ?? 0) + 1);
--- a/src/order-relays/relayed-orders.ts
+++ b/src/order-relays/relayed-orders.ts
@@ -124,7 +124,10 @@
       const outcome = await this.#sendThrough(relay, { ...header, timeoutMilliseconds: left }, body, spec);
       const result = outcome === "not-sent" ? outcome : outcome.kind;
       metrics.count("orders_through_relays_total", { order: body.kind, result });
-      if (outcome !== "not-sent") return outcome;
+      if (outcome !== "not-sent") {
+        if (isUnanswered(outcome)) relays.passOver(header.target.targetId, relay);
+        return outcome;
+      }
       left = endsAt - performance.now();
       // Its home may have ended meanwhile, as after a pause of this process.
       if (left <= 0) return { id: 0, kind: "refused", reason: "not-connected" };
@@ -197,6 +200,11 @@
   }
 }
 
+/** Whether the target may be reached by another way only. */
+function isUnanswered(outcome: CarriedOut): boolean {
+  return outcome.kind === "unknown" || (outcome.kind === "refused" && outcome.reason === "not-connected");
+}
+
 /** After so many relays that could not be reached an order goes from this process. */
 const relayAttempts = 2;
 
--- a/src/order-relays/test/relayed-orders.test.ts
+++ b/src/order-relays/test/relayed-orders.test.ts
@@ -18,6 +18,11 @@
 
 const arrived = async (): Promise<Either<PeerFailure, object>> => Promise.resolve(Right({}));
 
+const carriesOut: Relay = async ({ id }, tell) => {
+  tell({ id, kind: "done", clockMilliseconds: 7 });
+  return arrived();
+};
+
 interface TestHome {
   readonly orders: RelayedTargetOrders;
   readonly relays: RelayDirectory;
@@ -32,11 +37,12 @@
   const local: StartOrder[] = [];
   const { peers, receive } = createFakePeers(async (peerId, _name, request) => {
     ways.push(peerId);
-    const [order] = (request as { orders: { id: number }[] }).orders;
+    const { orders: framed } = request as { orders: { id: number }[] };
     const tell = (outcome: object): void => {
       setTimeout(() => receive(peerId, "orders.outcomes", { outcomes: [outcome] }), 1);
     };
-    return order === undefined ? arrived() : (relaysByName[peerId]?.(order, tell) ?? arrived());
+    const replies = framed.map(async (order) => relaysByName[peerId]?.(order, tell) ?? arrived());
+    return Promise.all(replies).then(([first]) => first ?? arrived());
   });
   const candidates = Object.keys(relaysByName).map((entryId) => ({
     entryId,
@@ -116,3 +122,31 @@
   expect(await home.orders.start(createStart("target"))).toEqual(done);
   expect(home.local[0]?.timeoutMilliseconds).toBeLessThan(110);
 });
+
+/** Sends one start to each of many targets, one after the other for each, and tells what the last ones brought. */
+async function startTwiceOnEach(home: TestHome): Promise<string[]> {
+  const targets = Array.from({ length: 8 }, (_, index) => `target-${index}`);
+  const startOnEach = async (): Promise<OrderOutcome[]> =>
+    Promise.all(targets.map(async (target) => home.orders.start(createStart(target))));
+  await startOnEach();
+  return (await startOnEach()).map(({ kind }) => kind);
+}
+
+test("a target that its relay does not reach gets its next order through another", async () => {
+  const reachesNot: Relay = async ({ id }, tell) => {
+    tell({ id, kind: "unknown", message: "no answer in time" });
+    return arrived();
+  };
+  const home = startHome({ a: reachesNot, b: carriesOut });
+  expect(await startTwiceOnEach(home)).toEqual(Array.from({ length: 8 }, () => "done"));
+});
+
+test("a target whose relay does not bring outcomes back gets its next order through another", async () => {
+  const home = startHome({ a: arrived, b: carriesOut });
+  expect(await startTwiceOnEach(home)).toEqual(Array.from({ length: 8 }, () => "done"));
+});
+
+test("a target that its only relay does not reach gets its next order from its home", async () => {
+  const home = startHome({ a: arrived });
+  expect(await startTwiceOnEach(home)).toEqual(Array.from({ length: 8 }, () => "done"));
+});
