A peer's reply that came in time is read before its call is given up

Callers of a large pool could see starts stopped and placed again in numbers, as before relays, and all calls of the pool come from the home's process again for a second.

In a process that was held up the timer of a call between entries ran before the links were read. For a home that is late by the 500 ms in which relays say that orders have arrived, every frame on its way counted as failed: its orders as unanswered, and every relay as one to avoid, so that the home sent all orders itself, late as it was: what drives a hot spot on.

Fix: a timer that fires lets the loop read what is there, then gives the call up.

--- a/src/membership/pending-calls.ts
+++ b/src/membership/pending-calls.ts
@@ -30,7 +30,10 @@
       nextCall += 1;
       const result = new Promise<Either<PeerFailure, unknown>>((resolve) => {
         const timer = setTimeout(() => {
-          calls.get(id)?.(Left({ kind: "timeout", message: `${peerId} did not reply in time` }));
+          // After a hold-up timers come first; a reply that is there already is read before the call is given up.
+          setImmediate(() => {
+            calls.get(id)?.(Left({ kind: "timeout", message: `${peerId} did not reply in time` }));
+          });
         }, timeoutMilliseconds);
         calls.set(id, (outcome) => {
           clearTimeout(timer);
