--- a/src/order-relays/messages.ts
+++ b/src/order-relays/messages.ts
@@ -44,6 +44,8 @@
 export const carryOutCall = definePeerCall(
   "orders.carry-out",
   z.object({
+    /** Names the sender's process: each has a monotonic clock of its own. */
+    senderProcess: z.number(),
     /** When the frame was sent, by the sender's monotonic clock, in milliseconds. */
     sentAt: z.number(),
     specs: z.array(z.string()),
@@ -82,6 +84,8 @@
   z.object({ ...outcomeBase, kind: z.literal("done"), clockMilliseconds: z.number() }),
   z.object({ ...outcomeBase, kind: z.literal("refused"), reason: z.enum(refusals) }),
   z.object({ ...outcomeBase, kind: z.literal("unknown"), message: z.string() }),
+  /** The relay itself did not carry the order out. */
+  z.object({ ...outcomeBase, kind: z.literal("declined") }),
   z.object({
     id: z.number(),
     kind: z.literal("report"),
--- a/src/order-relays/relayed-orders.ts
+++ b/src/order-relays/relayed-orders.ts
@@ -9,7 +9,7 @@
 import type { Log, Metrics } from "../telemetry/index.js";
 import { createFrameGatherer } from "./frame-gatherer.js";
 import { carryOutCall, outcomesCall, type RelayedOrder, type RelayedOutcome } from "./messages.js";
-import { decodeOutcome, decodeRenewal, type RenewalOutcome } from "./outcome-rows.js";
+import { decodeOutcome, decodeRenewal, type CarriedOut, type RenewalOutcome } from "./outcome-rows.js";
 import type { RelayDirectory } from "./relay-directory.js";
 
 /** What relayed orders work with. */
@@ -29,6 +29,7 @@
 const relayMilliseconds = 150;
 
 const largestFirstId = 2 ** 47;
+const processNames = 2 ** 47;
 
 type Body<Kind extends RelayedOrder["kind"]> = Omit<
   Extract<RelayedOrder, { kind: Kind }>,
@@ -45,7 +46,13 @@
   readonly header: OrderHeader;
   readonly spec: string;
   /** Ends the wait; `not-sent` when the order surely was not carried out. */
-  readonly settle: (outcome: RelayedOutcome | "not-sent") => void;
+  readonly settle: (outcome: CarriedOut | "not-sent") => void;
+}
+
+/** No relay took an order, which surely did not leave: this process has so much time to send it. */
+interface TimeLeft {
+  readonly kind: "own-way";
+  readonly timeoutMilliseconds: number;
 }
 
 /** Sends orders through relays, and from this process where there are none. */
@@ -57,6 +64,7 @@
   });
   /** Outcomes for an earlier process of this entry must not be taken for those of this one. */
   #nextId = randomInt(largestFirstId);
+  readonly #senderProcess = randomInt(processNames);
 
   /**
    * Creates the orders, and takes outcomes from other entries.
@@ -65,7 +73,7 @@
   constructor(options: RelayedOrdersOptions) {
     this.#options = options;
     options.peers.answer(outcomesCall, ({ outcomes }) => {
-      for (const outcome of outcomes) this.#pending.get(outcome.id)?.settle(outcome);
+      for (const outcome of outcomes) this.#takeOutcome(outcome);
       return {};
     });
     options.peers.events.on("peerState", ({ peerId, state }) => {
@@ -78,13 +86,15 @@
     const optional = ticket === undefined ? {} : { ticket };
     const body = { kind: "start" as const, task, run, leaseUntilMilliseconds, checkpoint, ...optional };
     const outcome = await this.#relay(order, body, spec);
-    return outcome === undefined ? this.#options.local.start(order) : decodeOutcome(outcome);
+    if (outcome.kind !== "own-way") return decodeOutcome(outcome);
+    return this.#options.local.start({ ...order, timeoutMilliseconds: outcome.timeoutMilliseconds });
   }
 
   async stop(order: OrderHeader & { readonly task: string; readonly run: number }): Promise<OrderOutcome> {
     const { task, run } = order;
     const outcome = await this.#relay(order, { kind: "stop", task, run });
-    return outcome === undefined ? this.#options.local.stop(order) : decodeOutcome(outcome);
+    if (outcome.kind !== "own-way") return decodeOutcome(outcome);
+    return this.#options.local.stop({ ...order, timeoutMilliseconds: outcome.timeoutMilliseconds });
   }
 
   async pace(
@@ -92,7 +102,8 @@
   ): Promise<OrderOutcome> {
     const { task, run, percent } = order;
     const outcome = await this.#relay(order, { kind: "pace", task, run, percent });
-    return outcome === undefined ? this.#options.local.pace(order) : decodeOutcome(outcome);
+    if (outcome.kind !== "own-way") return decodeOutcome(outcome);
+    return this.#options.local.pace({ ...order, timeoutMilliseconds: outcome.timeoutMilliseconds });
   }
 
   async renew(order: RenewOrder): Promise<RenewalOutcome> {
@@ -100,22 +111,28 @@
     const optional = leaseUntilMilliseconds === undefined ? {} : { leaseUntilMilliseconds };
     const body = { kind: "renew" as const, acknowledgedSequence, waitMilliseconds, ...optional };
     const outcome = await this.#relay(order, body);
-    return outcome === undefined ? this.#options.local.renew(order) : decodeRenewal(outcome);
+    if (outcome.kind !== "own-way") return decodeRenewal(outcome);
+    return this.#options.local.renew({ ...order, timeoutMilliseconds: outcome.timeoutMilliseconds });
   }
 
-  /** Sends an order through the first relay that takes it; undefined when none did and it surely did not leave. */
-  async #relay(header: OrderHeader, body: OrderBody, spec = ""): Promise<RelayedOutcome | undefined> {
+  /** Sends an order through the first relay that takes it; else tells how long it may still take from this process. */
+  async #relay(header: OrderHeader, body: OrderBody, spec = ""): Promise<CarriedOut | TimeLeft> {
     const { relays, metrics } = this.#options;
-    const startedAt = performance.now();
+    const endsAt = performance.now() + header.timeoutMilliseconds;
+    let left = header.timeoutMilliseconds;
     for (const relay of relays.relaysFor(header.target).slice(0, relayAttempts)) {
-      const left = header.timeoutMilliseconds - (performance.now() - startedAt);
-      if (left <= 0) break;
       const outcome = await this.#sendThrough(relay, { ...header, timeoutMilliseconds: left }, body, spec);
       const result = outcome === "not-sent" ? outcome : outcome.kind;
       metrics.count("orders_through_relays_total", { order: body.kind, result });
-      if (outcome !== "not-sent") return outcome;
+      if (outcome !== "not-sent") {
+        if (isUnanswered(outcome)) relays.passOver(header.target.targetId, relay);
+        return outcome;
+      }
+      left = endsAt - performance.now();
+      // Its home may have ended meanwhile, as after a pause of this process.
+      if (left <= 0) return { id: 0, kind: "refused", reason: "not-connected" };
     }
-    return undefined;
+    return { kind: "own-way", timeoutMilliseconds: left };
   }
 
   async #sendThrough(
@@ -123,14 +140,14 @@
     header: OrderHeader,
     body: OrderBody,
     spec: string,
-  ): Promise<RelayedOutcome | "not-sent"> {
+  ): Promise<CarriedOut | "not-sent"> {
     const id = this.#nextId;
     this.#nextId += 1;
     return new Promise((resolve) => {
       const timer = setTimeout(() => {
         settle({ id, kind: "unknown", message: "the relay brought no outcome in time" });
       }, header.timeoutMilliseconds + relayMilliseconds);
-      const settle = (outcome: RelayedOutcome | "not-sent"): void => {
+      const settle = (outcome: CarriedOut | "not-sent"): void => {
         clearTimeout(timer);
         this.#pending.delete(id);
         resolve(outcome);
@@ -144,13 +161,24 @@
   async #sendFrame(relay: string, pending: readonly PendingOrder[]): Promise<void> {
     const specs = [...new Set(pending.map(({ spec }) => spec))];
     const orders = pending.map((each) => encodeOrder(each, specs.indexOf(each.spec)));
-    const frame = { sentAt: performance.now(), specs, orders };
+    const frame = { senderProcess: this.#senderProcess, sentAt: performance.now(), specs, orders };
     const reply = await this.#options.peers.call(relay, carryOutCall, frame, arrivalTimeoutMilliseconds);
     reply.ifLeft((failure) => {
       this.#takeFailure(relay, pending, failure);
     });
   }
 
+  #takeOutcome(outcome: RelayedOutcome): void {
+    const pending = this.#pending.get(outcome.id);
+    if (pending === undefined) return;
+    if (outcome.kind !== "declined") {
+      pending.settle(outcome);
+      return;
+    }
+    this.#options.relays.avoid(pending.relay);
+    pending.settle("not-sent");
+  }
+
   #takeFailure(relay: string, pending: readonly PendingOrder[], { kind, message }: PeerFailure): void {
     const { log, relays } = this.#options;
     const waiting = pending.filter(({ order }) => this.#pending.has(order.id));
@@ -172,6 +200,11 @@
   }
 }
 
+/** Whether the target may be reached by another way only. */
+function isUnanswered(outcome: CarriedOut): boolean {
+  return outcome.kind === "unknown" || (outcome.kind === "refused" && outcome.reason === "not-connected");
+}
+
 /** After so many relays that could not be reached an order goes from this process. */
 const relayAttempts = 2;
 
