trace orders a job's story by cause and not by the clocks of its processes

Lines of one log keep their order; across logs an answer to a submission follows the home's acceptance or refusal, a task's lines follow the acceptance, a run's lines follow its start and those of earlier runs, and the job's end follows them all; what nothing relates goes by the clocks.

Tests: job-story.test.ts with homes whose clocks differ, lines that seem to wait for each other, and lines read back whatever they hold; commands.test.ts for the command. The order that the command's test had before is asserted as it was.

--- a/src/cli/test/commands.test.ts
+++ b/src/cli/test/commands.test.ts
@@ -110,7 +110,7 @@
   expect(output).toContain("target-3\tzone-1\tzone-1-rack-1\tquotes\tstopped");
 });
 
-test("trace prints a job's lines of all logs in the order of their times", async () => {
+test("trace prints a job's lines of all logs, effects after their causes, and as JSON with their fields", async () => {
   const first = join(folder, "first.log");
   const second = join(folder, "second.log");
   await writeFile(first, "time=2026-01-01T00:00:02Z event=job-submitted job=5c0e outcome=accepted\n");
@@ -131,4 +131,16 @@
   const events = [...story.output.matchAll(/event=([a-z-]+)/g)].map(([, event]) => event);
   expect(events).toEqual(["job-accepted", "job-submitted", "start-order"]);
   expect([nothing.code, bad.code]).toEqual([1, 2]);
+  // The second home's clock is behind, which the order does not follow.
+  const third = join(folder, "third.log");
+  await writeFile(third, 'time=2026-01-01T00:00:00Z event=job-ended job=5c0e state=failed reason="a b"\n');
+  const skewed = await run("trace", "5c0e", third, first, second, "--json");
+  const lines = JSON.parse(skewed.output) as { event: string; source: string; fields: unknown }[];
+  expect(lines.map(({ event }) => event)).toEqual([
+    "job-accepted",
+    "job-submitted",
+    "start-order",
+    "job-ended",
+  ]);
+  expect(lines.at(-1)).toMatchObject({ source: third, fields: { state: "failed", reason: "a b" } });
 });
--- a/src/cli/trace-command.ts
+++ b/src/cli/trace-command.ts
@@ -12,11 +12,12 @@
 export const traceCommand = defineCommand({
   meta: {
     name: "trace",
-    description: "Print one job's story. Example: dogwoodhoist trace 5c0e7a21d94b36f8 edge-1.log edge-2.log",
+    description:
+      "Print one job's story, effects after their causes. Example: dogwoodhoist trace 5c0e7a21d94b36f8 edge-1.log edge-2.log",
   },
   args: {
     job: { type: "positional", description: "The job's identifier" },
-    json: { type: "boolean", default: false, description: "Write JSON" },
+    json: { type: "boolean", default: false, description: "Write JSON, each line with its fields" },
   },
   run: async ({ args }) => {
     const paths = args._.slice(1);
--- a/src/telemetry/index.ts
+++ b/src/telemetry/index.ts
@@ -4,6 +4,7 @@
  */
 export { createBoundedSink, type BoundedSink } from "./bounded-sink.js";
 export { readJobStory, type StoryLine } from "./job-story.js";
+export { parseLogLine } from "./log-line.js";
 export {
   createLinkMeter,
   followLink,
--- /dev/null
+++ b/src/telemetry/test/job-story.test.ts
@@ -0,0 +1,130 @@
+/**
+ * One job's story over the logs of processes whose clocks differ.
+ * @packageDocumentation
+ */
+import { expect, test } from "vitest";
+import fc from "fast-check";
+import { createLog, parseLogLine, readJobStory, type LogFields } from "../index.js";
+
+const job = "5c0e7a21d94b36f8";
+const task = `${job}.0.0.1`;
+
+/** A log of one process, each line a second after the one before. */
+function writeLog(startSecond: number, ...events: readonly (readonly [string, LogFields])[]): string {
+  return events
+    .map(([event, fields], index) => {
+      const time = new Date((startSecond + index) * 1_000).toISOString();
+      const pairs = Object.entries(fields).map(([name, value]) => `${name}=${String(value)}`);
+      return [`time=${time}`, "level=info", `event=${event}`, ...pairs].join(" ");
+    })
+    .join("\n");
+}
+
+function eventsOf(logs: Readonly<Record<string, string>>): string[] {
+  return readJobStory(new Map(Object.entries(logs)), job).map(({ event, source, fields }) =>
+    [event, fields.run ?? "", source].join(" ").replace("  ", " "),
+  );
+}
+
+test("effects follow their causes though the clock of the home that goes on is an hour behind", () => {
+  const story = eventsOf({
+    gateway: writeLog(10, ["job-submitted", { job, outcome: "accepted" }]),
+    next: writeLog(
+      0,
+      ["run-adopted", { task, run: 1 }],
+      ["run-vanished", { task, run: 1 }],
+      ["start-order", { task, run: 65 }],
+      ["run-ended", { task, run: 65, kind: "succeeded" }],
+      ["job-ended", { job, state: "complete" }],
+    ),
+    first: writeLog(3_600, ["job-accepted", { job }], ["start-order", { task, run: 1 }]),
+  });
+  expect(story).toEqual([
+    "job-accepted first",
+    "job-submitted gateway",
+    "start-order 1 first",
+    "run-adopted 1 next",
+    "run-vanished 1 next",
+    "start-order 65 next",
+    "run-ended 65 next",
+    "job-ended next",
+  ]);
+});
+
+test("the end of a job follows the ends that an earlier home has stored", () => {
+  const story = eventsOf({
+    next: writeLog(0, ["job-ended", { job, state: "complete" }]),
+    first: writeLog(
+      100,
+      ["job-accepted", { job }],
+      ["start-order", { task, run: 1 }],
+      ["run-ended", { task, run: 1, kind: "succeeded" }],
+    ),
+  });
+  expect(story.at(-1)).toBe("job-ended next");
+});
+
+test("each answer to a refused submission follows its refusal", () => {
+  const story = eventsOf({
+    gateway: writeLog(
+      0,
+      ["job-submitted", { job, outcome: "refused" }],
+      ["job-submitted", { job, outcome: "refused" }],
+      ["job-submitted", { job, outcome: "accepted" }],
+    ),
+    home: writeLog(50, ["job-refused", { job }], ["job-refused", { job }], ["job-accepted", { job }]),
+  });
+  expect(story).toEqual([
+    "job-refused home",
+    "job-submitted gateway",
+    "job-refused home",
+    "job-submitted gateway",
+    "job-accepted home",
+    "job-submitted gateway",
+  ]);
+});
+
+test("lines of other jobs, of which one's name begins alike, stay away", () => {
+  const story = eventsOf({
+    home: writeLog(
+      0,
+      ["start-order", { task: `${job}0.0.0.1`, run: 1 }],
+      ["job-accepted", { job: `${job}0` }],
+      ["job-accepted", { job }],
+      ["peer-state", { peer: job, state: "up" }],
+    ),
+  });
+  expect(story).toEqual(["job-accepted home"]);
+});
+
+test("lines that seem to wait for each other come all the same, each once", () => {
+  const story = eventsOf({
+    first: writeLog(0, ["run-ended", { task, run: 1 }], ["start-order", { task, run: 2 }]),
+    second: writeLog(1, ["run-ended", { task, run: 2 }], ["start-order", { task, run: 1 }]),
+  });
+  expect([...story].sort()).toEqual([
+    "run-ended 1 first",
+    "run-ended 2 second",
+    "start-order 1 second",
+    "start-order 2 first",
+  ]);
+});
+
+test("what a log writes is read back, whatever the values hold", () => {
+  fc.assert(
+    fc.property(
+      fc.dictionary(fc.stringMatching(/^x[A-Za-z]{0,8}$/), fc.string({ unit: "binary" })),
+      (fields) => {
+        let line = "";
+        const log = createLog("info", (text) => {
+          line = text;
+        });
+
+        log.write("info", "something", fields);
+        const read = parseLogLine(line);
+        expect(Object.fromEntries([...read].slice(3))).toEqual({ ...fields });
+        expect(line).not.toContain("\n");
+      },
+    ),
+  );
+});
