--- a/src/telemetry/job-story.ts
+++ b/src/telemetry/job-story.ts
@@ -22,7 +22,8 @@
  * Picks the lines of a job and of its tasks.
  * @param logs - the text of each log, by name; each is the log of one process
  * @param jobId - the job's identifier
- * @returns the lines: those of one log in its order, across logs effects after their causes, and else by their clocks
+ * @returns the lines: those of one log in its order, across logs effects after their causes, an answer to the caller right
+ * after its cause, and else by their clocks
  */
 export function readJobStory(logs: ReadonlyMap<string, string>, jobId: string): StoryLine[] {
   const queues = [...logs].map(([source, text]) => readLines(source, text, jobId));
@@ -56,7 +57,9 @@
     });
     // Lines that wait for each other, which a lost line can bring about, go by their clocks.
     const ready = heads.filter(({ line }) => isReady(line));
-    const next = findEarliest(ready.length > 0 ? ready : heads);
+    // What a caller is told follows what was decided, whatever else goes on meanwhile.
+    const answer = ready.find(({ line }) => line.event === "job-submitted" && causes.get(line)?.length !== 0);
+    const next = answer ?? findEarliest(ready.length > 0 ? ready : heads);
     if (next === undefined) return [...taken];
     taken.add(next.line);
     positions[next.index] = (positions[next.index] ?? 0) + 1;
--- a/src/telemetry/test/job-story.test.ts
+++ b/src/telemetry/test/job-story.test.ts
@@ -51,6 +51,20 @@
   ]);
 });
 
+test("what a caller is told follows the home's decision at once, though the home's clock is behind", () => {
+  const story = eventsOf({
+    home: writeLog(
+      0,
+      ["job-accepted", { job }],
+      ["start-order", { task, run: 1 }],
+      ["run-ended", { task, run: 1 }],
+      ["job-ended", { job }],
+    ),
+    gateway: writeLog(9_000, ["job-submitted", { job, outcome: "accepted" }]),
+  });
+  expect(story.slice(0, 2)).toEqual(["job-accepted home", "job-submitted gateway"]);
+});
+
 test("the end of a job follows the ends that an earlier home has stored", () => {
   const story = eventsOf({
     next: writeLog(0, ["job-ended", { job, state: "complete" }]),
