--- /dev/null
+++ b/src/soak/callers.ts
@@ -0,0 +1,193 @@
+/**
+ * Callers: they keep connections to every entry, hand jobs in with retries, ask for states and cancel.
+ * @packageDocumentation
+ */
+import http from "node:http";
+import { isFinalState, type JobState } from "../jobs/index.js";
+import { delay, type Random } from "../shared/index.js";
+import { readClock } from "./clock.js";
+import type { EntryProcess } from "./entries.js";
+import type { RequestEnd, RequestRecord, SoakHistory, SoakJob } from "./history.js";
+import type { CallerQuestion, SoakWire } from "./wire.js";
+
+/** What callers work with. */
+export interface CallersOptions {
+  readonly wire: SoakWire;
+  readonly entries: readonly EntryProcess[];
+  readonly history: SoakHistory;
+  readonly random: Random;
+}
+
+/** What callers do with one job. */
+export interface CallerPlan {
+  readonly job: SoakJob;
+  /** When to cancel after the acceptance; undefined for never. */
+  readonly cancelAfterMilliseconds: number | undefined;
+  /** When to hand it in once more after the acceptance; undefined for never. */
+  readonly repeatAfterMilliseconds: number | undefined;
+}
+
+/** The host that all queues of a soak share. */
+export const soakHost = "jobs.example";
+const deadlineMilliseconds = 3_000;
+/** A caller gives up so long after its deadline. */
+const giveUpMilliseconds = 500;
+const connectionsPerEntry = 64;
+const maximumRefusals = 4;
+const maximumSends = 10;
+const refusedWaitMilliseconds = 1_000;
+const retryWaitMilliseconds = 150;
+const shortestPollMilliseconds = 500;
+const longestPollMilliseconds = 1_500;
+const statusesWithoutEffect = new Set([404, 429, 503]);
+const statusGone = 410;
+
+/** Hands jobs in and follows them. */
+export class Callers {
+  readonly #options: CallersOptions;
+  readonly #agents = new Map<string, http.Agent>();
+
+  /**
+   * Creates callers.
+   * @param options - entries to ask and where answers are recorded
+   */
+  constructor(options: CallersOptions) {
+    this.#options = options;
+    for (const { entryId } of options.entries) {
+      this.#agents.set(entryId, new http.Agent({ keepAlive: true, maxSockets: connectionsPerEntry }));
+    }
+  }
+
+  /** Hands a job in, follows it and cancels it as planned, until the soak has ended. */
+  async follow({ job, cancelAfterMilliseconds, repeatAfterMilliseconds }: CallerPlan): Promise<void> {
+    this.#options.history.jobs.set(job.jobId, job);
+    if (!(await this.#handIn(job))) return;
+    const errands = [this.#watch(job)];
+    if (cancelAfterMilliseconds !== undefined) errands.push(this.#cancel(job, cancelAfterMilliseconds));
+    if (repeatAfterMilliseconds !== undefined) errands.push(this.#repeat(job, repeatAfterMilliseconds));
+    await Promise.all(errands);
+  }
+
+  /** Closes the connections. */
+  close(): void {
+    for (const agent of this.#agents.values()) agent.destroy();
+  }
+
+  async #handIn(job: SoakJob): Promise<boolean> {
+    const question: CallerQuestion = { kind: "submit", definition: job.definition };
+    let refusals = 0;
+    for (let sends = 0; sends < maximumSends && !this.#isOver(); sends += 1) {
+      const { status } = await this.#ask(job, question);
+      if (status >= 200 && status < 300) return true;
+      if (statusesWithoutEffect.has(status)) {
+        refusals += 1;
+        if (refusals >= maximumRefusals) return false;
+        await delay(refusedWaitMilliseconds);
+      } else await delay(retryWaitMilliseconds);
+    }
+    return false;
+  }
+
+  async #watch(job: SoakJob): Promise<void> {
+    const { random } = this.#options;
+    let state: JobState | undefined;
+    while (!this.#isOver() && (state === undefined || !isFinalState(state))) {
+      await delay(random.integer(shortestPollMilliseconds, longestPollMilliseconds));
+      state = (await this.#ask(job, { kind: "state" })).state ?? state;
+    }
+  }
+
+  async #cancel(job: SoakJob, afterMilliseconds: number): Promise<void> {
+    await delay(afterMilliseconds);
+    while (!this.#isOver()) {
+      const { status } = await this.#ask(job, { kind: "cancel" });
+      if (status === statusGone || (status >= 200 && status < 300)) return;
+      await delay(retryWaitMilliseconds);
+    }
+  }
+
+  async #repeat(job: SoakJob, afterMilliseconds: number): Promise<void> {
+    await delay(afterMilliseconds);
+    if (!this.#isOver()) await this.#ask(job, { kind: "submit", definition: job.definition });
+  }
+
+  #isOver(): boolean {
+    return readClock() >= this.#options.history.endedAt;
+  }
+
+  async #ask(job: SoakJob, question: CallerQuestion): Promise<RequestRecord> {
+    const { entries, history, random, wire } = this.#options;
+    const entry = entries[random.integer(0, entries.length - 1)];
+    if (entry === undefined) throw new Error("there is no entry");
+    const sentAt = readClock();
+    const answer = await this.#send(entry, job, question);
+    const record: RequestRecord = {
+      jobId: job.jobId,
+      kind: question.kind,
+      entryId: entry.entryId,
+      sentAt,
+      deadlineMilliseconds,
+      endedAt: readClock(),
+      end: answer.end,
+      status: answer.status,
+      state: question.kind === "state" && answer.status === 200 ? wire.decodeState(answer.body) : undefined,
+    };
+    history.requests.push(record);
+    return record;
+  }
+
+  async #send(entry: EntryProcess, job: SoakJob, question: CallerQuestion): Promise<Answer> {
+    const agent = this.#agents.get(entry.entryId);
+    const prefix = `/${job.queue}/`;
+    const encoded = this.#options.wire.encodeQuestion(question, job.jobId, prefix, deadlineMilliseconds);
+    const { method, path, headers, body } = encoded;
+    return new Promise((resolve) => {
+      const request = http.request({
+        host: "127.0.0.1",
+        port: entry.requestPort,
+        agent,
+        method,
+        path,
+        headers: { ...headers, host: soakHost, "content-length": String(Buffer.byteLength(body)) },
+      });
+      const finish = (answer: Answer): void => {
+        clearTimeout(timer);
+        resolve(answer);
+      };
+      const timer = setTimeout(() => {
+        finish(withoutAnswer("silent"));
+        request.destroy();
+      }, deadlineMilliseconds + giveUpMilliseconds);
+      request.on("error", ({ code }: NodeJS.ErrnoException) => {
+        finish(withoutAnswer(code === "ECONNREFUSED" ? "not-connected" : "cut"));
+      });
+      request.on("response", (response) => {
+        readAnswer(response, finish);
+      });
+      request.end(body);
+    });
+  }
+}
+
+interface Answer {
+  readonly end: RequestEnd;
+  readonly status: number;
+  readonly body: string;
+}
+
+function withoutAnswer(end: RequestEnd): Answer {
+  return { end, status: 0, body: "" };
+}
+
+function readAnswer(response: http.IncomingMessage, finish: (answer: Answer) => void): void {
+  const chunks: Buffer[] = [];
+  response.on("data", (chunk: Buffer) => chunks.push(chunk));
+  response.on("end", () => {
+    const body = Buffer.concat(chunks).toString("utf8");
+    finish({ end: "answered", status: response.statusCode ?? 0, body });
+  });
+  response.on("close", () => {
+    // After a whole answer this comes too late to matter.
+    finish(withoutAnswer("cut"));
+  });
+}
--- /dev/null
+++ b/src/soak/faults.ts
@@ -0,0 +1,275 @@
+/**
+ * How each kind of fault is played on a session.
+ * @packageDocumentation
+ */
+import { delay } from "../shared/index.js";
+import type { LinkState, TcpProxy } from "../stand-ins/index.js";
+import type { EntryProcess } from "./entries.js";
+import type { FaultName, PlannedFault } from "./fault-plan.js";
+import type { JobNature } from "./job-plan.js";
+import type { PlatformSession } from "./platform-session.js";
+import type { TargetHost } from "./targets.js";
+
+/** What faults work on. */
+export interface FaultStage {
+  readonly session: PlatformSession;
+  /** Hands in so many jobs at once. */
+  readonly handIn: (count: number, nature: JobNature | undefined, areCancelled: boolean) => void;
+}
+
+/** How one kind is played. */
+export interface FaultKind {
+  /** Stops, reloads, configurations and callers' doings are no damage. */
+  readonly isPlanned: boolean;
+  /** Plays it and returns when its effect has ended. */
+  readonly play: (stage: FaultStage, fault: PlannedFault) => Promise<void>;
+}
+
+const restartMilliseconds = 400;
+const slowestStoreMilliseconds = 250;
+const slowestLinkMilliseconds = 300;
+const mostLostAnswers = 40;
+const mostConfigurationQueues = 200;
+const stormGapMilliseconds = 330;
+const largestBurst = 40;
+const mostCancelled = 150;
+const seriesGapMilliseconds = 700;
+const longestLateMilliseconds = 3_000;
+const quarter = 0.25;
+
+function kind(isPlanned: boolean, play: FaultKind["play"]): FaultKind {
+  return { isPlanned, play };
+}
+
+function pick<Item>(items: readonly Item[], choice: number): Item | undefined {
+  return items[Math.floor(choice * items.length)];
+}
+
+/** Picks some: at least one, at most a share of all. */
+function pickSome<Item>(items: readonly Item[], { choice, amount }: PlannedFault, share = 1): Item[] {
+  const count = Math.max(1, Math.ceil(amount * share * items.length));
+  const first = Math.floor(choice * items.length);
+  return Array.from({ length: Math.min(count, items.length) }, (_, index) => {
+    return items[(first + index) % items.length];
+  }).filter((item) => item !== undefined);
+}
+
+async function killAndRestart(entry: EntryProcess, milliseconds: number): Promise<void> {
+  await entry.kill();
+  await delay(milliseconds);
+  await entry.start();
+}
+
+async function stopAndRestart(entry: EntryProcess): Promise<void> {
+  await entry.stop();
+  await delay(restartMilliseconds);
+  await entry.start();
+}
+
+const entryFaults = {
+  "entry-kill": kind(false, async ({ session }, fault) => {
+    const entry = pick(session.entries, fault.choice);
+    if (entry !== undefined) await killAndRestart(entry, fault.durationMilliseconds * fault.amount);
+  }),
+  "entry-kill-all": kind(false, async ({ session }, fault) => {
+    const wait = restartMilliseconds + fault.durationMilliseconds * quarter;
+    await Promise.all(session.entries.map(async (entry) => killAndRestart(entry, wait)));
+  }),
+  "entry-pause": kind(false, async ({ session }, fault) => {
+    const entries = pickSome(session.entries, fault, quarter);
+    await Promise.all(entries.map(async (entry) => entry.pause(fault.durationMilliseconds)));
+  }),
+  "entry-stop": kind(true, async ({ session }, fault) => {
+    const entry = pick(session.entries, fault.choice);
+    if (entry !== undefined) await stopAndRestart(entry);
+  }),
+  "entry-stop-series": kind(true, async ({ session }, fault) => {
+    const stops = pickSome(session.entries, fault).map(async (entry, index) => {
+      await delay(index * seriesGapMilliseconds);
+      await stopAndRestart(entry);
+    });
+    await Promise.all(stops);
+  }),
+  "entry-reload": kind(true, async ({ session }, fault) => {
+    await Promise.all(pickSome(session.entries, fault).map(async (entry) => entry.reload()));
+  }),
+} as const;
+
+/** Changes the store's faults for a while. */
+function storeFault(change: (stage: FaultStage, fault: PlannedFault) => () => void): FaultKind {
+  return kind(false, async (stage, fault) => {
+    const revert = change(stage, fault);
+    await delay(fault.durationMilliseconds);
+    revert();
+  });
+}
+
+function linkFault(
+  find: (stage: FaultStage, fault: PlannedFault) => readonly TcpProxy[],
+  begin: (link: TcpProxy, fault: PlannedFault) => void,
+): FaultKind {
+  return kind(false, async (stage, fault) => {
+    const links = find(stage, fault);
+    for (const link of links) begin(link, fault);
+    await delay(fault.durationMilliseconds);
+    for (const link of links) {
+      link.setDelay(0);
+      link.setState("open");
+    }
+  });
+}
+
+function storeLinks({ session }: FaultStage, fault: PlannedFault): TcpProxy[] {
+  return pickSome(session.entries, fault, 2 * quarter).map(({ storeLink }) => storeLink);
+}
+
+function targetLinks({ session }: FaultStage, fault: PlannedFault): TcpProxy[] {
+  return pickSome(session.targets.up(), fault, quarter).map(({ link }) => link);
+}
+
+const oneWay = (link: TcpProxy, { amount }: PlannedFault): void => {
+  const state: LinkState = amount < 2 * quarter ? "no-requests" : "no-answers";
+  link.setState(state);
+};
+const silence = (link: TcpProxy): void => {
+  link.setState("silent");
+};
+const reset = (link: TcpProxy): void => {
+  link.resetConnections();
+};
+const slow = (link: TcpProxy, { amount }: PlannedFault): void => {
+  link.setDelay(Math.ceil(amount * slowestLinkMilliseconds));
+};
+const silenceOpen = (link: TcpProxy): void => {
+  link.silenceOpenConnections();
+};
+
+const storeFaults = {
+  "store-slow": storeFault(({ session: { storeFaults: faults } }, { amount }) => {
+    faults.delayMilliseconds = Math.ceil(amount * slowestStoreMilliseconds);
+    return () => {
+      faults.delayMilliseconds = 0;
+    };
+  }),
+  "store-down": storeFault(({ session: { storeFaults: faults } }) => {
+    faults.mode = "down";
+    return () => {
+      faults.mode = "up";
+    };
+  }),
+  "store-refusing": storeFault(({ session: { storeFaults: faults } }) => {
+    faults.mode = "refusing";
+    return () => {
+      faults.mode = "up";
+    };
+  }),
+  "store-lost-answers": storeFault(({ session: { storeFaults: faults } }, { amount }) => {
+    faults.loseAnswers = Math.ceil(amount * mostLostAnswers);
+    return () => {
+      faults.loseAnswers = 0;
+    };
+  }),
+  "store-late-writes": storeFault(({ session: { storeFaults: faults } }, { amount }) => {
+    faults.lateWrites = Math.ceil(amount * mostLostAnswers);
+    return () => {
+      faults.lateWrites = 0;
+    };
+  }),
+  "store-forgets": storeFault(({ session: { storeFaults: faults, engine } }) => {
+    faults.forgottenRevision = engine.revision();
+    return () => {
+      faults.forgottenRevision = engine.revision();
+    };
+  }),
+  "store-link-silent": linkFault(storeLinks, silence),
+  "store-link-one-way": linkFault(storeLinks, oneWay),
+  "store-link-reset": linkFault(storeLinks, reset),
+  "store-link-delay": linkFault(storeLinks, slow),
+  "store-open-connections-silent": linkFault(storeLinks, silenceOpen),
+} as const;
+
+async function onTargets(
+  { session }: FaultStage,
+  fault: PlannedFault,
+  play: (host: TargetHost) => Promise<void>,
+): Promise<void> {
+  await Promise.all(pickSome(session.targets.up(), fault, quarter).map(play));
+}
+
+const targetFaults = {
+  "target-restart": kind(false, async (stage, fault) =>
+    onTargets(stage, fault, async (host) =>
+      stage.session.targets.restart(host, fault.durationMilliseconds * fault.choice),
+    ),
+  ),
+  "target-crash": kind(false, async (stage, fault) =>
+    onTargets(stage, fault, async (host) => {
+      await stage.session.crashMachine(host, fault.durationMilliseconds);
+    }),
+  ),
+  "target-drain": kind(false, async (stage, fault) =>
+    onTargets(stage, fault, async (host) => {
+      await stage.session.drainMachine(host, fault.durationMilliseconds);
+    }),
+  ),
+  "target-late-orders": kind(false, async (stage, fault) =>
+    onTargets(stage, fault, async ({ faults }) => {
+      faults.lateMilliseconds = Math.ceil(fault.choice * longestLateMilliseconds);
+      await delay(fault.durationMilliseconds);
+      faults.lateMilliseconds = 0;
+      // What is on its way is carried out after the fault.
+      await delay(longestLateMilliseconds);
+    }),
+  ),
+  "target-link-silent": linkFault(targetLinks, silence),
+  "target-link-one-way": linkFault(targetLinks, oneWay),
+  "target-link-reset": linkFault(targetLinks, reset),
+  "target-link-delay": linkFault(targetLinks, slow),
+  "target-open-connections-silent": linkFault(targetLinks, silenceOpen),
+} as const;
+
+const operatorFaults = {
+  "configuration-change": kind(true, async ({ session }, { amount }) => {
+    session.changeConfiguration(Math.floor(amount * mostConfigurationQueues));
+    return Promise.resolve();
+  }),
+  "configuration-storm": kind(true, async ({ session }, { amount, durationMilliseconds }) => {
+    for (let passed = 0; passed < durationMilliseconds; passed += stormGapMilliseconds) {
+      session.changeConfiguration(Math.floor(amount * mostConfigurationQueues * (passed % 2)));
+      await delay(stormGapMilliseconds);
+    }
+  }),
+  wave: kind(true, async ({ session }, fault) => {
+    session.askForWave({
+      wave: session.waves.length + 1,
+      machineIds: pickSome(session.machines.list(), fault, 2 * quarter).map(({ machineId }) => machineId),
+      durationMilliseconds: 30_000,
+      maximumDown: 1 + Math.floor(fault.choice * 3),
+    });
+    await delay(fault.durationMilliseconds);
+  }),
+} as const;
+
+const callerFaults = {
+  burst: kind(true, async ({ handIn }, { amount }) => {
+    handIn(Math.ceil(amount * largestBurst), undefined, false);
+    return Promise.resolve();
+  }),
+  cancellations: kind(true, async ({ handIn }, { amount }) => {
+    handIn(Math.ceil(amount * mostCancelled), undefined, true);
+    return Promise.resolve();
+  }),
+  poison: kind(true, async ({ handIn }, { amount }) => {
+    handIn(Math.ceil(amount * largestBurst), "poison", false);
+    return Promise.resolve();
+  }),
+} as const;
+
+/** All kinds by name. */
+export const faultKinds: Readonly<Record<FaultName, FaultKind>> = {
+  ...entryFaults,
+  ...storeFaults,
+  ...targetFaults,
+  ...operatorFaults,
+  ...callerFaults,
+};
--- /dev/null
+++ b/src/soak/index.ts
@@ -0,0 +1,18 @@
+/**
+ * A randomized soak of the real program against stand-ins, with faults from outside and promises that are checked.
+ * @packageDocumentation
+ */
+export { soakBounds, type SoakBounds } from "./bounds.js";
+export { faultNames, type FaultName } from "./fault-plan.js";
+export { createHistory, type SoakHistory } from "./history.js";
+export { formatReport } from "./report.js";
+export { runSoak, type SoakOptions, type SoakResult } from "./soak.js";
+export type {
+  CallerQuestion,
+  EncodedRequest,
+  EntryPorts,
+  Served,
+  SoakWire,
+  TargetFaults,
+  WrittenRecord,
+} from "./wire.js";
--- /dev/null
+++ b/src/soak/job-plan.ts
@@ -0,0 +1,96 @@
+/**
+ * The jobs that callers hand in, drawn from the seed.
+ * @packageDocumentation
+ */
+import type { JobDefinition, StepDefinition } from "../jobs/index.js";
+import type { Random } from "../shared/index.js";
+import type { CallerPlan } from "./callers.js";
+import type { SoakJob } from "./history.js";
+
+/** A queue as callers know it. */
+export interface SoakQueue {
+  readonly queue: string;
+  readonly pool: string;
+  readonly attempts: number;
+}
+
+/** What a job does. */
+export type JobNature = "plain" | "flaky" | "poison" | "lasting";
+
+const identifierDigits = 16;
+const hexadecimal = 16;
+const millicoresPerCore = 1_000;
+const memoryPerTask = 512;
+const mostSteps = 3;
+const widestStep = 6;
+const shortestTaskMilliseconds = 150;
+const longestTaskMilliseconds = 1_200;
+const lastingTasks = 3;
+const lastingStartMilliseconds = 500;
+const flakyShare = 0.1;
+const cancelShare = 0.08;
+const lastingCancelShare = 0.3;
+const repeatShare = 0.1;
+const latestCancelMilliseconds = 4_000;
+const latestLastingCancelMilliseconds = 20_000;
+
+/** Draws what a caller does with a job of one queue. */
+export function drawJob(random: Random, queue: SoakQueue, wanted?: JobNature): CallerPlan {
+  const nature = wanted ?? (random.fraction() < flakyShare ? "flaky" : "plain");
+  const isLasting = nature === "lasting";
+  const spec = `${nature} ${random.integer(0, Number.MAX_SAFE_INTEGER)}`;
+  const definition: JobDefinition = {
+    spec,
+    steps: isLasting ? [drawLastingStep(random)] : drawSteps(random),
+  };
+  const job: SoakJob = { ...queue, jobId: drawIdentifier(random), definition };
+  const latest = isLasting ? latestLastingCancelMilliseconds : latestCancelMilliseconds;
+  const isCancelled = random.fraction() < (isLasting ? lastingCancelShare : cancelShare);
+  const cancelAfterMilliseconds = isCancelled ? random.integer(0, latest) : undefined;
+  const isRepeated = random.fraction() < repeatShare;
+  const repeatAfterMilliseconds = isRepeated ? random.integer(0, latestCancelMilliseconds) : undefined;
+  return { job, cancelAfterMilliseconds, repeatAfterMilliseconds };
+}
+
+function drawIdentifier(random: Random): string {
+  const digits = Array.from({ length: identifierDigits }, () =>
+    random.integer(0, hexadecimal - 1).toString(hexadecimal),
+  );
+  return digits.join("");
+}
+
+function drawSteps(random: Random): StepDefinition[] {
+  return Array.from({ length: random.integer(1, mostSteps) }, (_, index) => ({
+    ...drawTasks(random),
+    after: index === 0 || random.fraction() < 0.2 ? [] : [random.integer(0, index - 1)],
+  }));
+}
+
+function drawTasks(random: Random): StepDefinition {
+  return {
+    taskCount: random.integer(1, widestStep),
+    resources: {
+      cpuMillicores: random.integer(1, 2) * millicoresPerCore,
+      memoryMegabytes: memoryPerTask,
+      accelerators: 0,
+    },
+    estimateMilliseconds: random.integer(shortestTaskMilliseconds, longestTaskMilliseconds),
+    after: [],
+    isCheckpointed: false,
+    isGang: false,
+    prefersOneRack: false,
+    allowsCopies: false,
+    isLasting: false,
+    isFiller: false,
+  };
+}
+
+function drawLastingStep(random: Random): StepDefinition {
+  return {
+    ...drawTasks(random),
+    taskCount: lastingTasks,
+    estimateMilliseconds: lastingStartMilliseconds,
+    isLasting: true,
+    maximumUnavailable: 1,
+  };
+}
--- /dev/null
+++ b/src/soak/platform-session.ts
@@ -0,0 +1,260 @@
+/**
+ * The stand-ins and entries of one soak, started together.
+ * @packageDocumentation
+ */
+import net from "node:net";
+import type { Machine, MaintenanceWave } from "../fleet/index.js";
+import type { QueueTable } from "../jobs/index.js";
+import { delay } from "../shared/index.js";
+import {
+  createStoreEngine,
+  createStoreFaults,
+  MachineList,
+  startTcpProxy,
+  type MachineOrder,
+  type StoreEngine,
+  type StoreFaults,
+  type TcpProxy,
+} from "../stand-ins/index.js";
+import type { SoakBounds } from "./bounds.js";
+import { soakHost } from "./callers.js";
+import { readClock } from "./clock.js";
+import { EntryProcess } from "./entries.js";
+import type { SoakHistory } from "./history.js";
+import type { SoakQueue } from "./job-plan.js";
+import { putRecord } from "./records.js";
+import { TargetFleet, type TargetHost } from "./targets.js";
+import type { Served, SoakWire } from "./wire.js";
+
+/** How large a soak is. */
+export interface SoakSize {
+  readonly entries: number;
+  readonly pools: number;
+  readonly targetsPerPool: number;
+}
+
+/** What a session is started with. */
+export interface SessionOptions {
+  readonly wire: SoakWire;
+  readonly size: SoakSize;
+  readonly bounds: SoakBounds;
+  readonly history: SoakHistory;
+  /** Where program, settings and logs are kept. */
+  readonly folder: string;
+}
+
+/** Running stand-ins and entries. */
+export interface PlatformSession {
+  readonly engine: StoreEngine;
+  readonly storeFaults: StoreFaults;
+  readonly entries: readonly EntryProcess[];
+  readonly targets: TargetFleet;
+  readonly machines: MachineList;
+  readonly queues: readonly SoakQueue[];
+  readonly waves: MaintenanceWave[];
+  /** Writes a next configuration with some more queues. */
+  changeConfiguration(extraQueues: number): void;
+  askForWave(wave: MaintenanceWave): void;
+  /** Crashes a machine's target; a new one comes on it later. */
+  crashMachine(host: TargetHost, awayMilliseconds: number): Promise<void>;
+  /** Empties a machine's target and takes it away; a new one comes on it later. */
+  drainMachine(host: TargetHost, awayMilliseconds: number): Promise<void>;
+  /** Kills the entries and stops the stand-ins. */
+  close(): Promise<void>;
+}
+
+const host = "127.0.0.1";
+const zoneCount = 3;
+const coresPerMachine = 16;
+const targetsPerRack = 4;
+const portsPerEntry = 4;
+const versionStep = 3;
+const objectiveMilliseconds = 3_000;
+const slackFactor = 3;
+const attempts = 2;
+
+/**
+ * Starts everything; entries may not be ready yet.
+ * @param options - size, bounds and where things are recorded
+ * @returns the running session
+ */
+export async function startSession(options: SessionOptions): Promise<PlatformSession> {
+  const { wire, size, bounds, history, folder } = options;
+  const engine = createStoreEngine();
+  const storeFaults = createStoreFaults();
+  const store = await wire.serveStore(engine, storeFaults);
+  const targets = new TargetFleet({ wire, engine, storeFaults, bounds, history });
+  const waves: MaintenanceWave[] = [];
+  const machines = createMachines(options, targets, waves);
+  const machineService = await wire.serveMachines(machines);
+  const queues = createQueues(size.pools);
+  for (const machine of drawMachines(size)) {
+    machines.set({ ...machine, targetId: await targets.start(machine) });
+  }
+  let version = 1;
+  const changeConfiguration = (extraQueues: number): void => {
+    version += versionStep;
+    putRecord(engine, wire.encodeConfiguration(createTable(version, queues, extraQueues)));
+  };
+  changeConfiguration(0);
+  const program = await wire.buildProgram(folder);
+  const links: TcpProxy[] = [];
+  const entries: EntryProcess[] = [];
+  for (let index = 0; index < size.entries; index += 1) {
+    const storeLink = await startTcpProxy(store.port);
+    links.push(storeLink);
+    const [requests = 0, readiness = 0, peers = 0, metrics = 0] = await findFreePorts(portsPerEntry);
+    const listening = {
+      requests,
+      readiness,
+      peers,
+      metrics,
+      store: storeLink.port,
+      machines: machineService.port,
+    };
+    const named = { entryId: `entry-${index + 1}`, availabilityZone: `zone-${(index % zoneCount) + 1}` };
+    const report = (event: SoakHistory["processes"][number]): void => void history.processes.push(event);
+    const ports = { ...named, ...listening };
+    entries.push(new EntryProcess({ program, folder, ports, bounds, wire, storeLink, report }));
+  }
+  await Promise.all(entries.map(async (entry) => entry.start()));
+  const replaceTarget = async (host: TargetHost, end: () => Promise<void>, away: number): Promise<void> => {
+    const { machineId } = host.machine;
+    const readMachine = (): Machine | undefined =>
+      machines.list().find((each) => each.machineId === machineId);
+    await end();
+    const machine = readMachine();
+    // Another order may have given the machine another life meanwhile.
+    if (machine?.targetId !== host.targetId) return;
+    machines.set({ ...machine, state: "down", targetId: undefined });
+    await delay(away);
+    machines.set({ ...machine, state: "up", targetId: await targets.start(machine) });
+  };
+  return {
+    crashMachine: async (host, away) => replaceTarget(host, async () => targets.crash(host.targetId), away),
+    drainMachine: async (host, away) => replaceTarget(host, async () => targets.drain(host), away),
+    engine,
+    storeFaults,
+    entries,
+    targets,
+    machines,
+    queues,
+    waves,
+    changeConfiguration,
+    askForWave: (wave) => {
+      waves.push(wave);
+      const { machineIds, maximumDown } = wave;
+      history.waves.push({ wave: wave.wave, machineIds, maximumDown, completeAt: undefined });
+      putRecord(engine, wire.encodeWave(wave));
+    },
+    close: async () => closeAll(entries, targets, machines, engine, [...links, machineService, store]),
+  };
+}
+
+async function closeAll(
+  entries: readonly EntryProcess[],
+  targets: TargetFleet,
+  machines: MachineList,
+  engine: StoreEngine,
+  services: readonly Pick<Served, "close">[],
+): Promise<void> {
+  await Promise.all(entries.map(async (entry) => entry.kill()));
+  machines.close();
+  await targets.close();
+  await Promise.all(services.map(async (service) => service.close()));
+  engine.close();
+}
+
+function createMachines(
+  { bounds, history }: SessionOptions,
+  targets: TargetFleet,
+  waves: readonly MaintenanceWave[],
+): MachineList {
+  const hooks = {
+    endTarget: (targetId: string) => void targets.remove(targetId),
+    startTarget: async (machine: Machine) => targets.start(machine),
+    onOrder: (order: MachineOrder) => {
+      history.machines.push({ ...order, from: readClock(), to: undefined });
+    },
+    onReturn: (machineId: string) => {
+      const open = history.machines.find((each) => each.machineId === machineId && each.to === undefined);
+      if (open !== undefined) open.to = readClock();
+    },
+    waves: () => waves,
+  };
+  return new MachineList(hooks, bounds);
+}
+
+function drawMachines({ pools, targetsPerPool }: SoakSize): Machine[] {
+  return Array.from({ length: pools * targetsPerPool }, (_, index) => ({
+    machineId: `machine-${index + 1}`,
+    pool: `pool-${Math.floor(index / targetsPerPool) + 1}`,
+    state: "up" as const,
+    availabilityZone: `zone-${(index % zoneCount) + 1}`,
+    labels: ["a", `rack-${Math.floor(index / targetsPerRack) + 1}`],
+    capacity: { cpuMillicores: coresPerMachine * 1_000, memoryMegabytes: 65_536, accelerators: 0 },
+    targetId: undefined,
+  }));
+}
+
+function createQueues(pools: number): SoakQueue[] {
+  return Array.from({ length: pools }, (_, index) => ({
+    queue: `queue-${index + 1}`,
+    pool: `pool-${index + 1}`,
+    attempts,
+  }));
+}
+
+function createTable(version: number, queues: readonly SoakQueue[], extraQueues: number): QueueTable {
+  const extra = Array.from({ length: extraQueues }, (_, index) => ({
+    queue: `extra-${version}-${index}`,
+    pool: queues[index % queues.length]?.pool ?? "",
+    attempts,
+  }));
+  return {
+    version,
+    queues: [...queues, ...extra].map(({ queue, pool }) => ({
+      terms: { queue, pool, priority: 0, attempts, slackFactor, objectiveMilliseconds, needsAdvice: false },
+      host: soakHost,
+      pathPrefix: `/${queue}/`,
+      timeoutMilliseconds: 3_000 + version,
+    })),
+    pools: queues.map(({ pool }) => ({ pool, enforcesCapacity: true, isStandby: false })),
+    limits: {
+      maximumHeaderBytes: 16_384,
+      maximumBodyBytes: 262_144,
+      headerTimeoutMilliseconds: 3_000,
+      idleTimeoutMilliseconds: 15_000,
+    },
+  };
+}
+
+/** Below the range that outgoing connections draw from, so that a process that starts again finds its ports free. */
+const lowestPort = 10_000;
+const portsPerSoak = 200;
+const soaksOnOneMachine = 95;
+let nextPort = lowestPort + (process.pid % soaksOnOneMachine) * portsPerSoak;
+
+/** Finds ports that are free now. */
+async function findFreePorts(count: number): Promise<number[]> {
+  const ports: number[] = [];
+  while (ports.length < count) {
+    if (await isFree(nextPort)) ports.push(nextPort);
+    nextPort += 1;
+  }
+  return ports;
+}
+
+async function isFree(port: number): Promise<boolean> {
+  const server = net.createServer();
+  return new Promise((resolve) => {
+    server.once("error", () => {
+      resolve(false);
+    });
+    server.listen(port, host, () => {
+      server.close(() => {
+        resolve(true);
+      });
+    });
+  });
+}
--- /dev/null
+++ b/src/soak/promises/answers.ts
@@ -0,0 +1,219 @@
+/**
+ * Promises on what callers are told.
+ * @packageDocumentation
+ */
+import { isFinalState } from "../../jobs/index.js";
+import type { RequestRecord } from "../history.js";
+import {
+  findFinalAnswer,
+  isLastingJob,
+  isSuccess,
+  nameTasks,
+  type HistoryFacts,
+  type JobFacts,
+  type SoakPromise,
+  type Violation,
+} from "./facts.js";
+import { hasSucceeded } from "./runs.js";
+
+type Breach = Omit<Violation, "promise">;
+
+const statusGone = 410;
+const statusNoQueue = 404;
+
+function breach({ jobId, entryId, endedAt, kind }: RequestRecord, detail: string): Breach {
+  return { at: endedAt, subjects: [jobId, entryId], detail: `${kind}: ${detail}` };
+}
+
+/** An accepted job is known to every entry in touch. */
+export const acceptedIsKnown: SoakPromise = {
+  name: "accepted-is-known",
+  rule: "LOST",
+  find: (facts) =>
+    facts.jobs.flatMap(({ acceptedAt, cancelAskedAt, requests }) => {
+      if (acceptedAt === undefined || cancelAskedAt !== undefined) return [];
+      const visibleAt = acceptedAt + facts.bounds.visibleMilliseconds;
+      return requests
+        .filter(({ kind, status, sentAt }) => kind === "state" && status === statusGone && sentAt > visibleAt)
+        .filter(({ sentAt, endedAt }) => facts.isCalm(sentAt, endedAt))
+        .map((request) => breach(request, "an accepted job is not known"));
+    }),
+};
+
+/** Once traffic and faults have ended, each accepted job's state is answered. */
+export const acceptedIsAnsweredAtTheEnd: SoakPromise = {
+  name: "accepted-is-answered-at-the-end",
+  rule: "LOST",
+  find: ({ jobs, history, bounds }) =>
+    jobs.flatMap((facts) => {
+      const { job, acceptedAt, cancelAskedAt } = facts;
+      if (acceptedAt === undefined || cancelAskedAt !== undefined) return [];
+      const asked = facts.requests.filter(
+        ({ kind, sentAt }) =>
+          kind === "state" && sentAt > history.trafficEndedAt + bounds.contactMilliseconds,
+      );
+      if (findFinalAnswer(facts) !== undefined || asked.length === 0) return [];
+      if (asked.some(({ state }) => state !== undefined)) return [];
+      return [{ at: history.endedAt, subjects: [job.jobId], detail: `no state in ${asked.length} answers` }];
+    }),
+};
+
+/** Once faults have ended, an accepted job ends, unless it lasts or waits for room. */
+export const acceptedEnds: SoakPromise = {
+  name: "accepted-ends",
+  rule: "LOST",
+  find: (facts) =>
+    facts.jobs.flatMap((each) => {
+      const { job, acceptedAt, requests } = each;
+      const hasEnded = acceptedAt === undefined || isLastingJob(job) || findFinalAnswer(each) !== undefined;
+      if (hasEnded || each.cancelConfirmedAt !== undefined || isBusy(facts, each)) return [];
+      const state = requests.findLast((request) => request.state !== undefined)?.state ?? "none";
+      return [
+        { at: facts.history.endedAt, subjects: [job.jobId], detail: `last state ${state}, nothing runs` },
+      ];
+    }),
+};
+
+const idleMilliseconds = 3_000;
+
+/** Tells whether something of a job ran lately, or its pool was too full for it. */
+function isBusy({ history, runsByTask }: HistoryFacts, { job, acceptedAt = 0 }: JobFacts): boolean {
+  const from = Math.max(acceptedAt, history.endedAt - idleMilliseconds);
+  const tasks = job.definition.steps.flatMap((step, index) => nameTasks(job.jobId, index, step));
+  const runs = tasks.flatMap((task) => runsByTask.get(task) ?? []);
+  if (runs.some(({ to }) => to === undefined || to > from)) return true;
+  const largest = Math.max(...job.definition.steps.map(({ resources }) => resources.cpuMillicores));
+  const samples = history.samples.filter(({ pool, at }) => pool === job.pool && at > from);
+  return samples.some(
+    ({ usedMillicores, totalMillicores, largestFreeMillicores }) =>
+      largestFreeMillicores < 2 * largest || usedMillicores > totalMillicores / 2,
+  );
+}
+
+/** A job is shown as complete only when each of its tasks has succeeded. */
+export const completeIsTrue: SoakPromise = {
+  name: "complete-is-true",
+  rule: "MIXED",
+  find: (facts) =>
+    facts.jobs.flatMap(({ job, requests }) => {
+      const shown = requests.find(({ state }) => state === "complete");
+      if (shown === undefined) return [];
+      const tasks = job.definition.steps.flatMap((step, index) => nameTasks(job.jobId, index, step));
+      const missing = tasks.filter((task) => !hasSucceeded(facts, task, shown.endedAt));
+      return missing.length === 0 ? [] : [breach(shown, `complete without ${missing.join(", ")}`)];
+    }),
+};
+
+/** A job is shown as failed or cancelled only with a cause. */
+export const endHasCause: SoakPromise = {
+  name: "end-has-cause",
+  rule: "LOST",
+  find: (facts) =>
+    facts.jobs.flatMap(({ job, requests, cancelAskedAt = Number.POSITIVE_INFINITY }) =>
+      requests.flatMap((request) => {
+        if (request.state === "failed" && !hasUsedItsAttempts(facts, job.jobId, request.endedAt)) {
+          return [breach(request, "failed, but no task has failed as often as its queue allows")];
+        }
+        const isUnasked = request.state === "cancelled" && cancelAskedAt > request.endedAt;
+        return isUnasked ? [breach(request, "cancelled, but nobody asked for it")] : [];
+      }),
+    ),
+};
+
+function hasUsedItsAttempts({ runsByTask, history }: HistoryFacts, jobId: string, at: number): boolean {
+  const job = history.jobs.get(jobId);
+  if (job === undefined) return false;
+  const tasks = job.definition.steps.flatMap((step, index) => nameTasks(jobId, index, step));
+  return tasks.some((task) => {
+    const runs = runsByTask.get(task) ?? [];
+    return runs.filter(({ how, to }) => how === "failed" && (to ?? at) <= at).length >= job.attempts;
+  });
+}
+
+/** A final state that an answer told stays. */
+export const finalStateStays: SoakPromise = {
+  name: "final-state-stays",
+  rule: "LOST",
+  find: ({ jobs }) =>
+    jobs.flatMap((facts) => {
+      const first = findFinalAnswer(facts);
+      if (first === undefined) return [];
+      return facts.requests
+        .filter(({ kind, sentAt }) => kind === "state" && sentAt > first.endedAt)
+        .filter(
+          ({ state, status }) => (state !== undefined && state !== first.state) || status === statusGone,
+        )
+        .map((request) => breach(request, `${request.state ?? request.status} after ${first.state ?? ""}`));
+    }),
+};
+
+/** While nothing is wrong each request is answered, or its connection cut, within its deadline. */
+export const answeredInTime: SoakPromise = {
+  name: "answered-in-time",
+  rule: "LOST, Held up",
+  find: (facts) =>
+    facts.history.requests
+      .filter(({ sentAt, endedAt }) => facts.isCalm(sentAt, endedAt))
+      .filter(({ end, sentAt, endedAt, deadlineMilliseconds }) => {
+        const limit = deadlineMilliseconds + facts.bounds.lossSlackMilliseconds;
+        return end === "silent" || endedAt - sentAt > limit;
+      })
+      .map((request) =>
+        breach(request, `${request.end} after ${Math.round(request.endedAt - request.sentAt)} ms`),
+      ),
+};
+
+/** A request that an entry has read when it is asked to stop, or later, is answered within the grace. */
+export const answeredWhileStopping: SoakPromise = {
+  name: "answered-while-stopping",
+  rule: "LOST",
+  find: (facts) => {
+    const { history, bounds } = facts;
+    const stops = history.processes.filter(({ kind }) => kind === "stop-asked");
+    return history.requests.flatMap((request) => {
+      const stop = stops.find(
+        ({ entryId, at }) =>
+          entryId === request.entryId &&
+          request.endedAt > at &&
+          request.endedAt < at + bounds.graceMilliseconds + 1_000,
+      );
+      if (stop === undefined || request.end !== "cut") return [];
+      const waited = request.endedAt - request.sentAt;
+      if (waited <= bounds.lossSlackMilliseconds || !facts.isCalm(request.sentAt, request.endedAt, true))
+        return [];
+      const after = Math.round(request.endedAt - stop.at);
+      return [
+        breach(
+          request,
+          `cut ${Math.round(waited)} ms after it was sent, ${after} ms after the stop was asked`,
+        ),
+      ];
+    });
+  },
+};
+
+/** Queues that every configuration has are always found. */
+export const queuesAreFound: SoakPromise = {
+  name: "queues-are-found",
+  rule: "CONFIG",
+  find: ({ history }) =>
+    history.requests
+      .filter(({ status }) => status === statusNoQueue)
+      .map((request) => breach(request, "no such queue, though every configuration has it")),
+};
+
+/** Some time after a confirmed cancellation no entry in touch shows the job as going on. */
+export const cancellationShows: SoakPromise = {
+  name: "cancellation-shows",
+  rule: "UNASKED (PROTOCOL, DELETE)",
+  find: (facts) =>
+    facts.jobs.flatMap(({ requests }) => {
+      const cancel = requests.find(({ kind, status }) => kind === "cancel" && isSuccess(status));
+      if (cancel === undefined) return [];
+      const visibleAt = cancel.endedAt + facts.bounds.visibleMilliseconds;
+      return requests
+        .filter(({ state }) => state !== undefined && !isFinalState(state))
+        .filter(({ sentAt, endedAt }) => sentAt > visibleAt && facts.isCalm(sentAt, endedAt))
+        .map((request) => breach(request, `${request.state ?? ""} after a confirmed cancellation`));
+    }),
+};
--- /dev/null
+++ b/src/soak/promises/index.ts
@@ -0,0 +1,76 @@
+/**
+ * The promises that a soak checks: plain code over a recorded history.
+ * @packageDocumentation
+ */
+import type { SoakBounds } from "../bounds.js";
+import type { SoakHistory } from "../history.js";
+import {
+  acceptedEnds,
+  acceptedIsAnsweredAtTheEnd,
+  acceptedIsKnown,
+  answeredInTime,
+  answeredWhileStopping,
+  cancellationShows,
+  completeIsTrue,
+  endHasCause,
+  finalStateStays,
+  queuesAreFound,
+} from "./answers.js";
+import { readFacts, type SoakPromise, type Violation } from "./facts.js";
+import { lastingRunsAgain } from "./lasting.js";
+import {
+  cancelledStops,
+  earlierStepsFirst,
+  fencedStarts,
+  noStartAfterLastAttempt,
+  noStartAfterSuccess,
+  noStartOnDraining,
+  oneRunAtATime,
+  refusedNeverRuns,
+  rightPool,
+} from "./runs.js";
+import { oneHolder, processesStay, stopsInTime, waveBound, waveCompleteIsTrue } from "./surroundings.js";
+
+export type { SoakPromise, Violation } from "./facts.js";
+
+/** All promises. */
+export const soakPromises: readonly SoakPromise[] = [
+  oneRunAtATime,
+  noStartAfterSuccess,
+  noStartAfterLastAttempt,
+  earlierStepsFirst,
+  rightPool,
+  fencedStarts,
+  refusedNeverRuns,
+  cancelledStops,
+  noStartOnDraining,
+  acceptedIsKnown,
+  acceptedIsAnsweredAtTheEnd,
+  acceptedEnds,
+  completeIsTrue,
+  endHasCause,
+  finalStateStays,
+  cancellationShows,
+  answeredInTime,
+  answeredWhileStopping,
+  queuesAreFound,
+  lastingRunsAgain,
+  waveBound,
+  waveCompleteIsTrue,
+  oneHolder,
+  processesStay,
+  stopsInTime,
+];
+
+/**
+ * Checks a history against every promise.
+ * @param history - what was seen
+ * @param bounds - the bounds that were told to the entries
+ * @returns the broken promises by time
+ */
+export function findViolations(history: SoakHistory, bounds: SoakBounds): Violation[] {
+  const facts = readFacts(history, bounds);
+  return soakPromises
+    .flatMap((promise) => promise.find(facts).map((found) => ({ promise: promise.name, ...found })))
+    .sort((left, right) => left.at - right.at);
+}
--- /dev/null
+++ b/src/soak/promises/lasting.ts
@@ -0,0 +1,68 @@
+/**
+ * The promise on tasks that last.
+ * @packageDocumentation
+ */
+import {
+  nameTasks,
+  isLastingJob,
+  type HistoryFacts,
+  type JobFacts,
+  type SoakPromise,
+  type Violation,
+} from "./facts.js";
+
+type Breach = Omit<Violation, "promise">;
+
+/** A task may be away for so long after its last run. */
+const awayMilliseconds = 6_000;
+/** Then it must not be away for so long while nothing is wrong and there is room. */
+const idleMilliseconds = 3_000;
+/** The calm that must come before. */
+const calmBeforeMilliseconds = 4_000;
+const stepMilliseconds = 250;
+
+/** A task that lasts runs again soon, while nothing is wrong and its pool has room. */
+export const lastingRunsAgain: SoakPromise = {
+  name: "lasting-runs-again",
+  rule: "LOST",
+  find: (facts) => facts.jobs.filter(({ job }) => isLastingJob(job)).flatMap((job) => findGaps(facts, job)),
+};
+
+function findGaps(facts: HistoryFacts, each: JobFacts): Breach[] {
+  const { job, acceptedAt, cancelAskedAt = Number.POSITIVE_INFINITY } = each;
+  if (acceptedAt === undefined) return [];
+  const until = Math.min(facts.history.endedAt, cancelAskedAt);
+  const tasks = job.definition.steps.flatMap((step, index) => nameTasks(job.jobId, index, step));
+  return tasks.flatMap((task) => {
+    const runs = facts.runsByTask.get(task) ?? [];
+    const gapStarts = [acceptedAt, ...runs.flatMap(({ to }) => (to === undefined ? [] : [to]))];
+    return gapStarts.flatMap((from) => {
+      if (runs.some((run) => run.from <= from && (run.to === undefined || run.to > from))) return [];
+      const next = runs.find((run) => run.from > from)?.from ?? Number.POSITIVE_INFINITY;
+      const at = findBreach(facts, each, from, Math.min(next, until));
+      const away = Math.round((at ?? 0) - from);
+      return at === undefined ? [] : [{ at, subjects: [task], detail: `does not run for ${away} ms` }];
+    });
+  });
+}
+
+/** The first moment at which a gap is too long, looked at in steps. */
+function findBreach(facts: HistoryFacts, each: JobFacts, from: number, to: number): number | undefined {
+  for (let at = from + awayMilliseconds + idleMilliseconds; at < to; at += stepMilliseconds) {
+    const isCalm = facts.isCalm(at - idleMilliseconds - calmBeforeMilliseconds, at);
+    if (isCalm && hasRoom(facts, each, at - idleMilliseconds, at)) return at;
+  }
+  return undefined;
+}
+
+function hasRoom({ history }: HistoryFacts, { job }: JobFacts, from: number, to: number): boolean {
+  const needed = job.definition.steps[0]?.resources.cpuMillicores ?? 0;
+  const samples = history.samples.filter(({ pool, at }) => pool === job.pool && at >= from && at <= to);
+  return (
+    samples.length > 0 &&
+    samples.every(
+      ({ usedMillicores, totalMillicores, largestFreeMillicores }) =>
+        largestFreeMillicores >= 2 * needed && usedMillicores < totalMillicores / 2,
+    )
+  );
+}
--- /dev/null
+++ b/src/soak/promises/runs.ts
@@ -0,0 +1,197 @@
+/**
+ * Promises on what targets run.
+ * @packageDocumentation
+ */
+import type { RunRecord } from "../../stand-ins/index.js";
+import { nameTasks, readTaskName, type HistoryFacts, type SoakPromise, type Violation } from "./facts.js";
+
+type Breach = Omit<Violation, "promise">;
+
+function describeRun({ run, targetId, from, to, how }: RunRecord): string {
+  return `run ${run} on ${targetId} from ${Math.round(from)} to ${to === undefined ? "now" : Math.round(to)} ${how ?? ""}`;
+}
+
+function breach(at: number, run: RunRecord, detail: string): Breach {
+  return { at, subjects: [run.task, run.targetId], detail };
+}
+
+/** Looks at each task's runs by their starts. */
+function findByTask(
+  { runsByTask }: HistoryFacts,
+  find: (runs: readonly RunRecord[], task: string) => Breach[],
+): Breach[] {
+  return [...runsByTask].flatMap(([task, runs]) => find(runs, task));
+}
+
+/** Two runs of a task never overlap. */
+export const oneRunAtATime: SoakPromise = {
+  name: "one-run-at-a-time",
+  rule: "TWICE",
+  find: (facts) =>
+    findByTask(facts, (runs) =>
+      runs.flatMap((run, index) =>
+        runs
+          .slice(0, index)
+          .filter(({ to }) => to === undefined || to > run.from)
+          .map((earlier) => breach(run.from, run, `${describeRun(earlier)}; ${describeRun(run)}`)),
+      ),
+    ),
+};
+
+/** No run starts after one has succeeded whose end was acknowledged, then or later. */
+export const noStartAfterSuccess: SoakPromise = {
+  name: "no-start-after-acknowledged-success",
+  rule: "TWICE",
+  find: (facts) =>
+    findByTask(facts, (runs) => {
+      const done = runs.find(
+        ({ how, acknowledgedAt }) => how === "succeeded" && acknowledgedAt !== undefined,
+      );
+      const endedAt = done?.to;
+      if (done === undefined || endedAt === undefined) return [];
+      return runs
+        .filter(({ from }) => from > endedAt)
+        .map((run) => breach(run.from, run, `${describeRun(done)}; ${describeRun(run)}`));
+    }),
+};
+
+/** No run starts once as many runs as a queue allows have failed and been acknowledged. */
+export const noStartAfterLastAttempt: SoakPromise = {
+  name: "no-start-after-last-attempt",
+  rule: "BUDGET",
+  find: (facts) =>
+    findByTask(facts, (runs, task) => {
+      const { jobId, step } = readTaskName(task);
+      const job = facts.history.jobs.get(jobId);
+      if (job === undefined || job.definition.steps[step]?.isLasting === true) return [];
+      const ends = runs.filter(({ how, acknowledgedAt }) => how === "failed" && acknowledgedAt !== undefined);
+      const last = ends[job.attempts - 1]?.to;
+      if (last === undefined) return [];
+      return runs
+        .filter(({ from }) => from > last)
+        .map((run) => breach(run.from, run, `${job.attempts} attempts had failed; ${describeRun(run)}`));
+    }),
+};
+
+/** No run starts before all tasks of the steps that come first have succeeded. */
+export const earlierStepsFirst: SoakPromise = {
+  name: "earlier-steps-first",
+  rule: "ORDER",
+  find: (facts) =>
+    findByTask(facts, (runs, task) => {
+      const { jobId, step } = readTaskName(task);
+      const steps = facts.history.jobs.get(jobId)?.definition.steps ?? [];
+      const needed = (steps[step]?.after ?? []).flatMap((earlier) => {
+        const definition = steps[earlier];
+        return definition === undefined ? [] : nameTasks(jobId, earlier, definition);
+      });
+      return runs.flatMap((run) => {
+        const missing = needed.find((name) => !hasSucceeded(facts, name, run.from));
+        return missing === undefined ? [] : [breach(run.from, run, `${missing} had not succeeded`)];
+      });
+    }),
+};
+
+/** Tells whether a task had succeeded at a time. */
+export function hasSucceeded({ runsByTask }: HistoryFacts, task: string, at: number): boolean {
+  const runs = runsByTask.get(task) ?? [];
+  return runs.some(({ how, to }) => how === "succeeded" && to !== undefined && to <= at);
+}
+
+/** Tasks run only on targets of their queue's pool. */
+export const rightPool: SoakPromise = {
+  name: "right-pool",
+  rule: "ROUTE",
+  find: ({ history }) =>
+    history.runs.flatMap((run) => {
+      const wanted = history.jobs.get(readTaskName(run.task).jobId)?.pool;
+      return wanted === run.pool
+        ? []
+        : [breach(run.from, run, `pool ${run.pool} instead of ${wanted ?? "none"}`)];
+    }),
+};
+
+/** Later starts of a task carry no lower fencing token and a higher run number. */
+export const fencedStarts: SoakPromise = {
+  name: "fenced-starts",
+  rule: "fencing (PROTOCOL, Running subtasks)",
+  find: (facts) =>
+    findByTask(facts, (runs) =>
+      runs.flatMap((run, index) => {
+        const before = runs[index - 1];
+        if (before === undefined || facts.history.lateRuns.has(`${run.task}#${run.run}`)) return [];
+        if (run.fencingToken >= before.fencingToken && run.run > before.run) return [];
+        const tokens = `tokens ${before.fencingToken}, ${run.fencingToken}`;
+        return [breach(run.from, run, `${tokens}; ${describeRun(before)}; ${describeRun(run)}`)];
+      }),
+    ),
+};
+
+/** A job that was refused whenever it was handed in never runs. */
+export const refusedNeverRuns: SoakPromise = {
+  name: "refused-never-runs",
+  rule: "REFUSED",
+  find: (facts) => {
+    const refused = new Set(facts.jobs.filter(({ isRefused }) => isRefused).map(({ job }) => job.jobId));
+    return facts.history.runs
+      .filter(({ task }) => refused.has(readTaskName(task).jobId))
+      .map((run) => breach(run.from, run, describeRun(run)));
+  },
+};
+
+const stepMilliseconds = 250;
+
+/** The end of the first calm span that is long enough for a task to be gone, and at which it is not. */
+function findOverdue({ bounds, isCalm }: HistoryFacts, from: number, to: number): number | undefined {
+  const bound = bounds.cancelMilliseconds + bounds.stopMilliseconds;
+  for (let at = from + bound; at < to; at += stepMilliseconds) {
+    if (isCalm(at - bound, at)) return at;
+  }
+  return undefined;
+}
+
+/** After a confirmed cancellation nothing starts, and what runs stops, within the bounds of the first calm span. */
+export const cancelledStops: SoakPromise = {
+  name: "cancelled-stops",
+  rule: "UNASKED",
+  find: (facts) => {
+    const { bounds, history } = facts;
+    const confirmed = new Map(
+      facts.jobs.flatMap(({ job, cancelConfirmedAt: at }) => (at === undefined ? [] : [[job.jobId, at]])),
+    );
+    return history.runs.flatMap((run) => {
+      const confirmedAt = confirmed.get(readTaskName(run.task).jobId);
+      if (confirmedAt === undefined) return [];
+      const end = run.to ?? history.endedAt;
+      const startBound = confirmedAt + bounds.cancelMilliseconds;
+      const isLate = history.lateRuns.has(`${run.task}#${run.run}`);
+      if (run.from > startBound && !isLate && facts.isCalm(run.from, run.from)) {
+        return [
+          breach(run.from, run, `started ${Math.round(run.from - confirmedAt)} ms after the cancellation`),
+        ];
+      }
+      const at = findOverdue(facts, Math.max(confirmedAt, run.from), end);
+      return at === undefined
+        ? []
+        : [breach(at, run, `cancelled at ${Math.round(confirmedAt)}; ${describeRun(run)}`)];
+    });
+  },
+};
+
+/** No run starts on a target that announced long enough ago that it leaves. */
+export const noStartOnDraining: SoakPromise = {
+  name: "no-start-on-draining",
+  rule: "DRAIN",
+  find: (facts) => {
+    const announced = new Map(facts.history.drains.map(({ targetId, at }) => [targetId, at]));
+    return facts.history.runs.flatMap((run) => {
+      const at = announced.get(run.targetId);
+      if (at === undefined || run.from <= at + facts.bounds.drainMilliseconds) return [];
+      const isExcused =
+        facts.history.lateRuns.has(`${run.task}#${run.run}`) || !facts.isCalm(at, run.from, true);
+      return isExcused
+        ? []
+        : [breach(run.from, run, `${Math.round(run.from - at)} ms after the announcement`)];
+    });
+  },
+};
--- /dev/null
+++ b/src/soak/samples.ts
@@ -0,0 +1,35 @@
+/**
+ * How much of each pool is in use, looked at from time to time.
+ * @packageDocumentation
+ */
+import type { PoolSample, SoakHistory } from "./history.js";
+import { readClock } from "./clock.js";
+import type { TargetFleet } from "./targets.js";
+
+/** Notes the use of every pool. */
+export function samplePools(history: SoakHistory, targets: TargetFleet): void {
+  const at = readClock();
+  const used = new Map<string, number>();
+  for (const { targetId, task, to } of history.runs) {
+    if (to !== undefined) continue;
+    const [jobId = "", , step = "0"] = task.split(".");
+    const needs = history.jobs.get(jobId)?.definition.steps[Number(step)]?.resources.cpuMillicores ?? 0;
+    used.set(targetId, (used.get(targetId) ?? 0) + needs);
+  }
+  const samples = new Map<string, PoolSample>();
+  for (const { target } of targets.up()) {
+    const { targetId, pool, capacity, state } = target.describe();
+    if (state !== "ready") continue;
+    const mine = used.get(targetId) ?? 0;
+    const free = capacity.cpuMillicores - mine;
+    const known = samples.get(pool);
+    samples.set(pool, {
+      at,
+      pool,
+      totalMillicores: (known?.totalMillicores ?? 0) + capacity.cpuMillicores,
+      usedMillicores: (known?.usedMillicores ?? 0) + mine,
+      largestFreeMillicores: Math.max(known?.largestFreeMillicores ?? 0, free),
+    });
+  }
+  history.samples.push(...samples.values());
+}
--- /dev/null
+++ b/src/soak/soak.ts
@@ -0,0 +1,163 @@
+/**
+ * One soak: starts a session, plays the planned faults while callers work, and checks the promises.
+ * @packageDocumentation
+ */
+import { monitorEventLoopDelay } from "node:perf_hooks";
+import { createRandom, delay, type Random } from "../shared/index.js";
+import type { SoakBounds } from "./bounds.js";
+import { Callers } from "./callers.js";
+import { readClock } from "./clock.js";
+import { faultKinds, type FaultStage } from "./faults.js";
+import { divideTime, planFaults, type FaultName, type PlannedFault, type SoakTimes } from "./fault-plan.js";
+import { createHistory, type SoakHistory } from "./history.js";
+import { drawJob, type JobNature } from "./job-plan.js";
+import { startSession, type PlatformSession, type SoakSize } from "./platform-session.js";
+import { findViolations, type Violation } from "./promises/index.js";
+import { samplePools } from "./samples.js";
+import type { SoakWire } from "./wire.js";
+
+/** What a soak is run with. */
+export interface SoakOptions {
+  readonly wire: SoakWire;
+  readonly seed: number;
+  readonly seconds: number;
+  readonly size: SoakSize;
+  readonly bounds: SoakBounds;
+  /** The kinds of faults to draw from. */
+  readonly faults: readonly FaultName[];
+  /** Where program, settings and logs are kept. */
+  readonly folder: string;
+}
+
+/** What a soak brought. */
+export interface SoakResult {
+  readonly seed: number;
+  readonly history: SoakHistory;
+  readonly planned: readonly PlannedFault[];
+  readonly violations: readonly Violation[];
+  /** The longest that this process, which holds the stand-ins, was held up. */
+  readonly longestHoldUpMilliseconds: number;
+}
+
+interface Soak {
+  readonly options: SoakOptions;
+  readonly history: SoakHistory;
+  readonly session: PlatformSession;
+  readonly callers: Callers;
+  readonly random: Random;
+  readonly times: SoakTimes;
+  readonly errands: Promise<unknown>[];
+}
+
+const jobsPerSecondAndPool = 1;
+const lastingJobsPerPool = 2;
+const sampleMilliseconds = 250;
+const statusMilliseconds = 100;
+const readyMilliseconds = 3_000;
+const nanosecondsPerMillisecond = 1e6;
+/** Another stream of draws than the one that plans faults. */
+const callerSeedOffset = 0x5eed;
+
+/**
+ * Runs a soak.
+ * @param options - seed, length, size and what it runs against
+ * @returns what was seen and which promises were broken
+ */
+export async function runSoak(options: SoakOptions): Promise<SoakResult> {
+  const { wire, seed, seconds, bounds } = options;
+  const history = createHistory();
+  const session = await startSession({ ...options, history });
+  const random = createRandom(seed + callerSeedOffset);
+  const callers = new Callers({ wire, entries: session.entries, history, random });
+  const times = divideTime(seconds);
+  const planned = planFaults(seed, times, options.faults);
+  const soak: Soak = { options, history, session, callers, random, times, errands: [] };
+  const holdUps = monitorEventLoopDelay({ resolution: 10 });
+  holdUps.enable();
+  const stopSampling = startSampling(soak);
+  await delay(readyMilliseconds);
+  begin(soak);
+  await Promise.all([playFaults(soak, planned), handInJobs(soak), delay(times.endsAt)]);
+  history.endedAt = Math.min(history.endedAt, readClock());
+  stopSampling();
+  await Promise.allSettled(soak.errands);
+  holdUps.disable();
+  const violations = findViolations(history, bounds);
+  callers.close();
+  await session.close();
+  return {
+    seed,
+    history,
+    planned,
+    violations,
+    longestHoldUpMilliseconds: holdUps.max / nanosecondsPerMillisecond,
+  };
+}
+
+function begin({ history, times }: Soak): void {
+  history.startedAt = readClock();
+  history.trafficEndedAt = history.startedAt + times.trafficEndsAt;
+  history.endedAt = history.startedAt + times.endsAt;
+}
+
+function handIn({ callers, random, session, errands }: Soak, nature?: JobNature, isCancelled = false): void {
+  const queue = session.queues[random.integer(0, session.queues.length - 1)];
+  if (queue === undefined) return;
+  const plan = drawJob(random, queue, nature);
+  const cancelAfterMilliseconds = isCancelled ? random.integer(0, 2_000) : plan.cancelAfterMilliseconds;
+  errands.push(callers.follow({ ...plan, cancelAfterMilliseconds }));
+}
+
+async function handInJobs(soak: Soak): Promise<void> {
+  const { session, random, history } = soak;
+  const pools = session.queues.length;
+  for (let count = 0; count < pools * lastingJobsPerPool; count += 1) handIn(soak, "lasting");
+  while (readClock() < history.trafficEndedAt) {
+    handIn(soak);
+    await delay(random.exponential(1_000 / (pools * jobsPerSecondAndPool)));
+  }
+}
+
+async function playFaults(soak: Soak, planned: readonly PlannedFault[]): Promise<void> {
+  const { history, session } = soak;
+  const stage: FaultStage = {
+    session,
+    handIn: (count, nature, areCancelled) => {
+      for (let handedIn = 0; handedIn < count; handedIn += 1) handIn(soak, nature, areCancelled);
+    },
+  };
+  const plays = planned.map(async (fault) => {
+    await delay(history.startedAt + fault.at - readClock());
+    const { isPlanned, play } = faultKinds[fault.name];
+    const record = {
+      name: fault.name,
+      subject: `${fault.choice.toFixed(2)}/${fault.amount.toFixed(2)}`,
+      from: readClock(),
+      to: Number.POSITIVE_INFINITY,
+      isPlanned,
+    };
+    history.faults.push(record);
+    await play(stage, fault);
+    record.to = readClock();
+  });
+  await Promise.all(plays);
+}
+
+/** Looks at pools and waves until it is stopped. */
+function startSampling({ history, session, options: { wire } }: Soak): () => void {
+  const readStatus = (): void => {
+    for (const wave of history.waves) {
+      const value = session.engine.range(wire.waveStatusKey(wave.wave))[0]?.value;
+      if (value !== undefined && wire.isWaveComplete(value)) wave.completeAt ??= readClock();
+    }
+  };
+  const timers = [
+    setInterval(() => {
+      samplePools(history, session.targets);
+    }, sampleMilliseconds),
+    setInterval(readStatus, statusMilliseconds),
+  ];
+  return () => {
+    for (const timer of timers) clearInterval(timer);
+  };
+}
--- /dev/null
+++ b/src/soak/targets.ts
@@ -0,0 +1,217 @@
+/**
+ * Targets of a soak: each behind a proxy, registered in the store with heartbeats, crashing, leaving and coming back.
+ * @packageDocumentation
+ */
+import type { Machine } from "../fleet/index.js";
+import { delay, hashText } from "../shared/index.js";
+import {
+  JobTarget,
+  startTcpProxy,
+  type JobTargetWorld,
+  type StoreEngine,
+  type StoreFaults,
+  type TaskBehaviour,
+  type TcpProxy,
+} from "../stand-ins/index.js";
+import type { SoakBounds } from "./bounds.js";
+import { readClock } from "./clock.js";
+import type { SoakHistory } from "./history.js";
+import { putRecord, removeRecord } from "./records.js";
+import type { Served, SoakWire, TargetFaults } from "./wire.js";
+
+/** One target with its link. */
+export interface TargetHost {
+  readonly target: JobTarget;
+  readonly targetId: string;
+  readonly machine: Machine;
+  readonly link: TcpProxy;
+  readonly faults: TargetFaults;
+  readonly service: Served;
+  isUp: boolean;
+  /** When it leaves, once it has announced so. */
+  leavesAt: number | undefined;
+  heartbeats: number;
+  lastHeartbeatAt: number;
+}
+
+/** What targets work with. */
+export interface TargetFleetOptions {
+  readonly wire: SoakWire;
+  readonly engine: StoreEngine;
+  readonly storeFaults: StoreFaults;
+  readonly bounds: SoakBounds;
+  readonly history: SoakHistory;
+}
+
+const advanceMilliseconds = 5;
+const heartbeatCheckMilliseconds = 100;
+const silentHeartbeats = 3;
+const percent = 100;
+const slowestRunPercent = 60;
+const runPercentRange = 80;
+
+/** Keeps the targets. */
+export class TargetFleet {
+  readonly #options: TargetFleetOptions;
+  readonly #hosts = new Map<string, TargetHost>();
+  readonly #timers: NodeJS.Timeout[];
+  readonly #world: JobTargetWorld;
+  #nextNumber = 1;
+
+  /**
+   * Creates an empty fleet.
+   * @param options - what targets work with
+   */
+  constructor(options: TargetFleetOptions) {
+    this.#options = options;
+    const { history } = options;
+    this.#world = {
+      now: readClock,
+      behaviour: (task) => findBehaviour(history, task),
+      history: history.runs,
+    };
+    this.#timers = [
+      setInterval(() => {
+        for (const { target, isUp } of this.#hosts.values()) if (isUp) target.advance();
+      }, advanceMilliseconds),
+      setInterval(() => {
+        for (const host of this.#hosts.values()) this.#keepRegistration(host);
+      }, heartbeatCheckMilliseconds),
+    ];
+  }
+
+  /** All targets that are up. */
+  up(): TargetHost[] {
+    return [...this.#hosts.values()].filter(({ isUp }) => isUp);
+  }
+
+  /** Starts a target on a machine and returns its identifier. */
+  async start(machine: Machine): Promise<string> {
+    const targetId = `target-${this.#nextNumber}`;
+    this.#nextNumber += 1;
+    const faults: TargetFaults = {
+      lateMilliseconds: 0,
+      onLate: (task, run) => this.#options.history.lateRuns.add(`${task}#${run}`),
+    };
+    let address = "";
+    const target = new JobTarget(this.#world, {
+      targetId,
+      get address() {
+        return address;
+      },
+      pool: machine.pool,
+      availabilityZone: machine.availabilityZone,
+      capacity: machine.capacity,
+      rack: machine.labels[1],
+      labels: machine.labels,
+      remainingMilliseconds: undefined,
+    });
+    const service = await this.#options.wire.serveTarget(target, faults);
+    const link = await startTcpProxy(service.port);
+    address = `127.0.0.1:${link.port}`;
+    const host = { target, targetId, machine, link, faults, service };
+    const registered: TargetHost = {
+      ...host,
+      isUp: true,
+      leavesAt: undefined,
+      heartbeats: 0,
+      lastHeartbeatAt: 0,
+    };
+    this.#hosts.set(targetId, registered);
+    this.#keepRegistration(registered);
+    return targetId;
+  }
+
+  /** Crashes a target; it is silent for a while and then starts again under its identifier. */
+  async restart(host: TargetHost, silentMilliseconds: number): Promise<void> {
+    host.isUp = false;
+    host.target.crash();
+    host.link.setState("refusing");
+    await delay(silentMilliseconds);
+    if (!this.#hosts.has(host.targetId)) return;
+    host.target.restart();
+    host.link.setState("open");
+    host.isUp = true;
+    this.#beat(host);
+  }
+
+  /** Ends a target; its registration stays until its heartbeats are missed. */
+  async crash(targetId: string): Promise<void> {
+    const host = this.#hosts.get(targetId);
+    if (host === undefined) return;
+    host.isUp = false;
+    host.target.crash();
+    await Promise.all([host.link.close(), host.service.close()]);
+  }
+
+  /** Ends a target and removes its registration at once. */
+  async remove(targetId: string): Promise<void> {
+    const host = this.#hosts.get(targetId);
+    if (host === undefined) return;
+    this.#hosts.delete(targetId);
+    host.isUp = false;
+    host.target.crash();
+    this.#unregister(host);
+    await Promise.all([host.link.close(), host.service.close()]);
+  }
+
+  /** Lets a target announce that it leaves, and ends it after its time. */
+  async drain(host: TargetHost): Promise<void> {
+    const { history, bounds } = this.#options;
+    host.target.drain();
+    host.leavesAt = readClock() + bounds.drainMilliseconds;
+    this.#beat(host);
+    history.drains.push({ targetId: host.targetId, at: readClock() });
+    await delay(bounds.drainMilliseconds);
+    await this.remove(host.targetId);
+  }
+
+  /** Ends all targets. */
+  async close(): Promise<void> {
+    for (const timer of this.#timers) clearInterval(timer);
+    await Promise.all([...this.#hosts.keys()].map(async (targetId) => this.remove(targetId)));
+  }
+
+  #keepRegistration(host: TargetHost): void {
+    const { bounds, storeFaults } = this.#options;
+    const silence = readClock() - host.lastHeartbeatAt;
+    if (host.isUp && storeFaults.mode === "up" && silence >= bounds.heartbeatMilliseconds) this.#beat(host);
+    else if (silence > silentHeartbeats * bounds.heartbeatMilliseconds) {
+      this.#unregister(host);
+      if (!host.isUp) this.#hosts.delete(host.targetId);
+    }
+  }
+
+  #beat(host: TargetHost): void {
+    if (this.#options.storeFaults.mode !== "up") return;
+    host.heartbeats += 1;
+    host.lastHeartbeatAt = readClock();
+    const { leavesAt } = host;
+    const left = leavesAt === undefined ? undefined : Math.max(0, Math.round(leavesAt - readClock()));
+    const described = { ...host.target.describe(), remainingMilliseconds: left };
+    const record = this.#options.wire.encodeTarget(described, host.heartbeats);
+    putRecord(this.#options.engine, record);
+  }
+
+  #unregister(host: TargetHost): void {
+    const { key } = this.#options.wire.encodeTarget(host.target.describe(), 0);
+    removeRecord(this.#options.engine, key);
+  }
+}
+
+/** What a task does, by the job that it belongs to; its name seeds the rest. */
+function findBehaviour({ jobs, runs }: SoakHistory, task: string): TaskBehaviour {
+  const [jobId = "", , step = "0"] = task.split(".");
+  const definition = jobs.get(jobId)?.definition;
+  const found = definition?.steps[Number(step)];
+  const needs = found?.resources ?? { cpuMillicores: 0, memoryMegabytes: 0, accelerators: 0 };
+  const scale = (slowestRunPercent + (hashText(task) % runPercentRange)) / percent;
+  const earlierRuns = (): number => runs.filter((run) => run.task === task).length;
+  const isPoison = definition?.spec.startsWith("poison") === true;
+  return {
+    needs,
+    runMilliseconds: (found?.estimateMilliseconds ?? 0) * scale,
+    isLasting: found?.isLasting ?? false,
+    fails: isPoison || (definition?.spec.startsWith("flaky") === true && earlierRuns() === 0),
+  };
+}
--- a/src/stand-ins/index.ts
+++ b/src/stand-ins/index.ts
@@ -8,3 +8,5 @@
 export * from "./target/index.js";
 export * from "./fleet/index.js";
 export * from "./job-targets/index.js";
+export * from "./machines/index.js";
+export * from "./proxy/index.js";
--- a/src/stand-ins/job-targets/job-target.ts
+++ b/src/stand-ins/job-targets/job-target.ts
@@ -40,9 +40,15 @@
   readonly task: string;
   readonly run: number;
   readonly targetId: string;
+  /** The target's pool when the run began. */
+  readonly pool: string;
+  /** The fencing token of the order that began it. */
+  readonly fencingToken: number;
   readonly from: number;
   to: number | undefined;
   how: RunEndKind | "crashed" | undefined;
+  /** When an order acknowledged the end; it counts only while the target's lease has stood since the end. */
+  acknowledgedAt: number | undefined;
 }
 
 /** What all targets of a test share. */
@@ -67,6 +73,8 @@
   #running = new Map<string, RunningTask>();
   #ended = new Map<string, number>();
   #ends: RunEnd[] = [];
+  /** Records of the ends in `#ends` that an acknowledgement still counts for, by sequence. */
+  readonly #unacknowledged = new Map<number, RunRecord>();
   #sequence = 0;
   #fence = 0;
   #leaseUntil = 0;
@@ -97,10 +105,16 @@
     this.#state = "draining";
   }
 
-  /** Crashes and starts again under its identifier; it knows nothing of before. */
-  restart(): void {
+  /** Crashes: everything that runs ends and no end is kept. */
+  crash(): void {
     for (const run of this.#running.values()) this.#close(run, "crashed");
     this.#running.clear();
+    this.#unacknowledged.clear();
+  }
+
+  /** Crashes and starts again under its identifier; it knows nothing of before. */
+  restart(): void {
+    this.crash();
     this.#ended.clear();
     this.#ends = [];
     this.#sequence = 0;
@@ -116,7 +130,8 @@
     for (const run of [...this.#running.values()]) {
       if (run.endsAt <= now && !run.isLasting) this.#end(run, run.fails ? "failed" : "succeeded");
     }
-    if (this.#clock() <= this.#leaseUntil) return;
+    if (this.clock() <= this.#leaseUntil) return;
+    this.#unacknowledged.clear();
     for (const run of [...this.#running.values()]) this.#end(run, "lease-lapsed");
   }
 
@@ -126,7 +141,7 @@
     this.#extend(order.leaseUntilMilliseconds, refusal);
     if (refusal !== undefined) return { kind: "refused", reason: refusal };
     if (this.#running.get(order.task)?.run !== order.run) this.#begin(order);
-    return { kind: "done", clockMilliseconds: this.#clock() };
+    return { kind: "done", clockMilliseconds: this.clock() };
   }
 
   /** Takes an order to stop. */
@@ -136,7 +151,7 @@
     const running = this.#running.get(order.task);
     if (running !== undefined && running.run <= order.run) this.#end(running, "stopped");
     this.#ended.set(order.task, Math.max(order.run, this.#ended.get(order.task) ?? 0));
-    return { kind: "done", clockMilliseconds: this.#clock() };
+    return { kind: "done", clockMilliseconds: this.clock() };
   }
 
   /** Takes a renewal. */
@@ -145,7 +160,23 @@
     const refusal = this.#refuse(order);
     if (refusal !== undefined) return Left({ kind: "refused", reason: refusal });
     this.#extend(order.leaseUntilMilliseconds, undefined);
-    this.#ends = this.#ends.filter(({ sequence }) => sequence > order.acknowledgedSequence);
+    this.#acknowledge(order.acknowledgedSequence);
+    return Right(this.#report());
+  }
+
+  /** Lists what runs and what has ended, with no change to leases or acknowledgements. */
+  read(header: OrderHeader): Either<Exclude<OrderOutcome, { kind: "done" }>, TargetReport> {
+    this.advance();
+    const refusal = this.#refuse(header);
+    return refusal === undefined ? Right(this.#report()) : Left({ kind: "refused", reason: refusal });
+  }
+
+  /** Its own clock, in milliseconds since its start. */
+  clock(): number {
+    return this.#world.now() - this.#startedAt;
+  }
+
+  #report(): TargetReport {
     const present = [...this.#running.values()].map(({ task, run }): PresentRun => ({
       task,
       run,
@@ -153,16 +184,21 @@
       percent: 100,
       usage: 0,
     }));
-    return Right({
+    return {
       startedAtUnix: this.#startedAtUnix,
-      clockMilliseconds: this.#clock(),
+      clockMilliseconds: this.clock(),
       present,
       ends: [...this.#ends],
-    });
+    };
   }
 
-  #clock(): number {
-    return this.#world.now() - this.#startedAt;
+  #acknowledge(upTo: number): void {
+    this.#ends = this.#ends.filter(({ sequence }) => sequence > upTo);
+    for (const [sequence, record] of this.#unacknowledged) {
+      if (sequence > upTo) continue;
+      record.acknowledgedAt = this.#world.now();
+      this.#unacknowledged.delete(sequence);
+    }
   }
 
   #refuse({ target, fencingToken }: OrderHeader): OrderRefusal | undefined {
@@ -173,7 +209,7 @@
   }
 
   #refuseStart({ task, run, leaseUntilMilliseconds }: StartOrder): OrderRefusal | undefined {
-    if (leaseUntilMilliseconds <= this.#clock()) return "too-late";
+    if (leaseUntilMilliseconds <= this.clock()) return "too-late";
     if (this.#running.get(task)?.run === run) return undefined;
     if (run <= (this.#ended.get(task) ?? 0)) return "old-run";
     return this.#hasRoom(this.#world.behaviour(task).needs) ? undefined : "no-room";
@@ -190,15 +226,16 @@
   #extend(until: number | undefined, refusal: OrderRefusal | undefined): void {
     if (until === undefined || (refusal !== undefined && refusal !== "old-run" && refusal !== "no-room"))
       return;
-    this.#leaseUntil = Math.max(this.#leaseUntil, Math.min(until, this.#clock() + longestLeaseMilliseconds));
+    this.#leaseUntil = Math.max(this.#leaseUntil, Math.min(until, this.clock() + longestLeaseMilliseconds));
   }
 
-  #begin({ task, run }: StartOrder): void {
+  #begin({ task, run, fencingToken }: StartOrder): void {
     const { needs, runMilliseconds, isLasting, fails } = this.#world.behaviour(task);
     const now = this.#world.now();
     this.#running.set(task, { task, run, needs, endsAt: now + runMilliseconds, isLasting, fails });
-    const { targetId } = this.#registered;
-    this.#world.history.push({ task, run, targetId, from: now, to: undefined, how: undefined });
+    const { targetId, pool } = this.#registered;
+    const open = { to: undefined, how: undefined, acknowledgedAt: undefined };
+    this.#world.history.push({ task, run, targetId, pool, fencingToken, from: now, ...open });
   }
 
   #end(running: RunningTask, kind: RunEndKind): void {
@@ -207,16 +244,18 @@
     this.#sequence += 1;
     const { task, run } = running;
     this.#ends.push({ sequence: this.#sequence, task, run, kind, checkpoint: "" });
-    this.#close(running, kind);
+    const record = this.#close(running, kind);
+    if (record !== undefined) this.#unacknowledged.set(this.#sequence, record);
   }
 
-  #close({ task, run }: RunningTask, how: RunEndKind | "crashed"): void {
+  #close({ task, run }: RunningTask, how: RunEndKind | "crashed"): RunRecord | undefined {
     const { targetId } = this.#registered;
     const record = this.#world.history.find(
       (each) => each.task === task && each.run === run && each.targetId === targetId && each.to === undefined,
     );
-    if (record === undefined) return;
+    if (record === undefined) return undefined;
     record.to = this.#world.now();
     record.how = how;
+    return record;
   }
 }
--- a/src/stand-ins/store/faults.ts
+++ b/src/stand-ins/store/faults.ts
@@ -14,6 +14,10 @@
   loseAnswers: z.number().int().min(0).optional(),
   /** Whether new and waiting watches report nothing. */
   muteWatches: z.boolean().optional(),
+  /** How many of the next writes bring no answer and are carried out later. */
+  lateWrites: z.number().int().min(0).optional(),
+  /** Changes up to this revision are no longer available. */
+  forgottenRevision: z.number().int().min(0).optional(),
 });
 
 /** The faults in force. */
@@ -22,6 +26,8 @@
   delayMilliseconds: number;
   loseAnswers: number;
   muteWatches: boolean;
+  lateWrites: number;
+  forgottenRevision: number;
 }
 
 /**
@@ -29,5 +35,12 @@
  * @returns the faults, changed in place by tests
  */
 export function createStoreFaults(): StoreFaults {
-  return { mode: "up", delayMilliseconds: 0, loseAnswers: 0, muteWatches: false };
+  return {
+    mode: "up",
+    delayMilliseconds: 0,
+    loseAnswers: 0,
+    muteWatches: false,
+    lateWrites: 0,
+    forgottenRevision: 0,
+  };
 }
