--- a/src/stand-ins/proxy/tcp-proxy.ts
+++ b/src/stand-ins/proxy/tcp-proxy.ts
@@ -59,7 +59,7 @@
       forward(() => to.end());
     });
     from.on("close", () => {
-      links.delete(link);
+      if (to.destroyed) links.delete(link);
       // Behind a silent link neither side learns of the other's end.
       forward(() => to.destroy());
     });
@@ -82,7 +82,6 @@
       resetConnection(link.client);
       resetConnection(link.server);
     }
-    links.clear();
   };
   await new Promise<void>((resolve) => server.listen(0, host, resolve));
   return {
--- a/src/stand-ins/proxy/test/tcp-proxy.test.ts
+++ b/src/stand-ins/proxy/test/tcp-proxy.test.ts
@@ -11,10 +11,13 @@
 let server: Server;
 let proxy: TcpProxy;
 let received = "";
+let acceptedSockets: Socket[] = [];
 
 beforeEach(async () => {
   received = "";
+  acceptedSockets = [];
   server = net.createServer((socket) => {
+    acceptedSockets.push(socket);
     socket.on("error", () => socket.destroy());
     socket.on("data", (data) => {
       received += data.toString();
@@ -97,3 +100,14 @@
   await waitForClose(next);
   expect(received).toBe("");
 });
+
+test("a proxy closes though a silent link has lost one side", async () => {
+  const { socket } = await connect();
+  await delay(settleMilliseconds);
+  proxy.setState("silent");
+  for (const accepted of acceptedSockets) accepted.destroy();
+  await delay(settleMilliseconds);
+  proxy.setState("open");
+  await expect(proxy.close()).resolves.toBeUndefined();
+  socket.destroy();
+});
