--- a/src/stand-ins/proxy/test/tcp-proxy.test.ts
+++ b/src/stand-ins/proxy/test/tcp-proxy.test.ts
@@ -105,7 +105,7 @@
   const { socket } = await connect();
   await delay(settleMilliseconds);
   proxy.setState("silent");
-  for (const accepted of acceptedSockets) accepted.destroy();
+  for (const accepted of acceptedSockets) accepted.resetAndDestroy();
   await delay(settleMilliseconds);
   proxy.setState("open");
   await expect(proxy.close()).resolves.toBeUndefined();
