One interrupted round does not hold up the next

On a machine that is shared, a round of 0.2 ms may take 100 ms by the wall clock once; the next then waited 60 ms. The pause now follows the shorter of the last two rounds: rounds that are slow for good still take their bounded share.

--- a/src/job-homes/job-home.ts
+++ b/src/job-homes/job-home.ts
@@ -21,7 +21,7 @@
 import { readRecentLoad, reportPool, type PoolReport } from "./pool-report.js";
 import type { CancelOutcome, JobSubmission, StateOutcome, SubmitOutcome } from "./job-outcomes.js";
 import { endJob, hasEnded, storeProgress } from "./job-progress.js";
-import { chooseRoundPause } from "./round-pause.js";
+import { RoundPace } from "./round-pause.js";
 import { stopUnwanted } from "./stopper.js";
 
 /** Settings of a home. */
@@ -52,7 +52,7 @@
   readonly #firstRequests = createFirstRequests();
   readonly #accepting = new Map<string, Promise<SubmitOutcome>>();
   #round: NodeJS.Timeout | undefined;
-  #lastRoundMilliseconds = 0;
+  readonly #pace = new RoundPace();
   #isStarted = false;
   /** When emptied targets were last asked for, by the monotonic clock. */
   #vacatedAt = 0;
@@ -178,8 +178,8 @@
       this.#round = undefined;
       const startedAt = performance.now();
       dispatch(this.#state, this.#advice);
-      this.#lastRoundMilliseconds = performance.now() - startedAt;
-    }, chooseRoundPause(this.#lastRoundMilliseconds));
+      this.#pace.note(performance.now() - startedAt);
+    }, this.#pace.pauseMilliseconds());
   }
 
   async #run(): Promise<void> {
--- a/src/job-homes/round-pause.ts
+++ b/src/job-homes/round-pause.ts
@@ -11,11 +11,23 @@
 /** A round is followed by so many times the time that it took. */
 const restFactor = 8;
 
-/**
- * Computes how long news waits before a round.
- * @param lastRoundMilliseconds - how long the last round took
- * @returns milliseconds
- */
-export function chooseRoundPause(lastRoundMilliseconds: number): number {
-  return Math.min(longestMilliseconds, Math.max(shortestMilliseconds, restFactor * lastRoundMilliseconds));
+/** Chooses the pauses between rounds. */
+export class RoundPace {
+  #last = 0;
+  #beforeLast = 0;
+
+  /** Notes how long a round took. */
+  note(milliseconds: number): void {
+    this.#beforeLast = this.#last;
+    this.#last = milliseconds;
+  }
+
+  /**
+   * Computes how long news waits before the next round.
+   * @returns milliseconds; one long round among short ones was only interrupted, and does not count
+   */
+  pauseMilliseconds(): number {
+    const cost = Math.min(this.#last, this.#beforeLast);
+    return Math.min(longestMilliseconds, Math.max(shortestMilliseconds, restFactor * cost));
+  }
 }
--- a/src/job-homes/test/round-pause.test.ts
+++ b/src/job-homes/test/round-pause.test.ts
@@ -3,18 +3,29 @@
  * @packageDocumentation
  */
 import { expect, test } from "vitest";
-import { chooseRoundPause } from "../round-pause.js";
+import { RoundPace } from "../round-pause.js";
+
+function pauseAfter(...rounds: readonly number[]): number {
+  const pace = new RoundPace();
+  for (const milliseconds of rounds) pace.note(milliseconds);
+  return pace.pauseMilliseconds();
+}
 
 test.each([
   { milliseconds: 0.2, share: 0.112 },
   { milliseconds: 3, share: 0.112 },
   { milliseconds: 10, share: 0.15 },
 ])("rounds of $milliseconds ms take $share of the process at most", ({ milliseconds, share }) => {
-  const pause = chooseRoundPause(milliseconds);
+  const pause = pauseAfter(milliseconds, milliseconds);
   expect(milliseconds / (milliseconds + pause)).toBeLessThanOrEqual(share);
 });
 
 test("news of a quiet home waits 4 ms, and never more than 60", () => {
-  expect(chooseRoundPause(0)).toBe(4);
-  expect(chooseRoundPause(1_000)).toBe(60);
+  expect(pauseAfter()).toBe(4);
+  expect(pauseAfter(1_000, 1_000)).toBe(60);
+});
+
+test("one round that was interrupted does not hold up the next", () => {
+  expect(pauseAfter(0.2, 0.2, 100)).toBe(4);
+  expect(pauseAfter(0.2, 0.2, 100, 0.2)).toBe(4);
 });
