--- a/src/order-relays/order-relay.ts
+++ b/src/order-relays/order-relay.ts
@@ -19,9 +19,15 @@
   readonly metrics: Metrics;
 }
 
+/** How long frames of one process of a peer are on their way. */
+interface ProcessClock {
+  readonly senderProcess: number;
+  readonly clock: TransitClock;
+}
+
 const gatherMilliseconds = 4;
 const outcomesTimeoutMilliseconds = 1_000;
-/** Orders in progress; more are refused, so that their homes send them another way. */
+/** Orders in progress; more are declined, so that their homes send them another way. */
 const maximumInProgress = 2_000;
 
 /**
@@ -30,7 +36,7 @@
  */
 export function startOrderRelay(options: OrderRelayOptions): void {
   const { peers, log, metrics } = options;
-  const clocks = new Map<string, TransitClock>();
+  const clocks = new Map<string, ProcessClock>();
   let inProgress = 0;
   const outcomes = createFrameGatherer<RelayedOutcome>(gatherMilliseconds, (peerId, items) => {
     void peers
@@ -51,25 +57,32 @@
     outcomes.add(peerId, outcome);
   };
 
-  peers.answer(carryOutCall, ({ sentAt, specs, orders }, peerId) => {
-    const clock = clocks.get(peerId) ?? createTransitClock();
-    clocks.set(peerId, clock);
+  const findClock = (peerId: string, senderProcess: number): TransitClock => {
+    const known = clocks.get(peerId);
+    if (known?.senderProcess === senderProcess) return known.clock;
+    const clock = createTransitClock();
+    clocks.set(peerId, { senderProcess, clock });
+    return clock;
+  };
+
+  peers.answer(carryOutCall, ({ senderProcess, sentAt, specs, orders }, peerId) => {
+    const clock = findClock(peerId, senderProcess);
     const age = clock.ageMilliseconds(sentAt, performance.now());
-    let refused = 0;
+    let declined = 0;
     for (const order of orders) {
       const timeoutMilliseconds = order.timeoutMilliseconds - age;
       // What waited too long is not carried out any more: its home counts on another course by now.
       if (timeoutMilliseconds <= 0 || inProgress >= maximumInProgress) {
-        refused += 1;
-        outcomes.add(peerId, { id: order.id, kind: "refused", reason: "not-connected" });
+        declined += 1;
+        outcomes.add(peerId, { id: order.id, kind: "declined" });
         continue;
       }
       void carryOut(peerId, { ...order, timeoutMilliseconds }, specs);
     }
-    if (refused > 0)
+    if (declined > 0)
       log.write("warn", "relayed-orders-refused", {
         peer: peerId,
-        orders: refused,
+        orders: declined,
         inProgress,
         ageMilliseconds: Math.round(age),
       });
