A target that is no longer listed stays in the inheritance until its ends are stored

Cause: a target that the registry no longer lists, and on which nothing runs, was closed and left out of what a next home waits for, also while ends of it were read and not yet stored. A list of targets that waits for the store already takes the new value in its place, before the progress that was queued after it. Was the home lost between the two, the next one started what had ended there, and acknowledged the end when the target was listed again.

Evidence: test: an end is read, its progress waits for the store, the target leaves the registry; the home dropped it. It failed before.

Fix: such a target is kept until its ends are stored; its lease or its next life ends it as before.

--- a/src/job-homes/home-targets.ts
+++ b/src/job-homes/home-targets.ts
@@ -144,12 +144,14 @@
     void session.run();
   }
 
-  /** A target that left the registry keeps its session while it runs something. */
+  /** A target that left the registry keeps its session while it runs something, or has ends that are not stored. */
   #closeUnlisted(): void {
     const { targets, awaited } = this.#state;
     for (const target of [...targets.values()]) {
       const { session, runs } = target;
       if (session.isListed() || runs.size > 0 || awaited.has(session.targetId)) continue;
+      // A next home has to wait for ends that are not stored.
+      if (session.acknowledgedSequence() < target.handledSequence) continue;
       session.close();
       this.#drop(target, "closed");
     }
--- /dev/null
+++ b/src/job-homes/test/home-targets.test.ts
@@ -0,0 +1,75 @@
+/**
+ * Which targets a home keeps, by what it still has to do with them.
+ * @packageDocumentation
+ */
+import { Right } from "purify-ts";
+import { expect, test } from "vitest";
+import type { RegisteredTarget, RunEnd, TargetOrders } from "../../task-runs/index.js";
+import { createLog, createMetrics } from "../../telemetry/index.js";
+import type { HomeJournal, JournalResult } from "../home-journal.js";
+import { addJob, createHomeState } from "../home-state.js";
+import { HomeTargets } from "../home-targets.js";
+import { createStep, pool, terms, waitFor } from "./home-fixture.js";
+
+const listed: RegisteredTarget = {
+  targetId: "target",
+  address: "127.0.0.1:1",
+  startedAtUnix: 1,
+  pool,
+  availabilityZone: "zone",
+  state: "ready",
+  capacity: { cpuMillicores: 1_000, memoryMegabytes: 100, accelerators: 0 },
+  rack: undefined,
+  labels: [],
+  remainingMilliseconds: undefined,
+};
+
+test("a target that is no longer listed stays with its home until its ends are stored", async () => {
+  const settles: ((result: JournalResult) => void)[] = [];
+  const journal: HomeJournal = {
+    write: (key) => {
+      const result = new Promise<JournalResult>((settle) => {
+        if (key.startsWith("progress/")) settles.push(settle);
+      });
+      return { result, withdraw: () => undefined };
+    },
+    waiting: () => settles.length,
+    flush: async () => Promise.resolve(),
+    close: () => undefined,
+  };
+  const end: RunEnd = { sequence: 1, task: "job.0.0.0", run: 1, kind: "succeeded", checkpoint: "" };
+  const unused = async (): Promise<never> => Promise.reject(new Error("only renewals are asked for here"));
+  const orders: TargetOrders = {
+    start: unused,
+    stop: unused,
+    pace: unused,
+    renew: async () => {
+      await new Promise((resolve) => setTimeout(resolve, 5));
+      return Right({ startedAtUnix: 1, clockMilliseconds: performance.now(), present: [], ends: [end] });
+    },
+  };
+  const state = createHomeState({
+    pool,
+    fencingToken: 1,
+    firstRun: 1,
+    orders,
+    journal,
+    log: createLog("silent"),
+    metrics: createMetrics(),
+    isActive: () => true,
+    supersede: () => undefined,
+  });
+  const definition = { spec: "", steps: [createStep()] };
+  addJob(state, { jobId: "job", terms, definition, acceptedAt: 0, requestedAt: 0 }, undefined, 0, false);
+  const targets = new HomeTargets(state, { leaseMilliseconds: 6_000, homes: 1 });
+  targets.follow(new Map([[listed.targetId, listed]]));
+  await waitFor(() => settles.length > 0);
+  targets.follow(new Map());
+  expect(state.targets.has(listed.targetId)).toBe(true);
+  for (const settle of settles) settle("stored");
+  await waitFor(() => {
+    targets.follow(new Map());
+    return !state.targets.has(listed.targetId);
+  });
+  targets.close();
+});
--- a/src/task-runs/target-session.ts
+++ b/src/task-runs/target-session.ts
@@ -148,6 +148,11 @@
     this.#acknowledgedSequence = Math.max(this.#acknowledgedSequence, sequence);
   }
 
+  /** Ends up to this sequence have been stored. */
+  acknowledgedSequence(): number {
+    return this.#acknowledgedSequence;
+  }
+
   /** Ends the pause before the next renewal. */
   hurry(): void {
     this.#pause.abort();
