An outcome that came in time is read before its order counts as unanswered

Callers of a large pool could see starts stopped and placed again after their home was held up for half a second, though the targets had answered in time.

The timer of a relayed order ran before the links were read.

Evidence: relayed-orders.test.ts, the last test, failed before: the outcome waits while the process is busy for 500 ms, the order's time ends after 350 ms.

Fix: the timer lets the loop read what is there, then gives the order up.

--- a/src/order-relays/relayed-orders.ts
+++ b/src/order-relays/relayed-orders.ts
@@ -145,7 +145,10 @@
     this.#nextId += 1;
     return new Promise((resolve) => {
       const timer = setTimeout(() => {
-        settle({ id, kind: "unknown", message: "the relay brought no outcome in time" });
+        // After a hold-up timers come first; an outcome that is there already is read before the order is given up.
+        setImmediate(() => {
+          settle({ id, kind: "unknown", message: "the relay brought no outcome in time" });
+        });
       }, header.timeoutMilliseconds + relayMilliseconds);
       const settle = (outcome: CarriedOut | "not-sent"): void => {
         clearTimeout(timer);
--- a/src/order-relays/test/relayed-orders.test.ts
+++ b/src/order-relays/test/relayed-orders.test.ts
@@ -2,6 +2,7 @@
  * The ways that an order takes from its home, played without a network.
  * @packageDocumentation
  */
+import { Worker } from "node:worker_threads";
 import { Left, Right, type Either } from "purify-ts";
 import { expect, test } from "vitest";
 import type { PeerFailure } from "../../membership/index.js";
@@ -39,7 +40,7 @@
     ways.push(peerId);
     const { orders: framed } = request as { orders: { id: number }[] };
     const tell = (outcome: object): void => {
-      setTimeout(() => receive(peerId, "orders.outcomes", { outcomes: [outcome] }), 1);
+      receive(peerId, "orders.outcomes", { outcomes: [outcome] });
     };
     const replies = framed.map(async (order) => relaysByName[peerId]?.(order, tell) ?? arrived());
     return Promise.all(replies).then(([first]) => first ?? arrived());
@@ -150,3 +151,35 @@
   const home = startHome({ a: arrived });
   expect(await startTwiceOnEach(home)).toEqual(Array.from({ length: 8 }, () => "done"));
 });
+
+test("an outcome that came in time to a home that was held up is not taken for a missing one", async () => {
+  const elsewhere = new Worker(echoSource, { eval: true });
+  elsewhere.postMessage("ready");
+  await new Promise((resolve) => elsewhere.once("message", resolve));
+  const home = startHome({
+    a: async ({ id }, tell) => {
+      elsewhere.once("message", () => {
+        tell({ id, kind: "done", clockMilliseconds: 7 });
+      });
+      setImmediate(() => {
+        elsewhere.postMessage("carry out");
+        hold(500);
+      });
+      return arrived();
+    },
+  });
+  expect((await home.orders.start(createStart("target"))).kind).toBe("done");
+  await elsewhere.terminate();
+});
+
+/** Another thread: what it sends back is there when this one has been busy. */
+const echoSource = `
+  const { parentPort } = require("node:worker_threads");
+  parentPort.on("message", (message) => parentPort.postMessage(message));
+`;
+
+/** Keeps the thread busy. */
+function hold(milliseconds: number): void {
+  const until = performance.now() + milliseconds;
+  while (performance.now() < until);
+}
