Calls to a peer wait for the link that is being opened to it, and no longer than that

Callers of fleets above 24 entries would see starts stopped and placed again when a home uses a relay for the first time, or again after 30 s: the relay's outcomes are lost while its link to the home is being opened.

Cause: the first call to a peer without a link opens one and waits for it; the next calls found that link not connected and ended at once. A relay hands outcomes back in frames every few milliseconds, so that all but the first were lost, their orders counting as unanswered. The other way round the home avoided the relay for a second. And the first call waited its whole time (500 ms for orders) also when the peer's address had refused the connection.

Fix: every call waits while the link is in its first attempt to connect, and ends when that attempt has.

--- a/src/membership/peer-links.ts
+++ b/src/membership/peer-links.ts
@@ -123,19 +123,15 @@
     follow,
     dropUnused,
     call: async (peerId, definition, request, timeoutMilliseconds) => {
-      const existing = links.get(peerId);
-      if (existing !== undefined) {
-        existing.calledAt = performance.now();
-        return existing.link.call(definition, request, timeoutMilliseconds);
-      }
       const record = known.get(peerId);
-      if (record === undefined || peerId === self.entryId) {
+      const used =
+        links.get(peerId) ?? (record === undefined || peerId === self.entryId ? undefined : open(record));
+      if (used === undefined) {
         return Left({ kind: "not-connected", message: `${peerId} is not in the roster` });
       }
-      const opened = open(record);
-      opened.calledAt = performance.now();
-      const left = await waitUntilUp(opened.link, timeoutMilliseconds);
-      return opened.link.call(definition, request, left);
+      used.calledAt = performance.now();
+      const left = await waitUntilOpened(used.link, timeoutMilliseconds);
+      return used.link.call(definition, request, left);
     },
     ...bytes.totals,
     close: () => {
@@ -166,10 +162,12 @@
   };
 }
 
-/** Waits until a link is up; returns what is left of the bound. */
-async function waitUntilUp(link: PeerLink, timeoutMilliseconds: number): Promise<number> {
+/** Waits until a new link has been opened, or has failed to; returns what is left of the bound. */
+async function waitUntilOpened(link: PeerLink, timeoutMilliseconds: number): Promise<number> {
+  if (link.state() !== "connecting") return timeoutMilliseconds;
   const deadlineAt = performance.now() + timeoutMilliseconds;
-  while (link.state() !== "up" && performance.now() < deadlineAt) await delay(connectPollMilliseconds);
+  while (link.state() === "connecting" && performance.now() < deadlineAt)
+    await delay(connectPollMilliseconds);
   return Math.max(0, deadlineAt - performance.now());
 }
 
