The store stand-in writes a transaction at one revision; processor time is watched

Whether the processes got processor time is now measured (schedstat) and recorded as a fault processor-short, with the share of calm time in the report.

--- a/src/soak/entries.ts
+++ b/src/soak/entries.ts
@@ -34,8 +34,6 @@
   #child: ChildProcess | undefined;
   #exit: Promise<void> = Promise.resolve();
   #isEndExpected = false;
-  #isPaused = false;
-  #isStopping = false;
   #starting: Promise<void> | undefined;
 
   /**
@@ -61,9 +59,9 @@
     return this.#options.storeLink;
   }
 
-  /** Whether the process runs and no signal has asked it to end. */
-  get isServing(): boolean {
-    return this.#child !== undefined && !this.#isStopping && !this.#isPaused;
+  /** The process's identifier; undefined while there is none. */
+  get processId(): number | undefined {
+    return this.#child?.pid;
   }
 
   /** Starts the process unless it runs or is being started. */
@@ -86,8 +84,6 @@
     closeSync(log);
     this.#child = child;
     this.#isEndExpected = false;
-    this.#isStopping = false;
-    this.#isPaused = false;
     this.#report("started");
     this.#exit = new Promise((resolve) => {
       child.once("exit", () => {
@@ -107,12 +103,16 @@
     await this.#exit;
   }
 
+  /** Kills the process without waiting, for when the soak itself ends. */
+  abandon(): void {
+    this.#child?.kill("SIGKILL");
+  }
+
   /** Asks the process to stop, and kills it when the grace is over. */
   async stop(): Promise<void> {
     const child = this.#child;
     if (child === undefined) return;
     this.#isEndExpected = true;
-    this.#isStopping = true;
     this.#report("stop-asked");
     child.kill("SIGTERM");
     const grace = new AbortController();
@@ -129,13 +129,11 @@
   async pause(milliseconds: number): Promise<void> {
     const child = this.#child;
     if (child === undefined) return;
-    this.#isPaused = true;
     this.#report("paused");
     child.kill("SIGSTOP");
     await delay(milliseconds);
     child.kill("SIGCONT");
     if (child !== this.#child) return;
-    this.#isPaused = false;
     this.#report("resumed");
   }
 
--- a/src/soak/platform-session.ts
+++ b/src/soak/platform-session.ts
@@ -117,6 +117,10 @@
     const ports = { ...named, ...listening };
     entries.push(new EntryProcess({ program, folder, ports, bounds, wire, storeLink, report }));
   }
+  const abandonEntries = (): void => {
+    for (const entry of entries) entry.abandon();
+  };
+  process.once("exit", abandonEntries);
   await Promise.all(entries.map(async (entry) => entry.start()));
   const replaceTarget = async (host: TargetHost, end: () => Promise<void>, away: number): Promise<void> => {
     const { machineId } = host.machine;
@@ -147,7 +151,10 @@
       history.waves.push({ wave: wave.wave, machineIds, maximumDown, completeAt: undefined });
       putRecord(engine, wire.encodeWave(wave));
     },
-    close: async () => closeAll(entries, targets, machines, engine, [...links, machineService, store]),
+    close: async () => {
+      await closeAll(entries, targets, machines, engine, [...links, machineService, store]);
+      process.off("exit", abandonEntries);
+    },
   };
 }
 
--- a/src/soak/report.ts
+++ b/src/soak/report.ts
@@ -4,11 +4,12 @@
  */
 import { groupBy } from "./group-by.js";
 import type { SoakHistory } from "./history.js";
-import { readFacts } from "./promises/facts.js";
+import { readFacts, type HistoryFacts } from "./promises/facts.js";
 import type { SoakResult } from "./soak.js";
 import { soakBounds } from "./bounds.js";
 
 const millisecondsPerSecond = 1_000;
+const percent = 100;
 
 function formatTime(history: SoakHistory, at: number): string {
   return `${((at - history.startedAt) / millisecondsPerSecond).toFixed(3)} s`;
@@ -19,6 +20,16 @@
   return counts.length === 0 ? "none" : counts.sort().join(", ");
 }
 
+/** The share of the time at which nothing was wrong, nor shortly before. */
+function measureCalm({ history, isCalm }: HistoryFacts): number {
+  const count = Math.floor((history.endedAt - history.startedAt) / millisecondsPerSecond);
+  const seconds = Array.from(
+    { length: count },
+    (_, second) => history.startedAt + second * millisecondsPerSecond,
+  );
+  return seconds.filter((at) => isCalm(at, at + millisecondsPerSecond)).length / count;
+}
+
 /**
  * Formats a result.
  * @param result - the soak's result
@@ -45,6 +56,7 @@
     `requests: ${history.requests.length}; ${countBy(history.requests, ({ kind, end, status }) => `${kind}/${end === "answered" ? status : end}`)}`,
     `machine orders: ${countBy(history.machines, ({ kind }) => kind)}; waves ${history.waves.length}, complete ${history.waves.filter(({ completeAt }) => completeAt !== undefined).length}`,
     `processes: ${countBy(history.processes, ({ kind }) => kind)}; stand-ins held up at most ${Math.round(longestHoldUpMilliseconds)} ms`,
+    `calm: ${Math.round(measureCalm(facts) * percent)} percent of the time`,
     `broken promises: ${violations.length}`,
     ...broken,
   ].join("\n");
--- a/src/soak/soak.ts
+++ b/src/soak/soak.ts
@@ -13,6 +13,7 @@
 import { drawJob, type JobNature } from "./job-plan.js";
 import { startSession, type PlatformSession, type SoakSize } from "./platform-session.js";
 import { findViolations, type Violation } from "./promises/index.js";
+import { watchProcessors } from "./processor-watch.js";
 import { samplePools } from "./samples.js";
 import type { SoakWire } from "./wire.js";
 
@@ -157,7 +158,15 @@
     }, sampleMilliseconds),
     setInterval(readStatus, statusMilliseconds),
   ];
+  const stopWatching = watchProcessors(
+    () => [
+      { name: "stand-ins and callers", processId: process.pid },
+      ...session.entries.map(({ entryId, processId }) => ({ name: entryId, processId })),
+    ],
+    history.faults,
+  );
   return () => {
+    stopWatching();
     for (const timer of timers) clearInterval(timer);
   };
 }
--- a/src/stand-ins/store/engine.ts
+++ b/src/stand-ins/store/engine.ts
@@ -103,12 +103,15 @@
   const counts: CallCounts = { reads: 0, writes: 0, leases: 0, watches: 0 };
   let revision = 1;
 
-  const apply = (key: string, value: string | undefined, leaseId: string | undefined): void => {
-    revision += 1;
+  const applyAt = (key: string, value: string | undefined, leaseId: string | undefined): void => {
     if (value === undefined) records.delete(key);
     else records.set(key, { key, value, revision, leaseId });
     changes.publish({ key, value, revision });
   };
+  const apply = (key: string, value: string | undefined, leaseId: string | undefined): void => {
+    revision += 1;
+    applyAt(key, value, leaseId);
+  };
 
   const leases = createLeases((leaseId) => {
     const owned = [...records.values()].filter((record) => record.leaseId === leaseId);
@@ -137,7 +140,9 @@
     if (expected.some(({ key, revision: wanted }) => (records.get(key)?.revision ?? 0) !== wanted))
       return false;
     if (writes.some(({ leaseId }) => leaseId !== undefined && !leases.stands(leaseId))) return false;
-    for (const { key, value, leaseId } of writes) apply(key, value, leaseId);
+    // All writes of a transaction have one revision, the one that it is answered with.
+    revision += 1;
+    for (const { key, value, leaseId } of writes) applyAt(key, value, leaseId);
     return true;
   };
 
