--- a/src/soak/processor-watch.ts
+++ b/src/soak/processor-watch.ts
@@ -13,6 +13,8 @@
   readonly processId: number | undefined;
 }
 
+/** The name under which a lack of processor time is recorded among the faults. */
+export const processorShort = "processor-short";
 const windowMilliseconds = 500;
 /** A process that waits for longer than it could run has less than half a processor. */
 const longestWaitShare = 0.5;
@@ -40,7 +42,7 @@
     if (share < longestWaitShare) open.delete(name);
     else if (record !== undefined) record.to = at;
     else {
-      const fresh = { name: "processor-short", subject: name, from, to: at, isPlanned: false };
+      const fresh = { name: processorShort, subject: name, from, to: at, isPlanned: false };
       open.set(name, fresh);
       faults.push(fresh);
     }
--- a/src/soak/promises/answers.ts
+++ b/src/soak/promises/answers.ts
@@ -6,6 +6,7 @@
 import type { RequestRecord } from "../history.js";
 import {
   findFinalAnswer,
+  hasSettled,
   isLastingJob,
   isSuccess,
   nameTasks,
@@ -47,7 +48,8 @@
   find: ({ jobs, history, bounds }) =>
     jobs.flatMap((facts) => {
       const { job, acceptedAt, cancelAskedAt } = facts;
-      if (acceptedAt === undefined || cancelAskedAt !== undefined) return [];
+      const isJudged = hasSettled(history, bounds, history.endedAt);
+      if (!isJudged || acceptedAt === undefined || cancelAskedAt !== undefined) return [];
       const asked = facts.requests.filter(
         ({ kind, sentAt }) =>
           kind === "state" && sentAt > history.trafficEndedAt + bounds.contactMilliseconds,
@@ -65,6 +67,7 @@
   find: (facts) =>
     facts.jobs.flatMap((each) => {
       const { job, acceptedAt, requests } = each;
+      if (!hasSettled(facts.history, facts.bounds, facts.history.endedAt)) return [];
       const hasEnded = acceptedAt === undefined || isLastingJob(job) || findFinalAnswer(each) !== undefined;
       if (hasEnded || each.cancelConfirmedAt !== undefined || isBusy(facts, each)) return [];
       const state = requests.findLast((request) => request.state !== undefined)?.state ?? "none";
--- a/src/soak/promises/facts.ts
+++ b/src/soak/promises/facts.ts
@@ -76,6 +76,18 @@
   };
 }
 
+/**
+ * Tells whether traffic and faults have ended so long ago that all must be in order again.
+ * @param history - what was seen
+ * @param bounds - how long that may take
+ * @param at - the time that is judged
+ * @returns false while promises on the end cannot be judged
+ */
+export function hasSettled({ faults, trafficEndedAt }: SoakHistory, bounds: SoakBounds, at: number): boolean {
+  const last = Math.max(trafficEndedAt, ...faults.map(({ to }) => to));
+  return last + bounds.finishMilliseconds <= at;
+}
+
 function readJob(job: SoakJob, unordered: readonly RequestRecord[]): JobFacts {
   const requests = [...unordered].sort((left, right) => left.endedAt - right.endedAt);
   const submissions = requests.filter(({ kind }) => kind === "submit");
--- a/src/soak/promises/index.ts
+++ b/src/soak/promises/index.ts
@@ -31,6 +31,7 @@
 } from "./runs.js";
 import { oneHolder, processesStay, stopsInTime, waveBound, waveCompleteIsTrue } from "./surroundings.js";
 
+export { hasSettled } from "./facts.js";
 export type { SoakPromise, Violation } from "./facts.js";
 
 /** All promises. */
--- a/src/soak/soak.ts
+++ b/src/soak/soak.ts
@@ -12,7 +12,7 @@
 import { createHistory, type SoakHistory } from "./history.js";
 import { drawJob, type JobNature } from "./job-plan.js";
 import { startSession, type PlatformSession, type SoakSize } from "./platform-session.js";
-import { findViolations, type Violation } from "./promises/index.js";
+import { findViolations, hasSettled, type Violation } from "./promises/index.js";
 import { watchProcessors } from "./processor-watch.js";
 import { samplePools } from "./samples.js";
 import type { SoakWire } from "./wire.js";
@@ -55,6 +55,7 @@
 const sampleMilliseconds = 250;
 const statusMilliseconds = 100;
 const readyMilliseconds = 3_000;
+const longestSettleMilliseconds = 30_000;
 const nanosecondsPerMillisecond = 1e6;
 /** Another stream of draws than the one that plans faults. */
 const callerSeedOffset = 0x5eed;
@@ -79,7 +80,8 @@
   await delay(readyMilliseconds);
   begin(soak);
   await Promise.all([playFaults(soak, planned), handInJobs(soak), delay(times.endsAt)]);
-  history.endedAt = Math.min(history.endedAt, readClock());
+  await waitUntilSettled(soak);
+  history.endedAt = readClock();
   stopSampling();
   await Promise.allSettled(soak.errands);
   holdUps.disable();
@@ -98,7 +100,12 @@
 function begin({ history, times }: Soak): void {
   history.startedAt = readClock();
   history.trafficEndedAt = history.startedAt + times.trafficEndsAt;
-  history.endedAt = history.startedAt + times.endsAt;
+}
+
+/** A machine short of processor time goes on with its fault; what must hold after faults needs their end. */
+async function waitUntilSettled({ history, options: { bounds } }: Soak): Promise<void> {
+  const latest = readClock() + longestSettleMilliseconds;
+  while (readClock() < latest && !hasSettled(history, bounds, readClock())) await delay(sampleMilliseconds);
 }
 
 function handIn({ callers, random, session, errands }: Soak, nature?: JobNature, isCancelled = false): void {
--- a/src/soak/test/promises.test.ts
+++ b/src/soak/test/promises.test.ts
@@ -126,6 +126,9 @@
   const history = historyOf();
   request(history, { sentAt: 90_000, state: "queued" });
   expect(brokenPromises(history)).toEqual(["accepted-ends"]);
+  fault(history, 70_000, endOfHistory - 10_000);
+  expect(brokenPromises(history)).toEqual([]);
+  history.faults.pop();
   history.samples.push({
     at: endOfHistory - 100,
     pool: "pool-1",
