--- a/src/soak/index.ts
+++ b/src/soak/index.ts
@@ -5,6 +5,7 @@
 export { soakBounds, type SoakBounds } from "./bounds.js";
 export { faultNames, type FaultName } from "./fault-plan.js";
 export { createHistory, type SoakHistory } from "./history.js";
+export { regressionSeeds, type RegressionSeed } from "./regression-seeds.js";
 export { formatReport } from "./report.js";
 export { runSoak, type SoakOptions, type SoakResult } from "./soak.js";
 export type {
