--- a/src/measures/job-path/load.ts
+++ b/src/measures/job-path/load.ts
@@ -28,8 +28,8 @@
 /** Tasks of a job, on the mean. */
 export const tasksPerJob =
   (tasksPerStep * (secondSteps.length + secondSteps.filter(Boolean).length)) / secondSteps.length;
-/** A job of so many tasks finds no room in time. */
-const refusedTasks = 50_000;
+/** A task that needs so much finds no room: its forecast looks through the whole plan, as in a pool that is full. */
+const refusedResources = { cpuMillicores: 100_000_000, memoryMegabytes: 500, accelerators: 0 };
 /** Callers hand a refused job in so often. */
 const attemptsPerRefused = 4;
 const deadlineMilliseconds = 3_000;
@@ -72,7 +72,7 @@
     }
     for (; refused < elapsed * load.refusedPerSecond; refused += 1) {
       const job = Math.floor(refused / attemptsPerRefused);
-      void submit(describeJob(`${prefix}-refused-${job}`, true, { taskCount: refusedTasks }));
+      void submit(describeJob(`${prefix}-refused-${job}`, true, { resources: refusedResources }));
     }
     await delay(roundMilliseconds);
   }
