--- a/src/membership/peer-links.ts
+++ b/src/membership/peer-links.ts
@@ -129,14 +129,14 @@
     dropUnused,
     call: async (peerId, definition, request, timeoutMilliseconds) => {
       const record = known.get(peerId);
-      const found = links.get(peerId) ?? (record === undefined ? undefined : open(record));
-      if (found === undefined || peerId === self.entryId) {
+      const used =
+        links.get(peerId) ?? (record === undefined || peerId === self.entryId ? undefined : open(record));
+      if (used === undefined) {
         return Left({ kind: "not-connected", message: `${peerId} is not in the roster` });
       }
-      found.calledAt = performance.now();
-      const isOpening = found.link.state() === "connecting";
-      const left = isOpening ? await waitUntilUp(found.link, timeoutMilliseconds) : timeoutMilliseconds;
-      return found.link.call(definition, request, left);
+      used.calledAt = performance.now();
+      const left = await waitUntilOpened(used.link, timeoutMilliseconds);
+      return used.link.call(definition, request, left);
     },
     ...bytes.totals,
     close: () => {
@@ -167,8 +167,9 @@
   };
 }
 
-/** Waits until a link is up; returns what is left of the bound. */
-async function waitUntilUp(link: PeerLink, timeoutMilliseconds: number): Promise<number> {
+/** Waits until a new link has been opened, or has failed to; returns what is left of the bound. */
+async function waitUntilOpened(link: PeerLink, timeoutMilliseconds: number): Promise<number> {
+  if (link.state() !== "connecting") return timeoutMilliseconds;
   const deadlineAt = performance.now() + timeoutMilliseconds;
   while (link.state() === "connecting" && performance.now() < deadlineAt)
     await delay(connectPollMilliseconds);
