A lease that an entry has lost by its own clock is ended in the store

Cause: renewals whose answers are read late keep the lease in the store while the entry has to take it for ended. The homes that hang on it give no order, and nobody may take them: not before the lease ends in the store, or the entry, which is overloaded, has a new lease and clears its own records, whereupon it takes the pool again itself.

Fix: the entry ends the lease at once. By its own clock it has stopped giving orders and holds nothing any more, so that a next home is safe as after any end of a lease.

Test: renewals read 2 s late; the lost lease was not ended (failed before).

--- a/src/job-homes/entry-session.ts
+++ b/src/job-homes/entry-session.ts
@@ -120,6 +120,8 @@
       lease = undefined;
       log.write("warn", "entry-session-lost", { leaseId: standing.leaseId, reason });
       void events.emit("lost", { leaseId: standing.leaseId, reason });
+      // Renewals that were read late may have kept it in the store; what hangs on it is free for others at once.
+      void store.revokeLease(standing.leaseId);
     }
   };
 
--- a/src/job-homes/test/home-takeover.test.ts
+++ b/src/job-homes/test/home-takeover.test.ts
@@ -5,6 +5,7 @@
 import { Left } from "purify-ts";
 import { afterEach, expect, test } from "vitest";
 import { jobPrefix } from "../../jobs/index.js";
+import { delay } from "../../shared/index.js";
 import type { TransactionalStore } from "../../store/index.js";
 import { homePrefix } from "../home-record.js";
 import { inheritedLeaseMilliseconds } from "../home-takeover.js";
@@ -74,3 +75,30 @@
   goOn();
   expect(await found.home(entry)).toBeDefined();
 });
+
+test("a lease that an entry has lost by its own clock does not keep its pools from others", async () => {
+  const found = startFixture();
+  fixture = found;
+  let isReadLate = false;
+  const revoked: string[] = [];
+  const entry = found.startEntry("a", (store) => {
+    const renew = store.renewLease.bind(store);
+    const revoke = store.revokeLease.bind(store);
+    store.renewLease = async (leaseId) => {
+      const renewed = await renew(leaseId);
+      if (isReadLate) await delay(2_000);
+      return renewed;
+    };
+    store.revokeLease = async (leaseId) => {
+      revoked.push(leaseId);
+      return revoke(leaseId);
+    };
+    return store;
+  });
+  await found.home(entry);
+  const leaseId = entry.session.leaseId();
+  isReadLate = true;
+  await waitFor(() => entry.lines.some((line) => line.includes("entry-session-lost")));
+  await waitFor(() => revoked.length > 0);
+  expect(revoked).toEqual([leaseId]);
+});
