An entry that takes a home lists the targets instead of reading what changed for a minute

Callers would wait for a pool's new home on an entry with a small link: it knows its targets only after it has read every change of the whole fleet's records since it last looked, up to 60 s of them.

Cause: since an entry without homes pauses for 60 s between two reads, and then went on from its last revision. A target that renews its record every 1.5 s brings 40 records in that time where a list has one; the answer must come within the call's bound of 1.5 s, after which the list is read anyway. A home that was taken while nothing had changed heard of no target at all until the next change.

Evidence: job-followers.test.ts failed before: after 30 s without homes a hurried follower made no list, and told its home nothing. How long a takeover takes at a given size was not measured.

Fix: a copy that is older than the 3 s for which it counts is listed anew, and a list is always told.

--- a/src/store/prefix-follower.ts
+++ b/src/store/prefix-follower.ts
@@ -13,7 +13,9 @@
   readonly waitMilliseconds: number;
   /** The pause between two calls, in which changes gather; asked for anew before each. */
   pauseMilliseconds(): number;
-  /** Called when the copy changed, and once when it is first complete. */
+  /** A copy that is older is listed anew, since what changed meanwhile may be far more; left out to read the changes. */
+  readonly listAfterMilliseconds?: number;
+  /** Called when the copy changed, and whenever it was listed. */
   onChanged(records: ReadonlyMap<string, StoreRecord>): void;
   /** Called when calls begin to fail and when they succeed again. */
   onReachable?(isReachable: boolean, reason: string): void;
@@ -40,7 +42,7 @@
  * @returns the follower, empty until the first list arrived
  */
 export function followPrefix(options: PrefixFollowerOptions): PrefixFollower {
-  const { store, prefix } = options;
+  const { store, prefix, listAfterMilliseconds = Number.POSITIVE_INFINITY } = options;
   const stop = new AbortController();
   let pause = new AbortController();
   let held = new Map<string, StoreRecord>();
@@ -101,7 +103,8 @@
   const run = async (): Promise<void> => {
     let revision: number | undefined;
     while (!stop.signal.aborted) {
-      revision = revision === undefined ? await readList() : await readChanges(revision);
+      const isOld = performance.now() - currentAt > listAfterMilliseconds;
+      revision = revision === undefined || isOld ? await readList() : await readChanges(revision);
       pause = new AbortController();
       const milliseconds = revision === undefined ? retryMilliseconds : options.pauseMilliseconds();
       await delay(milliseconds, AbortSignal.any([stop.signal, pause.signal]));
--- a/src/wiring/job-followers.ts
+++ b/src/wiring/job-followers.ts
@@ -187,6 +187,7 @@
     prefix: registry.prefix,
     waitMilliseconds: registryWaitMilliseconds,
     pauseMilliseconds: () => choosePause(homes()),
+    listAfterMilliseconds: usableAgeMilliseconds,
     onChanged: (records) => {
       targets = registry.decode(records.values());
       onChanged();
--- a/src/wiring/test/job-followers.test.ts
+++ b/src/wiring/test/job-followers.test.ts
@@ -90,6 +90,27 @@
   engine.close();
 });
 
+test("an entry that takes a home lists the targets, and does not read all that changed since it last read them", async () => {
+  vi.useFakeTimers();
+  const engine = createStoreEngine();
+  const store = new MemoryStoreClient(engine, createStoreFaults());
+  const lists = vi.spyOn(store, "list");
+  const waits = vi.spyOn(store, "changesAfter");
+  const options = { store, registry: { prefix: "targets/", decode: () => [] } };
+  const onChanged = vi.fn();
+  const { follower } = followRegistry(options, () => [], onChanged);
+  await vi.advanceTimersByTimeAsync(30_000);
+  onChanged.mockClear();
+  follower.hurry();
+  await vi.advanceTimersByTimeAsync(100);
+  expect(lists).toHaveBeenCalledTimes(2);
+  expect(waits).not.toHaveBeenCalled();
+  // The home hears of them also when none has changed.
+  expect(onChanged).toHaveBeenCalledTimes(1);
+  follower.close();
+  engine.close();
+});
+
 test("newer versions are taken, an older or unreadable one changes nothing", async () => {
   const { usable, current, taken, lines, write, close } = startFollowing();
   write(4);
