An entry does not take several homes in one moment for which others are free

Callers of pools whose homes share one process would see them slow together, after all homes were lost at once: a loss of power, or an outage of the store.

Cause: the order of entries for a home counts the homes that each holds, as last heard from the store. When several pools have no home, an entry that is first for two or more took them in the same round, before it had heard of the first of them. The test of the placement gives the homes away one after the other and could not show this.

Evidence: home-keeper.test.ts, four like entries and five pools: an entry took two within 200 ms. It failed before.

Fix: what this entry holds or has begun to take counts at once. Others have their turn 250 ms a place, as before.

--- a/src/job-homes/home-keeper.ts
+++ b/src/job-homes/home-keeper.ts
@@ -80,6 +80,8 @@
   readonly #held = new Map<string, HeldHome>();
   readonly #vacantSince = new Map<string, number>();
   readonly #taking = new Set<string>();
+  /** Pools for which this entry has begun to write that it is their home. */
+  readonly #claimed = new Set<string>();
   /** When this entry first had a lease, by the monotonic clock. */
   #joinedAt: number | undefined;
 
@@ -154,7 +156,9 @@
   async #consider(pool: string): Promise<void> {
     const record = this.#options.directory.homes().get(pool);
     if (record === undefined) {
-      if (this.#isMyTurn(pool)) await this.#take(pool);
+      if (!this.#isMyTurn(pool)) return;
+      this.#claimed.add(pool);
+      await this.#take(pool).finally(() => this.#claimed.delete(pool));
       return;
     }
     this.#vacantSince.delete(pool);
@@ -175,6 +179,7 @@
     const counts = new Map<string, number>();
     for (const { entryId: holder } of directory.homes().values())
       counts.set(holder, (counts.get(holder) ?? 0) + 1);
+    counts.set(entryId, Math.max(counts.get(entryId) ?? 0, this.#held.size + this.#claimed.size));
     const candidates = [...directory.entries()].map(([candidate, capacityCores]) => ({
       entryId: candidate,
       capacityCores,
