--- a/src/wiring/job-entry.ts
+++ b/src/wiring/job-entry.ts
@@ -24,18 +24,11 @@
 import type { QueueTable } from "../jobs/index.js";
 import { createPeerNetwork, type PeerNetwork, type RosterRecord } from "../membership/index.js";
 import { createRelayDirectory, RelayedTargetOrders, startOrderRelay } from "../order-relays/index.js";
-import { createHttpService, delay, sendJson, type HttpService } from "../shared/index.js";
+import { delay } from "../shared/index.js";
 import { type StoreRecord, type TransactionalStore } from "../store/index.js";
 import type { RegisteredTarget, TargetOrders } from "../task-runs/index.js";
-import {
-  createLoopDelayProbe,
-  followLink,
-  readLinkUse,
-  type Log,
-  type LoopDelayProbe,
-  type Metrics,
-} from "../telemetry/index.js";
-
+import type { Log, Metrics } from "../telemetry/index.js";
+import { createMetricsService, createReadiness, probeLoad } from "./entry-services.js";
 import {
   followConfiguration,
   followMembers,
@@ -136,7 +129,7 @@
   const zone = options.availabilityZone;
   const peers = createPeerNetwork({ entryId, incarnation, zone }, log, standingLinks);
   await peers.listen(addresses.peers.host, addresses.peers.port);
-  const loopDelay = probeLoad(options, peers);
+  const loopDelay = probeLoad(log, metrics, peers);
   const peerAddress = `${addresses.peers.host}:${addresses.peers.port}`;
   const { capacityCores } = options;
   const self: RosterRecord = { entryId, incarnation, peerAddress, zone, capacityCores };
@@ -198,22 +191,6 @@
   };
 }
 
-/** Tells how late this process runs, and what it does meanwhile. */
-function probeLoad({ log, metrics }: JobEntryOptions, peers: PeerNetwork): LoopDelayProbe {
-  followLink(metrics, "peers", {
-    sent: () => peers.bytesSent(),
-    received: () => peers.bytesReceived(),
-  });
-  return createLoopDelayProbe({
-    log,
-    metrics,
-    use: () => ({
-      ...readLinkUse(metrics),
-      ordersInFlight: metrics.value("target_calls_in_flight"),
-    }),
-  });
-}
-
 interface HomeParts {
   readonly session: EntrySession;
   readonly members: Members;
@@ -288,21 +265,3 @@
   void fleet.run();
   return fleet;
 }
-
-function createReadiness(isReady: () => boolean): HttpService {
-  const service = createHttpService();
-  service.routes.all("/*", (_request, response) => {
-    const ready = isReady();
-    sendJson(response, ready ? 200 : 503, { ready });
-  });
-  return service;
-}
-
-function createMetricsService(metrics: Metrics): HttpService {
-  const service = createHttpService();
-  service.routes.get("/metrics", (_request, response) => {
-    response.setHeader("content-type", "text/plain; version=0.0.4");
-    response.end(metrics.expose());
-  });
-  return service;
-}
