--- a/src/job-homes/home-keeper.ts
+++ b/src/job-homes/home-keeper.ts
@@ -3,19 +3,20 @@
  * @packageDocumentation
  */
 import { randomUUID } from "node:crypto";
-import { delay, rendezvousOrder } from "../shared/index.js";
+import { delay } from "../shared/index.js";
 import type { TransactionalStore } from "../store/index.js";
 import type { RegisteredTarget, TargetOrders } from "../task-runs/index.js";
 import type { Log, Metrics } from "../telemetry/index.js";
 import type { AdviceService } from "./advice-book.js";
 import type { EntrySession } from "./entry-session.js";
 import { StoredHomeJournal } from "./home-journal.js";
+import { orderForHome } from "./home-placement.js";
 import { homePrefix, type HomeRecord } from "./home-record.js";
 import { createHomeState, loadJobs, type HomeState } from "./home-state.js";
 import { HomeTargets } from "./home-targets.js";
 import {
   inheritedLeaseMilliseconds,
-  readPoolJobs,
+  loadPoolJobs,
   takePool,
   type StoredJobs,
   type TakenPool,
@@ -24,8 +25,8 @@
 
 /** What the keeper knows of the fleet of entries. */
 export interface HomeDirectory {
-  /** Entries with a record. */
-  readonly entries: () => readonly string[];
+  /** Entries with a record, and how much work each can do, in cores. */
+  readonly entries: () => ReadonlyMap<string, number>;
   /** The home of each pool that has one. */
   homes(): ReadonlyMap<string, HomeRecord & { readonly revision: number }>;
   /** Milliseconds since this was known to be current. */
@@ -51,6 +52,8 @@
   /** How long a lease on runs lasts. */
   readonly runLeaseMilliseconds: number;
   readonly retentionMilliseconds: number;
+  /** An entry that has just joined waits so long, until others that start with it have joined. */
+  readonly settleMilliseconds: number;
 }
 
 interface HeldHome {
@@ -68,7 +71,8 @@
 const directoryAgeMilliseconds = 2_500;
 /** Run numbers that each home of a pool has for itself. */
 const runsPerHome = 64;
-const loadRetryMilliseconds = 100;
+/** An entry that could not read a pool's jobs leaves the pool to others for so long. */
+const standBackMilliseconds = 3_000;
 
 /** Competes for the homes of pools and runs those that this entry holds. */
 export class HomeKeeper {
@@ -77,6 +81,10 @@
   readonly #held = new Map<string, HeldHome>();
   readonly #vacantSince = new Map<string, number>();
   readonly #taking = new Set<string>();
+  /** Pools whose jobs this entry could not read; others go first until then, by the monotonic clock. */
+  readonly #standsBackUntil = new Map<string, number>();
+  /** When this entry first had a lease, by the monotonic clock. */
+  #joinedAt: number | undefined;
 
   /**
    * Creates a keeper; `run` begins to compete.
@@ -135,8 +143,10 @@
   }
 
   #compete(): void {
-    const { session, directory, pools } = this.#options;
+    const { session, directory, pools, settleMilliseconds } = this.#options;
     if (session.leaseId() === undefined || directory.ageMilliseconds() > directoryAgeMilliseconds) return;
+    this.#joinedAt ??= performance.now();
+    if (performance.now() - this.#joinedAt < settleMilliseconds) return;
     for (const pool of pools()) {
       if (this.#held.has(pool) || this.#taking.has(pool)) continue;
       this.#taking.add(pool);
@@ -156,21 +166,25 @@
 
   #isMyTurn(pool: string): boolean {
     const now = performance.now();
+    if (now < (this.#standsBackUntil.get(pool) ?? 0)) return false;
     const since = this.#vacantSince.get(pool) ?? now;
     this.#vacantSince.set(pool, since);
     const place = this.#placeInOrder(pool);
     return place >= 0 && now - since >= place * turnMilliseconds;
   }
 
-  /** This entry's place among those that could take a pool, 0 for the first: those with fewer homes go first. */
+  /** This entry's place among those that could take a pool, 0 for the first. */
   #placeInOrder(pool: string): number {
     const { directory, entryId } = this.#options;
     const counts = new Map<string, number>();
     for (const { entryId: holder } of directory.homes().values())
       counts.set(holder, (counts.get(holder) ?? 0) + 1);
-    const order = rendezvousOrder(pool, directory.entries());
-    order.sort((left, right) => (counts.get(left) ?? 0) - (counts.get(right) ?? 0));
-    return order.indexOf(entryId);
+    const candidates = [...directory.entries()].map(([candidate, capacityCores]) => ({
+      entryId: candidate,
+      capacityCores,
+      homes: counts.get(candidate) ?? 0,
+    }));
+    return orderForHome(pool, candidates).indexOf(entryId);
   }
 
   async #take(pool: string): Promise<void> {
@@ -185,8 +199,10 @@
     }
     const found = taken.unsafeCoerce();
     const goesOn = (): boolean => session.leaseId() === leaseId && !this.#stop.signal.aborted;
-    const jobs = await loadUntilRead(this.#options, pool, goesOn);
-    if (jobs === undefined) return;
+    const jobs = await loadPoolJobs(store, pool, log, goesOn);
+    if (jobs === undefined) this.#standsBackUntil.set(pool, performance.now() + standBackMilliseconds);
+    // The lease may have ended while the jobs were read.
+    if (jobs === undefined || !goesOn()) return;
     const onSuperseded = (reason: string): void => {
       this.#drop(pool, reason);
     };
@@ -202,7 +218,7 @@
     });
   }
 
-  /** Removes a record of this entry that no running home stands for: a write whose answer was lost. */
+  /** Removes a record of this entry that no running home stands for: its answer was lost, or its jobs were not read. */
   async #clearOrphan(pool: string, revision: number): Promise<void> {
     const key = `${homePrefix}${pool}`;
     const writes = [{ key, value: undefined }];
@@ -211,20 +227,6 @@
   }
 }
 
-async function loadUntilRead(
-  { store, log }: HomeKeeperOptions,
-  pool: string,
-  goesOn: () => boolean,
-): Promise<StoredJobs | undefined> {
-  while (goesOn()) {
-    const jobs = await readPoolJobs(store, pool, log);
-    if (jobs.isRight()) return jobs.unsafeCoerce();
-    log.write("warn", "home-load-failed", { pool, reason: jobs.swap().unsafeCoerce() });
-    await delay(loadRetryMilliseconds);
-  }
-  return undefined;
-}
-
 function startHome(
   options: HomeKeeperOptions,
   pool: string,
--- a/src/job-homes/home-targets.ts
+++ b/src/job-homes/home-targets.ts
@@ -144,12 +144,14 @@
     void session.run();
   }
 
-  /** A target that left the registry keeps its session while it runs something. */
+  /** A target that left the registry keeps its session while it runs something, or has ends that are not stored. */
   #closeUnlisted(): void {
     const { targets, awaited } = this.#state;
     for (const target of [...targets.values()]) {
       const { session, runs } = target;
       if (session.isListed() || runs.size > 0 || awaited.has(session.targetId)) continue;
+      // A next home has to wait for ends that are not stored.
+      if (session.acknowledgedSequence() < target.handledSequence) continue;
       session.close();
       this.#drop(target, "closed");
     }
@@ -241,11 +243,13 @@
 }
 
 function hasFillers({ runs }: HomeTarget): boolean {
-  return [...runs.values()].some(({ task }) => task.definition.isFiller);
+  for (const { task } of runs.values()) if (task.definition.isFiller) return true;
+  return false;
 }
 
 /** Sets the pace of the fillers on a target by the tails of the lasting tasks beside them. */
 function paceFillers(state: HomeState, target: HomeTarget): void {
+  if (!hasFillers(target)) return;
   const runs = [...target.runs.values()];
   const fillers = runs.filter(({ task, run }) => task.definition.isFiller && run.status === "running");
   if (fillers.length === 0) return;
--- a/src/job-homes/job-home.ts
+++ b/src/job-homes/job-home.ts
@@ -16,11 +16,12 @@
 import { createAdviceBook, type AdviceBook, type AdviceService } from "./advice-book.js";
 import { dispatch } from "./dispatcher.js";
 import { createFirstRequests } from "./first-requests.js";
-import { forecastJob, type HomeForecast } from "./home-forecast.js";
-import { addJob, openDue, type HomeState, type HomeTarget } from "./home-state.js";
-import { readLoad, reportPool, type PoolReport } from "./pool-report.js";
+import { bookAccepted, forecastJob, type HomeForecast } from "./home-forecast.js";
+import { addJob, forgetJob, openDue, type HomeState, type HomeTarget } from "./home-state.js";
+import { readRecentLoad, reportPool, type PoolReport } from "./pool-report.js";
 import type { CancelOutcome, JobSubmission, StateOutcome, SubmitOutcome } from "./job-outcomes.js";
 import { endJob, hasEnded, storeProgress } from "./job-progress.js";
+import { RoundPace } from "./round-pause.js";
 import { stopUnwanted } from "./stopper.js";
 
 /** Settings of a home. */
@@ -33,8 +34,6 @@
 }
 
 const tickMilliseconds = 100;
-/** Placing waits this long for news that comes together. */
-const gatherMilliseconds = 4;
 /** Part of a caller's time that is kept for the answer's way back. */
 const answerMarginMilliseconds = 250;
 /** Targets are used again when nobody asked for so long to empty them. */
@@ -53,6 +52,7 @@
   readonly #firstRequests = createFirstRequests();
   readonly #accepting = new Map<string, Promise<SubmitOutcome>>();
   #round: NodeJS.Timeout | undefined;
+  readonly #pace = new RoundPace();
   #isStarted = false;
   /** When emptied targets were last asked for, by the monotonic clock. */
   #vacatedAt = 0;
@@ -119,8 +119,8 @@
    * @returns how many there are
    */
   countPending(queue: string): number {
-    const jobs = [...this.#state.jobs.values()];
-    return jobs.filter((job) => job.record.terms.queue === queue && isPending(job)).length;
+    const jobs = [...this.#state.openJobs.values()];
+    return jobs.filter(({ record, hasStarted }) => record.terms.queue === queue && !hasStarted).length;
   }
 
   /**
@@ -152,8 +152,8 @@
   start(): void {
     this.#isStarted = true;
     // Work that was done before the takeover may have been all that was left.
-    for (const job of this.#state.jobs.values()) {
-      if (job.finalState === undefined && hasEnded(job)) void storeProgress(this.#state, job);
+    for (const job of this.#state.openJobs.values()) {
+      if (hasEnded(job)) void storeProgress(this.#state, job);
     }
     void this.#run();
   }
@@ -176,8 +176,10 @@
     if (!this.#isStarted || this.#stop.signal.aborted) return;
     this.#round ??= setTimeout(() => {
       this.#round = undefined;
+      const startedAt = performance.now();
       dispatch(this.#state, this.#advice);
-    }, gatherMilliseconds);
+      this.#pace.note(performance.now() - startedAt);
+    }, this.#pace.pauseMilliseconds());
   }
 
   async #run(): Promise<void> {
@@ -190,17 +192,22 @@
   #tick(): void {
     const now = performance.now();
     const unixNow = Date.now();
-    for (const job of this.#state.jobs.values()) {
-      if (job.finalState === undefined) openDue(this.#state, job, unixNow);
-      else if (unixNow - (job.endedAt ?? unixNow) > this.#options.retentionMilliseconds)
-        forget(this.#state, job);
-    }
+    for (const job of this.#state.openJobs.values()) openDue(this.#state, job, unixNow);
+    this.#forgetEnded(unixNow);
     // Whoever asked for emptied targets asks again while it needs them.
     if (now - this.#vacatedAt > vacateMilliseconds) this.vacate([]);
     stopUnwanted(this.#state);
     this.#wake();
   }
 
+  #forgetEnded(unixNow: number): void {
+    for (const job of this.#state.endedJobs) {
+      // The others have ended later.
+      if (unixNow - (job.endedAt ?? unixNow) <= this.#options.retentionMilliseconds) return;
+      forget(this.#state, job);
+    }
+  }
+
   async #accept(submission: JobSubmission): Promise<SubmitOutcome> {
     const { jobId, terms, definition, deadlineMilliseconds } = submission;
     const now = performance.now();
@@ -238,7 +245,7 @@
   }
 
   #logRefusal({ jobId, terms }: JobSubmission, forecast: HomeForecast, retryAfterMilliseconds: number): void {
-    const { backlogCoreSeconds, cores, busyCores } = readLoad(this.#state);
+    const { backlogCoreSeconds, cores, busyCores } = readRecentLoad(this.#state);
     this.#state.log.write("info", "job-refused", {
       job: jobId,
       queue: terms.queue,
@@ -263,6 +270,7 @@
 
   #add(record: JobRecord, forecast: HomeForecast | undefined): void {
     const job = addJob(this.#state, record, undefined, Date.now(), false);
+    bookAccepted(this.#state, record.terms, record.definition);
     if (forecast !== undefined && Number.isFinite(forecast.uncorrectedEndMilliseconds))
       job.expectedEndAt = performance.now() + forecast.uncorrectedEndMilliseconds;
     const { queue, pool } = record.terms;
@@ -281,12 +289,8 @@
   return value === undefined ? undefined : Math.round(value);
 }
 
-function isPending(job: Job): boolean {
-  return job.finalState === undefined && !job.hasStarted;
-}
-
 function forget(state: HomeState, job: Job): void {
-  state.jobs.delete(job.id);
+  forgetJob(state, job);
   state.journal.write(`${jobPrefix}${job.id}`, undefined, { urgency: "soon" });
   state.journal.write(`${progressPrefix}${job.id}`, undefined, { urgency: "soon" });
 }
--- a/src/job-homes/job-progress.ts
+++ b/src/job-homes/job-progress.ts
@@ -2,8 +2,8 @@
  * Writes jobs' progress and ends to the store; callers see an end once it is stored.
  * @packageDocumentation
  */
-import { allTasks, encodeProgress, isWorkDone, progressPrefix, type Job } from "../jobs/index.js";
-import { dropTasks, type HomeState } from "./home-state.js";
+import { encodeProgress, isWorkDone, progressPrefix, type Job } from "../jobs/index.js";
+import { retireJob, type HomeState } from "./home-state.js";
 
 /**
  * Stores a job's progress, and its end once all work is done or an attempt too many has failed.
@@ -53,7 +53,11 @@
 }
 
 function hasFailed(job: Job): boolean {
-  return allTasks(job).some(({ failures }) => failures >= job.record.terms.attempts);
+  const { attempts } = job.record.terms;
+  for (const { steps } of job.occurrences.values()) {
+    if (steps.some((tasks) => tasks.some(({ failures }) => failures >= attempts))) return true;
+  }
+  return false;
 }
 
 /**
@@ -90,7 +94,7 @@
   job.finalState = finalState;
   job.endedAt = endedAt;
   noteEnd(state, job, finalState);
-  dropTasks(state, job);
+  retireJob(state, job);
   state.wake();
   return true;
 }
--- a/src/job-homes/run-ends.ts
+++ b/src/job-homes/run-ends.ts
@@ -4,8 +4,8 @@
  * @packageDocumentation
  */
 import { noteSuccess, type Job, type Task, type TaskRun } from "../jobs/index.js";
-import type { PresentRun, RunEnd, TargetReport } from "../task-runs/index.js";
-import { isTaskOver, removeRun, type HomeState, type HomeTarget } from "./home-state.js";
+import { mostEndsListed, type PresentRun, type RunEnd, type TargetReport } from "../task-runs/index.js";
+import { isTaskOver, removeRun, type HomeState, type HomeTarget, type TargetRun } from "./home-state.js";
 import { storeProgress } from "./job-progress.js";
 import { describeVanished } from "./run-trace.js";
 
@@ -37,9 +37,11 @@
     const job = takeEnd(state, target, end);
     if (job !== undefined) touched.add(job);
   }
-  dropVanished(state, target, report, (name) => present.has(name) || ended.has(name), askedAt);
+  const listsAllEnds = report.ends.length < mostEndsListed;
+  if (listsAllEnds)
+    dropVanished(state, target, report, (name) => present.has(name) || ended.has(name), askedAt);
   acknowledgeStored(state, target, freshEnds, touched);
-  if (state.awaited.delete(target.session.targetId))
+  if (listsAllEnds && state.awaited.delete(target.session.targetId))
     state.log.write("info", "inherited-target-known", {
       pool: state.pool,
       target: target.session.targetId,
@@ -53,7 +55,7 @@
   const task = state.tasks.get(present.task);
   const known = target.runs.get(present.task);
   if (task !== undefined && known?.run.run === present.run) {
-    updateRun(task, known.run, present);
+    updateRun(known, present);
     return;
   }
   if (task !== undefined && !isTaskOver(task) && task.runs.length === 0) {
@@ -63,13 +65,21 @@
   stopStray(state, target, present);
 }
 
-function updateRun(task: Task, run: TaskRun, present: PresentRun): void {
-  if (run.status === "starting" || run.status === "unresolved") {
-    run.status = "running";
-    run.confirmedAt ??= performance.now();
-    task.job.hasStarted = true;
-  }
+/**
+ * Notes that a target shows a run: its start was carried out.
+ * @param shown - the run
+ */
+export function confirmShown({ task, run }: TargetRun): void {
   run.isListed = true;
+  if (run.status === "running" || run.status === "stopping") return;
+  run.status = "running";
+  run.confirmedAt ??= performance.now();
+  task.job.hasStarted = true;
+}
+
+function updateRun(known: TargetRun, present: PresentRun): void {
+  const { task, run } = known;
+  confirmShown(known);
   if (run.percent !== present.percent) run.progressedAt = performance.now();
   run.percent = present.percent;
   run.usage = present.usage;
@@ -173,7 +183,7 @@
   isAccountedFor: (taskName: string) => boolean,
   askedAt: number,
 ): void {
-  for (const each of [...target.runs.values()]) {
+  for (const each of target.runs.values()) {
     if (isAccountedFor(each.task.name)) continue;
     const { confirmedAt, stopConfirmedAt } = each.run;
     const provedAt = Math.min(confirmedAt ?? Infinity, stopConfirmedAt ?? Infinity);
--- a/src/job-homes/test/home-takeover.test.ts
+++ b/src/job-homes/test/home-takeover.test.ts
@@ -1,9 +1,37 @@
 /**
- * How long a next home waits for targets that do not answer.
+ * Takeovers: how long a next home waits for targets that do not answer, and entries that cannot read a pool's jobs.
  * @packageDocumentation
  */
-import { expect, test } from "vitest";
+import { Left } from "purify-ts";
+import { afterEach, expect, test } from "vitest";
+import { jobPrefix } from "../../jobs/index.js";
+import type { TransactionalStore } from "../../store/index.js";
+import { homePrefix } from "../home-record.js";
 import { inheritedLeaseMilliseconds } from "../home-takeover.js";
+import { pool, startHomeFixture, waitFor, type HomeFixture } from "./home-fixture.js";
+
+let fixture: HomeFixture | undefined;
+afterEach(() => {
+  fixture?.close();
+  fixture = undefined;
+});
+
+function startFixture(): HomeFixture {
+  const behaviour = () => ({
+    needs: { cpuMillicores: 1_000, memoryMegabytes: 100, accelerators: 0 },
+    runMilliseconds: 50,
+    isLasting: false,
+    fails: false,
+  });
+  return startHomeFixture({ targetCount: 1, coresPerTarget: 4, behaviour });
+}
+
+/** A store of which the jobs are read as a test wants. */
+function readJobsBy(store: TransactionalStore, read: TransactionalStore["list"]): TransactionalStore {
+  const list = store.list.bind(store);
+  store.list = async (prefix) => (prefix === jobPrefix ? read(prefix) : list(prefix));
+  return store;
+}
 
 test("the wait covers the longest lease on the slowest clock, and is over within two seconds of that", () => {
   const runLease = 5_900;
@@ -12,3 +40,37 @@
   // Lasting tasks have to run again within seconds, so that no further time may be added to a lease.
   expect(inheritedLeaseMilliseconds(runLease)).toBeLessThan(longest + 2_000);
 });
+
+test("an entry that cannot read a pool's jobs leaves the pool to another one", async () => {
+  const found = startFixture();
+  fixture = found;
+  const failure = { kind: "timeout", message: "no answer in time" } as const;
+  const unable = async () => Promise.resolve(Left(failure));
+  const first = found.startEntry("a", (store) => readJobsBy(store, unable));
+  await waitFor(() => first.lines.some((line) => line.includes("home-load-failed")));
+  const next = found.startEntry("b");
+  expect(await found.home(next)).toBeDefined();
+  expect(first.keeper.home(pool)).toBeUndefined();
+});
+
+test("an entry whose lease ended while it read a pool's jobs takes the pool again", async () => {
+  const found = startFixture();
+  fixture = found;
+  let goOn: () => void = () => undefined;
+  const held = new Promise<void>((resolve) => {
+    goOn = resolve;
+  });
+  const entry = found.startEntry("a", (store) => {
+    const list = store.list.bind(store);
+    return readJobsBy(store, async (prefix) => {
+      await held;
+      return list(prefix);
+    });
+  });
+  await waitFor(() => found.engine.range(`${homePrefix}${pool}`).length > 0);
+  entry.faults.mode = "refusing";
+  await waitFor(() => entry.lines.some((line) => line.includes("entry-session-lost")));
+  entry.faults.mode = "up";
+  goOn();
+  expect(await found.home(entry)).toBeDefined();
+});
--- a/src/task-runs/target-orders.ts
+++ b/src/task-runs/target-orders.ts
@@ -12,12 +12,13 @@
   readonly address: string;
   /** Unix time of its start: another value under the same identifier is another life that knows nothing. */
   readonly startedAtUnix: number;
+  /** Where it is; empty when that is not known. */
+  readonly availabilityZone: string;
 }
 
 /** A target as the registry lists it. */
 export interface RegisteredTarget extends TargetIdentity {
   readonly pool: string;
-  readonly availabilityZone: string;
   readonly state: "ready" | "draining";
   readonly capacity: Resources;
   /** The rack of its machine; undefined when it names none. */
@@ -53,6 +54,9 @@
   readonly usage: number;
 }
 
+/** A target lists at most so many ends at once, the earliest; a report of as many may leave later ones out. */
+export const mostEndsListed = 500;
+
 /** What a target answers to a renewal. */
 export interface TargetReport {
   /** Which life answered. */
@@ -66,7 +70,7 @@
 /** What was measured of an order. */
 export interface OrderTiming {
   /** How long it waited in its sender before it was written; left out when that was short or is not known. */
-  readonly queueMilliseconds?: number;
+  readonly queueMilliseconds?: number | undefined;
 }
 
 /** What an order brought. */
--- a/src/task-runs/target-session.ts
+++ b/src/task-runs/target-session.ts
@@ -41,8 +41,13 @@
 
 const renewTimeoutMilliseconds = 1_000;
 const retryMilliseconds = 150;
-/** Pause after a report, in which further ends gather. */
-const pauseMilliseconds = 25;
+/** Pause after a report, in which further ends gather; longer where ends come fast. */
+const shortestPauseMilliseconds = 25;
+const longestPauseMilliseconds = 60;
+/** By how much the pause grows for each end a second. */
+const pausePerEnd = 1.4;
+/** Over about this time ends are counted. */
+const rateMilliseconds = 1_000;
 /** A target's clock may be this much slower than true time. */
 export const slowestClockRate = 0.98;
 const lapseMarginMilliseconds = 150;
@@ -53,6 +58,11 @@
   readonly readAt: number;
 }
 
+/** What a clock shows at least at a later time. */
+function earliestValue({ value, readAt }: ClockReading, now: number): number {
+  return value + (now - readAt) * slowestClockRate;
+}
+
 /** A home's connection to one life of a target. */
 export class TargetSession {
   readonly targetId: string;
@@ -66,6 +76,8 @@
   #leaseLapsesAt: number;
   #acknowledgedSequence = 0;
   #reportedSequence = 0;
+  #endsPerSecond = 0;
+  #reportedAt = performance.now();
   #pause = new AbortController();
 
   /**
@@ -132,8 +144,9 @@
     return end;
   }
 
-  /** Notes the target's clock as an answer told it. */
+  /** Notes the target's clock as an answer told it; one that was read late says less than the reading before. */
   noteClock(clockMilliseconds: number, receivedAt: number): void {
+    if (this.#clock !== undefined && clockMilliseconds < earliestValue(this.#clock, receivedAt)) return;
     this.#clock = { value: clockMilliseconds, readAt: receivedAt };
   }
 
@@ -142,6 +155,11 @@
     this.#acknowledgedSequence = Math.max(this.#acknowledgedSequence, sequence);
   }
 
+  /** Ends up to this sequence have been stored. */
+  acknowledgedSequence(): number {
+    return this.#acknowledgedSequence;
+  }
+
   /** Ends the pause before the next renewal. */
   hurry(): void {
     this.#pause.abort();
@@ -157,13 +175,22 @@
   async run(): Promise<void> {
     while (!this.#stop.signal.aborted) {
       if (this.#options.handlers.isActive()) await this.#renewOnce();
-      if (this.#failuresInARow > 0 && performance.now() > this.#leaseLapsesAt) this.#finish("lease-lapsed");
-      this.#pause = new AbortController();
-      const pause = this.#failuresInARow > 0 ? retryMilliseconds : pauseMilliseconds;
-      await delay(pause, AbortSignal.any([this.#stop.signal, this.#pause.signal]));
+      if (this.#failuresInARow > 0 && this.#hasLapsed()) this.#finish("lease-lapsed");
+      await this.#rest(this.#failuresInARow > 0 ? retryMilliseconds : this.#choosePause());
     }
   }
 
+  async #rest(milliseconds: number): Promise<void> {
+    if (this.#stop.signal.aborted) return;
+    this.#pause = new AbortController();
+    await delay(milliseconds, this.#pause.signal);
+  }
+
+  /** Whether a lease was given or inherited here, and has surely ended. */
+  #hasLapsed(): boolean {
+    return this.#leaseLapsesAt > 0 && performance.now() > this.#leaseLapsesAt;
+  }
+
   async #renewOnce(): Promise<void> {
     const { orders, fencingToken, handlers, metrics } = this.#options;
     // While nothing answers no lease is asked for: an order without an answer may have renewed it, so that what runs
@@ -200,10 +227,23 @@
     this.#failuresInARow = 0;
     this.noteClock(report.clockMilliseconds, performance.now());
     const fresh = report.ends.filter(({ sequence }) => sequence > this.#reportedSequence);
+    this.#countEnds(fresh.length);
     for (const { sequence } of fresh) this.#reportedSequence = Math.max(this.#reportedSequence, sequence);
     this.#options.handlers.onReport(this, report, fresh, askedAt);
   }
 
+  #countEnds(count: number): void {
+    const now = performance.now();
+    const elapsed = Math.max(1, now - this.#reportedAt);
+    this.#reportedAt = now;
+    const weight = Math.min(1, elapsed / rateMilliseconds);
+    this.#endsPerSecond += weight * ((count * 1_000) / elapsed - this.#endsPerSecond);
+  }
+
+  #choosePause(): number {
+    return Math.min(longestPauseMilliseconds, shortestPauseMilliseconds + pausePerEnd * this.#endsPerSecond);
+  }
+
   #finish(reason: SessionEndReason): void {
     if (this.#stop.signal.aborted) return;
     this.close();
--- a/src/wiring/job-entry.ts
+++ b/src/wiring/job-entry.ts
@@ -7,6 +7,7 @@
   HomeGateway,
   HomeKeeper,
   dutyPrefix,
+  findLargeEntries,
   openEntrySession,
   SessionDuty,
   type AdviceService,
@@ -22,6 +23,7 @@
 } from "../fleet/index.js";
 import type { QueueTable } from "../jobs/index.js";
 import { createPeerNetwork, type PeerNetwork, type RosterRecord } from "../membership/index.js";
+import { createRelayDirectory, RelayedTargetOrders, startOrderRelay } from "../order-relays/index.js";
 import { createHttpService, delay, sendJson, type HttpService } from "../shared/index.js";
 import { type StoreRecord, type TransactionalStore } from "../store/index.js";
 import type { RegisteredTarget, TargetOrders } from "../task-runs/index.js";
@@ -85,6 +87,8 @@
   readonly machines: MachineControl | undefined;
   /** A new holder of the duty on machines waits so long before its first order. */
   readonly orderLeaseMilliseconds: number;
+  /** Orders for machines that the platform takes in a second from all entries together. */
+  readonly machineOrdersPerSecond: number;
   createIngress(gateway: JobGateway, table: () => QueueTable | undefined): JobIngress;
   readonly log: Log;
   readonly metrics: Metrics;
@@ -94,6 +98,8 @@
   readonly configurationMilliseconds: number;
   /** How long a stop may take. */
   readonly graceMilliseconds: number;
+  /** How much work this entry can do, in cores. */
+  readonly capacityCores: number;
 }
 
 /** A running entry that takes jobs. */
@@ -107,7 +113,11 @@
   kill(): Promise<void>;
 }
 
+/** Links are opened by calls: to homes, to relays and from relays. All others would only carry heartbeats. */
+const standingLinks = 0;
 const fleetDuty = "fleet";
+/** Entries of a fleet that starts as a whole join within this time. */
+const settleMilliseconds = 700;
 const vacateTimeoutMilliseconds = 700;
 const entryLeaseMilliseconds = 3_000;
 /** Part of the grace that is left for the last answers and the end of the process. */
@@ -124,18 +134,20 @@
   const { log, store, entryId, metrics, addresses } = options;
   const incarnation = Date.now();
   const zone = options.availabilityZone;
-  const peers = createPeerNetwork({ entryId, incarnation, zone }, log);
+  const peers = createPeerNetwork({ entryId, incarnation, zone }, log, standingLinks);
   await peers.listen(addresses.peers.host, addresses.peers.port);
   const loopDelay = probeLoad(options, peers);
   const peerAddress = `${addresses.peers.host}:${addresses.peers.port}`;
-  const self: RosterRecord = { entryId, incarnation, peerAddress, zone };
+  const { capacityCores } = options;
+  const self: RosterRecord = { entryId, incarnation, peerAddress, zone, capacityCores };
 
   const members = followMembers(store, peers, log);
   const configuration = followConfiguration(options, (table) => {
     ingress.applyLimits(table);
   });
   const session = openEntrySession({ store, self, log, leaseMilliseconds: entryLeaseMilliseconds });
-  const { registry, keeper } = wireHomes(options, { session, members, configuration });
+  const orders = wireOrders(options, peers, members);
+  const { registry, keeper } = wireHomes({ ...options, orders }, { session, members, configuration });
   const gateway = new HomeGateway({ entryId, keeper, directory: members.directory, peers, store });
   const fleet = wireFleet(options, { session, members, configuration, gateway });
   const ingress = options.createIngress(gateway, configuration.usable);
@@ -212,6 +224,14 @@
   readonly gateway: HomeGateway;
 }
 
+/** Takes orders of other entries' homes, and sends those of this entry's homes through other entries. */
+function wireOrders(options: JobEntryOptions, peers: PeerNetwork, members: Members): TargetOrders {
+  const { entryId, orders, log, metrics } = options;
+  startOrderRelay({ peers, orders, log, metrics });
+  const relays = createRelayDirectory({ entryId, peers, entries: members.relayCandidates });
+  return new RelayedTargetOrders({ peers, local: orders, relays, log, metrics });
+}
+
 /** The homes of this entry, and the registry of the targets that they use. */
 function wireHomes(
   options: JobEntryOptions,
@@ -230,6 +250,7 @@
     onTaken: () => {
       registry.follower.hurry();
     },
+    settleMilliseconds,
   });
   void keeper.run();
   return { registry, keeper };
@@ -245,7 +266,7 @@
     entryId,
     store,
     session,
-    entries: members.directory.entries,
+    entries: () => findLargeEntries(members.directory.entries()),
     holder: () => members.follower.records().get(`${dutyPrefix}${fleetDuty}`),
     log,
   });
@@ -260,6 +281,7 @@
       gateway.vacate(pool, targetIds, arrivals, vacateTimeoutMilliseconds),
     waveStatus: options.operators.waveStatus,
     orderLeaseMilliseconds,
+    ordersPerSecond: options.machineOrdersPerSecond,
     log,
     metrics,
   });
