The first entry that is back after an outage of the store does not take all homes

Cause: the wait of 700 ms, in which entries that start together join, was kept for the start of the process. When the store comes back entries have their leases again one after the other; the first saw no other entry, and so was first for every pool. A pool that was vacant when an entry lost its lease also gave it no turn to wait for afterwards.

Evidence: home-keeper.test.ts failed before: alone for 500 ms the entry took all five homes.

Fix: after a lost lease an entry waits until the entries that it knew are back, at most the same 700 ms; one that alone lost its lease does not wait (a test of its own). Turns begin anew. Reading the jobs again and again has moved to home-takeover.ts, unchanged, to keep the keeper small.

--- a/src/job-homes/home-keeper.ts
+++ b/src/job-homes/home-keeper.ts
@@ -16,12 +16,13 @@
 import { HomeTargets } from "./home-targets.js";
 import {
   inheritedLeaseMilliseconds,
-  readPoolJobs,
+  loadUntilRead,
   takePool,
   type StoredJobs,
   type TakenPool,
 } from "./home-takeover.js";
 import { JobHome } from "./job-home.js";
+import { JoinWait } from "./join-wait.js";
 
 /** What the keeper knows of the fleet of entries. */
 export interface HomeDirectory {
@@ -71,7 +72,6 @@
 const directoryAgeMilliseconds = 2_500;
 /** Run numbers that each home of a pool has for itself. */
 const runsPerHome = 64;
-const loadRetryMilliseconds = 100;
 
 /** Competes for the homes of pools and runs those that this entry holds. */
 export class HomeKeeper {
@@ -82,8 +82,7 @@
   readonly #taking = new Set<string>();
   /** Pools for which this entry has begun to write that it is their home. */
   readonly #claimed = new Set<string>();
-  /** When this entry first had a lease, by the monotonic clock. */
-  #joinedAt: number | undefined;
+  readonly #joinWait: JoinWait;
 
   /**
    * Creates a keeper; `run` begins to compete.
@@ -91,7 +90,10 @@
    */
   constructor(options: HomeKeeperOptions) {
     this.#options = options;
+    this.#joinWait = new JoinWait(options.settleMilliseconds);
     options.session.events.on("lost", ({ leaseId, reason }) => {
+      this.#joinWait.lost(options.directory.entries().keys());
+      this.#vacantSince.clear();
       for (const [pool, held] of this.#held) if (held.leaseId === leaseId) this.#drop(pool, reason);
     });
   }
@@ -142,10 +144,9 @@
   }
 
   #compete(): void {
-    const { session, directory, pools, settleMilliseconds } = this.#options;
+    const { session, directory, pools } = this.#options;
     if (session.leaseId() === undefined || directory.ageMilliseconds() > directoryAgeMilliseconds) return;
-    this.#joinedAt ??= performance.now();
-    if (performance.now() - this.#joinedAt < settleMilliseconds) return;
+    if (!this.#joinWait.isOver(directory.entries())) return;
     for (const pool of pools()) {
       if (this.#held.has(pool) || this.#taking.has(pool)) continue;
       this.#taking.add(pool);
@@ -226,20 +227,6 @@
   }
 }
 
-async function loadUntilRead(
-  { store, log }: HomeKeeperOptions,
-  pool: string,
-  goesOn: () => boolean,
-): Promise<StoredJobs | undefined> {
-  while (goesOn()) {
-    const jobs = await readPoolJobs(store, pool, log);
-    if (jobs.isRight()) return jobs.unsafeCoerce();
-    log.write("warn", "home-load-failed", { pool, reason: jobs.swap().unsafeCoerce() });
-    await delay(loadRetryMilliseconds);
-  }
-  return undefined;
-}
-
 function startHome(
   options: HomeKeeperOptions,
   pool: string,
--- a/src/job-homes/home-takeover.ts
+++ b/src/job-homes/home-takeover.ts
@@ -11,6 +11,7 @@
   type JobRecord,
   type ProgressRecord,
 } from "../jobs/index.js";
+import { delay } from "../shared/index.js";
 import type { StoreRecord, TransactionalStore } from "../store/index.js";
 import { slowestClockRate } from "../task-runs/index.js";
 import type { Log } from "../telemetry/index.js";
@@ -122,6 +123,29 @@
     });
 }
 
+const loadRetryMilliseconds = 100;
+
+/**
+ * Reads the jobs of a pool, again and again until they were read.
+ * @param options - the store, and what takes failures
+ * @param pool - the pool
+ * @param goesOn - whether they are still wanted
+ * @returns the jobs; undefined when they are not wanted any more
+ */
+export async function loadUntilRead(
+  { store, log }: { readonly store: TransactionalStore; readonly log: Log },
+  pool: string,
+  goesOn: () => boolean,
+): Promise<StoredJobs | undefined> {
+  while (goesOn()) {
+    const jobs = await readPoolJobs(store, pool, log);
+    if (jobs.isRight()) return jobs.unsafeCoerce();
+    log.write("warn", "home-load-failed", { pool, reason: jobs.swap().unsafeCoerce() });
+    await delay(loadRetryMilliseconds);
+  }
+  return undefined;
+}
+
 function decodeOrLog<Decoded>(
   { key, value }: StoreRecord,
   decode: (value: unknown) => Decoded | undefined,
--- a/src/job-homes/test/home-keeper.test.ts
+++ b/src/job-homes/test/home-keeper.test.ts
@@ -36,13 +36,15 @@
   return owners.find((owner, index) => owners.indexOf(owner) !== index) ?? "";
 }
 
-async function startKeeper() {
+async function startKeeper(settleMilliseconds: number) {
   const engine = createStoreEngine();
   const store = new MemoryStoreClient(engine, createStoreFaults());
-  const { leaseId } = (await store.grantLease(60)).unsafeCoerce();
+  const granted = await store.grantLease(60);
+  const lease = { id: granted.unsafeCoerce().leaseId as string | undefined };
+  const known = new Map(entries);
   const session: EntrySession = {
     events: new Emittery<EntrySessionEvents>(),
-    leaseId: () => leaseId,
+    leaseId: () => lease.id,
     standsUntil: () => Number.POSITIVE_INFINITY,
     close: async () => Promise.resolve(),
   };
@@ -51,7 +53,7 @@
     store,
     session,
     // What this entry has just taken is not heard of yet.
-    directory: { entries: () => entries, homes: () => new Map(), ageMilliseconds: () => 0 },
+    directory: { entries: () => known, homes: () => new Map(), ageMilliseconds: () => 0 },
     pools: () => pools,
     listedTargets: () => new Map(),
     orders,
@@ -60,19 +62,54 @@
     metrics: createMetrics(),
     runLeaseMilliseconds: 6_000,
     retentionMilliseconds: 60_000,
-    settleMilliseconds: 0,
+    settleMilliseconds,
   });
   void keeper.run();
   const close = async (): Promise<void> => {
     engine.close();
     await keeper.close();
   };
-  return { keeper, close };
+  return { keeper, store, session, lease, known, close };
 }
 
 test("an entry does not take a second home in the same moment, before others could have taken it", async () => {
-  const { keeper, close } = await startKeeper();
+  const { keeper, close } = await startKeeper(0);
   await vi.advanceTimersByTimeAsync(200);
   expect(keeper.homes()).toHaveLength(1);
   await close();
 });
+
+async function loseLease({ store, session, lease }: Awaited<ReturnType<typeof startKeeper>>): Promise<void> {
+  const leaseId = lease.id ?? "";
+  lease.id = undefined;
+  await session.events.emit("lost", { leaseId, reason: "the store has ended it" });
+  await store.revokeLease(leaseId);
+}
+
+test("an entry that is back first after an outage of the store for all does not take homes before the others are back", async () => {
+  const started = await startKeeper(700);
+  const { keeper, store, lease, known } = started;
+  await vi.advanceTimersByTimeAsync(1_000);
+  expect(keeper.homes().length).toBeGreaterThan(0);
+  await loseLease(started);
+  known.clear();
+  known.set(first, 1);
+  lease.id = (await store.grantLease(60)).unsafeCoerce().leaseId;
+  await vi.advanceTimersByTimeAsync(500);
+  expect(keeper.homes()).toHaveLength(0);
+  for (const [entryId, capacityCores] of entries) known.set(entryId, capacityCores);
+  await vi.advanceTimersByTimeAsync(150);
+  expect(keeper.homes()).toHaveLength(1);
+  await started.close();
+});
+
+test("an entry that alone lost its lease competes again at once", async () => {
+  const started = await startKeeper(700);
+  const { keeper, store, lease } = started;
+  await vi.advanceTimersByTimeAsync(1_000);
+  await loseLease(started);
+  lease.id = (await store.grantLease(60)).unsafeCoerce().leaseId;
+  await vi.advanceTimersByTimeAsync(150);
+  expect(keeper.homes().length).toBeGreaterThan(0);
+  await started.close();
+});
