--- a/src/job-homes/home-keeper.ts
+++ b/src/job-homes/home-keeper.ts
@@ -22,6 +22,7 @@
   type TakenPool,
 } from "./home-takeover.js";
 import { JobHome } from "./job-home.js";
+import { JoinWait } from "./join-wait.js";
 
 /** What the keeper knows of the fleet of entries. */
 export interface HomeDirectory {
@@ -85,8 +86,7 @@
   readonly #standsBackUntil = new Map<string, number>();
   /** Pools for which this entry has begun to write that it is their home. */
   readonly #claimed = new Set<string>();
-  /** When this entry first had a lease, by the monotonic clock. */
-  #joinedAt: number | undefined;
+  readonly #joinWait: JoinWait;
 
   /**
    * Creates a keeper; `run` begins to compete.
@@ -94,7 +94,10 @@
    */
   constructor(options: HomeKeeperOptions) {
     this.#options = options;
+    this.#joinWait = new JoinWait(options.settleMilliseconds);
     options.session.events.on("lost", ({ leaseId, reason }) => {
+      this.#joinWait.lost(options.directory.entries().keys());
+      this.#vacantSince.clear();
       for (const [pool, held] of this.#held) if (held.leaseId === leaseId) this.#drop(pool, reason);
     });
   }
@@ -145,10 +148,9 @@
   }
 
   #compete(): void {
-    const { session, directory, pools, settleMilliseconds } = this.#options;
+    const { session, directory, pools } = this.#options;
     if (session.leaseId() === undefined || directory.ageMilliseconds() > directoryAgeMilliseconds) return;
-    this.#joinedAt ??= performance.now();
-    if (performance.now() - this.#joinedAt < settleMilliseconds) return;
+    if (!this.#joinWait.isOver(directory.entries())) return;
     for (const pool of pools()) {
       if (this.#held.has(pool) || this.#taking.has(pool)) continue;
       this.#taking.add(pool);
