A next life of a target is not told to forget ends that only the life before had listed

Cause: each renewal carried the highest end that was ever acknowledged to its session. A target that starts again under its identifier counts its ends anew. A renewal that the new life takes, because the old one was not yet known to be over or because the order came late, made it forget as many ends, unseen; what had ended there vanished and started again, after an end that the target takes for noted.

Evidence: test with handed-in time: renewals after an empty report and after a failure still carried 7; it failed before. The model of homes and targets failed on a busy machine with "ran again on presses-0 after it had succeeded on presses-3", where presses-3 had started again; whether by this way was not traced.

Fix: an acknowledgement goes along only while the last report listed ends and no renewal has failed since; a report of the right life brings it back. What remains: a renewal that was asked for while all was well, and comes to the next life late.

--- a/src/task-runs/target-session.ts
+++ b/src/task-runs/target-session.ts
@@ -71,6 +71,8 @@
   #leaseLapsesAt: number;
   #acknowledgedSequence = 0;
   #reportedSequence = 0;
+  /** Whether the last report listed ends. */
+  #listsEnds = false;
   #pause = new AbortController();
 
   /**
@@ -175,6 +177,11 @@
     }
   }
 
+  /** A next life would forget ends that nobody has seen: nothing is acknowledged without need, or after a failure. */
+  #nextAcknowledgement(): number {
+    return this.#listsEnds && this.#failuresInARow === 0 ? this.#acknowledgedSequence : 0;
+  }
+
   /** Whether a lease was given or inherited here, and has surely ended. */
   #hasLapsed(): boolean {
     return this.#leaseLapsesAt > 0 && performance.now() > this.#leaseLapsesAt;
@@ -190,7 +197,7 @@
     const answer = await orders.renew({
       target: this.#target,
       fencingToken,
-      acknowledgedSequence: this.#acknowledgedSequence,
+      acknowledgedSequence: this.#nextAcknowledgement(),
       leaseUntilMilliseconds: isSteady ? this.nextLeaseEnd() : undefined,
       waitMilliseconds,
       timeoutMilliseconds: waitMilliseconds + renewTimeoutMilliseconds,
@@ -214,6 +221,7 @@
   #takeReport(report: TargetReport, askedAt: number): void {
     this.#isKnown = true;
     this.#failuresInARow = 0;
+    this.#listsEnds = report.ends.length > 0;
     this.noteClock(report.clockMilliseconds, performance.now());
     const fresh = report.ends.filter(({ sequence }) => sequence > this.#reportedSequence);
     for (const { sequence } of fresh) this.#reportedSequence = Math.max(this.#reportedSequence, sequence);
--- a/src/task-runs/test/target-session.test.ts
+++ b/src/task-runs/test/target-session.test.ts
@@ -2,7 +2,7 @@
  * What a session believes of its target's clock and of the leases that it asked for, with time handed in.
  * @packageDocumentation
  */
-import { Left } from "purify-ts";
+import { Left, Right } from "purify-ts";
 import { afterEach, beforeEach, expect, test, vi } from "vitest";
 import { createMetrics } from "../../telemetry/index.js";
 import { TargetSession, type TargetSessionHandlers } from "../target-session.js";
@@ -103,3 +103,29 @@
   expect(gone).toBe(0);
   expect(renewals).toBe(11);
 });
+
+test("a target that may have started again is not told to forget ends that only its life before had listed", async () => {
+  const asked: number[] = [];
+  const end = { sequence: 7, task: "job.0.0.0", run: 1, kind: "succeeded", checkpoint: "" } as const;
+  const report = { startedAtUnix: 1, clockMilliseconds: 1, present: [] };
+  const answers = [
+    Right({ ...report, ends: [end] }),
+    Right({ ...report, ends: [] }),
+    Right({ ...report, ends: [end] }),
+    Left({ kind: "unknown", message: "the connection failed" } as const),
+  ];
+  const session = createSession({
+    renew: async ({ acknowledgedSequence }) => {
+      asked.push(acknowledgedSequence);
+      const answer = answers.shift();
+      return answer === undefined ? new Promise(() => undefined) : Promise.resolve(answer);
+    },
+    onReport: (reporting) => {
+      reporting.acknowledge(end.sequence);
+    },
+  });
+  void session.run();
+  await vi.advanceTimersByTimeAsync(1_000);
+  session.close();
+  expect(asked).toEqual([0, 7, 0, 7, 0]);
+});
