The model of homes and targets knows that a lapsed lease ends what a target had to tell

Since answers may be read late there, a session can lose its lease with no fault of the target, which the reference did not know.

--- a/src/stand-ins/job-targets/index.ts
+++ b/src/stand-ins/job-targets/index.ts
@@ -3,4 +3,10 @@
  * @packageDocumentation
  */
 export { startJobFleet, type JobFleet, type JobFleetOptions } from "./job-fleet.js";
-export { JobTarget, type JobTargetWorld, type RunRecord, type TaskBehaviour } from "./job-target.js";
+export {
+  JobTarget,
+  type JobTargetWorld,
+  type LeaseLapse,
+  type RunRecord,
+  type TaskBehaviour,
+} from "./job-target.js";
--- a/src/stand-ins/job-targets/job-fleet.ts
+++ b/src/stand-ins/job-targets/job-fleet.ts
@@ -39,7 +39,12 @@
  * @returns the running fleet
  */
 export function startJobFleet(options: JobFleetOptions): JobFleet {
-  const world: JobTargetWorld = { now: () => performance.now(), behaviour: options.behaviour, history: [] };
+  const world: JobTargetWorld = {
+    now: () => performance.now(),
+    behaviour: options.behaviour,
+    history: [],
+    lapses: [],
+  };
   const targets = new Map(
     Array.from({ length: options.targetCount }, (_, index) => {
       const target = createTarget(world, options, index);
--- a/src/stand-ins/job-targets/job-target.ts
+++ b/src/stand-ins/job-targets/job-target.ts
@@ -46,6 +46,12 @@
   how: RunEndKind | "crashed" | undefined;
 }
 
+/** A moment at which the lease of all that a target ran had ended. */
+export interface LeaseLapse {
+  readonly targetId: string;
+  readonly at: number;
+}
+
 /** What all targets of a test share. */
 export interface JobTargetWorld {
   /** The time, in milliseconds. */
@@ -53,6 +59,8 @@
   readonly behaviour: (task: string) => TaskBehaviour;
   /** Every run so far, for checks. */
   readonly history: RunRecord[];
+  /** Every lapse so far, for checks. */
+  readonly lapses: LeaseLapse[];
 }
 
 /** The longest lease that is given. */
@@ -71,6 +79,7 @@
   #sequence = 0;
   #fence = 0;
   #leaseUntil = 0;
+  #holdsLease = false;
   /** Whether nothing reaches it. */
   isSilent = false;
   /** Whether its answers are lost. */
@@ -107,6 +116,7 @@
     this.#sequence = 0;
     this.#fence = 0;
     this.#leaseUntil = 0;
+    this.#holdsLease = false;
     this.#startedAt = this.#world.now();
     this.#startedAtUnix += 1;
   }
@@ -118,6 +128,8 @@
       if (run.endsAt <= now && !run.isLasting) this.#end(run, run.fails ? "failed" : "succeeded");
     }
     if (this.#clock() <= this.#leaseUntil) return;
+    if (this.#holdsLease) this.#world.lapses.push({ targetId: this.#registered.targetId, at: now });
+    this.#holdsLease = false;
     for (const run of [...this.#running.values()]) this.#end(run, "lease-lapsed");
   }
 
@@ -192,6 +204,7 @@
     if (until === undefined || (refusal !== undefined && refusal !== "old-run" && refusal !== "no-room"))
       return;
     this.#leaseUntil = Math.max(this.#leaseUntil, Math.min(until, this.#clock() + longestLeaseMilliseconds));
+    this.#holdsLease ||= this.#leaseUntil > this.#clock();
   }
 
   #begin({ task, run }: StartOrder): void {
