--- a/src/task-runs/test/renewal-rate.test.ts
+++ b/src/task-runs/test/renewal-rate.test.ts
@@ -3,7 +3,7 @@
  * @packageDocumentation
  */
 import { Right } from "purify-ts";
-import { expect, test } from "vitest";
+import { afterEach, beforeEach, expect, test, vi } from "vitest";
 import { createMetrics } from "../../telemetry/index.js";
 import { TargetSession, type RegisteredTarget, type RunEnd, type TargetOrders } from "../index.js";
 
@@ -20,6 +20,13 @@
   remainingMilliseconds: undefined,
 };
 
+beforeEach(() => {
+  vi.useFakeTimers();
+});
+afterEach(() => {
+  vi.useRealTimers();
+});
+
 /** Runs a session with a target of which a task ends each so many milliseconds; returns how often it was asked. */
 async function countRenewals(endEachMilliseconds: number, milliseconds: number): Promise<number> {
   let renewals = 0;
@@ -60,8 +67,9 @@
     inheritedLeaseUntil: 0,
   });
   const running = session.run();
-  await new Promise((resolve) => setTimeout(resolve, milliseconds));
+  await vi.advanceTimersByTimeAsync(milliseconds);
   session.close();
+  await vi.runAllTimersAsync();
   await running;
   return renewals;
 }
