--- a/src/task-runs/target-session.ts
+++ b/src/task-runs/target-session.ts
@@ -76,6 +76,8 @@
   #leaseLapsesAt: number;
   #acknowledgedSequence = 0;
   #reportedSequence = 0;
+  /** Whether the last report listed ends. */
+  #listsEnds = false;
   #endsPerSecond = 0;
   #reportedAt = performance.now();
   #pause = new AbortController();
@@ -180,6 +182,11 @@
     }
   }
 
+  /** A next life would forget ends that nobody has seen: nothing is acknowledged without need, or after a failure. */
+  #nextAcknowledgement(): number {
+    return this.#listsEnds && this.#failuresInARow === 0 ? this.#acknowledgedSequence : 0;
+  }
+
   async #rest(milliseconds: number): Promise<void> {
     if (this.#stop.signal.aborted) return;
     this.#pause = new AbortController();
@@ -201,7 +208,7 @@
     const answer = await orders.renew({
       target: this.#target,
       fencingToken,
-      acknowledgedSequence: this.#acknowledgedSequence,
+      acknowledgedSequence: this.#nextAcknowledgement(),
       leaseUntilMilliseconds: isSteady ? this.nextLeaseEnd() : undefined,
       waitMilliseconds,
       timeoutMilliseconds: waitMilliseconds + renewTimeoutMilliseconds,
@@ -225,6 +232,7 @@
   #takeReport(report: TargetReport, askedAt: number): void {
     this.#isKnown = true;
     this.#failuresInARow = 0;
+    this.#listsEnds = report.ends.length > 0;
     this.noteClock(report.clockMilliseconds, performance.now());
     const fresh = report.ends.filter(({ sequence }) => sequence > this.#reportedSequence);
     this.#countEnds(fresh.length);
