--- a/src/soak/targets.ts
+++ b/src/soak/targets.ts
@@ -69,6 +69,7 @@
       now: readClock,
       behaviour: (task) => findBehaviour(history, task),
       history: history.runs,
+      lapses: [],
     };
     this.#timers = [
       setInterval(() => {
