--- a/src/job-homes/test/home-model.ts
+++ b/src/job-homes/test/home-model.ts
@@ -65,13 +65,13 @@
 
   /**
    * A run after one that succeeded is only allowed if the target may have lost the end before anybody saw it, or if its
-   * lease had lapsed since.
+   * lease had lapsed before the end was acknowledged.
    */
   #findRepeats(task: string, runs: readonly RunRecord[], lapses: readonly LeaseLapse[]): string[] {
     return runs.flatMap((run) => {
       const before = runs.find(({ how, to }) => how === "succeeded" && to !== undefined && to <= run.from);
       if (before === undefined || this.#mayBeLost(before, run.from)) return [];
-      if (hasLapsed(before, run.from, lapses)) return [];
+      if (hasLapsed(before, before.acknowledgedAt ?? run.from, lapses)) return [];
       return [`${task} ran again on ${run.targetId} after it had succeeded on ${before.targetId}`];
     });
   }
