Room that others could give is promised once, not to each pool that is short

Cause: the holder of the duty on machines told each home all machines that other pools could spare. Two pools in their turn both counted on the same ones. What is spare is shared now by what each pool lacks; what nobody lacks is promised as before.

Ruled out: processor time (no process-load line in the log), relays (no relay-failed line). plans.test.ts: the former code promised all eight machines to both. The model's message now tells when an end was acknowledged.

--- a/src/fleet/fleet-manager.ts
+++ b/src/fleet/fleet-manager.ts
@@ -108,7 +108,7 @@
     const plan = planMoves(describePools(view, this.#history, excluded));
     for (const shortage of plan.shortages) this.#logShortage(shortage);
     this.#vacating = groupTargets([...waves.emptying, ...plan.vacate, ...plan.moves]);
-    this.#arrivals = describeArrivals(view, this.#history, plan.spare);
+    this.#arrivals = describeArrivals(view, this.#history, plan.spare, plan.shortages);
     const moves = [...plan.moves, ...(await this.#emptyIdle(plan.vacate))];
     // A machine that an earlier holder took down may not be listed as such yet.
     const maintenance = orders.isSettled() ? waves.maintenance : [];
--- a/src/fleet/fleet-view.ts
+++ b/src/fleet/fleet-view.ts
@@ -3,9 +3,9 @@
  * @packageDocumentation
  */
 import type { PoolReport, TargetLoad } from "../job-homes/index.js";
-import { add, type RoomArrival } from "../scheduling/index.js";
+import { add, scale, type RoomArrival } from "../scheduling/index.js";
 import type { Machine } from "./machine-control.js";
-import type { PlannedMachine, PlannedPool, SpareMachine } from "./move-plan.js";
+import type { PlannedMachine, PlannedPool, PoolShortage, SpareMachine } from "./move-plan.js";
 import type { WaveCandidate } from "./wave-plan.js";
 
 const millisecondsPerSecond = 1_000;
@@ -191,12 +191,14 @@
  * @param view - the fleet now
  * @param history - since when machines are where they are
  * @param spare - machines that each pool could give
+ * @param shortages - pools that lack room; what others could give is promised once, not to each of them
  * @returns room by pool, with when it comes
  */
 export function describeArrivals(
   view: FleetView,
   history: MachineHistory,
   spare: readonly SpareMachine[],
+  shortages: readonly Pick<PoolShortage, "pool" | "lackCores">[] = [],
 ): Map<string, RoomArrival[]> {
   const arrivals = new Map<string, RoomArrival[]>();
   const machines = [...view.machines.values()];
@@ -211,7 +213,8 @@
     const others = spare.filter((each) => each.pool !== pool);
     const capacities = others.flatMap(({ machineId }) => view.machines.get(machineId)?.capacity ?? []);
     if (capacities.length > 0) {
-      const resources = capacities.reduce(add);
+      const all = capacities.reduce(add);
+      const resources = scale(all, promisedShare(pool, all.cpuMillicores / millicoresPerCore, shortages));
       found.push({ resources, atMilliseconds: history.moveMilliseconds() + reactionMilliseconds });
     }
     arrivals.set(pool, found);
@@ -219,6 +222,19 @@
   return arrivals;
 }
 
+/** The share of what others could give that a pool may count on: its part of what all lack, and what nobody lacks. */
+function promisedShare(
+  pool: string,
+  spareCores: number,
+  shortages: readonly Pick<PoolShortage, "pool" | "lackCores">[],
+): number {
+  const lack = shortages.reduce((sum, { lackCores }) => sum + lackCores, 0);
+  if (lack <= 0 || spareCores <= 0) return 1;
+  const own = shortages.find((shortage) => shortage.pool === pool)?.lackCores ?? 0;
+  const left = Math.max(0, spareCores - lack);
+  return Math.min(1, (own * Math.min(1, spareCores / lack) + left) / spareCores);
+}
+
 function coresOf({ capacity }: Machine): number {
   return capacity.cpuMillicores / millicoresPerCore;
 }
--- a/src/fleet/test/plans.test.ts
+++ b/src/fleet/test/plans.test.ts
@@ -267,3 +267,25 @@
   expect(planMoves([idle, spare]).vacate[0]?.cause).toBe("standby");
   expect(planMoves([busy]).shortages[0]?.cause).toBe("demand");
 });
+
+test("two pools that are short at once are not both promised the machines that others could give", () => {
+  const capacity = { cpuMillicores: 32_000, memoryMegabytes: 1_000, accelerators: 0 };
+  const base = { state: "up", availabilityZone: "zone", labels: [], capacity, targetId: undefined } as const;
+  const spare = Array.from({ length: 8 }, (_, index) => ({ machineId: `off-${index}`, pool: "spare" }));
+  const view: FleetView = {
+    machines: new Map(spare.map((each) => [each.machineId, { ...base, ...each }])),
+    reports: new Map(["presses", "mills"].map((pool) => [pool, createReport({ pool })])),
+    standbyPools: new Set(["spare"]),
+  };
+  const promised = (lacks: Record<string, number>): number[] => {
+    const shortages = Object.entries(lacks).map(([pool, lackCores]) => ({ pool, lackCores }));
+    const arrivals = describeArrivals(view, new MachineHistory(), spare, shortages);
+    return ["presses", "mills"].map(
+      (pool) => (arrivals.get(pool)?.[0]?.resources.cpuMillicores ?? 0) / capacity.cpuMillicores,
+    );
+  };
+  expect(promised({})).toEqual([8, 8]);
+  expect(promised({ presses: 10_000 })).toEqual([8, 0]);
+  expect(promised({ presses: 10_000, mills: 30_000 })).toEqual([2, 6]);
+  expect(promised({ presses: 64 })).toEqual([8, 6]);
+});
--- a/src/job-homes/test/home-model.ts
+++ b/src/job-homes/test/home-model.ts
@@ -72,7 +72,10 @@
       const before = runs.find(({ how, to }) => how === "succeeded" && to !== undefined && to <= run.from);
       if (before === undefined || this.#mayBeLost(before, run.from)) return [];
       if (hasLapsed(before, before.acknowledgedAt ?? run.from, lapses)) return [];
-      return [`${task} ran again on ${run.targetId} after it had succeeded on ${before.targetId}`];
+      const { targetId, to = 0, acknowledgedAt } = before;
+      const after = (at: number | undefined): string => (at === undefined ? "never" : `after ${at - to} ms`);
+      const seen = `acknowledged ${after(acknowledgedAt)}, again ${after(run.from)}`;
+      return [`${task} ran again on ${run.targetId} after it had succeeded on ${targetId}: ${seen}`];
     });
   }
 
--- a/src/scheduling/forecast.ts
+++ b/src/scheduling/forecast.ts
@@ -6,6 +6,7 @@
  * @packageDocumentation
  */
 import type { Resources } from "../jobs/index.js";
+import { scale } from "./target-view.js";
 import { noResources, Room } from "./room.js";
 import { fits, subtract } from "./target-view.js";
 
@@ -234,14 +235,6 @@
   }
 }
 
-function scale({ cpuMillicores, memoryMegabytes, accelerators }: Resources, factor: number): Resources {
-  return {
-    cpuMillicores: cpuMillicores * factor,
-    memoryMegabytes: memoryMegabytes * factor,
-    accelerators: accelerators * factor,
-  };
-}
-
 function openJob({ steps }: ForecastJob): OpenJob {
   const job: OpenJob = { steps: [], left: 0 };
   for (const definition of steps) {
--- a/src/scheduling/index.ts
+++ b/src/scheduling/index.ts
@@ -18,5 +18,5 @@
 export { choosePace, type ServedTail } from "./pacing.js";
 export { chooseGangPlaces, choosePlace, takePlace, type StepPlace } from "./placement.js";
 export { createRunTimeRatios, type RunTimeRatios } from "./run-times.js";
-export { add, chargedResources, fits, subtract, type TargetView } from "./target-view.js";
+export { add, chargedResources, fits, scale, subtract, type TargetView } from "./target-view.js";
 export { isLastingJob, jobCoreSeconds, longestChainMilliseconds, stepCoreSeconds } from "./work.js";
--- a/src/scheduling/target-view.ts
+++ b/src/scheduling/target-view.ts
@@ -57,3 +57,20 @@
     accelerators: left.accelerators + right.accelerators,
   };
 }
+
+/**
+ * Scales resources.
+ * @param resources - the resources
+ * @param factor - by how much
+ * @returns as many times the resources
+ */
+export function scale(
+  { cpuMillicores, memoryMegabytes, accelerators }: Resources,
+  factor: number,
+): Resources {
+  return {
+    cpuMillicores: cpuMillicores * factor,
+    memoryMegabytes: memoryMegabytes * factor,
+    accelerators: accelerators * factor,
+  };
+}
