A stop that another life of a target confirmed settles nothing in the next life

In it a start brings no answer and is carried out 0.9 s late, answers are read 0.3 s late, and its target starts again.

Cause: the stop of that start was answered by the life before and read after the next life had been opened. The run, carried over to the next life, counted as stopped there; the next report did not show it, so that it was placed elsewhere, and the next life, which had heard of no stop, carried the late start out beside it.

start-looks.test.ts: the new test fails on the former code. A stop now settles a run only in the life that confirmed it.

--- a/src/job-homes/home-state.ts
+++ b/src/job-homes/home-state.ts
@@ -25,7 +25,7 @@
 } from "../scheduling/index.js";
 import type { RegisteredTarget, TargetOrders, TargetSession } from "../task-runs/index.js";
 import type { Log, Metrics } from "../telemetry/index.js";
-import type { HomeJournal } from "./home-journal.js";
+import type { HomeJournal } from "./journal-writes.js";
 import type { PoolLoad } from "./pool-load.js";
 
 /** A run together with its task. */
--- a/src/job-homes/stopper.ts
+++ b/src/job-homes/stopper.ts
@@ -51,7 +51,9 @@
     result,
     ...describeAnswer(outcome, askedAt, performance.now()),
   });
-  if (outcome.kind === "done") {
+  // Another life of the target knows nothing of this stop: it may still carry out the start.
+  const isSameLife = state.targets.get(run.targetId) === target;
+  if (outcome.kind === "done" && isSameLife) {
     run.stopConfirmedAt = performance.now();
     target.session.hurry();
   }
--- a/src/job-homes/test/home-cost.test.ts
+++ b/src/job-homes/test/home-cost.test.ts
@@ -7,7 +7,7 @@
 import type { Job, ProgressRecord, StepDefinition } from "../../jobs/index.js";
 import { createLog, createMetrics } from "../../telemetry/index.js";
 import { MemoryStoreClient, createStoreEngine, createStoreFaults } from "../../stand-ins/index.js";
-import type { HomeJournal } from "../home-journal.js";
+import type { HomeJournal } from "../journal-writes.js";
 import { addJob, createHomeState, type HomeState } from "../home-state.js";
 import { JobHome } from "../job-home.js";
 import { createStep, pool, submission, terms } from "./home-fixture.js";
--- a/src/job-homes/test/home-targets.test.ts
+++ b/src/job-homes/test/home-targets.test.ts
@@ -6,7 +6,7 @@
 import { expect, test } from "vitest";
 import type { RegisteredTarget, RunEnd, TargetOrders } from "../../task-runs/index.js";
 import { createLog, createMetrics } from "../../telemetry/index.js";
-import type { HomeJournal, JournalResult } from "../home-journal.js";
+import type { HomeJournal, JournalResult } from "../journal-writes.js";
 import { addJob, createHomeState } from "../home-state.js";
 import { HomeTargets } from "../home-targets.js";
 import { createStep, pool, terms, waitFor } from "./home-fixture.js";
--- a/src/job-homes/test/run-ends.test.ts
+++ b/src/job-homes/test/run-ends.test.ts
@@ -6,7 +6,7 @@
 import { allTasks, encodeProgress, type TaskRun } from "../../jobs/index.js";
 import { TargetSession, type RunEnd, type RunEndKind } from "../../task-runs/index.js";
 import { createLog, createMetrics, type Log } from "../../telemetry/index.js";
-import type { HomeJournal, JournalResult } from "../home-journal.js";
+import type { HomeJournal, JournalResult } from "../journal-writes.js";
 import { addJob, createHomeState, type HomeState, type HomeTarget } from "../home-state.js";
 import { endJob, storeProgress } from "../job-progress.js";
 import { takeReport } from "../run-ends.js";
--- a/src/job-homes/test/start-looks.test.ts
+++ b/src/job-homes/test/start-looks.test.ts
@@ -7,10 +7,11 @@
 import type { OrderOutcome, PresentRun, RunEnd, TargetOrders } from "../../task-runs/index.js";
 import { TargetSession } from "../../task-runs/index.js";
 import { createLog, createMetrics } from "../../telemetry/index.js";
-import type { HomeJournal } from "../home-journal.js";
+import type { HomeJournal } from "../journal-writes.js";
 import { addJob, createHomeState, type HomeState, type HomeTarget } from "../home-state.js";
 import { startRun } from "../start-orders.js";
 import { stopUnwanted } from "../stopper.js";
+import { keepUnsettledStarts, takeUnsettledStarts } from "../unsettled-starts.js";
 import { createStep, pool, terms } from "./home-fixture.js";
 
 const unanswered: OrderOutcome = { kind: "unknown", message: "no answer in time" };
@@ -26,14 +27,16 @@
   readonly present?: readonly PresentRun[];
   readonly ends?: readonly RunEnd[];
   readonly startedAtUnix?: number;
+  /** What a stop brings. */
+  readonly stopped?: Promise<OrderOutcome>;
 }): Promise<Told> {
   const stops: string[] = [];
-  const { present = [], ends = [], startedAtUnix = 1 } = shown;
+  const { present = [], ends = [], startedAtUnix = 1, stopped = Promise.resolve(unanswered) } = shown;
   const orders: TargetOrders = {
     start: async () => Promise.resolve(unanswered),
     stop: async ({ task }) => {
       stops.push(task);
-      return Promise.resolve(unanswered);
+      return stopped;
     },
     pace: async () => Promise.resolve(unanswered),
     renew: async () => Promise.resolve(Right({ startedAtUnix, clockMilliseconds: 1, present, ends })),
@@ -144,3 +147,23 @@
   expect(stops).toEqual([]);
   expect(state.tasks.get("job.0.0.0")?.runs[0]?.status).toBe("unresolved");
 });
+
+test("a stop that the life before confirmed does not let a task run beside a start that the next life may carry out", async () => {
+  let confirm: (outcome: OrderOutcome) => void = () => undefined;
+  const stopped = new Promise<OrderOutcome>((resolve) => {
+    confirm = resolve;
+  });
+  const { state, stops } = await startUnanswered({ stopped });
+  expect(stops).toEqual(["job.0.0.0"]);
+  const before = state.targets.get(targetId);
+  if (before === undefined) throw new Error("the home has no target");
+  keepUnsettledStarts(state, before, 1_000);
+  const carriedOver = takeUnsettledStarts(state, targetId);
+  state.targets.set(targetId, {
+    ...createTarget(state),
+    runs: new Map(carriedOver.map((each) => [each.task.name, each])),
+  });
+  confirm({ kind: "done", clockMilliseconds: 1 });
+  await pass();
+  expect(carriedOver[0]?.run.stopConfirmedAt).toBeUndefined();
+});
