--- a/src/fleet/fleet-view.ts
+++ b/src/fleet/fleet-view.ts
@@ -168,6 +168,7 @@
         cores: (report?.cores ?? 0) + comingCores,
         demandCores: report?.demandCores ?? 0,
         waitingLastingTasks: report?.waitingLastingTasks ?? 0,
+        wantedMachines: report?.wantedTargets ?? 0,
         comingMachines: coming.length,
         machines: movable.map((machine) => describeMachine(machine, report, history)),
       },
--- a/src/fleet/move-plan.ts
+++ b/src/fleet/move-plan.ts
@@ -30,6 +30,8 @@
   readonly demandCores: number;
   /** Lasting tasks that find no place. */
   readonly waitingLastingTasks: number;
+  /** Further machines that those of them need which fit on none of the pool's. */
+  readonly wantedMachines: number;
   /** Machines on their way to the pool. */
   readonly comingMachines: number;
   readonly machines: readonly PlannedMachine[];
@@ -123,9 +125,10 @@
     .sort((left, right) => compareShortages(left.pool, right.pool) || right.lack - left.lack);
   const described: PoolShortage[] = [];
   for (const { pool, lack } of shortages) {
+    const lackMachines = countLackingMachines(pool);
     let missing = lack;
     let count = 0;
-    while (missing > 0) {
+    while (missing > 0 || count < lackMachines) {
       const spared = takeSupply(supplies, pool);
       const supply = spared ?? (count === 0 ? takeAnyway(pools, pool, [...moves, ...vacate]) : undefined);
       if (supply === undefined) break;
@@ -164,15 +167,21 @@
   return Number(needsMachine(right)) - Number(needsMachine(left));
 }
 
-/** Cores that a pool lacks; lasting tasks without a place ask for one machine more at a time. */
+/** Cores that a pool lacks; lasting tasks without a place ask for machines, whatever the cores. */
 function findLack(pool: PlannedPool): number {
   const lack = pool.demandCores - pool.cores * shortShare;
   return needsMachine(pool) ? Math.max(lack, 1) : lack;
 }
 
-/** Whether lasting tasks of a pool have no place, and no machine is on its way that may give them one. */
-function needsMachine({ waitingLastingTasks, comingMachines }: PlannedPool): boolean {
-  return waitingLastingTasks > 0 && comingMachines === 0;
+/** Whether lasting tasks of a pool have no place, and too few machines are on their way that may give them one. */
+function needsMachine(pool: PlannedPool): boolean {
+  return countLackingMachines(pool) > 0;
+}
+
+/** Machines that lasting tasks without a place need beyond those on their way, one at least for all that wait. */
+function countLackingMachines({ waitingLastingTasks, wantedMachines, comingMachines }: PlannedPool): number {
+  if (waitingLastingTasks === 0) return 0;
+  return Math.max(0, Math.max(1, wantedMachines) - comingMachines);
 }
 
 /** Machines that a pool can spare. */
--- a/src/fleet/test/fleet-manager.test.ts
+++ b/src/fleet/test/fleet-manager.test.ts
@@ -66,6 +66,7 @@
       busyCores: cores,
       demandCores,
       waitingLastingTasks: 0,
+      wantedTargets: 0,
     };
   }
 
@@ -94,6 +95,7 @@
     busyCores: 0,
     demandCores: 0,
     waitingLastingTasks: 0,
+    wantedTargets: 0,
   };
 }
 
--- a/src/fleet/test/plans.test.ts
+++ b/src/fleet/test/plans.test.ts
@@ -91,6 +91,7 @@
     busyCores: 0,
     demandCores: 0,
     waitingLastingTasks: 0,
+    wantedTargets: 0,
     ...changes,
   };
 }
@@ -114,6 +115,7 @@
   cores: 192,
   demandCores: 0,
   waitingLastingTasks: 0,
+  wantedMachines: 0,
   comingMachines: 0,
   machines: [],
   ...changes,
@@ -219,6 +221,23 @@
   expect(planMoves([plannedPool("lasting", { ...waiting, comingMachines: 1 }), spare]).moves).toEqual([]);
 });
 
+test("lasting tasks that need targets of their own get all their machines at once, less those on their way", () => {
+  const spare = plannedPool("spare", {
+    isStandby: true,
+    cores: 0,
+    machines: machines(30, { targetId: undefined }),
+  });
+  const waiting = {
+    waitingLastingTasks: 24,
+    wantedMachines: 18,
+    machines: machines(2, { lastingRuns: 1, runs: 1 }),
+  };
+  expect(planMoves([plannedPool("lasting", waiting), spare]).moves).toHaveLength(18);
+  expect(planMoves([plannedPool("lasting", { ...waiting, comingMachines: 12 }), spare]).moves).toHaveLength(
+    6,
+  );
+});
+
 test("a lasting task without a place gets a machine even of a pool that lacks room itself", () => {
   const pools = [
     plannedPool("turn", { demandCores: 2_000, machines: machines(6, { runs: 8, idleMilliseconds: 0 }) }),
--- a/src/job-homes/home-state.ts
+++ b/src/job-homes/home-state.ts
@@ -21,6 +21,7 @@
   type ForecastMargin,
   type RoomPlan,
   type RunTimeRatios,
+  type UnplacedTasks,
   type WorkRate,
 } from "../scheduling/index.js";
 import type { RegisteredTarget, TargetOrders, TargetSession } from "../task-runs/index.js";
@@ -118,7 +119,7 @@
   /** Starts that brought no answer lately, settled since or not. By target. */
   readonly unansweredStarts: Map<string, readonly UnansweredStart[]>;
   /** Lasting tasks for which the last round found no place: they run nowhere, or have to leave their target. */
-  unplacedLastingTasks: number;
+  unplacedLasting: readonly UnplacedTasks[];
   /** Room that is on its way to the pool, or could be had for it. */
   expectedRoom: readonly ExpectedRoom[];
   /** Planned for the callers of this moment, less what jobs take that were accepted meanwhile; undefined without one. */
@@ -160,7 +161,7 @@
     placeRecords: new Map(),
     unsettledStarts: new Map(),
     unansweredStarts: new Map(),
-    unplacedLastingTasks: 0,
+    unplacedLasting: [],
     expectedRoom: [],
     roomPlan: undefined,
     recentLoad: undefined,
--- /dev/null
+++ b/src/job-homes/lasting-places.ts
@@ -0,0 +1,117 @@
+/**
+ * Places for lasting tasks: those that should leave their targets, and those for which there is no room yet.
+ * @packageDocumentation
+ */
+import type { Occurrence, Resources, Task } from "../jobs/index.js";
+import {
+  add,
+  chargedResources,
+  choosePlace,
+  countWantedTargets,
+  takePlace,
+  type StepPlace,
+  type TargetView,
+  type UnplacedTasks,
+} from "../scheduling/index.js";
+import type { HomeState, HomeTarget } from "./home-state.js";
+import type { RankedJob } from "./job-rank.js";
+import { findDeparture, maySpare } from "./lasting-moves.js";
+import { describePlace, isUsable, viewTarget } from "./target-views.js";
+
+/**
+ * Stops lasting tasks that should leave their targets once there is a place for them, and keeps that place.
+ * @param state - the home
+ * @param ranked - its lasting jobs
+ * @param views - the targets that may be used; places are taken from them
+ * @returns the tasks that have no place
+ */
+export function moveLastingTasks(
+  state: HomeState,
+  ranked: readonly RankedJob[],
+  views: readonly TargetView[],
+): UnplacedTasks[] {
+  const stuck: UnplacedTasks[] = [];
+  for (const { job } of ranked) {
+    for (const occurrence of job.occurrences.values()) {
+      for (const task of occurrence.steps.flat()) {
+        const stepPlace = moveLastingTask(state, occurrence, task, views);
+        if (stepPlace !== undefined) stuck.push({ ...stepPlace, count: 1 });
+      }
+    }
+  }
+  return stuck;
+}
+
+/** Moves a task that should leave its target; returns its step when there is no place for it. */
+function moveLastingTask(
+  state: HomeState,
+  occurrence: Occurrence,
+  task: Task,
+  views: readonly TargetView[],
+): StepPlace | undefined {
+  const [run] = task.runs;
+  if (!task.definition.isLasting || run === undefined) return undefined;
+  const from = findDeparture(state, task);
+  if (from === undefined && run.status !== "stopping") return undefined;
+  const tasks = occurrence.steps[task.step] ?? [];
+  const place = describePlace(state, task, tasks);
+  const elsewhere = views.filter(({ targetId }) => targetId !== run.targetId);
+  const view = choosePlace(place, elsewhere);
+  if (view === undefined) {
+    reservePlace(state, place, elsewhere);
+    return place;
+  }
+  takePlace(view, place);
+  if (from !== undefined && maySpare(state, occurrence, task, from)) run.status = "stopping";
+  return undefined;
+}
+
+/**
+ * Keeps the target free whose short tasks leave room for a lasting one soonest.
+ * @param state - the home
+ * @param place - the task's step
+ * @param views - the targets that may be used
+ */
+export function reservePlace(state: HomeState, place: StepPlace, views: readonly TargetView[]): void {
+  const withoutShort = views.map((view) => ({ ...view, free: readLastingRoom(state, view) }));
+  const chosen = choosePlace(place, withoutShort);
+  const view = views.find(({ targetId }) => targetId === chosen?.targetId);
+  if (view !== undefined) view.free = noRoom;
+}
+
+/** A pool that knows no target asks for one machine for all its lasting tasks. */
+const unknownCapacity: Resources = { cpuMillicores: 0, memoryMegabytes: 0, accelerators: 0 };
+const noRoom: Resources = { cpuMillicores: -1, memoryMegabytes: -1, accelerators: -1 };
+
+/** What a target has for lasting tasks once its short ones have ended. */
+function readLastingRoom(state: HomeState, view: TargetView): Resources {
+  if (view.free === noRoom) return noRoom;
+  let room = view.free;
+  for (const { task } of state.targets.get(view.targetId)?.runs.values() ?? []) {
+    if (!task.definition.isLasting) room = add(room, chargedResources(task.definition));
+  }
+  return room;
+}
+
+/**
+ * Counts the further targets that the lasting tasks without a place need.
+ * @param state - the home
+ * @returns how many would take those that fit on none of its targets, even when what is short has ended there
+ */
+export function countTargetsWanted(state: HomeState): number {
+  const { unplacedLasting, targets } = state;
+  if (unplacedLasting.length === 0) return 0;
+  const now = performance.now();
+  const usable = [...targets.values()].filter((target) => isUsable(target, now));
+  const views = usable.map(viewTarget).map((view) => ({ ...view, free: readLastingRoom(state, view) }));
+  return countWantedTargets(unplacedLasting, views, findLargestCapacity([...targets.values()]));
+}
+
+/** What a further target would have: machines of a pool are much alike. */
+function findLargestCapacity(targets: readonly HomeTarget[]): Resources {
+  const capacities = targets.map(({ session }) => session.target().capacity);
+  return capacities.reduce(
+    (largest, each) => (each.cpuMillicores > largest.cpuMillicores ? each : largest),
+    unknownCapacity,
+  );
+}
--- a/src/job-homes/messages.ts
+++ b/src/job-homes/messages.ts
@@ -88,6 +88,7 @@
       busyCores: z.number(),
       demandCores: z.number(),
       waitingLastingTasks: z.number(),
+      wantedTargets: z.number().default(0),
     }),
     notHome,
   ]),
--- a/src/job-homes/pool-report.ts
+++ b/src/job-homes/pool-report.ts
@@ -5,6 +5,7 @@
 import { isStepReady, type Occurrence } from "../jobs/index.js";
 import { stepCoreSeconds } from "../scheduling/index.js";
 import { isInService, type HomeState } from "./home-state.js";
+import { countTargetsWanted } from "./lasting-places.js";
 import type { PoolLoad } from "./pool-load.js";
 
 /** A target as its home sees it. */
@@ -31,6 +32,8 @@
   readonly demandCores: number;
   /** Lasting tasks that run nowhere, or have to leave their target, and find no place. */
   readonly waitingLastingTasks: number;
+  /** Further targets that those of them need which fit on none of the pool's. */
+  readonly wantedTargets: number;
 }
 
 const millicoresPerCore = 1_000;
@@ -129,6 +132,7 @@
   const { waitingCores, ...load } = readLoad(state);
   // What comes needs as many cores as what runs while a turn goes on; what waits needs its own besides.
   const demandCores = Math.max(state.demand.read(performance.now()), load.busyCores) + waitingCores;
-  const waitingLastingTasks = state.unplacedLastingTasks;
-  return { pool: state.pool, targets, ...load, demandCores, waitingLastingTasks };
+  const waitingLastingTasks = state.unplacedLasting.reduce((sum, { count }) => sum + count, 0);
+  const wantedTargets = countTargetsWanted(state);
+  return { pool: state.pool, targets, ...load, demandCores, waitingLastingTasks, wantedTargets };
 }
--- a/src/job-homes/test/job-home.test.ts
+++ b/src/job-homes/test/job-home.test.ts
@@ -262,6 +262,38 @@
   expect(report).toMatchObject({ cores: 0, waitingLastingTasks: 2 });
 });
 
+test("room is kept free for all tasks of a lasting step, not for one after the other", async () => {
+  const fourCores = { ...oneCore, cpuMillicores: 4_000 };
+  const behaviour = (task: string): TaskBehaviour =>
+    task.startsWith("lasting")
+      ? behave({ needs: fourCores, isLasting: true })(task)
+      : behave({ runMilliseconds: 200 + 40 * (Number(task.split(".")[3]) % 4) })(task);
+  fixture = startHomeFixture({ targetCount: 3, coresPerTarget: 4, behaviour });
+  const home = await fixture.home(fixture.startEntry("a"));
+  await home.submit(submission("short", createStep({ taskCount: 24, estimateMilliseconds: 200 })));
+  await waitFor(() => fixture.fleet.world.history.length === 12);
+  await home.submit(
+    submission(
+      "lasting",
+      createStep({ taskCount: 3, isLasting: true, maximumPerTarget: 1, resources: fourCores }),
+    ),
+  );
+  await waitFor(() => fixture.fleet.world.history.length >= 15);
+  const next = fixture.fleet.world.history.slice(12, 15).map(({ task }) => task.split(".")[0]);
+  expect(next).toEqual(["lasting", "lasting", "lasting"]);
+});
+
+test("a pool that has rested asks at once for all targets that a lasting step needs", async () => {
+  fixture = startHomeFixture({ targetCount: 2, coresPerTarget: 4, behaviour: behave({ isLasting: true }) });
+  const home = await fixture.home(fixture.startEntry("a"));
+  await home.submit(submission("job", createStep({ taskCount: 7, isLasting: true, maximumPerTarget: 1 })));
+  const report = await waitFor(() => {
+    const found = home.vacate([]);
+    return found.waitingLastingTasks === 5 && found;
+  });
+  expect(report.wantedTargets).toBe(5);
+});
+
 test("nothing starts on a target that has said that it leaves, and lasting tasks leave it", async () => {
   fixture = startHomeFixture({ targetCount: 2, coresPerTarget: 8, behaviour: behave({ isLasting: true }) });
   const home = await fixture.home(fixture.startEntry("a"));
--- a/src/scheduling/index.ts
+++ b/src/scheduling/index.ts
@@ -13,6 +13,7 @@
   type RoomArrival,
   type RoomPlan,
 } from "./forecast.js";
+export { countWantedTargets, type UnplacedTasks } from "./lasting-room.js";
 export { createForecastMargin, type ForecastMargin } from "./forecast-margin.js";
 export { compareJobs, type OrderedJob } from "./order.js";
 export { choosePace, type ServedTail } from "./pacing.js";
