--- a/src/job-homes/dispatcher.ts
+++ b/src/job-homes/dispatcher.ts
@@ -14,7 +14,7 @@
   type UnplacedTasks,
 } from "../scheduling/index.js";
 import type { AdviceBook } from "./advice-book.js";
-import { rankJob } from "./job-rank.js";
+import { rankJob, type RankedJob } from "./job-rank.js";
 import { moveLastingTasks, reservePlace } from "./lasting-places.js";
 import { startRun } from "./start-orders.js";
 import { isTaskOver, type HomeState } from "./home-state.js";
@@ -41,12 +41,15 @@
   const views = [...state.targets.values()].filter((target) => isUsable(target, now)).map(viewTarget);
   const ranked = wanting.map((job) => rankJob(state, job, now));
   ranked.sort((left, right) => compareJobs(left, right, now));
+  const place = ({ job }: RankedJob): UnplacedTasks[] =>
+    [...job.occurrences.values()].flatMap((occurrence) =>
+      placeOccurrence(state, advice, job, occurrence, views, now),
+    );
   const lasting = ranked.filter(({ isLasting }) => isLasting);
-  const unplaced = moveLastingTasks(state, lasting, views);
-  for (const { job } of ranked) {
-    for (const occurrence of job.occurrences.values())
-      unplaced.push(...placeOccurrence(state, advice, job, occurrence, views, now));
-  }
+  // A lasting task that runs nowhere goes before one that runs where it should not stay.
+  const unplaced = lasting.flatMap(place);
+  unplaced.push(...moveLastingTasks(state, lasting, views));
+  for (const job of ranked.slice(lasting.length)) place(job);
   state.unplacedLasting = unplaced;
 }
 
--- a/src/job-homes/test/job-home.test.ts
+++ b/src/job-homes/test/job-home.test.ts
@@ -283,6 +283,25 @@
   expect(next).toEqual(["lasting", "lasting", "lasting"]);
 });
 
+test("a lasting task that runs nowhere gets a place before those that should leave their targets", async () => {
+  const fourCores = { ...oneCore, cpuMillicores: 4_000 };
+  const behaviour = behave({ needs: fourCores, isLasting: true });
+  fixture = startHomeFixture({ targetCount: 3, coresPerTarget: 4, behaviour });
+  const home = await fixture.home(fixture.startEntry("a"));
+  const step = createStep({ taskCount: 2, isLasting: true, maximumPerTarget: 1, resources: fourCores });
+  await home.submit(submission("placed", step));
+  await waitFor(() => fixture.fleet.world.history.length === 2);
+  const all = [...fixture.fleet.targets.keys()];
+  const inUse = fixture.fleet.world.history.map(({ targetId }) => targetId);
+  home.vacate(all);
+  await home.submit(submission("waiting", { ...step, taskCount: 1 }));
+  await waitFor(() => home.vacate(all).waitingLastingTasks === 3);
+  home.vacate(inUse);
+  await waitFor(() => fixture.fleet.world.history.length === 3);
+  expect(fixture.fleet.world.history[2]?.task).toBe("waiting.0.0.0");
+  expect(fixture.fleet.world.history.every(({ to }) => to === undefined)).toBe(true);
+});
+
 test("a pool that has rested asks at once for all targets that a lasting step needs", async () => {
   fixture = startHomeFixture({ targetCount: 2, coresPerTarget: 4, behaviour: behave({ isLasting: true }) });
   const home = await fixture.home(fixture.startEntry("a"));
