--- a/src/job-homes/home-forecast.ts
+++ b/src/job-homes/home-forecast.ts
@@ -13,6 +13,7 @@
   longestChainMilliseconds,
   planRoom,
   subtract,
+  type ExpectedRunTime,
   type ForecastJob,
   type ForecastStep,
   type JobForecast,
@@ -34,6 +35,10 @@
 export interface HomeForecast extends JobForecast {
   /** The end without what was learned from earlier forecasts. */
   readonly uncorrectedEndMilliseconds: number;
+  /** The time that the job takes on idle targets. */
+  readonly chainMilliseconds: number;
+  /** The same by the caller's estimates. */
+  readonly estimatedChainMilliseconds: number;
 }
 
 /**
@@ -51,20 +56,22 @@
   ageMilliseconds: number,
 ): HomeForecast {
   const now = performance.now();
-  const ratio = state.runTimes.ratio(terms.queue);
+  const { step: expected } = state.runTimes.ofQueue(terms.queue);
   const plan = readRoomPlan(state, now);
   const end = forecastEnd(
     plan.room,
-    describeNewJob(definition, ratio),
+    describeNewJob(definition, expected),
     horizonMilliseconds,
     now - plan.plannedAt,
   );
   const endMilliseconds = end + state.forecastMargin.milliseconds();
-  const chain = longestChainMilliseconds(definition, ratio);
+  const chain = longestChainMilliseconds(definition, expected);
   const objective = terms.slackFactor * chain + terms.objectiveMilliseconds;
   return {
     endMilliseconds,
     uncorrectedEndMilliseconds: end,
+    chainMilliseconds: chain,
+    estimatedChainMilliseconds: longestChainMilliseconds(definition, (step) => step.estimateMilliseconds),
     objectiveMilliseconds: objective - ageMilliseconds,
     latestMilliseconds: latestFactor * objective - ageMilliseconds,
     startsNow: end <= chain + gracePerJobMilliseconds,
@@ -84,18 +91,18 @@
     state.roomPlan = undefined;
     return;
   }
-  const asked = describeNewJob(definition, state.runTimes.ratio(terms.queue));
+  const asked = describeNewJob(definition, state.runTimes.ofQueue(terms.queue).step);
   const age = performance.now() - plan.plannedAt;
   state.roomPlan = { ...plan, room: bookJob(plan.room, asked, horizonMilliseconds, age) };
 }
 
-function describeNewJob({ steps }: JobDefinition, ratio: number): ForecastJob {
+function describeNewJob({ steps }: JobDefinition, expected: ExpectedRunTime): ForecastJob {
   return {
     steps: steps.map((step) => ({
       waiting: step.taskCount,
       running: [],
       needs: chargedResources(step),
-      runMilliseconds: step.estimateMilliseconds * ratio,
+      runMilliseconds: expected(step),
       after: step.after,
     })),
   };
@@ -130,13 +137,13 @@
 }
 
 function readOccurrence(state: HomeState, job: Job, { steps }: Occurrence, now: number): ForecastJob {
-  const ratio = state.runTimes.ratio(job.record.terms.queue);
-  return { steps: steps.map((tasks) => readStep(tasks, ratio, now)) };
+  const { task: expected } = state.runTimes.ofQueue(job.record.terms.queue);
+  return { steps: steps.map((tasks) => readStep(tasks, expected, now)) };
 }
 
-function readStep(tasks: readonly Task[], ratio: number, now: number): ForecastStep {
+function readStep(tasks: readonly Task[], expected: ExpectedRunTime, now: number): ForecastStep {
   const definition = tasks[0]?.definition;
-  const runMilliseconds = (definition?.estimateMilliseconds ?? 0) * ratio;
+  const runMilliseconds = definition === undefined ? 0 : expected(definition);
   const running: number[] = [];
   let waiting = 0;
   for (const { succeeded, runs } of tasks) {
--- a/src/job-homes/home-state.ts
+++ b/src/job-homes/home-state.ts
@@ -17,10 +17,10 @@
 import {
   createDemandForecast,
   createForecastMargin,
-  createRunTimeRatios,
+  createTaskRunTimes,
   type ForecastMargin,
   type RoomPlan,
-  type RunTimeRatios,
+  type TaskRunTimes,
   type UnplacedTasks,
   type WorkRate,
 } from "../scheduling/index.js";
@@ -90,7 +90,7 @@
   readonly journal: HomeJournal;
   readonly log: Log;
   readonly metrics: Metrics;
-  readonly runTimes: RunTimeRatios;
+  readonly runTimes: TaskRunTimes;
   /** Work that callers ask for, accepted or not. */
   readonly demand: WorkRate;
   /** All jobs that are answered for. */
@@ -146,7 +146,7 @@
 export function createHomeState(parts: HomeParts): HomeState {
   return {
     ...parts,
-    runTimes: createRunTimeRatios(),
+    runTimes: createTaskRunTimes(),
     demand: createDemandForecast(),
     forecastMargin: createForecastMargin(),
     jobs: new Map(),
--- a/src/job-homes/job-home.ts
+++ b/src/job-homes/job-home.ts
@@ -241,7 +241,7 @@
   /** Takes the work of a job that is asked for the first time. */
   #noteDemand({ terms, definition }: JobSubmission, now: number): void {
     const { demand, runTimes } = this.#state;
-    demand.note(jobCoreSeconds(definition, runTimes.ratio(terms.queue)), now);
+    demand.note(jobCoreSeconds(definition, runTimes.ofQueue(terms.queue).task), now);
   }
 
   #logRefusal({ jobId, terms }: JobSubmission, forecast: HomeForecast, retryAfterMilliseconds: number): void {
@@ -254,7 +254,8 @@
       backlogCoreSeconds: Math.round(backlogCoreSeconds),
       cores: Math.round(cores),
       busyCores: Math.round(busyCores),
-      runTimeRatio: this.#state.runTimes.ratio(terms.queue).toFixed(2),
+      chainMilliseconds: Math.round(forecast.chainMilliseconds),
+      estimatedChainMilliseconds: Math.round(forecast.estimatedChainMilliseconds),
       retryAfterMilliseconds: Math.round(retryAfterMilliseconds),
     });
   }
--- a/src/job-homes/job-rank.ts
+++ b/src/job-homes/job-rank.ts
@@ -3,7 +3,12 @@
  * @packageDocumentation
  */
 import type { Job, Occurrence, Task } from "../jobs/index.js";
-import { isLastingJob, longestChainMilliseconds, type OrderedJob } from "../scheduling/index.js";
+import {
+  isLastingJob,
+  longestChainMilliseconds,
+  type ExpectedRunTime,
+  type OrderedJob,
+} from "../scheduling/index.js";
 import type { HomeState } from "./home-state.js";
 
 /** A job with what its order depends on. */
@@ -20,39 +25,39 @@
  */
 export function rankJob(state: Pick<HomeState, "runTimes">, job: Job, now: number): RankedJob {
   const { definition, terms } = job.record;
-  const ratio = state.runTimes.ratio(terms.queue);
-  const chain = longestChainMilliseconds(definition, ratio);
+  const { step: expected } = state.runTimes.ofQueue(terms.queue);
+  const chain = longestChainMilliseconds(definition, expected);
   return {
     job,
     priority: terms.priority,
     isLasting: isLastingJob(definition),
     hasStarted: job.hasStarted,
     dueAt: job.requestedAt + terms.slackFactor * chain + terms.objectiveMilliseconds,
-    remainingMilliseconds: Math.min(chain, remainingMilliseconds(job, ratio, now)),
+    remainingMilliseconds: Math.min(chain, remainingMilliseconds(job, expected, now)),
     acceptedAt: job.acceptedAt,
   };
 }
 
 /** What the steps that are not done still take on idle targets, for the occurrence that takes longest. */
-function remainingMilliseconds(job: Job, ratio: number, now: number): number {
-  const rests = [...job.occurrences.values()].map((occurrence) => remainingChain(occurrence, ratio, now));
+function remainingMilliseconds(job: Job, expected: ExpectedRunTime, now: number): number {
+  const rests = [...job.occurrences.values()].map((occurrence) => remainingChain(occurrence, expected, now));
   return Math.max(0, ...rests);
 }
 
-function remainingChain({ steps }: Occurrence, ratio: number, now: number): number {
+function remainingChain({ steps }: Occurrence, expected: ExpectedRunTime, now: number): number {
   const ends: number[] = [];
   for (const tasks of steps) {
     const after = tasks[0]?.definition.after ?? [];
     const begin = after.reduce((latest, earlier) => Math.max(latest, ends[earlier] ?? 0), 0);
-    const rests = tasks.map((task) => remainingRun(task, ratio, now));
+    const whole = tasks[0] === undefined ? 0 : expected(tasks[0].definition);
+    const rests = tasks.map((task) => remainingRun(task, whole, now));
     ends.push(begin + Math.max(0, ...rests));
   }
   return Math.max(0, ...ends);
 }
 
-function remainingRun({ succeeded, runs, definition }: Task, ratio: number, now: number): number {
+function remainingRun({ succeeded, runs }: Task, whole: number, now: number): number {
   if (succeeded) return 0;
-  const whole = definition.estimateMilliseconds * ratio;
   const [run] = runs;
   return run === undefined ? whole : Math.max(0, whole - (now - run.startedAt));
 }
--- a/src/job-homes/pool-report.ts
+++ b/src/job-homes/pool-report.ts
@@ -3,7 +3,7 @@
  * @packageDocumentation
  */
 import { isStepReady, type Occurrence } from "../jobs/index.js";
-import { stepCoreSeconds } from "../scheduling/index.js";
+import { stepCoreSeconds, type ExpectedRunTime } from "../scheduling/index.js";
 import { isInService, type HomeState } from "./home-state.js";
 import { countTargetsWanted } from "./lasting-places.js";
 import type { PoolLoad } from "./pool-load.js";
@@ -65,10 +65,10 @@
 function readLoad(state: HomeState): PoolLoad {
   const load = { backlogCoreSeconds: 0, waitingCores: 0 };
   for (const job of state.openJobs.values()) {
-    const ratio = state.runTimes.ratio(job.record.terms.queue);
+    const { task: expected } = state.runTimes.ofQueue(job.record.terms.queue);
     for (const occurrence of job.occurrences.values()) {
       for (const step of occurrence.steps.keys()) {
-        const { backlogCoreSeconds, waitingCores } = readStep(occurrence, step, ratio);
+        const { backlogCoreSeconds, waitingCores } = readStep(occurrence, step, expected);
         load.backlogCoreSeconds += backlogCoreSeconds;
         load.waitingCores += waitingCores;
       }
@@ -81,16 +81,16 @@
 function readStep(
   occurrence: Occurrence,
   step: number,
-  ratio: number,
+  expected: ExpectedRunTime,
 ): { backlogCoreSeconds: number; waitingCores: number } {
   const tasks = occurrence.steps[step] ?? [];
   const definition = tasks[0]?.definition;
   if (definition === undefined) return { backlogCoreSeconds: 0, waitingCores: 0 };
   const open = tasks.filter(({ succeeded }) => !succeeded);
-  const backlogCoreSeconds = stepCoreSeconds(definition, open.length, ratio);
+  const backlogCoreSeconds = stepCoreSeconds(definition, open.length, expected);
   if (!isStepReady(occurrence, step)) return { backlogCoreSeconds, waitingCores: 0 };
   const waiting = open.filter(({ runs }) => runs.length === 0).length;
-  const coreSeconds = stepCoreSeconds(definition, waiting, ratio);
+  const coreSeconds = stepCoreSeconds(definition, waiting, expected);
   // More cores than tasks could use would not end them sooner.
   const atMost = (waiting * definition.resources.cpuMillicores) / millicoresPerCore;
   return { backlogCoreSeconds, waitingCores: Math.min(atMost, coreSeconds / catchUpSeconds) };
--- a/src/job-homes/run-ends.ts
+++ b/src/job-homes/run-ends.ts
@@ -34,7 +34,7 @@
   const ended = new Set(freshEnds.map(({ task }) => task));
   const touched = new Set<Job>();
   for (const end of freshEnds) {
-    const job = takeEnd(state, target, end);
+    const job = takeEnd(state, target, end, report.clockMilliseconds);
     if (job !== undefined) touched.add(job);
   }
   const listsAllEnds = report.ends.length < mostEndsListed;
@@ -127,7 +127,7 @@
 }
 
 /** Takes one end; returns the job whose progress has to be stored. */
-function takeEnd(state: HomeState, target: HomeTarget, end: RunEnd): Job | undefined {
+function takeEnd(state: HomeState, target: HomeTarget, end: RunEnd, targetClock: number): Job | undefined {
   const task = state.tasks.get(end.task);
   const known = target.runs.get(end.task);
   if (known?.run.run === end.run) removeRun(state, target, known);
@@ -142,24 +142,38 @@
   if (task === undefined) return undefined;
   task.lastRun = Math.max(task.lastRun, end.run);
   if (end.checkpoint !== "") task.checkpoint = end.checkpoint;
-  if (end.kind === "succeeded") return takeSuccess(state, target, task, known?.run);
+  if (end.kind === "succeeded") {
+    learnRunTime(state, task, known?.run, targetClock);
+    return takeSuccess(target, task);
+  }
   if (end.kind === "failed") return takeFailure(target, task, end.run);
   return undefined;
 }
 
-function takeSuccess(
-  state: HomeState,
-  target: HomeTarget,
+/**
+ * Learns how long a run took by its target's clock: when this process hears of the start and the end depends on how
+ * busy it is itself.
+ */
+function learnRunTime(
+  { runTimes }: HomeState,
   task: Task,
   run: TaskRun | undefined,
-): Job | undefined {
+  targetClock: number,
+): void {
+  const { job, definition } = task;
+  if (job.finalState !== undefined || run?.isWhole !== true || run.targetStartedAt === undefined) return;
+  const { queue } = job.record.terms;
+  task.runMilliseconds = targetClock - run.targetStartedAt;
+  runTimes.learn(queue, definition, task.runMilliseconds);
+  const tasks = job.occurrences.get(task.occurrence)?.steps[task.step] ?? [];
+  const known = tasks.flatMap(({ runMilliseconds }) => runMilliseconds ?? []);
+  if (known.length === tasks.length) runTimes.learnStep(queue, known);
+}
+
+function takeSuccess(target: HomeTarget, task: Task): Job | undefined {
   const { job, definition } = task;
   target.distrust *= distrustKeptBySuccess;
   if (job.finalState !== undefined) return undefined;
-  if (run?.isWhole === true) {
-    const milliseconds = performance.now() - run.startedAt;
-    state.runTimes.learn(job.record.terms.queue, definition.estimateMilliseconds, milliseconds);
-  }
   noteSuccess(task);
   // An end that was not acknowledged is listed again; it is not before the job's progress is stored with it.
   return definition.isLasting ? undefined : job;
--- a/src/job-homes/start-orders.ts
+++ b/src/job-homes/start-orders.ts
@@ -139,6 +139,7 @@
   const now = performance.now();
   target.session.noteClock(clockMilliseconds, now);
   run.confirmedAt ??= now;
+  run.targetStartedAt ??= clockMilliseconds;
   if (run.status === "starting") run.status = "running";
   task.job.hasStarted = true;
 }
--- a/src/job-homes/test/home-cost.test.ts
+++ b/src/job-homes/test/home-cost.test.ts
@@ -5,6 +5,7 @@
  */
 import { afterEach, expect, test } from "vitest";
 import type { Job, ProgressRecord, StepDefinition } from "../../jobs/index.js";
+import type { ExpectedRunTime } from "../../scheduling/index.js";
 import { createLog, createMetrics } from "../../telemetry/index.js";
 import { MemoryStoreClient, createStoreEngine, createStoreFaults } from "../../stand-ins/index.js";
 import type { HomeJournal } from "../journal-writes.js";
@@ -49,9 +50,11 @@
   let lookUps = 0;
   const runTimes = {
     learn: () => undefined,
-    ratio: () => {
+    learnStep: () => undefined,
+    ofQueue: () => {
       lookUps += 1;
-      return 1;
+      const estimate: ExpectedRunTime = ({ estimateMilliseconds }) => estimateMilliseconds;
+      return { task: estimate, step: estimate };
     },
   };
   const state = { ...created, runTimes };
--- a/src/job-homes/test/job-rank.test.ts
+++ b/src/job-homes/test/job-rank.test.ts
@@ -4,11 +4,11 @@
  */
 import { expect, test } from "vitest";
 import { createJob, openOccurrences, type Job, type TaskRun } from "../../jobs/index.js";
-import { compareJobs, createRunTimeRatios } from "../../scheduling/index.js";
+import { compareJobs, createTaskRunTimes } from "../../scheduling/index.js";
 import { rankJob } from "../job-rank.js";
 import { createStep, terms } from "./home-fixture.js";
 
-const state = { runTimes: createRunTimeRatios() };
+const state = { runTimes: createTaskRunTimes() };
 const stepMilliseconds = 1_000;
 /** Due 1.5 times the chain of two steps and half a second after it was handed in. */
 const queueTerms = { ...terms, slackFactor: 1.5, objectiveMilliseconds: 500 };
--- a/src/jobs/job.ts
+++ b/src/jobs/job.ts
@@ -20,6 +20,8 @@
   status: "starting" | "running" | "stopping" | "unresolved" | "missing";
   /** When the target confirmed the start, by the monotonic clock; undefined before. */
   confirmedAt: number | undefined;
+  /** The target's clock when it confirmed the start; undefined before. */
+  targetStartedAt?: number | undefined;
   /** Whether a report of its target has shown it; until then a later life under the identifier may have taken the start. */
   isListed: boolean;
   /** When a start without an answer was last looked for, by the monotonic clock. */
@@ -50,6 +52,8 @@
   /** Runs that may still be present on targets. */
   readonly runs: TaskRun[];
   succeeded: boolean;
+  /** How long its run took by the target's clock; undefined before its success, or when that is not known. */
+  runMilliseconds?: number | undefined;
   failures: number;
   /** The runs that count among the failures. */
   readonly failedRuns: number[];
--- a/src/scheduling/index.ts
+++ b/src/scheduling/index.ts
@@ -18,6 +18,11 @@
 export { compareJobs, type OrderedJob } from "./order.js";
 export { choosePace, type ServedTail } from "./pacing.js";
 export { chooseGangPlaces, choosePlace, takePlace, type StepPlace } from "./placement.js";
-export { createRunTimeRatios, type RunTimeRatios } from "./run-times.js";
+export {
+  createTaskRunTimes,
+  type ExpectedRunTime,
+  type QueueRunTimes,
+  type TaskRunTimes,
+} from "./run-times.js";
 export { add, chargedResources, fits, scale, subtract, type TargetView } from "./target-view.js";
 export { isLastingJob, jobCoreSeconds, longestChainMilliseconds, stepCoreSeconds } from "./work.js";
--- a/src/scheduling/run-times.ts
+++ b/src/scheduling/run-times.ts
@@ -1,31 +1,139 @@
 /**
- * Learned run times: callers' estimates are rough, and wrong in the same way for a queue's jobs.
+ * Learned run times. Answers estimates that are rough by a factor of their own for each job: where they say little, a
+ * queue's usual run time says more, and a few estimates that were far too short do not make every job look long.
  * @packageDocumentation
  */
+import type { StepDefinition } from "../jobs/index.js";
 
-/** Learns how long tasks run against their estimates. */
-export interface RunTimeRatios {
-  /** Takes the run time of a task that has succeeded. */
-  learn(queue: string, estimateMilliseconds: number, runMilliseconds: number): void;
-  /** How many times its estimate a task of the queue takes. */
-  ratio(queue: string): number;
+/** What a run time is expected from. */
+export type TimedStep = Pick<StepDefinition, "estimateMilliseconds" | "taskCount">;
+
+/** Tells how long a step, or a task of it, is expected to run, in milliseconds. */
+export type ExpectedRunTime = (step: TimedStep) => number;
+
+/** How long the jobs of a queue are expected to run. */
+export interface QueueRunTimes {
+  /** A task on the mean, by which work is counted. */
+  readonly task: ExpectedRunTime;
+  /** The longest of a step's tasks, for which the next step waits. */
+  readonly step: ExpectedRunTime;
 }
 
-/** Weight of the newest run. */
-const learningRate = 0.05;
+/** Learns how long tasks run against their callers' estimates. */
+export interface TaskRunTimes {
+  /** Takes the run time of a task that has succeeded, in milliseconds. */
+  learn(queue: string, step: TimedStep, runMilliseconds: number): void;
+  /** Takes the run times of all tasks of a step, in milliseconds. */
+  learnStep(queue: string, runMilliseconds: readonly number[]): void;
+  /** How long the jobs of a queue are expected to run, by what is known now. */
+  ofQueue(queue: string): QueueRunTimes;
+}
+
+/** Until so many steps have ended, estimates are mostly believed. */
+const believedSteps = 4;
+/** Share of its weight that an earlier step keeps when a further one has ended. */
+const keptWeight = 0.99;
+/** One run counts no further off the expected time than by this factor: a target may be slow for a while. */
+const longestFactor = 8;
+
+/** Weight of the newest step in how uneven the tasks of a step are. */
+const unevennessRate = 0.1;
+
+/** A line through the logarithms of estimates and run times. */
+class LearnedRunTimes implements QueueRunTimes {
+  #weight = 0;
+  #meanEstimate = 0;
+  #meanRun = 0;
+  /** Weighted sums of squares and products about the means. */
+  #estimateSquares = 0;
+  #products = 0;
+  #runSquares = 0;
+  /** How far the longest task of a step lies above the mean, for each unit of what their number explains. */
+  #unevenness = 0;
+
+  learn({ estimateMilliseconds, taskCount }: TimedStep, runMilliseconds: number): void {
+    const estimate = Math.log(estimateMilliseconds);
+    const expected = this.#expectLogarithm(estimate);
+    const bound = Math.log(longestFactor);
+    const run = Math.min(expected + bound, Math.max(expected - bound, Math.log(runMilliseconds)));
+    // The tasks of a step share an estimate, so that together they count once.
+    const weight = 1 / Math.max(1, taskCount);
+    const kept = keptWeight ** weight;
+    const before = this.#weight * kept;
+    this.#weight = before + weight;
+    const estimateOffset = estimate - this.#meanEstimate;
+    const runOffset = run - this.#meanRun;
+    const share = (weight * before) / this.#weight;
+    this.#estimateSquares = this.#estimateSquares * kept + share * estimateOffset ** 2;
+    this.#products = this.#products * kept + share * estimateOffset * runOffset;
+    this.#runSquares = this.#runSquares * kept + share * runOffset ** 2;
+    this.#meanEstimate += (weight / this.#weight) * estimateOffset;
+    this.#meanRun += (weight / this.#weight) * runOffset;
+  }
+
+  learnStep(runMilliseconds: readonly number[]): void {
+    if (runMilliseconds.length < 2) return;
+    const mean = runMilliseconds.reduce((sum, each) => sum + each, 0) / runMilliseconds.length;
+    const above = Math.max(...runMilliseconds) / mean - 1;
+    this.#unevenness += unevennessRate * (above / explainLongest(runMilliseconds.length) - this.#unevenness);
+  }
+
+  readonly task = ({ estimateMilliseconds }: TimedStep): number => {
+    if (estimateMilliseconds <= 0) return this.#weight === 0 ? 0 : Math.exp(this.#meanRun);
+    return Math.exp(this.#expectLogarithm(Math.log(estimateMilliseconds)) + this.#spread() / 2);
+  };
+
+  readonly step = (step: TimedStep): number =>
+    this.task(step) * (1 + this.#unevenness * explainLongest(step.taskCount));
+
+  /** Variance of the run times' logarithms about what is expected: the mean of such times lies above their middle. */
+  #spread(): number {
+    if (this.#weight === 0) return 0;
+    const slope = this.#slope();
+    const squares = this.#runSquares - 2 * slope * this.#products + slope ** 2 * this.#estimateSquares;
+    return Math.max(0, squares) / (this.#weight + believedSteps);
+  }
+
+  /** Estimates are believed as far as they have told short runs from long ones, and while little is known. */
+  #slope(): number {
+    const slope = (this.#products + believedSteps) / (this.#estimateSquares + believedSteps);
+    return Math.min(1, Math.max(0, slope));
+  }
+
+  #expectLogarithm(estimate: number): number {
+    const usual = this.#slope() * (estimate - this.#meanEstimate) + this.#meanRun;
+    const known = this.#weight / (this.#weight + 1);
+    return known * usual + (1 - known) * estimate;
+  }
+}
+
+/** The largest of so many even draws lies about so many deviations above their mean. */
+function explainLongest(count: number): number {
+  return Math.sqrt(2 * Math.log(Math.max(1, count)));
+}
+
+/** What is expected of a queue of which nothing has run yet. */
+const unlearned: QueueRunTimes = {
+  task: ({ estimateMilliseconds }) => estimateMilliseconds,
+  step: ({ estimateMilliseconds }) => estimateMilliseconds,
+};
 
 /**
- * Creates ratios of 1 for every queue.
- * @returns the ratios
+ * Creates run times that believe every estimate.
+ * @returns the run times
  */
-export function createRunTimeRatios(): RunTimeRatios {
-  const ratios = new Map<string, number>();
+export function createTaskRunTimes(): TaskRunTimes {
+  const queues = new Map<string, LearnedRunTimes>();
   return {
-    learn: (queue, estimate, run) => {
-      if (estimate <= 0) return;
-      const known = ratios.get(queue) ?? 1;
-      ratios.set(queue, known + learningRate * (run / estimate - known));
+    learn: (queue, step, runMilliseconds) => {
+      if (step.estimateMilliseconds <= 0 || runMilliseconds <= 0) return;
+      const known = queues.get(queue) ?? new LearnedRunTimes();
+      queues.set(queue, known);
+      known.learn(step, runMilliseconds);
+    },
+    learnStep: (queue, runMilliseconds) => {
+      queues.get(queue)?.learnStep(runMilliseconds);
     },
-    ratio: (queue) => ratios.get(queue) ?? 1,
+    ofQueue: (queue) => queues.get(queue) ?? unlearned,
   };
 }
--- a/src/scheduling/work.ts
+++ b/src/scheduling/work.ts
@@ -3,6 +3,7 @@
  * @packageDocumentation
  */
 import type { JobDefinition, StepDefinition } from "../jobs/index.js";
+import type { ExpectedRunTime } from "./run-times.js";
 
 const millisecondsPerSecond = 1_000;
 const millicoresPerCore = 1_000;
@@ -11,36 +12,36 @@
  * Computes the processor time of some tasks of a step.
  * @param step - the step
  * @param taskCount - how many tasks
- * @param ratio - how many times its estimate a task takes
+ * @param expected - how long tasks are expected to run
  * @returns core-seconds; none for lasting tasks and fillers
  */
-export function stepCoreSeconds(step: StepDefinition, taskCount: number, ratio: number): number {
+export function stepCoreSeconds(step: StepDefinition, taskCount: number, expected: ExpectedRunTime): number {
   if (step.isLasting || step.isFiller) return 0;
-  const seconds = (step.estimateMilliseconds * ratio) / millisecondsPerSecond;
+  const seconds = expected(step) / millisecondsPerSecond;
   return (taskCount * seconds * step.resources.cpuMillicores) / millicoresPerCore;
 }
 
 /**
  * Computes the processor time of one occurrence of a job.
  * @param definition - the job
- * @param ratio - how many times its estimate a task takes
+ * @param expected - how long tasks are expected to run
  * @returns core-seconds
  */
-export function jobCoreSeconds(definition: JobDefinition, ratio: number): number {
-  return definition.steps.reduce((sum, step) => sum + stepCoreSeconds(step, step.taskCount, ratio), 0);
+export function jobCoreSeconds(definition: JobDefinition, expected: ExpectedRunTime): number {
+  return definition.steps.reduce((sum, step) => sum + stepCoreSeconds(step, step.taskCount, expected), 0);
 }
 
 /**
  * Computes how long a job takes on idle targets: the longest chain of steps that wait for each other.
  * @param definition - the job
- * @param ratio - how many times its estimate a task takes
+ * @param expected - how long tasks are expected to run
  * @returns milliseconds
  */
-export function longestChainMilliseconds(definition: JobDefinition, ratio: number): number {
+export function longestChainMilliseconds(definition: JobDefinition, expected: ExpectedRunTime): number {
   const ends: number[] = [];
   for (const step of definition.steps) {
     const begin = step.after.reduce((latest, earlier) => Math.max(latest, ends[earlier] ?? 0), 0);
-    ends.push(begin + step.estimateMilliseconds * ratio);
+    ends.push(begin + expected(step));
   }
   return Math.max(0, ...ends);
 }
