--- a/src/job-homes/home-forecast.ts
+++ b/src/job-homes/home-forecast.ts
@@ -23,7 +23,8 @@
 
 /** A job is worth something until this many times its objective. */
 const latestFactor = 3;
-const horizonMilliseconds = 20_000;
+/** How far ahead room is planned; after that it is taken to stay as it is. */
+const horizonMilliseconds = 60_000;
 /** A plan of the room serves callers for so many times the time that it took, within these bounds. */
 const planAgeFactor = 20;
 const shortestPlanMilliseconds = 40;
--- a/src/job-homes/test/run-time-learning.test.ts
+++ b/src/job-homes/test/run-time-learning.test.ts
@@ -189,3 +189,13 @@
   for (let index = 0; index < 20; index += 1) runJob(state, target, wide, runMilliseconds, 6_000);
   expect(expectChain(state, wide)).toBeLessThan(1.2 * runMilliseconds);
 });
+
+test("a job whose objective is a minute away is not taken for one that never ends", () => {
+  const state = createState();
+  const resources = { cpuMillicores: 16_000, memoryMegabytes: 1_000, accelerators: 0 };
+  state.expectedRoom = [{ resources, at: performance.now() }];
+  const long = createStep({ taskCount: 30, estimateMilliseconds: 12_000 });
+  const { endMilliseconds } = forecastJob(state, queueTerms, { spec: "", steps: [long] }, 0);
+  expect(endMilliseconds).toBeGreaterThanOrEqual(36_000);
+  expect(endMilliseconds).toBeLessThan(60_000);
+});
