--- a/src/fleet/test/plans.test.ts
+++ b/src/fleet/test/plans.test.ts
@@ -59,6 +59,12 @@
   expect(late.vacate).toHaveLength(1);
 });
 
+test("a wave that is nearly done still begins in time with the machines that take longest to empty", () => {
+  const candidates = [candidate("busy", { runs: 3, lastingRuns: 1, poolBacklogMilliseconds: 2_000 })];
+  const step = planWaveStep(candidates, { freeSlots: 1, elapsedShare: 0.5, doneShare: 0.95 });
+  expect(step.vacate).toHaveLength(1);
+});
+
 test("no machine is taken down while its pool's home does not know what runs on it", () => {
   const machine: Machine = {
     machineId: "machine",
--- a/src/fleet/wave-plan.ts
+++ b/src/fleet/wave-plan.ts
@@ -42,8 +42,10 @@
 const runCost = 400;
 /** A machine that is being emptied is kept. */
 const vacatingBonus = 5_000;
-/** Until the wave falls behind, machines of pools with a longer backlog are left alone. */
+/** At first machines of pools with a longer backlog are left alone. */
 const patientBacklogMilliseconds = 300;
+/** After this share of its time a wave waits for no pool: the last machines are those that take longest to empty. */
+const patientShare = 0.4;
 
 /**
  * Chooses the next step.
@@ -53,9 +55,10 @@
  */
 export function planWaveStep(candidates: readonly WaveCandidate[], pressure: WavePressure): WaveStep {
   const isBehind = pressure.elapsedShare > pressure.doneShare;
+  const isPatient = !isBehind && pressure.elapsedShare < patientShare;
   const patient = candidates.filter(
     ({ poolBacklogMilliseconds, isVacating, runs }) =>
-      isBehind || isVacating || runs === 0 || poolBacklogMilliseconds <= patientBacklogMilliseconds,
+      !isPatient || isVacating || runs === 0 || poolBacklogMilliseconds <= patientBacklogMilliseconds,
   );
   const ordered = [...patient].sort((left, right) => cost(left) - cost(right));
   const chosen = chooseApart(ordered, pressure.freeSlots, isBehind);
