--- a/src/scheduling/demand.ts
+++ b/src/scheduling/demand.ts
@@ -41,6 +41,9 @@
 const steadyMilliseconds = 900;
 /** Long enough that a few large jobs in a row do not pass for the height of a turn. */
 const heightMilliseconds = 2_000;
+/** So many jobs that come together tell a rate of their own; the more callers a pool has, the sooner it is known. */
+const surgeMilliseconds = 300;
+const surgeJobs = 8;
 /** Jobs that come this close together may begin a turn. */
 const onsetMilliseconds = 500;
 /** One large job alone is no turn. */
@@ -61,14 +64,16 @@
   const height = createWorkRate(heightMilliseconds);
   const onset = createWorkRate(onsetMilliseconds);
   const arrivals = createWorkRate(onsetMilliseconds);
+  const surge = createWorkRate(surgeMilliseconds);
+  const surgeArrivals = createWorkRate(surgeMilliseconds);
   let highest = 0;
   let highestAt = 0;
 
   const known = (now: number): number => highest * Math.exp(-(now - highestAt) / memoryMilliseconds);
   return {
     note: (coreSeconds, now) => {
-      for (const rate of [steady, height, onset]) rate.note(coreSeconds, now);
-      arrivals.note(1, now);
+      for (const rate of [steady, height, onset, surge]) rate.note(coreSeconds, now);
+      for (const count of [arrivals, surgeArrivals]) count.note(1, now);
       const current = height.read(now);
       if (current < known(now)) return;
       highest = current;
@@ -77,7 +82,9 @@
     read: (now) => {
       const jobs = arrivals.read(now) * (onsetMilliseconds / millisecondsPerSecond);
       const isTurn = jobs >= onsetJobs && onset.read(now) >= onsetShare * known(now);
-      return isTurn ? Math.max(steady.read(now), known(now)) : steady.read(now);
+      const together = surgeArrivals.read(now) * (surgeMilliseconds / millisecondsPerSecond);
+      const current = Math.max(steady.read(now), together >= surgeJobs ? surge.read(now) : 0);
+      return isTurn ? Math.max(current, known(now)) : current;
     },
   };
 }
--- a/src/scheduling/test/decisions.test.ts
+++ b/src/scheduling/test/decisions.test.ts
@@ -280,6 +280,18 @@
   expect(forecast.read(12_050)).toBeLessThan(500);
 });
 
+test("a turn of many callers is known within a few tenths of a second, and a few jobs tell no rate", () => {
+  const risen = (jobsPerSecond: number): number => {
+    const demand = createDemandForecast();
+    const gap = 1_000 / jobsPerSecond;
+    let now = 0;
+    for (; now < 400; now += gap) demand.note(10, now);
+    return demand.read(now) / (10 * jobsPerSecond);
+  };
+  expect(risen(100)).toBeGreaterThan(0.7);
+  expect(risen(5)).toBeLessThan(0.6);
+});
+
 test("the margin follows forecasts that miss, and one of a few misses does not move it far", () => {
   const margin = createForecastMargin();
   for (let job = 0; job < 100; job += 1) margin.learn(job % 10 === 0 ? 9_000 : 400);
