--- a/src/job-homes/entry-session.ts
+++ b/src/job-homes/entry-session.ts
@@ -49,7 +49,38 @@
 
 interface StandingLease {
   readonly leaseId: string;
+  /** By the monotonic clock. */
   until: number;
+  /** By the time of day, which also counts the time in which the machine was suspended. */
+  untilUnix: number;
+}
+
+/** A moment by both clocks. */
+interface Moment {
+  readonly monotonic: number;
+  readonly unix: number;
+}
+
+function readClocks(): Moment {
+  return { monotonic: performance.now(), unix: Date.now() };
+}
+
+/** When a lease that was asked for at a moment surely still stands, by both clocks. */
+function endOfLease(
+  { monotonic, unix }: Moment,
+  leaseMilliseconds: number,
+): Pick<StandingLease, "until" | "untilUnix"> {
+  const lasts = leaseMilliseconds - marginMilliseconds;
+  return { until: monotonic + lasts, untilUnix: unix + lasts };
+}
+
+function mayStand(lease: StandingLease | undefined): lease is StandingLease {
+  return lease !== undefined && performance.now() < lease.until;
+}
+
+/** The time of day may have jumped, or the machine was suspended: the store tells which, and nothing is done before. */
+function isInDoubt({ untilUnix }: StandingLease): boolean {
+  return Date.now() >= untilUnix;
 }
 
 /**
@@ -62,13 +93,17 @@
   const events = new Emittery<EntrySessionEvents>();
   const stop = new AbortController();
   let lease: StandingLease | undefined;
+  let rest = new AbortController();
 
   const isStopped = (): boolean => stop.signal.aborted;
-  const endOfLease = (askedAt: number): number => askedAt + leaseMilliseconds - marginMilliseconds;
-  const isStanding = (): boolean => lease !== undefined && performance.now() < lease.until;
+  const readStanding = (): string | undefined => {
+    if (!mayStand(lease)) return undefined;
+    if (isInDoubt(lease)) rest.abort();
+    return isInDoubt(lease) ? undefined : lease.leaseId;
+  };
 
   const open = async (): Promise<boolean> => {
-    const askedAt = performance.now();
+    const askedAt = readClocks();
     const granted = await store.grantLease(leaseMilliseconds / millisecondsPerSecond);
     if (granted.isLeft()) return false;
     const { leaseId } = granted.unsafeCoerce();
@@ -76,30 +111,35 @@
     // The last process of this entry may have left a record; it is replaced whatever it holds.
     const result = await store.transact({ expected: [], writes: [{ key, value: self, leaseId }] });
     if (result.kind !== "done") return false;
-    lease = { leaseId, until: endOfLease(askedAt) };
+    lease = { leaseId, ...endOfLease(askedAt, leaseMilliseconds) };
     log.write("info", "entry-session-opened", { leaseId, leaseMilliseconds });
     void events.emit("opened", { leaseId });
     return true;
   };
 
   const renewOnce = async (standing: StandingLease): Promise<"renewed" | "failed" | "ended"> => {
-    const askedAt = performance.now();
+    const askedAt = readClocks();
     const late: Either<StoreFailure, boolean> = Left({
       kind: "timeout",
       message: "the lease may have ended",
     });
-    const left = Math.max(0, standing.until - askedAt);
+    const left = Math.max(0, standing.until - askedAt.monotonic);
     const renewed = await withTimeout(store.renewLease(standing.leaseId), left, late);
     if (renewed.isLeft()) return "failed";
     if (!renewed.orDefault(false)) return "ended";
-    standing.until = endOfLease(askedAt);
+    Object.assign(standing, endOfLease(askedAt, leaseMilliseconds));
     return "renewed";
   };
 
+  const pause = async (milliseconds: number): Promise<void> => {
+    rest = new AbortController();
+    await delay(milliseconds, AbortSignal.any([stop.signal, rest.signal]));
+  };
+
   const keep = async (standing: StandingLease): Promise<string> => {
     let wait = leaseMilliseconds / renewalsPerLease;
-    while (!isStopped() && isStanding()) {
-      await delay(Math.min(wait, standing.until - performance.now()), stop.signal);
+    while (!isStopped() && mayStand(lease)) {
+      await pause(Math.min(wait, standing.until - performance.now()));
       if (isStopped()) return "closed";
       const result = await renewOnce(standing);
       if (result === "ended") return "the store has ended it";
@@ -128,7 +168,7 @@
   void run();
   return {
     events,
-    leaseId: () => (isStanding() ? lease?.leaseId : undefined),
+    leaseId: readStanding,
     standsUntil: () => lease?.until ?? Number.NEGATIVE_INFINITY,
     close: async () => {
       stop.abort();
--- /dev/null
+++ b/src/job-homes/test/entry-session.test.ts
@@ -0,0 +1,65 @@
+/**
+ * An entry's lease while its clocks say different things.
+ * @packageDocumentation
+ */
+import { afterEach, expect, test, vi } from "vitest";
+import { createStoreEngine, createStoreFaults, MemoryStoreClient } from "../../stand-ins/index.js";
+import { createLog } from "../../telemetry/index.js";
+import { openEntrySession, type EntrySession } from "../entry-session.js";
+import { waitFor } from "./home-fixture.js";
+
+const leaseMilliseconds = 3_000;
+const self = { entryId: "a", incarnation: 1, peerAddress: "127.0.0.1:1", zone: "zone" };
+
+let close: () => Promise<void> = async () => Promise.resolve();
+afterEach(async () => {
+  vi.restoreAllMocks();
+  await close();
+});
+
+async function startSession(): Promise<{
+  session: EntrySession;
+  faults: ReturnType<typeof createStoreFaults>;
+  losses: string[];
+}> {
+  const engine = createStoreEngine();
+  const faults = createStoreFaults();
+  const store = new MemoryStoreClient(engine, faults);
+  const session = openEntrySession({ store, self, log: createLog("silent"), leaseMilliseconds });
+  const losses: string[] = [];
+  session.events.on("lost", ({ reason }) => {
+    losses.push(reason);
+  });
+  close = async () => {
+    faults.mode = "up";
+    await session.close();
+    engine.close();
+  };
+  await waitFor(() => session.leaseId());
+  return { session, faults, losses };
+}
+
+/** The time of day goes on by so much, and the monotonic clock does not. */
+function skip(milliseconds: number): void {
+  const now = Date.now.bind(Date);
+  vi.spyOn(Date, "now").mockImplementation(() => now() + milliseconds);
+}
+
+test("an entry that was suspended for longer than its lease does not act on it when it wakes", async () => {
+  const { session, faults } = await startSession();
+  faults.mode = "down";
+  skip(10_000);
+  expect(session.leaseId()).toBeUndefined();
+});
+
+test("a time of day that jumps costs an entry no lease: the store confirms it before anything is done", async () => {
+  const { session, losses } = await startSession();
+  const leaseId = session.leaseId();
+  skip(10_000);
+  expect(session.leaseId()).toBeUndefined();
+  const askedAt = performance.now();
+  expect(await waitFor(() => session.leaseId())).toBe(leaseId);
+  // Without the doubt the next renewal would come after three quarters of a second only.
+  expect(performance.now() - askedAt).toBeLessThan(leaseMilliseconds / 8);
+  expect(losses).toEqual([]);
+});
