--- a/src/job-homes/home-targets.ts
+++ b/src/job-homes/home-targets.ts
@@ -13,6 +13,8 @@
 /** How long renewals wait for an end, by what the target runs. */
 const idleWaitMilliseconds = 2_000;
 const busyWaitMilliseconds = 1_000;
+/** Others of a lasting step may move once one that has just started is at work. */
+const startingWaitMilliseconds = 200;
 /** Fillers beside lasting tasks are looked at more often. */
 const pacedWaitMilliseconds = 400;
 const paceTimeoutMilliseconds = 500;
@@ -239,9 +241,17 @@
 
 function chooseWait(target: HomeTarget | undefined): number {
   if (target === undefined || target.runs.size === 0) return idleWaitMilliseconds;
+  if (hasStartingLastingTasks(target)) return startingWaitMilliseconds;
   return hasFillers(target) ? pacedWaitMilliseconds : busyWaitMilliseconds;
 }
 
+function hasStartingLastingTasks({ runs }: HomeTarget): boolean {
+  for (const { task, run } of runs.values()) {
+    if (task.definition.isLasting && run.status === "running" && run.percent < fullPercent) return true;
+  }
+  return false;
+}
+
 function hasFillers({ runs }: HomeTarget): boolean {
   for (const { task } of runs.values()) if (task.definition.isFiller) return true;
   return false;
--- a/src/job-homes/test/job-home.test.ts
+++ b/src/job-homes/test/job-home.test.ts
@@ -2,7 +2,7 @@
  * Homes over stand-in targets and store: what callers see, what runs and what must not.
  * @packageDocumentation
  */
-import { afterEach, expect, test } from "vitest";
+import { afterEach, expect, test, vi } from "vitest";
 import type { RunRecord, TaskBehaviour } from "../../stand-ins/index.js";
 import {
   createStep,
@@ -302,6 +302,27 @@
   expect(fixture.fleet.world.history.every(({ to }) => to === undefined)).toBe(true);
 });
 
+test("a lasting task that has started is looked at often until it is at work, so that others of its step may move", async () => {
+  const behaviour = behave({ isLasting: true, startMilliseconds: 300 });
+  fixture = startHomeFixture({ targetCount: 1, coresPerTarget: 4, behaviour });
+  const waits: { readonly isAtWork: boolean; readonly milliseconds: number }[] = [];
+  const renew = fixture.fleet.orders.renew.bind(fixture.fleet.orders);
+  vi.spyOn(fixture.fleet.orders, "renew").mockImplementation(async (order) => {
+    const answer = await renew(order);
+    const present = answer.map((report) => report.present).orDefault([]);
+    const isAtWork = present.every(({ percent }) => percent === 100);
+    if (present.length > 0) waits.push({ isAtWork, milliseconds: order.waitMilliseconds });
+    return answer;
+  });
+  const home = await fixture.home(fixture.startEntry("a"));
+  await home.submit(submission("job", createStep({ taskCount: 1, isLasting: true })));
+  await waitFor(() => waits.filter(({ isAtWork }) => isAtWork).length > 3);
+  const starting = waits.filter(({ isAtWork }) => !isAtWork).slice(2);
+  expect(starting.length).toBeGreaterThan(0);
+  expect(Math.max(...starting.map(({ milliseconds }) => milliseconds))).toBeLessThanOrEqual(250);
+  expect(waits.at(-1)?.milliseconds).toBeGreaterThanOrEqual(1_000);
+});
+
 test("a pool that has rested asks at once for all targets that a lasting step needs", async () => {
   fixture = startHomeFixture({ targetCount: 2, coresPerTarget: 4, behaviour: behave({ isLasting: true }) });
   const home = await fixture.home(fixture.startEntry("a"));
--- a/src/stand-ins/job-targets/job-target.ts
+++ b/src/stand-ins/job-targets/job-target.ts
@@ -24,6 +24,7 @@
   readonly run: number;
   readonly needs: Resources;
   readonly endsAt: number;
+  readonly atWorkAt: number;
   readonly isLasting: boolean;
   readonly fails: boolean;
 }
@@ -34,6 +35,8 @@
   readonly runMilliseconds: number;
   readonly isLasting: boolean;
   readonly fails: boolean;
+  /** How long a lasting task starts before it is at work; none by default. */
+  readonly startMilliseconds?: number;
 }
 
 /** An interval in which a task ran. */
@@ -190,11 +193,12 @@
   }
 
   #report(): TargetReport {
-    const present = [...this.#running.values()].map(({ task, run }): PresentRun => ({
+    const now = this.#world.now();
+    const present = [...this.#running.values()].map(({ task, run, atWorkAt }): PresentRun => ({
       task,
       run,
       checkpoint: "",
-      percent: 100,
+      percent: now < atWorkAt ? 0 : 100,
       usage: 0,
     }));
     return {
@@ -244,9 +248,10 @@
   }
 
   #begin({ task, run, fencingToken }: StartOrder): void {
-    const { needs, runMilliseconds, isLasting, fails } = this.#world.behaviour(task);
+    const { needs, runMilliseconds, isLasting, fails, startMilliseconds = 0 } = this.#world.behaviour(task);
     const now = this.#world.now();
-    this.#running.set(task, { task, run, needs, endsAt: now + runMilliseconds, isLasting, fails });
+    const [endsAt, atWorkAt] = [now + runMilliseconds, now + startMilliseconds];
+    this.#running.set(task, { task, run, needs, endsAt, atWorkAt, isLasting, fails });
     const { targetId, pool } = this.#registered;
     const open = { to: undefined, how: undefined, acknowledgedAt: undefined };
     this.#world.history.push({ task, run, targetId, pool, fencingToken, from: now, ...open });
