--- a/src/job-homes/dispatcher.ts
+++ b/src/job-homes/dispatcher.ts
@@ -139,6 +139,7 @@
 
 /** Keeps room free for lasting tasks until it is enough. */
 function keepRoom(state: HomeState, place: StepPlace, views: readonly TargetView[], count: number): number {
-  for (let task = 0; task < count && place.definition.isLasting; task += 1) reservePlace(state, place, views);
+  let left = place.definition.isLasting ? count : 0;
+  while (left > 0 && reservePlace(state, place, views)) left -= 1;
   return count;
 }
--- a/src/job-homes/entry-session.ts
+++ b/src/job-homes/entry-session.ts
@@ -83,6 +83,31 @@
   return Date.now() >= untilUnix;
 }
 
+/** The pause before the next renewal. */
+class RenewalPause {
+  #rest = new AbortController();
+  #isHurried = false;
+
+  async wait(milliseconds: number): Promise<void> {
+    this.#rest = new AbortController();
+    await delay(milliseconds, this.#rest.signal);
+  }
+
+  /** Ends the pause, once until a renewal succeeds: a store that does not answer is not asked without pause. */
+  hurry(): void {
+    if (!this.#isHurried) this.end();
+    this.#isHurried = true;
+  }
+
+  noteRenewed(): void {
+    this.#isHurried = false;
+  }
+
+  end(): void {
+    this.#rest.abort();
+  }
+}
+
 /**
  * Opens a session and keeps it open while the process runs.
  * @param options - the store and who this entry is
@@ -93,13 +118,14 @@
   const events = new Emittery<EntrySessionEvents>();
   const stop = new AbortController();
   let lease: StandingLease | undefined;
-  let rest = new AbortController();
+  const pause = new RenewalPause();
 
   const isStopped = (): boolean => stop.signal.aborted;
   const readStanding = (): string | undefined => {
     if (!mayStand(lease)) return undefined;
-    if (isInDoubt(lease)) rest.abort();
-    return isInDoubt(lease) ? undefined : lease.leaseId;
+    if (!isInDoubt(lease)) return lease.leaseId;
+    pause.hurry();
+    return undefined;
   };
 
   const open = async (): Promise<boolean> => {
@@ -128,18 +154,14 @@
     if (renewed.isLeft()) return "failed";
     if (!renewed.orDefault(false)) return "ended";
     Object.assign(standing, endOfLease(askedAt, leaseMilliseconds));
+    pause.noteRenewed();
     return "renewed";
   };
 
-  const pause = async (milliseconds: number): Promise<void> => {
-    rest = new AbortController();
-    await delay(milliseconds, AbortSignal.any([stop.signal, rest.signal]));
-  };
-
   const keep = async (standing: StandingLease): Promise<string> => {
     let wait = leaseMilliseconds / renewalsPerLease;
     while (!isStopped() && mayStand(lease)) {
-      await pause(Math.min(wait, standing.until - performance.now()));
+      await pause.wait(Math.min(wait, standing.until - performance.now()));
       if (isStopped()) return "closed";
       const result = await renewOnce(standing);
       if (result === "ended") return "the store has ended it";
@@ -172,6 +194,7 @@
     standsUntil: () => lease?.until ?? Number.NEGATIVE_INFINITY,
     close: async () => {
       stop.abort();
+      pause.end();
       if (lease !== undefined) await store.revokeLease(lease.leaseId);
       lease = undefined;
     },
--- a/src/job-homes/home-keeper.ts
+++ b/src/job-homes/home-keeper.ts
@@ -140,8 +140,9 @@
     while (!this.#stop.signal.aborted) {
       this.#compete();
       if (this.#lag.isBehind()) await this.#relieve();
+      const setAt = performance.now();
       await delay(competeMilliseconds, this.#stop.signal);
-      this.#lag.note(performance.now());
+      this.#lag.note(setAt, performance.now());
     }
   }
 
--- a/src/job-homes/lag-gauge.ts
+++ b/src/job-homes/lag-gauge.ts
@@ -14,7 +14,6 @@
 /** Measures how late a timer runs that is set again and again. */
 export class LagGauge {
   readonly #intervalMilliseconds: number;
-  #ranAt: number | undefined;
   #share = 0;
   #lateInARow = 0;
 
@@ -28,11 +27,11 @@
 
   /**
    * Notes that the timer has run.
-   * @param now - the monotonic clock
+   * @param setAt - when it was set, by the monotonic clock
+   * @param ranAt - when it ran
    */
-  note(now: number): void {
-    const elapsed = Math.max(1, now - (this.#ranAt ?? now));
-    this.#ranAt = now;
+  note(setAt: number, ranAt: number): void {
+    const elapsed = Math.max(1, ranAt - setAt);
     const late = Math.max(0, elapsed - this.#intervalMilliseconds) / elapsed;
     const weight = 1 - Math.exp(-elapsed / windowMilliseconds);
     this.#share += weight * (late - this.#share);
--- a/src/job-homes/lasting-places.ts
+++ b/src/job-homes/lasting-places.ts
@@ -71,12 +71,14 @@
  * @param state - the home
  * @param place - the task's step
  * @param views - the targets that may be used
+ * @returns whether there is such a target
  */
-export function reservePlace(state: HomeState, place: StepPlace, views: readonly TargetView[]): void {
+export function reservePlace(state: HomeState, place: StepPlace, views: readonly TargetView[]): boolean {
   const withoutShort = views.map((view) => ({ ...view, free: readLastingRoom(state, view) }));
   const chosen = choosePlace(place, withoutShort);
   const view = views.find(({ targetId }) => targetId === chosen?.targetId);
   if (view !== undefined) view.free = noRoom;
+  return view !== undefined;
 }
 
 /** A pool that knows no target asks for one machine for all its lasting tasks. */
--- a/src/job-homes/test/entry-session.test.ts
+++ b/src/job-homes/test/entry-session.test.ts
@@ -63,3 +63,17 @@
   expect(performance.now() - askedAt).toBeLessThan(leaseMilliseconds / 8);
   expect(losses).toEqual([]);
 });
+
+test("a lease in doubt is not renewed without pause while the store does not answer", async () => {
+  const { session, faults } = await startSession();
+  faults.mode = "down";
+  skip(10_000);
+  const calls = vi.spyOn(MemoryStoreClient.prototype, "renewLease");
+  const until = performance.now() + 500;
+  while (performance.now() < until) {
+    session.leaseId();
+    await new Promise((resolve) => setTimeout(resolve, 1));
+  }
+  expect(calls.mock.calls.length).toBeGreaterThan(0);
+  expect(calls.mock.calls.length).toBeLessThan(6);
+});
