--- a/src/job-homes/home-keeper.ts
+++ b/src/job-homes/home-keeper.ts
@@ -10,7 +10,7 @@
 import type { AdviceService } from "./advice-book.js";
 import type { EntrySession } from "./entry-session.js";
 import { StoredHomeJournal } from "./home-journal.js";
-import { findLargeEntries, orderForHome } from "./home-placement.js";
+import { orderForHome } from "./home-placement.js";
 import { homePrefix, type HomeRecord } from "./home-record.js";
 import { createHomeState, loadJobs, type HomeState } from "./home-state.js";
 import { HomeTargets } from "./home-targets.js";
@@ -23,7 +23,6 @@
 } from "./home-takeover.js";
 import { JobHome } from "./job-home.js";
 import { JoinWait } from "./join-wait.js";
-import { LagGauge } from "./lag-gauge.js";
 
 /** What the keeper knows of the fleet of entries. */
 export interface HomeDirectory {
@@ -63,10 +62,6 @@
   readonly state: HomeState;
   readonly targets: HomeTargets;
   readonly leaseId: string;
-  /** How many homes the pool has had, this one included. */
-  readonly homes: number;
-  /** When this entry took the pool, by the monotonic clock. */
-  readonly takenAt: number;
   close(): void;
 }
 
@@ -80,13 +75,6 @@
 /** An entry that could not read a pool's jobs leaves the pool to others for so long. */
 const standBackMilliseconds = 3_000;
 
-/** An entry that falls behind leaves a pool to others for so long. */
-const relieveMilliseconds = 20_000;
-/** A home stays so long for each that the pool has had: where all entries fall behind, another would as well. */
-const tenureMilliseconds = 2_000;
-/** What is open is written before a home is handed over, as far as the store takes it in this time. */
-const handOverFlushMilliseconds = 300;
-
 /** Competes for the homes of pools and runs those that this entry holds. */
 export class HomeKeeper {
   readonly #options: HomeKeeperOptions;
@@ -99,7 +87,6 @@
   /** Pools for which this entry has begun to write that it is their home. */
   readonly #claimed = new Set<string>();
   readonly #joinWait: JoinWait;
-  readonly #lag = new LagGauge(competeMilliseconds);
 
   /**
    * Creates a keeper; `run` begins to compete.
@@ -139,10 +126,7 @@
   async run(): Promise<void> {
     while (!this.#stop.signal.aborted) {
       this.#compete();
-      if (this.#lag.isBehind()) await this.#relieve();
-      const setAt = performance.now();
       await delay(competeMilliseconds, this.#stop.signal);
-      this.#lag.note(setAt, performance.now());
     }
   }
 
@@ -163,30 +147,6 @@
     this.#options.log.write("warn", "home-lost", { pool, reason });
   }
 
-  /** Hands one home over while this entry falls behind and another could take it. */
-  async #relieve(): Promise<void> {
-    const now = performance.now();
-    const due = [...this.#held].find(([, each]) => now - each.takenAt > each.homes * tenureMilliseconds);
-    if (due === undefined || !this.#hasStandIn()) return;
-    const [pool, { state, homes }] = due;
-    await Promise.race([state.journal.flush(), delay(handOverFlushMilliseconds)]);
-    const lateShare = Number(this.#lag.lateShare().toFixed(2));
-    this.#options.log.write("warn", "home-handed-over", { pool, homes, lateShare });
-    this.#standsBackUntil.set(pool, performance.now() + relieveMilliseconds);
-    // The record of a home that is not held any more is cleared, and others take the pool.
-    this.#drop(pool, "this entry falls behind");
-  }
-
-  /** Whether an entry that is about as large holds fewer homes. */
-  #hasStandIn(): boolean {
-    const { directory, entryId } = this.#options;
-    const holders = [...directory.homes().values()].map((record) => record.entryId);
-    const homesOf = (holder: string): number => holders.filter((each) => each === holder).length;
-    return findLargeEntries(directory.entries()).some(
-      (candidate) => candidate !== entryId && homesOf(candidate) < this.#held.size,
-    );
-  }
-
   #compete(): void {
     const { session, directory, pools } = this.#options;
     if (session.leaseId() === undefined || directory.ageMilliseconds() > directoryAgeMilliseconds) return;
@@ -330,5 +290,5 @@
     targets.close();
     journal.close();
   };
-  return { home, state, targets, leaseId, homes: inheritance.homes, takenAt: performance.now(), close };
+  return { home, state, targets, leaseId, close };
 }
