--- a/src/job-homes/home-state.ts
+++ b/src/job-homes/home-state.ts
@@ -26,6 +26,7 @@
 } from "../scheduling/index.js";
 import type { RegisteredTarget, TargetOrders, TargetSession } from "../task-runs/index.js";
 import type { Log, Metrics } from "../telemetry/index.js";
+import type { HomeWorkspaces } from "../workspaces/index.js";
 import type { HomeJournal } from "./journal-writes.js";
 import type { PoolLoad } from "./pool-load.js";
 
@@ -91,6 +92,8 @@
   readonly log: Log;
   readonly metrics: Metrics;
   readonly runTimes: TaskRunTimes;
+  /** Undefined where nobody tells workspaces apart. */
+  readonly workspaces: HomeWorkspaces | undefined;
   /** Work that callers ask for, accepted or not. */
   readonly demand: WorkRate;
   /** All jobs that are answered for. */
@@ -136,7 +139,8 @@
 export type HomeParts = Pick<
   HomeState,
   "pool" | "fencingToken" | "firstRun" | "orders" | "journal" | "log" | "metrics" | "isActive" | "supersede"
->;
+> &
+  Partial<Pick<HomeState, "workspaces">>;
 
 /**
  * Creates the state of a home that knows no job and no target.
@@ -145,6 +149,7 @@
  */
 export function createHomeState(parts: HomeParts): HomeState {
   return {
+    workspaces: undefined,
     ...parts,
     runTimes: createTaskRunTimes(),
     demand: createDemandForecast(),
--- a/src/job-homes/job-outcomes.ts
+++ b/src/job-homes/job-outcomes.ts
@@ -11,6 +11,8 @@
   readonly definition: JobDefinition;
   /** How long the caller waits for the answer. */
   readonly deadlineMilliseconds: number;
+  /** The caller's workspace; undefined where callers are not told apart. */
+  readonly workspace?: string | undefined;
 }
 
 /** What a submission brought. */
--- a/src/job-homes/messages.ts
+++ b/src/job-homes/messages.ts
@@ -16,6 +16,7 @@
     terms: queueTermsSchema,
     definition: jobDefinitionSchema,
     deadlineMilliseconds: z.number(),
+    workspace: z.string().optional(),
   }),
   z.discriminatedUnion("kind", [
     z.object({ kind: z.literal("accepted") }),
--- a/src/jobs/queue-table.ts
+++ b/src/jobs/queue-table.ts
@@ -2,6 +2,7 @@
  * The operators' configuration of queues and pools.
  * @packageDocumentation
  */
+import type { WorkspaceTable } from "../workspaces/index.js";
 import type { QueueTerms } from "./definition.js";
 
 /** A queue that callers hand jobs to. */
@@ -11,6 +12,8 @@
   /** Paths of the queue begin with it. */
   readonly pathPrefix: string;
   readonly timeoutMilliseconds: number;
+  /** Whether its calls must carry the key of a workspace, to which their jobs then belong. */
+  readonly requiresKey?: boolean | undefined;
 }
 
 /** A pool of targets. */
@@ -36,6 +39,8 @@
   readonly queues: readonly Queue[];
   readonly pools: readonly PoolTerms[];
   readonly limits: RequestLimits;
+  /** Undefined where callers are not told apart. */
+  readonly workspaces?: WorkspaceTable | undefined;
 }
 
 /**
--- a/src/jobs/records.ts
+++ b/src/jobs/records.ts
@@ -20,6 +20,8 @@
   acceptedAt: z.number(),
   /** Unix time at which a caller first handed it in, as far as the home knows. */
   requestedAt: z.number(),
+  /** The workspace of the caller that handed it in; left out where callers are not told apart. */
+  workspace: z.string().optional(),
 });
 
 /** An accepted job. It never changes. */
--- /dev/null
+++ b/src/workspaces/home-workspaces.ts
@@ -0,0 +1,55 @@
+/**
+ * What the home of a pool works with where workspaces are configured.
+ * @packageDocumentation
+ */
+import type { Resources } from "../jobs/index.js";
+import type { WorkspaceTable } from "./workspace.js";
+
+/**
+ * What a pool may run of each workspace: the pools of a fleet divide a workspace's cap among them, so that all together
+ * stay within it while each decides alone.
+ */
+export interface PoolQuotas {
+  /**
+   * Begins a round of placing.
+   * @param usage - what may be running here, by workspace; runs whose end is not known count
+   * @param now - the monotonic clock
+   */
+  beginRound(usage: ReadonlyMap<string, Resources>, now: number): void;
+  /**
+   * Tells how many like tasks of a workspace may start now; what may not is asked for from the other pools.
+   * @param workspace - the workspace's name
+   * @param needs - what one task takes
+   * @param wanted - how many would like to start
+   * @returns at most `wanted`, 0 for a workspace that is not configured
+   */
+  countAllowed(workspace: string, needs: Resources, wanted: number): number;
+  /** Takes the room of tasks that are started in this round. */
+  take(workspace: string, needs: Resources, count: number): void;
+  /**
+   * Reads what the pool could run of a workspace: its share, and what no pool holds.
+   * @param workspace - the workspace's name
+   * @returns the room; undefined for a workspace without a cap
+   */
+  room(workspace: string): Resources | undefined;
+}
+
+/** How a full pool is shared between the workspaces that have work for it. */
+export interface FairShares {
+  /** Takes work that a workspace asks for, accepted or not, in core-seconds. */
+  noteAsked(workspace: string, coreSeconds: number, now: number): void;
+  /** Takes work that was accepted. */
+  noteAccepted(workspace: string, coreSeconds: number, now: number): void;
+  /** Tells whether a workspace has lately had its share of the pool, so that others go first. */
+  isOverShare(workspace: string, now: number): boolean;
+  /** How long it takes until a workspace that is over its share is within it again, in milliseconds. */
+  waitMilliseconds(workspace: string, now: number): number;
+}
+
+/** What a home works with where workspaces are configured. */
+export interface HomeWorkspaces {
+  /** The workspaces of the newest configuration; undefined when it holds none. */
+  readonly table: () => WorkspaceTable | undefined;
+  readonly quotas: PoolQuotas;
+  readonly shares: FairShares;
+}
