An entry that the store turns away calls it through another entry

Cause: each entry has one way to the store. Ruled out: a shorter lease or an earlier hand-over, which lose the pools twice. Only a write that was surely not done is sent again.

--- /dev/null
+++ b/src/store-relays/relayed-store.ts
@@ -0,0 +1,230 @@
+/**
+ * The store as an entry uses it: straight, or through another entry while the store turns this one away.
+ * @packageDocumentation
+ */
+import { Left, Right, type Either } from "purify-ts";
+import type { PeerCall, PeerFailure, PeerNetwork } from "../membership/index.js";
+import type {
+  ConditionalWrite,
+  StoreChanges,
+  StoreFailure,
+  StoreLease,
+  StoreListing,
+  StoreRecord,
+  StoreTransaction,
+  StoreWatch,
+  TransactionalStore,
+  TransactionResult,
+  WatchHandlers,
+  WriteResult,
+} from "../store/index.js";
+import type { Log, Metrics } from "../telemetry/index.js";
+import { changesCall, getCall, leaseCall, listCall, transactCall } from "./messages.js";
+import type { StorePath } from "./store-path.js";
+
+/** What a relayed store works with. */
+export interface RelayedStoreOptions {
+  readonly direct: TransactionalStore;
+  readonly path: StorePath;
+  readonly peers: Pick<PeerNetwork, "call">;
+  /** The other entries, in an order of this entry's own, so that not all turn to the same one. */
+  readonly candidates: () => readonly string[];
+  /** A key that is read to find out whether the store answers again. */
+  readonly probeKey: string;
+  readonly log: Log;
+  readonly metrics: Metrics;
+}
+
+/** What an entry replies to a call that is no transaction. */
+type Reply<Value> =
+  | { readonly kind: "answer"; readonly value: Value }
+  | { readonly kind: "failed"; readonly failure: StoreFailure }
+  | { readonly kind: "no-way" };
+
+/** What a call through other entries brought; a call that nobody made has no reply. */
+type PeerAnswer<Answer> =
+  | { readonly kind: "reply"; readonly reply: Answer }
+  | { readonly kind: "none"; readonly mayBeDone: boolean; readonly failure: StoreFailure };
+
+/** Bound for a call through another entry: its own call, and the way there and back. */
+const callTimeoutMilliseconds = 1_200;
+
+/** Calls the store, through other entries where there is no straight way. */
+export class RelayedStore implements TransactionalStore {
+  readonly #options: RelayedStoreOptions;
+  #wasRelayed = false;
+
+  /**
+   * Creates a store.
+   * @param options - the straight way and the other entries
+   */
+  constructor(options: RelayedStoreOptions) {
+    this.#options = options;
+  }
+
+  async get(key: string): Promise<Either<StoreFailure, StoreRecord | undefined>> {
+    const straight = async (): Promise<Either<StoreFailure, StoreRecord[]>> =>
+      (await this.#options.direct.get(key)).map((record) => (record === undefined ? [] : [record]));
+    const answer = await this.#ask(straight, getCall, { key });
+    return answer.map(([record]) => record);
+  }
+
+  async list(prefix: string): Promise<Either<StoreFailure, StoreListing>> {
+    const straight = async (): Promise<Either<StoreFailure, StoreListing>> =>
+      this.#options.direct.list(prefix);
+    return this.#ask<{ prefix: string }, StoreListing>(straight, listCall, { prefix });
+  }
+
+  async changesAfter(
+    prefix: string,
+    afterRevision: number,
+    waitMilliseconds: number,
+  ): Promise<Either<StoreFailure, StoreChanges | undefined>> {
+    const { direct } = this.#options;
+    const straight = await this.#straight(async () =>
+      direct.changesAfter(prefix, afterRevision, waitMilliseconds),
+    );
+    if (straight !== undefined) return straight;
+    const request = { prefix, afterRevision, waitMilliseconds };
+    const relayed = readReply(await this.#askPeers(changesCall, request, waitMilliseconds));
+    return relayed.map(({ isGone, revision, changes }) => {
+      if (isGone) return undefined;
+      return {
+        revision,
+        changes: changes.map(({ written, ...change }) => ({ ...change, value: written[0] })),
+      };
+    });
+  }
+
+  async grantLease(ttlSeconds: number): Promise<Either<StoreFailure, StoreLease>> {
+    const straight = await this.#straight(async () => this.#options.direct.grantLease(ttlSeconds));
+    if (straight !== undefined) return straight;
+    const answer = readReply(await this.#askPeers(leaseCall, { kind: "grant", ttlSeconds }));
+    return answer.map((lease) => ({ leaseId: lease.leaseId, ttlSeconds: lease.ttlSeconds }));
+  }
+
+  async renewLease(leaseId: string): Promise<Either<StoreFailure, boolean>> {
+    const straight = await this.#straight(async () => this.#options.direct.renewLease(leaseId));
+    if (straight !== undefined) return straight;
+    const answer = readReply(await this.#askPeers(leaseCall, { kind: "renew", leaseId }));
+    return answer.map(({ stands }) => stands);
+  }
+
+  async revokeLease(leaseId: string): Promise<Either<StoreFailure, boolean>> {
+    const straight = await this.#straight(async () => this.#options.direct.revokeLease(leaseId));
+    if (straight !== undefined) return straight;
+    const answer = readReply(await this.#askPeers(leaseCall, { kind: "revoke", leaseId }));
+    return answer.map(({ stands }) => stands);
+  }
+
+  async transact(transaction: StoreTransaction): Promise<TransactionResult> {
+    const { direct, path } = this.#options;
+    if (!this.#usesPeers()) {
+      const result = await direct.transact(transaction);
+      const hasAnswer = result.kind === "done" || result.kind === "conflict";
+      path.noteDirect(hasAnswer ? undefined : result.failure, performance.now());
+      // What may have been done is not sent again: the caller settles it.
+      if (result.kind !== "not-done" || !this.#usesPeers()) return result;
+    }
+    const answer = await this.#askPeers(transactCall, {
+      expected: [...transaction.expected],
+      writes: transaction.writes.map(({ key, value, leaseId }) => ({
+        key,
+        written: value === undefined ? [] : [value],
+        ...(leaseId === undefined ? {} : { leaseId }),
+      })),
+    });
+    if (answer.kind === "reply") return answer.reply;
+    return { kind: answer.mayBeDone ? "unknown" : "not-done", failure: answer.failure };
+  }
+
+  async compareAndSwap({ key, expectedRevision, ...rest }: ConditionalWrite): Promise<WriteResult> {
+    const expected = [{ key, revision: expectedRevision }];
+    const result = await this.transact({ expected, writes: [{ key, ...rest }] });
+    if (result.kind !== "conflict") return result;
+    return { kind: "conflict", current: result.current.find((record) => record.key === key) };
+  }
+
+  watch(prefix: string, fromRevision: number, handlers: WatchHandlers): StoreWatch {
+    return this.#options.direct.watch(prefix, fromRevision, handlers);
+  }
+
+  /** Makes a call that may be repeated, straight or through others. */
+  async #ask<Request, Value>(
+    straight: () => Promise<Either<StoreFailure, Value>>,
+    definition: PeerCall<Request, Reply<Value>>,
+    request: Request,
+  ): Promise<Either<StoreFailure, Value>> {
+    return (await this.#straight(straight)) ?? readReply(await this.#askPeers(definition, request));
+  }
+
+  /** Makes a straight call; undefined when it has to go through others. */
+  async #straight<Value>(
+    call: () => Promise<Either<StoreFailure, Value>>,
+  ): Promise<Either<StoreFailure, Value> | undefined> {
+    if (this.#usesPeers()) return undefined;
+    const answer = await call();
+    const failure = answer.swap().toMaybe().extractNullable() ?? undefined;
+    this.#options.path.noteDirect(failure, performance.now());
+    return failure !== undefined && this.#usesPeers() ? undefined : answer;
+  }
+
+  #usesPeers(): boolean {
+    const { path, log } = this.#options;
+    const now = performance.now();
+    if (path.takeProbe(now)) void this.#probe();
+    const isRelayed = path.usesPeers(now);
+    if (isRelayed !== this.#wasRelayed)
+      log.write("info", "store-way", { way: isRelayed ? "peers" : "straight" });
+    this.#wasRelayed = isRelayed;
+    return isRelayed;
+  }
+
+  async #probe(): Promise<void> {
+    const { direct, path, probeKey } = this.#options;
+    const answer = await direct.get(probeKey);
+    path.noteDirect(answer.swap().toMaybe().extractNullable() ?? undefined, performance.now());
+  }
+
+  /** Asks other entries in turn; one that may have made the call is the last. */
+  async #askPeers<Request, Answer extends { readonly kind: string }>(
+    definition: PeerCall<Request, Answer>,
+    request: Request,
+    waitMilliseconds = 0,
+  ): Promise<PeerAnswer<Exclude<Answer, { readonly kind: "no-way" }>>> {
+    const { peers, path, candidates, metrics } = this.#options;
+    for (const peerId of path.choosePeers(candidates(), performance.now())) {
+      const answer = await peers.call(
+        peerId,
+        definition,
+        request,
+        callTimeoutMilliseconds + waitMilliseconds,
+      );
+      const reply = answer.caseOf<Answer | PeerFailure>({
+        Left: (failure) => failure,
+        Right: (value) => value,
+      });
+      metrics.count("store_calls_through_peers_total", { call: definition.name, result: reply.kind });
+      const hasWay = answer.isRight() && reply.kind !== "no-way";
+      path.notePeer(peerId, hasWay, performance.now());
+      if (hasWay) return { kind: "reply", reply: reply as Exclude<Answer, { readonly kind: "no-way" }> };
+      if (answer.isLeft() && reply.kind !== "not-connected")
+        return { kind: "none", mayBeDone: true, failure: describePeerFailure(peerId, reply.kind) };
+    }
+    path.noteNoPeer(performance.now());
+    const failure = { kind: "unavailable", message: "no entry that was asked reaches the store" } as const;
+    return { kind: "none", mayBeDone: false, failure };
+  }
+}
+
+function readReply<Value>(
+  answer: PeerAnswer<Exclude<Reply<Value>, { readonly kind: "no-way" }>>,
+): Either<StoreFailure, Value> {
+  if (answer.kind === "none") return Left(answer.failure);
+  const { reply } = answer;
+  return reply.kind === "answer" ? Right(reply.value) : Left(reply.failure);
+}
+
+function describePeerFailure(peerId: string, kind: string): StoreFailure {
+  return { kind: kind === "timeout" ? "timeout" : "unavailable", message: `${peerId}: ${kind}` };
+}
--- /dev/null
+++ b/src/store-relays/store-relay.ts
@@ -0,0 +1,129 @@
+/**
+ * Makes calls to the store for entries that have no way to it.
+ * @packageDocumentation
+ */
+import type { Either } from "purify-ts";
+import type { PeerNetwork } from "../membership/index.js";
+import type { StoreFailure, StoreLease, TransactionalStore } from "../store/index.js";
+import type { Metrics } from "../telemetry/index.js";
+import { changesCall, getCall, leaseCall, listCall, transactCall } from "./messages.js";
+import type { StorePath } from "./store-path.js";
+
+/** What a relay works with. */
+export interface StoreRelayOptions {
+  readonly peers: Pick<PeerNetwork, "answer">;
+  /** Straight to the store: calls are never passed on twice. */
+  readonly direct: TransactionalStore;
+  readonly path: StorePath;
+  readonly metrics: Metrics;
+}
+
+/** Calls for others that are in progress; more are declined. */
+const mostInProgress = 64;
+const noWay = { kind: "no-way" } as const;
+
+/**
+ * Answers calls of other entries.
+ * @param options - the peers and the store
+ */
+export function startStoreRelay({ peers, direct, path, metrics }: StoreRelayOptions): void {
+  let inProgress = 0;
+  const relay = async <Reply extends RelayReply>(
+    name: string,
+    call: () => Promise<Reply>,
+  ): Promise<Reply | typeof noWay> => {
+    const isDeclined = inProgress >= mostInProgress || path.usesPeers(performance.now());
+    metrics.count("store_calls_for_peers_total", { call: name, result: isDeclined ? "declined" : "made" });
+    if (isDeclined) return noWay;
+    inProgress += 1;
+    const reply = await call();
+    inProgress -= 1;
+    return showsNoWay(reply) ? noWay : reply;
+  };
+
+  peers.answer(getCall, async ({ key }) =>
+    relay("get", async () =>
+      toReply((await direct.get(key)).map((record) => (record === undefined ? [] : [record]))),
+    ),
+  );
+  peers.answer(listCall, async ({ prefix }) =>
+    relay("list", async () =>
+      toReply(
+        (await direct.list(prefix)).map(({ records, revision }) => ({ records: [...records], revision })),
+      ),
+    ),
+  );
+  peers.answer(changesCall, async ({ prefix, afterRevision, waitMilliseconds }) =>
+    relay("changes", async () => {
+      const answer = await direct.changesAfter(prefix, afterRevision, waitMilliseconds);
+      return toReply(
+        answer.map((found) => ({
+          isGone: found === undefined,
+          revision: found?.revision ?? 0,
+          changes: (found?.changes ?? []).map(({ key, revision, value }) => ({
+            key,
+            revision,
+            written: toList(value),
+          })),
+        })),
+      );
+    }),
+  );
+  peers.answer(leaseCall, async (request) =>
+    relay("lease", async () => {
+      if (request.kind === "grant")
+        return toReply(
+          (await direct.grantLease(request.ttlSeconds)).map((lease) => describeLease(lease, true)),
+        );
+      const { kind, leaseId } = request;
+      const answer = await (kind === "renew" ? direct.renewLease(leaseId) : direct.revokeLease(leaseId));
+      return toReply(answer.map((stands) => describeLease({ leaseId, ttlSeconds: 0 }, stands)));
+    }),
+  );
+  peers.answer(transactCall, async ({ expected, writes }) =>
+    relay("transact", async () => {
+      const result = await direct.transact({
+        expected,
+        writes: writes.map(({ key, written, leaseId }) => ({
+          key,
+          value: written[0],
+          ...(leaseId === undefined ? {} : { leaseId }),
+        })),
+      });
+      return result.kind === "conflict" ? { ...result, current: [...result.current] } : result;
+    }),
+  );
+}
+
+/** What a relay looks at in a reply. */
+interface RelayReply {
+  readonly kind: string;
+  readonly failure?: StoreFailure;
+}
+
+/** The store turned this entry away as well: another one may do better. What may have been done is no such case. */
+function showsNoWay({ kind, failure }: RelayReply): boolean {
+  if (kind !== "failed" && kind !== "not-done") return false;
+  return failure?.kind === "unavailable" || failure?.kind === "over-budget";
+}
+
+/** What an entry replies to a call that is no transaction. */
+type AnswerReply<Value> =
+  | { readonly kind: "answer"; readonly value: Value }
+  | { readonly kind: "failed"; readonly failure: StoreFailure };
+
+function toReply<Value>(answer: Either<StoreFailure, Value>): AnswerReply<Value> {
+  return answer.caseOf<AnswerReply<Value>>({
+    Left: (failure) => ({ kind: "failed", failure }),
+    Right: (value) => ({ kind: "answer", value }),
+  });
+}
+
+/** A value that may be left out, in a form that every codec keeps. */
+function toList(value: unknown): unknown[] {
+  return value === undefined ? [] : [value];
+}
+
+function describeLease(lease: StoreLease, stands: boolean): StoreLease & { readonly stands: boolean } {
+  return { ...lease, stands };
+}
--- a/src/store/store.ts
+++ b/src/store/store.ts
@@ -5,7 +5,7 @@
 import type { Either } from "purify-ts";
 
 /** Why a call to the store brought no result. */
-export type StoreFailureKind = "unavailable" | "timeout" | "over-budget" | "bad-answer";
+export type StoreFailureKind = "unavailable" | "timeout" | "over-budget" | "bad-answer" | "lease-ended";
 
 /** A call to the store that brought no result. */
 export interface StoreFailure {
--- a/src/wiring/job-entry.ts
+++ b/src/wiring/job-entry.ts
@@ -7,6 +7,7 @@
   HomeGateway,
   HomeKeeper,
   dutyPrefix,
+  entryPrefix,
   findLargeEntries,
   openEntrySession,
   SessionDuty,
@@ -37,6 +38,7 @@
   type FollowedRegistry,
   type Members,
 } from "./job-followers.js";
+import { wireStoreWays } from "./store-ways.js";
 
 /** Where a part listens. */
 export interface ListenAddress {
@@ -120,20 +122,27 @@
 
 /**
  * Starts an entry.
- * @param options - what it is built from
+ * @param given - what it is built from
  * @returns the running entry
  */
-export async function startJobEntry(options: JobEntryOptions): Promise<JobEntry> {
-  const { log, store, entryId, metrics, addresses } = options;
+export async function startJobEntry(given: JobEntryOptions): Promise<JobEntry> {
+  const { log, entryId, metrics, addresses } = given;
   const incarnation = Date.now();
-  const zone = options.availabilityZone;
+  const zone = given.availabilityZone;
   const peers = createPeerNetwork({ entryId, incarnation, zone }, log, standingLinks);
   await peers.listen(addresses.peers.host, addresses.peers.port);
   const loopDelay = probeLoad(log, metrics, peers);
   const peerAddress = `${addresses.peers.host}:${addresses.peers.port}`;
-  const { capacityCores } = options;
+  const { capacityCores } = given;
   const self: RosterRecord = { entryId, incarnation, peerAddress, zone, capacityCores };
 
+  const store = wireStoreWays({
+    ...given,
+    peers,
+    entries: () => members.directory.entries(),
+    probeKey: `${entryPrefix}${entryId}`,
+  });
+  const options = { ...given, store };
   const members = followMembers(store, peers, log);
   const configuration = followConfiguration(options, (table) => {
     ingress.applyLimits(table);
