The demonstration does not call a promise broken that it did not see the end of

On a busy machine the README's demonstration ended with BROKEN for a wave that was still running and had cut nothing. A wave that goes on, or a drain that did not end, is shown as not judged; one that cut a run is broken whatever its state. Not run on a busy machine since.

--- a/src/demo/promise-table.ts
+++ b/src/demo/promise-table.ts
@@ -17,12 +17,17 @@
   readonly wave: WaveResult;
 }
 
+/** What a run showed of a promise; one whose end it did not reach is not judged. */
+type Verdict = "kept" | "BROKEN" | "not judged";
+
 interface Row {
   readonly name: string;
   readonly measured: string;
-  readonly kept: boolean;
+  readonly verdict: Verdict;
 }
 
+const verdictWidth = "not judged".length;
+
 /**
  * Writes the table.
  * @param result - what the run left behind
@@ -32,7 +37,7 @@
   const rows = createRows(result);
   const width = Math.max(...rows.map(({ name }) => name.length));
   const lines = rows.map(
-    ({ name, measured, kept }) => `${kept ? "kept  " : "BROKEN"}  ${name.padEnd(width)}  ${measured}`,
+    ({ name, measured, verdict }) => `${verdict.padEnd(verdictWidth)}  ${name.padEnd(width)}  ${measured}`,
   );
   return [...lines, "", ...createMeasures(result)].join("\n");
 }
@@ -53,22 +58,22 @@
     {
       name: "whole, own answers",
       measured: `${answered.length} answered, ${foreign} not own`,
-      kept: foreign === 0,
+      verdict: judge(foreign === 0),
     },
     {
       name: "not run means not run",
       measured: `${untrue.length} refused but run`,
-      kept: untrue.length === 0,
+      verdict: judge(untrue.length === 0),
     },
-    { name: "at most one run", measured: `${repeated} requests run twice`, kept: repeated === 0 },
-    { name: "planned stops cut nothing", measured: `${cut} requests cut`, kept: cut === 0 },
+    { name: "at most one run", measured: `${repeated} requests run twice`, verdict: judge(repeated === 0) },
+    { name: "planned stops cut nothing", measured: `${cut} requests cut`, verdict: judge(cut === 0) },
     {
       name: "a wave cuts no run",
       measured: `${wave.state}, ${wave.reboots} reboots, ${wave.cut} runs cut`,
-      kept: wave.state === "finished" && wave.cut === 0,
+      verdict: judgeWave(wave),
     },
-    { name: "leaving target gets no work", measured: late.measured, kept: late.kept },
-    { name: "one pool for an instance", measured: poolsAgree(fleet).measured, kept: poolsAgree(fleet).kept },
+    { name: "leaving target gets no work", ...late },
+    { name: "one pool for an instance", ...poolsAgree(fleet) },
   ];
 }
 
@@ -76,17 +81,27 @@
   return counts.some(({ runs }) => (runs[requestId] ?? 0) > 0);
 }
 
-function lateStarts(fleet: Fleet, drained: Target | undefined): { measured: string; kept: boolean } {
-  if (drained === undefined) return { measured: "the drain did not end", kept: false };
+function judge(isKept: boolean): Verdict {
+  return isKept ? "kept" : "BROKEN";
+}
+
+/** A wave that goes on when the time of the demonstration is over has shown nothing but what it cut. */
+function judgeWave({ state, cut }: WaveResult): Verdict {
+  if (cut > 0) return "BROKEN";
+  return state === "running" ? "not judged" : judge(state === "finished");
+}
+
+function lateStarts(fleet: Fleet, drained: Target | undefined): Omit<Row, "name"> {
+  if (drained === undefined) return { measured: "the drain did not end", verdict: "not judged" };
   const target = fleet.targets.find(({ instanceId }) => instanceId === drained.instanceId);
   const after = (target?.counts().lastStartedAt ?? Infinity) - drained.since;
   return {
     measured: `last start ${Math.abs(after)} ms ${after > 0 ? "after" : "before"} the stop`,
-    kept: after <= 0,
+    verdict: judge(after <= 0),
   };
 }
 
-function poolsAgree(fleet: Fleet): { measured: string; kept: boolean } {
+function poolsAgree(fleet: Fleet): Omit<Row, "name"> {
   const views = fleet.entries.map(({ placement }) =>
     JSON.stringify(
       placement
@@ -96,7 +111,10 @@
     ),
   );
   const different = new Set(views).size;
-  return { measured: `${different} different views in ${views.length} entries`, kept: different === 1 };
+  return {
+    measured: `${different} different views in ${views.length} entries`,
+    verdict: judge(different === 1),
+  };
 }
 
 function createMeasures({ fleet, answers, moves, rollOutMilliseconds }: DemoResult): string[] {
