--- a/src/job-homes/home-journal.ts
+++ b/src/job-homes/home-journal.ts
@@ -43,6 +43,8 @@
   value: unknown;
   readonly mustBeAbsent: boolean;
   readonly settles: ((result: JournalResult) => void)[];
+  /** Whether somebody waits for it: a caller, or a job whose work is done. */
+  isUrgent: boolean;
   /** Whether it is on its way, or may be stored. */
   isSent: boolean;
   /** Whether a transaction that held it brought no answer: it may be stored, whatever later ones bring. */
@@ -82,7 +84,7 @@
       settle("superseded");
       return { result, withdraw: () => undefined };
     }
-    const item = this.#add(key, value, mustBeAbsent, settle);
+    const item = this.#add({ key, value, mustBeAbsent, isUrgent: urgency === "now" }, settle);
     this.#begin(urgency);
     const withdraw = (): void => {
       if (!item.isSent && this.#waiting.includes(item)) this.#settle([item], "withdrawn");
@@ -106,17 +108,21 @@
     this.#settle(this.#waiting, "superseded");
   }
 
-  #add(key: string, value: unknown, mustBeAbsent: boolean, settle: (result: JournalResult) => void): Waiting {
+  #add(
+    write: Pick<Waiting, "key" | "value" | "mustBeAbsent" | "isUrgent">,
+    settle: (result: JournalResult) => void,
+  ): Waiting {
     // An older write of the key may be waiting again before the last one; what replaced it would be overwritten.
-    const earlier = this.#last.get(key);
+    const earlier = this.#last.get(write.key);
     if (earlier?.isSent === false) {
-      earlier.value = value;
+      earlier.value = write.value;
+      earlier.isUrgent ||= write.isUrgent;
       earlier.settles.push(settle);
       return earlier;
     }
-    const item: Waiting = { key, value, mustBeAbsent, settles: [settle], isSent: false, mayBeStored: false };
+    const item: Waiting = { ...write, settles: [settle], isSent: false, mayBeStored: false };
     this.#waiting.push(item);
-    this.#last.set(key, item);
+    this.#last.set(write.key, item);
     return item;
   }
 
@@ -133,7 +139,9 @@
   async #run(): Promise<void> {
     while (this.#waiting.length > 0 && !this.#isClosed) {
       const isUrgent = this.#hasUrgent || this.#waiting.some(({ isSent }) => isSent);
-      await delay(isUrgent ? gatherNowMilliseconds : gatherSoonMilliseconds, this.#gathering.signal);
+      // More than one transaction holds has gathered already.
+      if (this.#waiting.length < maximumTransactionEntries)
+        await delay(isUrgent ? gatherNowMilliseconds : gatherSoonMilliseconds, this.#gathering.signal);
       this.#gathering = new AbortController();
       this.#hasUrgent = false;
       await this.#writeOnce();
@@ -164,9 +172,9 @@
     let entries = 1;
     const batch: Waiting[] = [];
     const keys = new Set<string>();
-    for (const item of this.#waiting) {
-      // A transaction holds a key once.
-      if (keys.has(item.key)) break;
+    for (const item of this.#inOrder()) {
+      // A transaction holds a key once, the older write first.
+      if (keys.has(item.key)) continue;
       bytes += item.value === undefined ? 0 : JSON.stringify(item.value).length;
       entries += item.mustBeAbsent ? 2 : 1;
       const isFull = entries > maximumTransactionEntries || bytes > bytesPerTransaction;
@@ -178,6 +186,14 @@
     return batch;
   }
 
+  /** What may be stored already comes first, then what somebody waits for, each in the order in which it came. */
+  #inOrder(): Waiting[] {
+    const sent = this.#waiting.filter(({ isSent }) => isSent);
+    const fresh = this.#waiting.filter(({ isSent }) => !isSent);
+    const urgent = fresh.filter(({ isUrgent }) => isUrgent);
+    return [...sent, ...urgent, ...fresh.filter(({ isUrgent }) => !isUrgent)];
+  }
+
   async #transact(batch: readonly Waiting[]): Promise<TransactionResult> {
     const { store, homeKey, metrics, log } = this.#options;
     const startedAt = performance.now();
--- a/src/job-homes/test/home-journal.test.ts
+++ b/src/job-homes/test/home-journal.test.ts
@@ -3,6 +3,7 @@
  * @packageDocumentation
  */
 import { expect, test } from "vitest";
+import { delay } from "../../shared/index.js";
 import { createStoreEngine, createStoreFaults, MemoryStoreClient } from "../../stand-ins/index.js";
 import type { StoreFaults } from "../../stand-ins/index.js";
 import { createLog, createMetrics } from "../../telemetry/index.js";
@@ -151,3 +152,41 @@
   expect(results).toEqual(["stored", "stored", "stored"]);
   expect((await store.get("progress/a")).unsafeCoerce()?.value).toEqual(["one", "two", "three"]);
 });
+
+test("a new job is stored with the next transaction, however many ends of tasks wait before it", async () => {
+  const { journal, store } = await openJournal();
+  const ends = Array.from({ length: 600 }, (_, job) =>
+    journal.write(`progress/${job}`, job, { urgency: "soon" }),
+  );
+  const accepted = journal.write("jobs/new", "new", { mustBeAbsent: true });
+  expect(await accepted.result).toBe("stored");
+  expect(journal.waiting()).toBeGreaterThan(500);
+  const results = await Promise.all(ends.map(async ({ result }) => result));
+  expect(new Set(results)).toEqual(new Set(["stored"]));
+  expect((await store.list("progress/")).unsafeCoerce().records).toHaveLength(600);
+});
+
+test("the end of a job replaces its progress that waits, and goes before the progress of others", async () => {
+  const { journal, store } = await openJournal();
+  const others = Array.from({ length: 300 }, (_, job) =>
+    journal.write(`progress/${job}`, job, { urgency: "soon" }),
+  );
+  const progress = journal.write("progress/done", "half", { urgency: "soon" });
+  const end = journal.write("progress/done", "complete");
+  expect(await end.result).toBe("stored");
+  expect(await progress.result).toBe("stored");
+  expect(journal.waiting()).toBeGreaterThan(200);
+  expect((await store.get("progress/done")).unsafeCoerce()?.value).toBe("complete");
+  await Promise.all(others.map(async ({ result }) => result));
+});
+
+test("a later write of a key does not overtake an earlier one whose answer was lost", async () => {
+  const { journal, store, faults } = await openJournal();
+  faults.loseAnswers = 1;
+  const first = journal.write("progress/a", "first", { urgency: "soon" });
+  await delay(450);
+  const second = journal.write("progress/a", "second");
+  expect(await first.result).toBe("stored");
+  expect(await second.result).toBe("stored");
+  expect((await store.get("progress/a")).unsafeCoerce()?.value).toBe("second");
+});
