--- a/src/soak/entries.ts
+++ b/src/soak/entries.ts
@@ -16,6 +16,8 @@
 /** What an entry's process is started with. */
 export interface EntryProcessOptions {
   readonly program: string;
+  /** Arguments of the runtime beside its usual ones, such as those that take a profile. */
+  readonly runtimeArguments?: readonly string[] | undefined;
   /** Where settings and logs are kept. */
   readonly folder: string;
   readonly ports: EntryPorts;
@@ -54,6 +56,11 @@
     return this.#options.ports.requests;
   }
 
+  /** Where its metrics are read. */
+  get metricsPort(): number {
+    return this.#options.ports.metrics;
+  }
+
   /** The link to the store. */
   get storeLink(): TcpProxy {
     return this.#options.storeLink;
@@ -74,10 +81,10 @@
   }
 
   async #spawn(): Promise<void> {
-    const { program, folder, wire } = this.#options;
+    const { program, folder, wire, runtimeArguments = [] } = this.#options;
     const settingsPath = await this.#writeSettings(this.#options.bounds);
     const log = openSync(join(folder, `${this.entryId}.log`), "a");
-    const child = spawn(process.execPath, [heapArgument, program], {
+    const child = spawn(process.execPath, [heapArgument, ...runtimeArguments, program], {
       env: { PATH: process.env.PATH ?? "", [wire.settingsVariable]: settingsPath },
       stdio: ["ignore", log, log],
     });
--- /dev/null
+++ b/src/soak/entry-cost.ts
@@ -0,0 +1,189 @@
+/**
+ * What entries cost in processor time, wake-ups and calls of the store: while they start, at rest and under load, by what
+ * they hold.
+ * @packageDocumentation
+ */
+import { decodeHomeRecord, homePrefix } from "../job-homes/index.js";
+import { createRandom, delay } from "../shared/index.js";
+import type { SoakBounds } from "./bounds.js";
+import { Callers } from "./callers.js";
+import { createHistory } from "./history.js";
+import { drawJob } from "./job-plan.js";
+import { startSession, type PlatformSession, type SoakSize } from "./platform-session.js";
+import { readProcess, type ProcessReading } from "./process-readings.js";
+import type { SoakWire } from "./wire.js";
+
+/** What costs are measured on. */
+export interface EntryCostOptions {
+  readonly wire: SoakWire;
+  readonly bounds: SoakBounds;
+  readonly size: SoakSize;
+  readonly seed: number;
+  /** How long entries rest, and then how long jobs come. */
+  readonly seconds: number;
+  readonly jobsPerSecond: number;
+  /** Arguments of the entries' runtime, such as those that take a profile. */
+  readonly runtimeArguments: readonly string[];
+  /** Where program, settings and logs are kept. */
+  readonly folder: string;
+}
+
+/** What an entry held while it was measured. */
+export type EntryRole = "owner" | "relay" | "neither";
+
+/** What one entry cost in one span, each second. */
+export interface EntryCost {
+  readonly entryId: string;
+  readonly processId: number;
+  readonly role: EntryRole;
+  readonly span: SpanName;
+  /** Processor time in milliseconds. */
+  readonly processorMilliseconds: number;
+  readonly wakeUps: number;
+  /** What its metrics counted, by series. */
+  readonly counts: ReadonlyMap<string, number>;
+}
+
+type SpanName = "start" | "rest" | "load";
+type Readings = ReadonlyMap<string, ProcessReading>;
+
+const startMilliseconds = 3_000;
+const millisecondsPerSecond = 1_000;
+const nothing: ProcessReading = { processorMilliseconds: 0, wakeUps: 0, counters: new Map() };
+
+/**
+ * Starts a fleet and measures it.
+ * @param options - size, seed and time
+ * @returns the costs by entry and span
+ */
+export async function measureEntryCosts(options: EntryCostOptions): Promise<EntryCost[]> {
+  const { seconds, seed, wire } = options;
+  const history = createHistory();
+  const session = await startSession({ ...options, history });
+  await delay(startMilliseconds);
+  const started = await readAll(session);
+  await delay(seconds * millisecondsPerSecond);
+  const rested = await readAll(session);
+  const random = createRandom(seed);
+  const callers = new Callers({ wire, entries: session.entries, history, random });
+  const errands = await handInJobs(options, session, callers);
+  const loaded = await readAll(session);
+  history.endedAt = 0;
+  const holders = findHolders(session);
+  const processIds = new Map(session.entries.map(({ entryId, processId = 0 }) => [entryId, processId]));
+  await Promise.allSettled(errands);
+  callers.close();
+  // Processes that end by themselves can write what they have recorded.
+  await Promise.all(session.entries.map(async (entry) => entry.stop()));
+  await session.close();
+  const roleOf = (entryId: string): EntryRole => {
+    if (holders.has(entryId)) return "owner";
+    return countRelayed(loaded.get(entryId)) > 0 ? "relay" : "neither";
+  };
+  const startSeconds = startMilliseconds / millisecondsPerSecond;
+  const costs = [
+    ...compare("start", new Map(), started, startSeconds),
+    ...compare("rest", started, rested, seconds),
+    ...compare("load", rested, loaded, seconds),
+  ];
+  return costs.map((cost) => ({
+    ...cost,
+    role: roleOf(cost.entryId),
+    processId: processIds.get(cost.entryId) ?? 0,
+  }));
+}
+
+async function handInJobs(
+  { seconds, jobsPerSecond, seed }: EntryCostOptions,
+  { queues }: PlatformSession,
+  callers: Callers,
+): Promise<Promise<void>[]> {
+  const random = createRandom(seed);
+  const errands: Promise<void>[] = [];
+  const endsAt = performance.now() + seconds * millisecondsPerSecond;
+  while (performance.now() < endsAt) {
+    const queue = queues[random.integer(0, queues.length - 1)];
+    if (queue !== undefined) errands.push(callers.follow(drawJob(random, queue, "plain")));
+    await delay(random.exponential(millisecondsPerSecond / jobsPerSecond));
+  }
+  return errands;
+}
+
+async function readAll({ entries }: PlatformSession): Promise<Readings> {
+  const readings = entries.map(async ({ entryId, processId, metricsPort }) => {
+    const reading = processId === undefined ? nothing : await readProcess(processId, metricsPort);
+    return [entryId, reading] as const;
+  });
+  return new Map(await Promise.all(readings));
+}
+
+function findHolders({ engine }: PlatformSession): ReadonlySet<string> {
+  const records = engine
+    .range(homePrefix, `${homePrefix}~`)
+    .map(({ value }) => decodeHomeRecord(JSON.parse(value)));
+  return new Set(records.flatMap((record) => record?.entryId ?? []));
+}
+
+function countRelayed(reading: ProcessReading | undefined): number {
+  const relayed = [...(reading?.counters ?? [])].filter(([series]) =>
+    series.includes("relayed_orders_total"),
+  );
+  return relayed.reduce((sum, [, count]) => sum + count, 0);
+}
+
+function compare(
+  span: SpanName,
+  from: Readings,
+  to: Readings,
+  seconds: number,
+): Omit<EntryCost, "role" | "processId">[] {
+  return [...to].map(([entryId, reading]) => {
+    const before = from.get(entryId) ?? nothing;
+    const counts = [...reading.counters].map(([series, count]) => {
+      return [series, (count - (before.counters.get(series) ?? 0)) / seconds] as const;
+    });
+    return {
+      entryId,
+      span,
+      processorMilliseconds: (reading.processorMilliseconds - before.processorMilliseconds) / seconds,
+      wakeUps: (reading.wakeUps - before.wakeUps) / seconds,
+      counts: new Map(counts),
+    };
+  });
+}
+
+const spans: readonly SpanName[] = ["start", "rest", "load"];
+const roles: readonly EntryRole[] = ["owner", "relay", "neither"];
+const shownSeries = /store_calls_total|caller_answers|relayed_orders_total|target_calls|frames|log_lines/;
+
+/**
+ * Puts costs into words: a line for each span and role, the mean of its entries each second.
+ * @param costs - what was measured
+ * @returns the text
+ */
+export function formatEntryCosts(costs: readonly EntryCost[]): string {
+  const lines = spans.flatMap((span) =>
+    roles.flatMap((role) => {
+      const found = costs.filter((cost) => cost.span === span && cost.role === role);
+      return found.length === 0 ? [] : describe(span, role, found);
+    }),
+  );
+  return lines.join("\n");
+}
+
+function describe(span: SpanName, role: EntryRole, costs: readonly EntryCost[]): string[] {
+  const mean = (read: (cost: EntryCost) => number): number =>
+    costs.reduce((sum, cost) => sum + read(cost), 0) / costs.length;
+  const milliseconds = costs.map((cost) => cost.processorMilliseconds).sort((left, right) => left - right);
+  const [least = 0, most = 0] = [milliseconds[0], milliseconds.at(-1)];
+  const series = new Set(costs.flatMap(({ counts }) => [...counts.keys()]));
+  const counted = [...series]
+    .filter((name) => shownSeries.test(name))
+    .map((name) => [name, mean(({ counts }) => counts.get(name) ?? 0)] as const)
+    .filter(([, rate]) => rate > 0);
+  return [
+    `${span} ${role} entries=${costs.length} processor=${mean((cost) => cost.processorMilliseconds).toFixed(2)} ms/s ` +
+      `(${least.toFixed(2)} to ${most.toFixed(2)}) wakeUps=${mean((cost) => cost.wakeUps).toFixed(1)}/s processes=${costs.map(({ processId }) => processId).join(",")}`,
+    ...counted.map(([name, rate]) => `    ${name} ${rate.toFixed(2)}/s`),
+  ];
+}
--- a/src/soak/index.ts
+++ b/src/soak/index.ts
@@ -3,6 +3,7 @@
  * @packageDocumentation
  */
 export { soakBounds, type SoakBounds } from "./bounds.js";
+export { formatEntryCosts, measureEntryCosts, type EntryCostOptions } from "./entry-cost.js";
 export { faultNames, type FaultName } from "./fault-plan.js";
 export { createHistory, type SoakHistory } from "./history.js";
 export { regressionSeeds, type RegressionSeed } from "./regression-seeds.js";
--- a/src/soak/platform-session.ts
+++ b/src/soak/platform-session.ts
@@ -39,6 +39,8 @@
   readonly size: SoakSize;
   readonly bounds: SoakBounds;
   readonly history: SoakHistory;
+  /** Arguments of the entries' runtime beside its usual ones. */
+  readonly runtimeArguments?: readonly string[] | undefined;
   /** Where program, settings and logs are kept. */
   readonly folder: string;
 }
@@ -115,7 +117,9 @@
     const named = { entryId: `entry-${index + 1}`, availabilityZone: `zone-${(index % zoneCount) + 1}` };
     const report = (event: SoakHistory["processes"][number]): void => void history.processes.push(event);
     const ports = { ...named, ...listening };
-    entries.push(new EntryProcess({ program, folder, ports, bounds, wire, storeLink, report }));
+    const { runtimeArguments } = options;
+    const entryOptions = { program, runtimeArguments, folder, ports, bounds, wire, storeLink, report };
+    entries.push(new EntryProcess(entryOptions));
   }
   const abandonEntries = (): void => {
     for (const entry of entries) entry.abandon();
