--- a/src/store-relays/messages.ts
+++ b/src/store-relays/messages.ts
@@ -2,7 +2,7 @@
  * Calls to the store that one entry makes for another.
  * @packageDocumentation
  */
-import { z } from "zod";
+import * as z from "zod";
 import { definePeerCall } from "../membership/index.js";
 
 const failureSchema = z.object({
