Workspaces: whose call it is, and what a configuration changes

Cause: a call's key was not looked at; the decision needs no network, so it stands beside the table of workspaces. Keys are held as digests by one directory, which also counts what a new configuration adds and withdraws. A table is not taken with a weight that is not a finite number above 0 or a cap below 0; an empty key is none, since no call can carry it. Ruled out: digests as a member of the table, where any holder of the table could read them.

--- a/src/workspaces/index.ts
+++ b/src/workspaces/index.ts
@@ -3,9 +3,11 @@
  * @packageDocumentation
  */
 export type { FairShares, HomeWorkspaces, PoolQuotas } from "./home-workspaces.js";
+export { identifyCaller, type CallerIdentity, type KeyFault } from "./identify-caller.js";
 export {
   createWorkspaceTable,
   type Workspace,
   type WorkspaceDefinition,
   type WorkspaceTable,
 } from "./workspace.js";
+export { describeWorkspaceChanges } from "./workspace-changes.js";
--- a/src/workspaces/workspace.ts
+++ b/src/workspaces/workspace.ts
@@ -2,9 +2,9 @@
  * Workspaces: callers who share a fleet. The operators' configuration gives each its keys, its weight and its cap.
  * @packageDocumentation
  */
-import { createHash } from "node:crypto";
 import { Left, Right, type Either } from "purify-ts";
 import type { Resources } from "../jobs/index.js";
+import { KeyDirectory } from "./key-directory.js";
 
 /** A workspace as decisions see it. */
 export interface Workspace {
@@ -29,8 +29,12 @@
   findByKey(key: string): Workspace | undefined;
 }
 
+/** The keys behind each table, which nobody but this folder sees. */
+const directories = new WeakMap<WorkspaceTable, KeyDirectory>();
+
 /**
- * Creates the table of a configuration's workspaces. It holds digests in place of keys.
+ * Creates the table of a configuration's workspaces. It holds digests in place of keys. An empty key is none: no call
+ * can carry it.
  * @param definitions - the workspaces
  * @returns the table, or what is wrong with the definitions; messages name workspaces, never keys
  */
@@ -38,27 +42,46 @@
   definitions: readonly WorkspaceDefinition[],
 ): Either<string, WorkspaceTable> {
   const byName = new Map<string, Workspace>();
-  const byDigest = new Map<string, Workspace>();
+  const directory = new KeyDirectory();
   for (const { name, weight, cap, keys } of definitions) {
-    if (byName.has(name)) return Left(`workspace "${name}" stands twice`);
-    if (!(weight > 0)) return Left(`workspace "${name}": its weight must be above 0`);
-    const workspace = { name, weight, cap };
-    byName.set(name, workspace);
+    const fault = findFault({ name, weight, cap }, byName);
+    if (fault !== undefined) return Left(fault);
+    byName.set(name, { name, weight, cap });
     for (const key of keys) {
-      const digest = digestKey(key);
-      const other = byDigest.get(digest);
-      if (other !== undefined && other.name !== name)
-        return Left(`workspaces "${other.name}" and "${name}" have a key in common`);
-      byDigest.set(digest, workspace);
+      const other = key === "" ? undefined : directory.add(key, name);
+      if (other !== undefined) return Left(`workspaces "${other}" and "${name}" have a key in common`);
     }
   }
-  return Right({
+  const find = (name: string): Workspace | undefined => byName.get(name);
+  const table: WorkspaceTable = {
     workspaces: [...byName.values()],
-    find: (name) => byName.get(name),
-    findByKey: (key) => byDigest.get(digestKey(key)),
-  });
+    find,
+    findByKey: (key) => {
+      const owner = directory.find(key);
+      return owner === undefined ? undefined : find(owner);
+    },
+  };
+  directories.set(table, directory);
+  return Right(table);
+}
+
+function findFault(
+  { name, weight, cap }: Workspace,
+  earlier: ReadonlyMap<string, Workspace>,
+): string | undefined {
+  if (earlier.has(name)) return `workspace "${name}" stands twice`;
+  if (!(weight > 0 && Number.isFinite(weight))) return `workspace "${name}": its weight must be above 0`;
+  const { cpuMillicores, memoryMegabytes, accelerators } = cap;
+  if ([cpuMillicores, memoryMegabytes, accelerators].some((limit) => !(limit >= 0)))
+    return `workspace "${name}": its cap must not be below 0`;
+  return undefined;
 }
 
-function digestKey(key: string): string {
-  return createHash("sha256").update(key).digest("base64");
+/**
+ * Finds the keys behind a table.
+ * @param table - the workspaces; undefined for none
+ * @returns the keys; undefined when there are none
+ */
+export function directoryOf(table: WorkspaceTable | undefined): KeyDirectory | undefined {
+  return table === undefined ? undefined : directories.get(table);
 }
