Calls need a key of a workspace, and a job answers to its workspace alone

The home stores the workspace with the job and checks reads and cancellations; the gateway checks on the path through the store. Without workspaces messages and records have the fields that they had. A submission of an identifier that somebody else's job has is refused in the words of a full pool. A configuration is decoded once for each revision; a line tells what it changes for workspaces. Ruled out: a check by pool alone, as a public queue of the same pool would be a way around it; 409, which tells a secret.

--- a/src/job-homes/index.ts
+++ b/src/job-homes/index.ts
@@ -16,6 +16,7 @@
 export { decodeHomeRecord, homePrefix, type HomeRecord } from "./home-record.js";
 export { HomeGateway, type GatewayOutcome, type JobGateway, type JobGatewayOptions } from "./job-gateway.js";
 export type { JobHome } from "./job-home.js";
+export type { JobCaller } from "./job-owners.js";
 export type { CancelOutcome, JobSubmission, StateOutcome, SubmitOutcome } from "./job-outcomes.js";
 export type { PoolReport, TargetLoad } from "./pool-report.js";
 export { dutyPrefix, SessionDuty, type SessionDutyOptions } from "./session-duty.js";
--- a/src/job-homes/job-gateway.ts
+++ b/src/job-homes/job-gateway.ts
@@ -12,6 +12,7 @@
 import type { StoreFailure, TransactionalStore } from "../store/index.js";
 import type { HomeDirectory, HomeKeeper } from "./home-keeper.js";
 import type { JobHome } from "./job-home.js";
+import { mayReach, type JobCaller } from "./job-owners.js";
 import type { CancelOutcome, JobSubmission, StateOutcome, SubmitOutcome } from "./job-outcomes.js";
 import type { PoolReport } from "./pool-report.js";
 import { cancelCall, pendingCall, stateCall, submitCall, vacateCall } from "./messages.js";
@@ -25,8 +26,18 @@
 /** Takes callers' requests about jobs. */
 export interface JobGateway {
   submit(submission: JobSubmission): Promise<SubmitOutcome>;
-  readState(pool: string, jobId: string, deadlineMilliseconds: number): Promise<GatewayOutcome<JobState>>;
-  cancel(pool: string, jobId: string, deadlineMilliseconds: number): Promise<GatewayOutcome<"cancelled">>;
+  readState(
+    pool: string,
+    jobId: string,
+    deadlineMilliseconds: number,
+    caller?: JobCaller,
+  ): Promise<GatewayOutcome<JobState>>;
+  cancel(
+    pool: string,
+    jobId: string,
+    deadlineMilliseconds: number,
+    caller?: JobCaller,
+  ): Promise<GatewayOutcome<"cancelled">>;
   countPending(pool: string, queue: string, deadlineMilliseconds: number): Promise<GatewayOutcome<number>>;
 }
 
@@ -78,9 +89,11 @@
     pool: string,
     jobId: string,
     deadlineMilliseconds: number,
+    caller?: JobCaller,
   ): Promise<GatewayOutcome<JobState>> {
-    const local = (home: JobHome): StateOutcome => home.readState(jobId);
-    const answer = await this.#askAboutJob<StateOutcome>(pool, jobId, stateCall, local, deadlineMilliseconds);
+    const local = (home: JobHome): StateOutcome => home.readState(jobId, caller);
+    const request = describeRequest(pool, jobId, caller);
+    const answer = await this.#askAboutJob<StateOutcome>(request, stateCall, local, deadlineMilliseconds);
     if (answer.kind === "none") return { kind: "unavailable", reason: answer.reason };
     if (answer.reply.kind === "state") return { kind: "found", value: answer.reply.state };
     return { kind: "not-known" };
@@ -90,15 +103,11 @@
     pool: string,
     jobId: string,
     deadlineMilliseconds: number,
+    caller?: JobCaller,
   ): Promise<GatewayOutcome<"cancelled">> {
-    const local = async (home: JobHome): Promise<CancelOutcome> => home.cancel(jobId);
-    const answer = await this.#askAboutJob<CancelOutcome>(
-      pool,
-      jobId,
-      cancelCall,
-      local,
-      deadlineMilliseconds,
-    );
+    const local = async (home: JobHome): Promise<CancelOutcome> => home.cancel(jobId, caller);
+    const request = describeRequest(pool, jobId, caller);
+    const answer = await this.#askAboutJob<CancelOutcome>(request, cancelCall, local, deadlineMilliseconds);
     if (answer.kind === "none") return { kind: "unavailable", reason: answer.reason };
     const { reply } = answer;
     if (reply.kind === "cancelled") return { kind: "found", value: "cancelled" };
@@ -196,37 +205,40 @@
 
   /** Asks a job's home, and the home that the store names when the first does not know the job. */
   async #askAboutJob<Reply extends { readonly kind: string }>(
-    pool: string,
-    jobId: string,
-    definition: PeerCall<{ pool: string; jobId: string }, Reply | NotHome>,
+    request: JobRequest,
+    definition: PeerCall<JobRequest, Reply | NotHome>,
     local: (home: JobHome) => Promise<Reply> | Reply,
     deadlineMilliseconds: number,
   ): Promise<HomeAnswer<Exclude<Reply, NotHome>>> {
     const startedAt = performance.now();
-    const ask = async (asked: string, left: number): Promise<HomeAnswer<Exclude<Reply, NotHome>>> =>
-      this.#askHome<{ pool: string; jobId: string }, Reply | NotHome>(
-        asked,
-        definition,
-        { pool: asked, jobId },
-        local,
-        left,
-      );
-    const first = await ask(pool, deadlineMilliseconds);
+    const ask = async (pool: string, left: number): Promise<HomeAnswer<Exclude<Reply, NotHome>>> =>
+      this.#askHome<JobRequest, Reply | NotHome>(pool, definition, { ...request, pool }, local, left);
+    const first = await ask(request.pool, deadlineMilliseconds);
     if (first.kind === "none" || first.reply.kind !== "not-known") return first;
-    const stored = await this.#findPool(jobId);
+    const stored = await this.#findPool(request);
     if (stored.isLeft()) return { kind: "none", mayHaveArrived: true, reason: "the store does not answer" };
     const storedPool = stored.orDefault(undefined);
     if (storedPool === undefined) return first;
     return ask(storedPool, deadlineMilliseconds - (performance.now() - startedAt));
   }
 
-  /** Where the store says that a job belongs; undefined when it holds no such job. */
-  async #findPool(jobId: string): Promise<Either<StoreFailure, string | undefined>> {
+  /** Where the store says that a job belongs; undefined when it holds no such job that the caller may know of. */
+  async #findPool({ jobId, caller }: JobRequest): Promise<Either<StoreFailure, string | undefined>> {
     const found = await this.#options.store.get(`${jobPrefix}${jobId}`);
-    return found.map((record) => decodeJobRecord(record?.value)?.terms.pool);
+    return found.map((stored) => {
+      const record = decodeJobRecord(stored?.value);
+      return record !== undefined && mayReach(record, caller) ? record.terms.pool : undefined;
+    });
   }
 }
 
+type JobRequest = z.infer<(typeof stateCall)["request"]>;
+
+/** Where callers are not told apart, the message has no field for them. */
+function describeRequest(pool: string, jobId: string, caller: JobCaller | undefined): JobRequest {
+  return caller === undefined ? { pool, jobId } : { pool, jobId, caller };
+}
+
 interface NotHome {
   readonly kind: "not-home";
 }
@@ -253,8 +265,12 @@
     submitCall,
     async (request) => (await keeper.home(request.terms.pool)?.submit(request)) ?? notHome,
   );
-  peers.answer(stateCall, ({ pool, jobId }) => keeper.home(pool)?.readState(jobId) ?? notHome);
-  peers.answer(cancelCall, async ({ pool, jobId }) => (await keeper.home(pool)?.cancel(jobId)) ?? notHome);
+  peers.answer(stateCall, ({ pool, jobId, caller }) => {
+    return keeper.home(pool)?.readState(jobId, caller) ?? notHome;
+  });
+  peers.answer(cancelCall, async ({ pool, jobId, caller }) => {
+    return (await keeper.home(pool)?.cancel(jobId, caller)) ?? notHome;
+  });
   peers.answer(vacateCall, ({ pool, targetIds, arrivals }) => {
     const home = keeper.home(pool);
     return home === undefined ? notHome : toReply(home.vacate(targetIds, arrivals));
--- a/src/job-homes/job-home.ts
+++ b/src/job-homes/job-home.ts
@@ -2,14 +2,7 @@
  * The home of a pool: accepts its jobs, runs them on its targets and answers for them.
  * @packageDocumentation
  */
-import {
-  decodeJobRecord,
-  jobPrefix,
-  progressPrefix,
-  readJobState,
-  type Job,
-  type JobRecord,
-} from "../jobs/index.js";
+import { decodeJobRecord, jobPrefix, readJobState, type JobRecord } from "../jobs/index.js";
 import { admitJob, isLastingJob, jobCoreSeconds, type RoomArrival } from "../scheduling/index.js";
 import { delay } from "../shared/index.js";
 import type { TransactionalStore } from "../store/index.js";
@@ -17,12 +10,15 @@
 import { dispatch } from "./dispatcher.js";
 import { createFirstRequests } from "./first-requests.js";
 import { bookAccepted, forecastJob, type HomeForecast } from "./home-forecast.js";
-import { addJob, forgetJob, openDue, type HomeState, type HomeTarget } from "./home-state.js";
+import { addJob, openDue, type HomeState } from "./home-state.js";
 import { readRecentLoad, reportPool, type PoolReport } from "./pool-report.js";
 import type { CancelOutcome, JobSubmission, StateOutcome, SubmitOutcome } from "./job-outcomes.js";
-import { endJob, hasEnded, storeProgress } from "./job-progress.js";
+import { answerAgain, backlogReason, findJob, type JobCaller } from "./job-owners.js";
+import { endJob, forgetStored, hasEnded, storeProgress } from "./job-progress.js";
 import { RoundPace } from "./round-pause.js";
 import { stopUnwanted } from "./stopper.js";
+import { SubmissionsInProgress } from "./submissions-in-progress.js";
+import { expectsTargets, vacateTargets } from "./vacating.js";
 
 /** Settings of a home. */
 export interface JobHomeOptions {
@@ -38,8 +34,6 @@
 const answerMarginMilliseconds = 250;
 /** Targets are used again when nobody asked for so long to empty them. */
 const vacateMilliseconds = 2_000;
-/** Machines that come so soon are looked for in the registry. */
-const arrivalNoticeMilliseconds = 800;
 const retryAfterStoreMilliseconds = 2_000;
 
 /** The home of a pool. */
@@ -50,7 +44,7 @@
   readonly #stop = new AbortController();
   readonly #advice: AdviceBook;
   readonly #firstRequests = createFirstRequests();
-  readonly #accepting = new Map<string, Promise<SubmitOutcome>>();
+  readonly #submissions = new SubmissionsInProgress();
   #round: NodeJS.Timeout | undefined;
   readonly #pace = new RoundPace();
   #isStarted = false;
@@ -80,32 +74,31 @@
    * @returns what can be told to the caller
    */
   async submit(submission: JobSubmission): Promise<SubmitOutcome> {
-    const { jobId } = submission;
-    if (this.#state.jobs.has(jobId)) return { kind: "accepted" };
-    const running = this.#accepting.get(jobId) ?? this.#accept(submission);
-    this.#accepting.set(jobId, running);
-    const outcome = await running;
-    this.#accepting.delete(jobId);
-    return outcome;
+    const known = this.#state.jobs.get(submission.jobId);
+    if (known !== undefined) return answerAgain(known.record, submission, this.#state.log);
+    const outcome = await this.#submissions.decide(submission, async () => this.#accept(submission));
+    return outcome ?? this.submit(submission);
   }
 
   /**
    * Reads a job's state.
    * @param jobId - the job
+   * @param caller - who asks; undefined where callers are not told apart
    * @returns its state, or that this home does not know it
    */
-  readState(jobId: string): StateOutcome {
-    const job = this.#state.jobs.get(jobId);
+  readState(jobId: string, caller?: JobCaller): StateOutcome {
+    const job = findJob(this.#state.jobs, jobId, caller);
     return job === undefined ? { kind: "not-known" } : { kind: "state", state: readJobState(job) };
   }
 
   /**
    * Cancels a job and stops what runs of it.
    * @param jobId - the job
+   * @param caller - who asks; undefined where callers are not told apart
    * @returns `cancelled` once that is stored
    */
-  async cancel(jobId: string): Promise<CancelOutcome> {
-    const job = this.#state.jobs.get(jobId);
+  async cancel(jobId: string, caller?: JobCaller): Promise<CancelOutcome> {
+    const job = findJob(this.#state.jobs, jobId, caller);
     if (job === undefined) return { kind: "not-known" };
     if (job.finalState !== undefined) return { kind: "cancelled" };
     const isStored = await endJob(this.#state, job, "cancelled");
@@ -130,22 +123,14 @@
    * @returns the pool's load
    */
   vacate(targetIds: readonly string[], arrivals: readonly RoomArrival[] = []): PoolReport {
-    const chosen = new Set(targetIds);
-    const now = performance.now();
-    this.#vacatedAt = now;
-    this.#state.expectedRoom = arrivals.map(({ resources, atMilliseconds }) => ({
-      resources,
-      at: now + atMilliseconds,
-    }));
-    for (const [targetId, target] of this.#state.targets)
-      this.#setVacating(targetId, target, chosen.has(targetId));
+    this.#vacatedAt = performance.now();
+    vacateTargets(this.#state, targetIds, arrivals, this.#vacatedAt);
     return reportPool(this.#state);
   }
 
   /** Whether machines are about to come to the pool. */
   expectsTargets(): boolean {
-    const soon = performance.now() + arrivalNoticeMilliseconds;
-    return this.#state.expectedRoom.some(({ at }) => at < soon);
+    return expectsTargets(this.#state, performance.now());
   }
 
   /** Begins rounds of placing. */
@@ -164,14 +149,6 @@
     clearTimeout(this.#round);
   }
 
-  #setVacating(targetId: string, target: HomeTarget, isVacating: boolean): void {
-    if (target.isVacating === isVacating) return;
-    target.isVacating = isVacating;
-    const runs = target.runs.size;
-    this.#state.log.write("info", "target-vacating", { pool: this.pool, target: targetId, isVacating, runs });
-    this.#wake();
-  }
-
   #wake(): void {
     if (!this.#isStarted || this.#stop.signal.aborted) return;
     this.#round ??= setTimeout(() => {
@@ -204,12 +181,12 @@
     for (const job of this.#state.endedJobs) {
       // The others have ended later.
       if (unixNow - (job.endedAt ?? unixNow) <= this.#options.retentionMilliseconds) return;
-      forget(this.#state, job);
+      forgetStored(this.#state, job);
     }
   }
 
   async #accept(submission: JobSubmission): Promise<SubmitOutcome> {
-    const { jobId, terms, definition, deadlineMilliseconds } = submission;
+    const { jobId, terms, definition, deadlineMilliseconds, workspace } = submission;
     const now = performance.now();
     const age = now - this.#firstRequests.note(jobId, now);
     if (age === 0) this.#noteDemand(submission, now);
@@ -218,17 +195,25 @@
     if (admission.kind === "refuse" && !isLastingJob(definition)) {
       const { retryAfterMilliseconds } = admission;
       this.#logRefusal(submission, forecast, retryAfterMilliseconds);
-      return { kind: "refused", reason: "the pool's backlog is too long", retryAfterMilliseconds };
+      return { kind: "refused", reason: backlogReason, retryAfterMilliseconds };
     }
     const acceptedAt = Date.now();
-    const record: JobRecord = { jobId, terms, definition, acceptedAt, requestedAt: acceptedAt - age };
+    const owner = workspace === undefined ? {} : { workspace };
+    const record: JobRecord = {
+      jobId,
+      terms,
+      definition,
+      acceptedAt,
+      requestedAt: acceptedAt - age,
+      ...owner,
+    };
     const write = this.#state.journal.write(`${jobPrefix}${jobId}`, record, { mustBeAbsent: true });
     const timer = setTimeout(() => {
       write.withdraw();
     }, deadlineMilliseconds - answerMarginMilliseconds);
     const result = await write.result;
     clearTimeout(timer);
-    if (result === "exists") return this.#findStored(jobId);
+    if (result === "exists") return this.#findStored(submission);
     if (result === "superseded") return { kind: "unknown", reason: "another entry has taken the pool" };
     if (result === "withdrawn") {
       const retryAfterMilliseconds = retryAfterStoreMilliseconds;
@@ -244,11 +229,13 @@
     demand.note(jobCoreSeconds(definition, runTimes.ofQueue(terms.queue).task), now);
   }
 
-  #logRefusal({ jobId, terms }: JobSubmission, forecast: HomeForecast, retryAfterMilliseconds: number): void {
+  #logRefusal(submission: JobSubmission, forecast: HomeForecast, retryAfterMilliseconds: number): void {
+    const { jobId, terms, workspace } = submission;
     const { backlogCoreSeconds, cores, busyCores } = readRecentLoad(this.#state);
     this.#state.log.write("info", "job-refused", {
       job: jobId,
       queue: terms.queue,
+      workspace,
       endMilliseconds: Math.round(forecast.endMilliseconds),
       objectiveMilliseconds: Math.round(forecast.objectiveMilliseconds),
       backlogCoreSeconds: Math.round(backlogCoreSeconds),
@@ -261,12 +248,13 @@
   }
 
   /** A job that the store holds already: accepted for another pool, or by a write of this home without an answer. */
-  async #findStored(jobId: string): Promise<SubmitOutcome> {
+  async #findStored(submission: JobSubmission): Promise<SubmitOutcome> {
+    const { jobId } = submission;
     const found = await this.#options.store.get(`${jobPrefix}${jobId}`);
     const record = decodeJobRecord(found.orDefault(undefined)?.value);
     if (record === undefined) return { kind: "unknown", reason: "the stored job was not read" };
     if (record.terms.pool === this.pool && !this.#state.jobs.has(jobId)) this.#add(record, undefined);
-    return { kind: "accepted" };
+    return answerAgain(record, submission, this.#state.log);
   }
 
   #add(record: JobRecord, forecast: HomeForecast | undefined): void {
@@ -279,6 +267,7 @@
       job: record.jobId,
       queue,
       pool,
+      workspace: record.workspace,
       endMilliseconds: roundOrNone(forecast?.endMilliseconds),
       objectiveMilliseconds: roundOrNone(forecast?.objectiveMilliseconds),
     });
@@ -289,9 +278,3 @@
 function roundOrNone(value: number | undefined): number | undefined {
   return value === undefined ? undefined : Math.round(value);
 }
-
-function forget(state: HomeState, job: Job): void {
-  forgetJob(state, job);
-  state.journal.write(`${jobPrefix}${job.id}`, undefined, { urgency: "soon" });
-  state.journal.write(`${progressPrefix}${job.id}`, undefined, { urgency: "soon" });
-}
--- a/src/job-homes/job-progress.ts
+++ b/src/job-homes/job-progress.ts
@@ -2,8 +2,8 @@
  * Writes jobs' progress and ends to the store; callers see an end once it is stored.
  * @packageDocumentation
  */
-import { encodeProgress, isWorkDone, progressPrefix, type Job } from "../jobs/index.js";
-import { retireJob, type HomeState } from "./home-state.js";
+import { encodeProgress, isWorkDone, jobPrefix, progressPrefix, type Job } from "../jobs/index.js";
+import { forgetJob, retireJob, type HomeState } from "./home-state.js";
 
 /**
  * Stores a job's progress, and its end once all work is done or an attempt too many has failed.
@@ -110,6 +110,17 @@
   state.metrics.observe("job_milliseconds", milliseconds, { state: finalState });
 }
 
+/**
+ * Forgets a job that nobody asks for any more, here and in the store.
+ * @param state - the home
+ * @param job - the ended job
+ */
+export function forgetStored(state: HomeState, job: Job): void {
+  forgetJob(state, job);
+  state.journal.write(`${jobPrefix}${job.id}`, undefined, { urgency: "soon" });
+  state.journal.write(progressKey(job), undefined, { urgency: "soon" });
+}
+
 function progressKey(job: Job): string {
   return `${progressPrefix}${job.id}`;
 }
--- a/src/job-homes/messages.ts
+++ b/src/job-homes/messages.ts
@@ -5,6 +5,7 @@
 import { z } from "zod";
 import { jobDefinitionSchema, queueTermsSchema, resourcesSchema } from "../jobs/index.js";
 import { definePeerCall } from "../membership/index.js";
+import { jobCallerSchema } from "./job-owners.js";
 
 const notHome = z.object({ kind: z.literal("not-home") });
 
@@ -26,7 +27,12 @@
   ]),
 );
 
-const jobRequest = z.object({ pool: z.string(), jobId: z.string() });
+const jobRequest = z.object({
+  pool: z.string(),
+  jobId: z.string(),
+  /** Left out where callers are not told apart. */
+  caller: jobCallerSchema.optional(),
+});
 
 /** Asks for a job's state. */
 export const stateCall = definePeerCall(
--- a/src/telemetry/index.ts
+++ b/src/telemetry/index.ts
@@ -2,6 +2,7 @@
  * Logs, metrics and traces.
  * @packageDocumentation
  */
+export { createBoundedLabel } from "./bounded-label.js";
 export { createBoundedSink, type BoundedSink } from "./bounded-sink.js";
 export { readJobStory, type StoryLine } from "./job-story.js";
 export { parseLogLine } from "./log-line.js";
--- a/src/wiring/job-followers.ts
+++ b/src/wiring/job-followers.ts
@@ -23,6 +23,7 @@
 } from "../store/index.js";
 import type { RegisteredTarget } from "../task-runs/index.js";
 import type { Log } from "../telemetry/index.js";
+import { describeWorkspaceChanges } from "../workspaces/index.js";
 import type { JobEntryOptions } from "./job-entry.js";
 
 /** What an entry counts as that does not tell its capacity. */
@@ -125,14 +126,18 @@
   const { store, operators, log, configurationMilliseconds } = options;
   let current: QueueTable | undefined;
   let waves: readonly MaintenanceWave[] = [];
+  let readRevision = 0;
   const takeRecord = (record: StoreRecord | undefined): void => {
-    if (record === undefined) return;
+    // With many keys it takes a while to read, and other records of the operators change more often.
+    if (record === undefined || record.revision === readRevision) return;
+    readRevision = record.revision;
     operators.decode(record.value).caseOf({
       Left: (message) => {
         log.write("error", "configuration-unreadable", { revision: record.revision, message });
       },
       Right: (table) => {
         if (current !== undefined && table.version <= current.version) return;
+        const changes = describeWorkspaceChanges(current?.workspaces, table.workspaces);
         current = table;
         const { version, queues } = table;
         log.write("info", "configuration-in-force", {
@@ -140,6 +145,7 @@
           revision: record.revision,
           queues: queues.length,
         });
+        if (changes !== undefined) log.write("info", "workspaces-changed", { version, ...changes });
         onTable(table);
       },
     });
