--- /dev/null
+++ b/src/job-homes/test/gateway-fixture.ts
@@ -0,0 +1,60 @@
+/**
+ * Gateways of two entries and the links between them, without a network.
+ * @packageDocumentation
+ */
+import { Left, Right } from "purify-ts";
+import type { PeerCall, PeerNetwork } from "../../membership/index.js";
+import { createStoreFaults, MemoryStoreClient } from "../../stand-ins/index.js";
+import type { HomeKeeper } from "../home-keeper.js";
+import { HomeGateway } from "../job-gateway.js";
+import type { JobHome } from "../job-home.js";
+import type { HomeFixture } from "./home-fixture.js";
+
+/** Links that hand calls over as they would stand in a frame, and keep what was asked. */
+function connect(): { readonly asked: unknown[]; readonly network: PeerNetwork } {
+  const asked: unknown[] = [];
+  const answers = new Map<string, (request: unknown, peerId: string) => unknown>();
+  const network = {
+    answer: ({ name }: { name: string }, answer: (request: unknown, peerId: string) => unknown) => {
+      answers.set(name, answer);
+    },
+    call: async (
+      _peerId: string,
+      { name, request: schema, reply }: PeerCall<unknown, unknown>,
+      body: unknown,
+    ) => {
+      asked.push(body);
+      const answer = answers.get(name);
+      if (answer === undefined) return Left({ kind: "not-connected" });
+      return Right(reply.parse(await answer(schema.parse(JSON.parse(JSON.stringify(body))), "b")));
+    },
+  };
+  return { asked, network: network as unknown as PeerNetwork };
+}
+
+/**
+ * Creates the gateway of an entry without homes beside that of the entry that holds them.
+ * @param fixture - the store
+ * @param homes - the homes by pool
+ * @returns both gateways, and what the first has asked the second
+ */
+export function connectGateways(
+  { engine }: HomeFixture,
+  homes: ReadonlyMap<string, JobHome>,
+): { readonly asked: unknown[]; readonly remote: HomeGateway; readonly local: HomeGateway } {
+  const { asked, network } = connect();
+  const store = new MemoryStoreClient(engine, createStoreFaults());
+  const record = { entryId: "a", revision: 1 };
+  const directory = {
+    entries: () => new Map(),
+    homes: () => new Map([...homes.keys()].map((name) => [name, record])),
+    ageMilliseconds: () => 0,
+  } as never;
+  const keeperOf = (held: ReadonlyMap<string, JobHome>): HomeKeeper =>
+    ({ home: (name: string) => held.get(name) }) as unknown as HomeKeeper;
+  const options = { directory, store, peers: network };
+  // The last one to be created answers the links.
+  const remote = new HomeGateway({ ...options, entryId: "b", keeper: keeperOf(new Map()) });
+  const local = new HomeGateway({ ...options, entryId: "a", keeper: keeperOf(homes) });
+  return { asked, remote, local };
+}
--- a/src/job-homes/test/job-owners.test.ts
+++ b/src/job-homes/test/job-owners.test.ts
@@ -3,16 +3,12 @@
  * through the store; and that nothing of this happens where callers are not told apart.
  * @packageDocumentation
  */
-import { Left, Right } from "purify-ts";
 import { afterEach, expect, test } from "vitest";
-import type { PeerCall, PeerNetwork } from "../../membership/index.js";
-import { createStoreFaults, MemoryStoreClient } from "../../stand-ins/index.js";
 import { createLog, readJobStory } from "../../telemetry/index.js";
-import type { HomeKeeper } from "../home-keeper.js";
-import { HomeGateway } from "../job-gateway.js";
 import type { JobHome } from "../job-home.js";
 import type { JobSubmission } from "../job-outcomes.js";
 import { answerAgain, backlogReason, mayReach, type JobCaller } from "../job-owners.js";
+import { connectGateways } from "./gateway-fixture.js";
 import {
   createStep,
   pool,
@@ -59,50 +55,6 @@
   return found === undefined ? undefined : JSON.parse(found.value);
 }
 
-/** Links that hand calls over as they would stand in a frame, and keep what was asked. */
-function connect(): { readonly asked: unknown[]; readonly network: PeerNetwork } {
-  const asked: unknown[] = [];
-  const answers = new Map<string, (request: unknown, peerId: string) => unknown>();
-  const network = {
-    answer: ({ name }: { name: string }, answer: (request: unknown, peerId: string) => unknown) => {
-      answers.set(name, answer);
-    },
-    call: async (
-      _peerId: string,
-      { name, request: schema, reply }: PeerCall<unknown, unknown>,
-      body: unknown,
-    ) => {
-      asked.push(body);
-      const answer = answers.get(name);
-      if (answer === undefined) return Left({ kind: "not-connected" });
-      return Right(reply.parse(await answer(schema.parse(JSON.parse(JSON.stringify(body))), "b")));
-    },
-  };
-  return { asked, network: network as unknown as PeerNetwork };
-}
-
-/** A gateway of an entry without homes, beside the entry that holds them. */
-function connectGateway(
-  { engine }: HomeFixture,
-  homes: ReadonlyMap<string, JobHome>,
-): { readonly asked: unknown[]; readonly remote: HomeGateway; readonly local: HomeGateway } {
-  const { asked, network } = connect();
-  const store = new MemoryStoreClient(engine, createStoreFaults());
-  const record = { entryId: "a", revision: 1 };
-  const directory = {
-    entries: () => new Map(),
-    homes: () => new Map([...homes.keys()].map((name) => [name, record])),
-    ageMilliseconds: () => 0,
-  } as never;
-  const keeperOf = (held: ReadonlyMap<string, JobHome>): HomeKeeper =>
-    ({ home: (name: string) => held.get(name) }) as unknown as HomeKeeper;
-  const options = { directory, store, peers: network };
-  // The last one to be created answers the links.
-  const remote = new HomeGateway({ ...options, entryId: "b", keeper: keeperOf(new Map()) });
-  const local = new HomeGateway({ ...options, entryId: "a", keeper: keeperOf(homes) });
-  return { asked, remote, local };
-}
-
 /** The home of a pool that the job's queue was moved to. */
 const emptyHome = {
   readState: () => ({ kind: "not-known" }),
@@ -198,7 +150,7 @@
     [pool, home],
     ["moved", emptyHome],
   ]);
-  const { asked, remote, local } = connectGateway(started, homes);
+  const { asked, remote, local } = connectGateways(started, homes);
   expect(await remote.submit(submissionOf("north"))).toEqual({ kind: "accepted" });
   for (const gateway of [local, remote])
     for (const name of [pool, "moved"]) {
@@ -215,7 +167,7 @@
 test("a job whose home does not answer is not told to another workspace by the failure", async () => {
   const { started, home } = await startHome();
   await home.submit(submissionOf("north"));
-  const { local } = connectGateway(started, new Map([["moved", emptyHome]]));
+  const { local } = connectGateways(started, new Map([["moved", emptyHome]]));
   expect((await local.readState("moved", "job", 400, north)).kind).toBe("unavailable");
   expect((await local.readState("moved", "job", 400, south)).kind).toBe("not-known");
   expect((await local.cancel("moved", "job", 400, south)).kind).toBe("not-known");
@@ -223,7 +175,7 @@
 
 test("messages without workspaces have the fields that they always had", async () => {
   const { started, home } = await startHome();
-  const { asked, remote } = connectGateway(started, new Map([[pool, home]]));
+  const { asked, remote } = connectGateways(started, new Map([[pool, home]]));
   const plain = submissionOf(undefined);
   await remote.submit(plain);
   await remote.readState(pool, "job", 2_000);
--- a/src/wiring/test/job-followers.test.ts
+++ b/src/wiring/test/job-followers.test.ts
@@ -2,17 +2,32 @@
  * The operators' configuration as an entry follows it: never back, never by an old copy, never by what cannot be read.
  * @packageDocumentation
  */
-import { Left, Right } from "purify-ts";
+import { Left, Right, type Either } from "purify-ts";
 import { afterEach, expect, test, vi } from "vitest";
 import type { QueueTable } from "../../jobs/index.js";
 import { createStoreEngine, createStoreFaults, MemoryStoreClient } from "../../stand-ins/index.js";
 import { createLog } from "../../telemetry/index.js";
+import { createWorkspaceTable, type WorkspaceDefinition } from "../../workspaces/index.js";
 import type { JobEntryOptions } from "../job-entry.js";
 import { followConfiguration, followRegistry } from "../job-followers.js";
 
 const configurationKey = "operators/configuration";
 const configurationMilliseconds = 700;
 
+const north = { name: "north", weight: 1, cap: { cpuMillicores: 0, memoryMegabytes: 0, accelerators: 0 } };
+
+interface WrittenTable {
+  readonly version: number;
+  readonly workspaces: readonly WorkspaceDefinition[];
+}
+
+function decodeTable(value: unknown): Either<string, QueueTable> {
+  if (typeof value === "number") return Right(createTable(value));
+  const { version, workspaces } = value as Partial<WrittenTable>;
+  if (version === undefined || workspaces === undefined) return Left("no version");
+  return createWorkspaceTable(workspaces).map((table) => ({ ...createTable(version), workspaces: table }));
+}
+
 function createTable(version: number): QueueTable {
   const limits = {
     maximumHeaderBytes: 1,
@@ -35,6 +50,7 @@
   const faults = createStoreFaults();
   const lines: string[] = [];
   const taken: number[] = [];
+  const decoded: unknown[] = [];
   const options: Pick<JobEntryOptions, "store" | "log" | "configurationMilliseconds" | "operators"> = {
     store: new MemoryStoreClient(engine, faults),
     log: createLog("info", (line) => lines.push(line)),
@@ -42,8 +58,17 @@
     operators: {
       prefix: "operators/",
       configurationKey,
-      decode: (value) => (typeof value === "number" ? Right(createTable(value)) : Left("no version")),
-      decodeWaves: () => [],
+      decode: (value) => {
+        decoded.push(value);
+        return decodeTable(value);
+      },
+      decodeWaves: (records) =>
+        [...records.keys()].flatMap((key) => {
+          const wave = Number(key.split("wave-")[1]);
+          return Number.isNaN(wave)
+            ? []
+            : [{ wave, machineIds: [], durationMilliseconds: 1, maximumDown: 1 }];
+        }),
       waveStatus: { key: (wave) => `status/${wave}`, encode: () => ({}) },
     },
   };
@@ -53,11 +78,14 @@
     const written = { key: configurationKey, value: JSON.stringify(value), expectedRevision: revision };
     engine.write({ ...written, leaseId: undefined });
   };
+  const writeWave = (wave: number): void => {
+    engine.write({ key: `operators/wave-${wave}`, value: "1", expectedRevision: 0, leaseId: undefined });
+  };
   const close = (): void => {
     followed.follower.close();
     engine.close();
   };
-  return { ...followed, faults, lines, taken, write, close };
+  return { ...followed, faults, lines, taken, decoded, write, writeWave, close };
 }
 
 afterEach(() => {
@@ -137,3 +165,48 @@
   await waitFor(() => usable()?.version === 5);
   close();
 });
+
+test("a faulty configuration leaves the workspaces of the last one in force, and is logged once", async () => {
+  const { usable, current, lines, write, close } = startFollowing();
+  write({ version: 4, workspaces: [{ ...north, keys: ["k-1", "k-2"] }] });
+  await waitFor(() => usable()?.workspaces?.findByKey("k-1")?.name === "north");
+  write({ version: 5, workspaces: [{ ...north, keys: ["k-3"], weight: 0 }] });
+  await waitFor(() => lines.some((line) => line.includes("configuration-unreadable")));
+  expect(current()?.version).toBe(4);
+  expect(current()?.workspaces?.findByKey("k-1")?.name).toBe("north");
+  write({ version: 6, workspaces: [{ ...north, keys: ["k-1", "k-3", "k-4"] }] });
+  await waitFor(() => usable()?.version === 6);
+  write(7);
+  await waitFor(() => usable()?.version === 7);
+  const changes = lines.filter((line) => line.includes("workspaces-changed"));
+  expect(changes.map((line) => line.replace(/^.*workspaces-changed /, ""))).toEqual([
+    "version=4 workspaces=1 keys=2 came=1 cameNames=north vanished=0 termsChanged=0 keysAdded=2 keysWithdrawn=0",
+    "version=6 workspaces=1 keys=3 came=0 vanished=0 termsChanged=0 keysAdded=2 keysWithdrawn=1",
+    "version=7 workspaces=0 keys=0 came=0 vanished=1 vanishedNames=north termsChanged=0 keysAdded=0 keysWithdrawn=3",
+  ]);
+  expect(lines.filter((line) => line.includes("configuration-unreadable"))).toHaveLength(1);
+  expect(lines.join()).not.toMatch(/k-\d/);
+  close();
+});
+
+test("configurations without workspaces tell nothing of them", async () => {
+  const { usable, lines, write, close } = startFollowing();
+  for (const version of [4, 5]) {
+    write(version);
+    await waitFor(() => usable()?.version === version);
+  }
+  expect(lines.join()).not.toContain("workspaces");
+  close();
+});
+
+test("other records of the operators do not make an entry read the configuration again", async () => {
+  const { usable, decoded, writeWave, write, waves, close } = startFollowing();
+  write(4);
+  await waitFor(() => usable()?.version === 4);
+  writeWave(1);
+  await waitFor(() => waves().length === 1);
+  writeWave(2);
+  await waitFor(() => waves().length === 2);
+  expect(decoded).toHaveLength(1);
+  close();
+});
