--- a/src/measures/registry.ts
+++ b/src/measures/registry.ts
@@ -12,6 +12,7 @@
 import { rolloutMeasure } from "./rollout.js";
 import { slopes } from "./slopes/index.js";
 import { turnMeasure } from "./turn.js";
+import { workspacesMeasure } from "./workspaces.js";
 
 /** The measurements by the order of the promises that they speak for. */
 export const measures: readonly Measure[] = [
@@ -25,4 +26,5 @@
   drainMeasure,
   buffer,
   slopes,
+  workspacesMeasure,
 ];
