--- a/src/telemetry/story-causes.ts
+++ b/src/telemetry/story-causes.ts
@@ -17,6 +17,9 @@
 /** A job ends after these; what must not be there may be stopped later. */
 const beforeEnd = new Set(["start-order", "run-adopted", "run-vanished", "run-ended"]);
 
+/** What a home writes of a submission that it does not take. */
+const refusals = new Set(["job-refused", "job-identifier-taken"]);
+
 /**
  * Finds the lines that must come before each line. Only lines of different logs are related here: within a log the order is
  * that of its process.
@@ -26,7 +29,7 @@
 export function findCauses(lines: readonly StoryLine[]): ReadonlyMap<StoryLine, readonly StoryLine[]> {
   const accepted = lines.filter(({ event }) => event === "job-accepted");
   const worked = lines.filter(({ event }) => beforeEnd.has(event));
-  const refused = lines.filter(({ event }) => event === "job-refused");
+  const refused = lines.filter(({ event }) => refusals.has(event));
   const told = lines.filter(isToldRefusal);
   const byTask = groupByTask(lines);
   const causesOf = (line: StoryLine): readonly StoryLine[] => {
