Caps over all pools: shares that pools decide on alone, as pure decisions with a property test

Cause: pools have homes on different entries, and a workspace's cap counts over all of them. Each pool holds a share in a record of the workspace; writes are bound to the record's revision. Ruled out: scaling shares down in proportion when a cap is lowered. What others have running may be all of their share, so each pool leaves the whole excess out of its own.

--- a/src/workspaces/home-workspaces.ts
+++ b/src/workspaces/home-workspaces.ts
@@ -14,8 +14,13 @@
    * Begins a round of placing.
    * @param usage - what may be running here, by workspace; runs whose end is not known count
    * @param now - the monotonic clock
+   * @param unseen - what an earlier home may have started besides, on targets that have not answered yet
    */
-  beginRound(usage: ReadonlyMap<string, Resources>, now: number): void;
+  beginRound(
+    usage: ReadonlyMap<string, Resources>,
+    now: number,
+    unseen?: ReadonlyMap<string, Resources>,
+  ): void;
   /**
    * Tells how many like tasks of a workspace may start now; what may not is asked for from the other pools.
    * @param workspace - the workspace's name
@@ -29,7 +34,8 @@
   /**
    * Reads what the pool could run of a workspace: its share, and what no pool holds.
    * @param workspace - the workspace's name
-   * @returns the room; undefined for a workspace without a cap
+   * @returns the room, with what already runs there; infinite for a resource without a limit; undefined for a workspace
+   * without a cap
    */
   room(workspace: string): Resources | undefined;
 }
--- a/src/workspaces/index.ts
+++ b/src/workspaces/index.ts
@@ -2,6 +2,9 @@
  * Workspaces that compete for a fleet's room: who they are, what each may run, and how a full pool is shared.
  * @packageDocumentation
  */
+export { createPoolQuotas, type ClosablePoolQuotas, type PoolQuotasOptions } from "./pool-quotas.js";
+export { createQuotaBook, type QuotaBook } from "./quota-book.js";
+export { quotaPrefix } from "./quota-record.js";
 export type { FairShares, HomeWorkspaces, PoolQuotas } from "./home-workspaces.js";
 export {
   createWorkspaceTable,
--- /dev/null
+++ b/src/workspaces/quota-writer.ts
@@ -0,0 +1,164 @@
+/**
+ * Writes the shares of one pool: several workspaces in one transaction, each bound to the revision that the home knows,
+ * and all to the home's own record, so that a home that was superseded changes nothing.
+ * @packageDocumentation
+ */
+import { createRandom, hashText } from "../shared/index.js";
+import {
+  maximumTransactionEntries,
+  type ExpectedRevision,
+  type StoreRecord,
+  type TransactionalStore,
+} from "../store/index.js";
+import type { Log, Metrics } from "../telemetry/index.js";
+import type { HeldQuota, QuotaPlan } from "./held-quota.js";
+import { noAmounts, quotaPrefix, type Amounts } from "./quota-record.js";
+
+/** What shares are written with. */
+export interface QuotaWriterOptions {
+  readonly pool: string;
+  readonly store: TransactionalStore;
+  /** The condition under which the home writes. */
+  readonly expectHeld: () => ExpectedRevision;
+  /** The condition under which the share of a pool that was given up lapses. */
+  readonly expectNoHome: (pool: string) => ExpectedRevision;
+  /** Called when a write has ended. */
+  readonly onEnded: () => void;
+  readonly log: Log;
+  readonly metrics: Metrics;
+}
+
+/** A workspace whose record should be written. */
+export interface QuotaChange {
+  readonly workspace: string;
+  readonly held: HeldQuota;
+  readonly plan: QuotaPlan;
+}
+
+/** A home writes so often at most. */
+const pauseMilliseconds = 100;
+const failedMilliseconds = 200;
+/** Homes that met at a record try again at different times. */
+const conflictMilliseconds = 30;
+/** The home's own record is expected with each transaction; each workspace takes an expectation and a write. */
+const entriesPerWorkspace = 2;
+
+/** Writes the shares of one pool. */
+export class QuotaWriter {
+  readonly #options: QuotaWriterOptions;
+  readonly #random;
+  #isWriting = false;
+  #nextAt = Number.NEGATIVE_INFINITY;
+  /** Fewer workspaces share a transaction after one of them was changed by somebody else. */
+  #mostWorkspaces = maximumTransactionEntries;
+
+  /**
+   * Creates a writer.
+   * @param options - the pool and the store
+   */
+  constructor(options: QuotaWriterOptions) {
+    this.#options = options;
+    this.#random = createRandom(hashText(options.pool));
+  }
+
+  /** Whether a write may begin now. */
+  isReady(now: number): boolean {
+    return !this.#isWriting && now >= this.#nextAt;
+  }
+
+  /**
+   * Writes as many changes as one transaction takes.
+   * @param changes - the changes; what brings room goes first
+   * @param abandoned - pools whose shares lapse with these changes, a few
+   * @param now - the monotonic clock
+   */
+  async write(changes: readonly QuotaChange[], abandoned: readonly string[], now: number): Promise<void> {
+    const { store, expectHeld, expectNoHome, onEnded } = this.#options;
+    const gone = abandoned.map(expectNoHome);
+    const most = Math.floor((maximumTransactionEntries - 1 - gone.length) / entriesPerWorkspace);
+    const batch = [...changes].sort(byUrgency).slice(0, Math.min(most, this.#mostWorkspaces));
+    const shares = batch.map(({ plan }) => plan.share.share);
+    batch.forEach(({ held }, index) => {
+      held.copy.noteSent(shares[index] ?? noAmounts);
+    });
+    this.#isWriting = true;
+    const expected = batch.map(({ workspace, held }) => ({
+      key: `${quotaPrefix}${workspace}`,
+      revision: held.copy.revision(),
+    }));
+    const result = await store.transact({
+      expected: [expectHeld(), ...expected, ...gone],
+      writes: batch.map(({ workspace, plan }) => ({ key: `${quotaPrefix}${workspace}`, value: plan.record })),
+    });
+    this.#isWriting = false;
+    this.#note(result.kind, now);
+    if (result.kind === "done") {
+      for (const { held, plan } of batch) held.copy.offer(plan.record, result.revision);
+      for (const change of batch) this.#log(change, result.revision);
+    }
+    // A write without an answer leaves the smaller share until a later revision is known.
+    if (result.kind === "conflict" || result.kind === "not-done")
+      batch.forEach(({ held }, index) => {
+        held.copy.noteNotDone(shares[index] ?? noAmounts);
+      });
+    if (result.kind === "conflict") takeConflict(batch, expected, result.current);
+    onEnded();
+  }
+
+  #note(result: "done" | "conflict" | "not-done" | "unknown", startedAt: number): void {
+    const { metrics, pool } = this.#options;
+    metrics.count("quota_writes_total", { pool, result });
+    const isConflict = result === "conflict";
+    this.#mostWorkspaces = isConflict
+      ? Math.max(1, Math.floor(Math.min(this.#mostWorkspaces, maximumTransactionEntries / 2) / 2))
+      : Math.min(maximumTransactionEntries, this.#mostWorkspaces * 2);
+    const now = performance.now();
+    if (result === "done") this.#nextAt = startedAt + pauseMilliseconds;
+    else
+      this.#nextAt = now + (isConflict ? conflictMilliseconds * this.#random.fraction() : failedMilliseconds);
+  }
+
+  #log({ workspace, held, plan }: QuotaChange, revision: number): void {
+    const { log, pool } = this.#options;
+    const [before, after] = [plan.before?.share ?? noAmounts, plan.share.share];
+    log.write("info", "quota-share", {
+      workspace,
+      pool,
+      action: describeAction(before, after),
+      before: before.join(),
+      after: after.join(),
+      asks: (plan.share.asks ?? noAmounts).join(),
+      running: held.use.running.join(),
+      cap: held.cap().join(),
+      revision,
+    });
+  }
+}
+
+/** What brings room goes before what gives it back. */
+function byUrgency(left: QuotaChange, right: QuotaChange): number {
+  const isTaking = ({ plan }: QuotaChange): boolean =>
+    describeAction(plan.before?.share ?? noAmounts, plan.share.share) === "taken";
+  return Number(isTaking(right)) - Number(isTaking(left));
+}
+
+function describeAction(before: Amounts, after: Amounts): "taken" | "given-back" | "asked" {
+  if (after.some((amount, resource) => amount > (before[resource] ?? 0))) return "taken";
+  return after.some((amount, resource) => amount < (before[resource] ?? 0)) ? "given-back" : "asked";
+}
+
+/** Takes over what the store said of the records that were expected otherwise. */
+function takeConflict(
+  batch: readonly QuotaChange[],
+  expected: readonly ExpectedRevision[],
+  current: readonly StoreRecord[],
+): void {
+  batch.forEach(({ held }, index) => {
+    const asked = expected[index];
+    const found = current.find(({ key }) => key === asked?.key);
+    if (found !== undefined) held.copy.offer(found.value, found.revision);
+    // Somebody deleted the record.
+    else if (asked !== undefined && asked.revision > 0 && held.copy.revision() === asked.revision)
+      held.copy.clear();
+  });
+}
--- /dev/null
+++ b/src/workspaces/test/quota-model.ts
@@ -0,0 +1,190 @@
+/**
+ * Pools that share the caps of one workspace over a record: what each knows, runs and writes, with nothing else around.
+ * Time is handed in.
+ * @packageDocumentation
+ */
+import { HeldQuota, type QuotaPlan } from "../held-quota.js";
+import { addAmounts, byResource, noAmounts, type Amounts } from "../quota-record.js";
+
+/** What becomes of a write. */
+export type WriteFate = "done" | "refused" | "lost" | "answer-lost" | "late";
+
+interface Stored {
+  readonly key: string;
+  readonly value: unknown;
+  readonly revision: number;
+}
+
+interface LateWrite {
+  readonly home: number;
+  readonly pool: ModelPool;
+  readonly plan: QuotaPlan;
+  readonly expectedRevision: number;
+}
+
+/** Configurations are known everywhere after this. */
+const configurationMilliseconds = 3_000;
+/** A copy of the record that was current so long ago may count once more. */
+const copyMilliseconds = 1_000;
+
+/** A pool with its home. */
+export class ModelPool {
+  held: HeldQuota;
+  home = 1;
+  heard: Stored | undefined;
+  heardAt = Number.NEGATIVE_INFINITY;
+  cap: Amounts;
+  /** What runs, by the targets' own truth. */
+  runs: Amounts[] = [];
+  /** Runs that its home has not seen yet. */
+  unseen: Amounts[] = [];
+
+  /** Creates a pool in which nothing runs. */
+  constructor(
+    readonly name: string,
+    cap: Amounts,
+  ) {
+    this.cap = cap;
+    this.held = new HeldQuota(name);
+  }
+}
+
+/** The pools and the record. */
+export class QuotaModel {
+  readonly pools: readonly ModelPool[];
+  now = 0;
+  writes = 0;
+  #stored: Stored | undefined;
+  #revision = 0;
+  #late: LateWrite[] = [];
+  /** Caps with the time at which they came into force. */
+  readonly #caps: { readonly cap: Amounts; readonly since: number }[];
+
+  /** Creates pools over a record that does not exist yet. */
+  constructor(names: readonly string[], cap: Amounts) {
+    this.pools = names.map((name) => new ModelPool(name, cap));
+    this.#caps = [{ cap, since: Number.NEGATIVE_INFINITY }];
+  }
+
+  /** Brings another cap into force; pools hear of it later. */
+  configure(cap: Amounts): void {
+    this.#caps.push({ cap, since: this.now });
+  }
+
+  /** Lets time pass. */
+  pass(milliseconds: number): void {
+    this.now += milliseconds;
+    for (const pool of this.pools) {
+      const settled = this.#caps.filter(({ since }) => since + configurationMilliseconds <= this.now);
+      const heard = this.#caps.findIndex(({ cap }) => cap === pool.cap);
+      if (settled.length > heard) pool.cap = settled.at(-1)?.cap ?? pool.cap;
+    }
+  }
+
+  /** A pool hears the newest configuration. */
+  hearConfiguration(pool: ModelPool): void {
+    pool.cap = this.#caps.at(-1)?.cap ?? pool.cap;
+  }
+
+  /** A pool hears the record. */
+  hear(pool: ModelPool): void {
+    pool.heard = this.#stored;
+    pool.heardAt = this.now;
+  }
+
+  /** A round of placing; returns how much was started and what is wrong with it. */
+  round(pool: ModelPool, needs: Amounts, wanted: number): { started: number; wrong: string[] } {
+    const seen = pool.runs.filter((run) => !pool.unseen.includes(run));
+    pool.held.begin({
+      cap: pool.cap,
+      record: pool.heard,
+      currentAt: pool.heardAt,
+      running: sum(seen),
+      unseen: sum(pool.unseen),
+      now: this.now,
+    });
+    const started = wanted === 0 ? 0 : pool.held.allow(needs, wanted);
+    pool.held.use.take(needs, started);
+    for (let index = 0; index < started; index += 1) pool.runs.push([...needs]);
+    return { started, wrong: started === 0 ? [] : this.#findExcess() };
+  }
+
+  /** Writes what the last round has shown. */
+  settle(pool: ModelPool, fate: WriteFate): void {
+    const names = this.pools.map(({ name }) => name);
+    const plan = pool.held.plan(names, [], this.now);
+    if (plan === undefined) return;
+    this.writes += 1;
+    const { copy } = pool.held;
+    const expectedRevision = copy.revision();
+    copy.noteSent(plan.share.share);
+    if (fate === "refused") copy.noteNotDone(plan.share.share);
+    if (fate === "late") this.#late.push({ home: pool.home, pool, plan, expectedRevision });
+    if (fate === "refused" || fate === "late" || fate === "lost") return;
+    const isDone = this.#write(plan, expectedRevision);
+    if (fate === "answer-lost") return;
+    if (isDone) copy.offer(plan.record, this.#revision);
+    else copy.noteNotDone(plan.share.share);
+    if (!isDone && this.#stored !== undefined) copy.offer(this.#stored.value, this.#stored.revision);
+  }
+
+  /** Carries out writes that were on their way; those of homes that were superseded have no effect. */
+  carryOutLate(): void {
+    for (const { home, pool, plan, expectedRevision } of this.#late)
+      if (home === pool.home) this.#write(plan, expectedRevision);
+    this.#late = [];
+  }
+
+  /** Runs of a pool end. */
+  end(pool: ModelPool, count: number): void {
+    const ended = pool.runs.splice(0, count);
+    pool.unseen = pool.unseen.filter((run) => !ended.includes(run));
+  }
+
+  /** Another home takes a pool: it reads the record, and has not seen what runs. */
+  takeOver(pool: ModelPool): void {
+    pool.home += 1;
+    pool.held = new HeldQuota(pool.name);
+    pool.unseen = [...pool.runs];
+    this.hear(pool);
+  }
+
+  /** Something that is no record is stored. */
+  spoil(): void {
+    this.#revision += 1;
+    this.#stored = { key: "", value: "spoiled", revision: this.#revision };
+  }
+
+  /** What all pools have running. */
+  running(): Amounts {
+    return sum(this.pools.flatMap(({ runs }) => runs));
+  }
+
+  #write({ record }: QuotaPlan, expectedRevision: number): boolean {
+    if ((this.#stored?.revision ?? 0) !== expectedRevision) return false;
+    this.#revision += 1;
+    const value = JSON.parse(JSON.stringify(record)) as unknown;
+    this.#stored = { key: "", value, revision: this.#revision };
+    return true;
+  }
+
+  #findExcess(): string[] {
+    const highest = this.#highestCap();
+    return this.running().flatMap((amount, resource) =>
+      amount > (highest[resource] ?? 0) ? [`${amount} of ${highest[resource]} run`] : [],
+    );
+  }
+
+  /** The highest of the caps that somebody may work by. */
+  #highestCap(): Amounts {
+    const until = this.now - configurationMilliseconds - copyMilliseconds;
+    const inForce = this.#caps.filter((_, index) => (this.#caps[index + 1]?.since ?? Infinity) >= until);
+    return byResource((resource) =>
+      Math.max(...inForce.map(({ cap }) => (cap[resource] === 0 ? Infinity : cap[resource]))),
+    );
+  }
+}
+
+function sum(runs: readonly Amounts[]): Amounts {
+  return runs.reduce<Amounts>(addAmounts, noAmounts);
+}
