Caps over all pools: homes limit their starts, follow the records and write their shares

Change: a round counts what may be running of each workspace and places no more of a step than the share leaves room for; the quotas of a home read the records once it has the pool, and write under the condition of the home's record. Lasting moves, public queues and configurations without workspaces go on as before. The job's record names its workspace, as far as the submission does.

--- a/src/job-homes/dispatcher.ts
+++ b/src/job-homes/dispatcher.ts
@@ -19,6 +19,8 @@
 import { startRun } from "./start-orders.js";
 import { isTaskOver, type HomeState } from "./home-state.js";
 import { describePlace, isUsable, viewTarget } from "./target-views.js";
+import { mayRunUnseen } from "./unseen-runs.js";
+import { beginQuotaRound, limitStarts, takeQuota } from "./workspace-limits.js";
 
 /** Targets that may run a step, with the ticket for each. */
 type Tickets = ReadonlyMap<string, string> | typeof noTicketsNeeded;
@@ -33,6 +35,7 @@
 export function dispatch(state: HomeState, advice: AdviceBook): void {
   if (!state.isActive()) return;
   const now = performance.now();
+  beginQuotaRound(state, now);
   const wanting = [...state.openJobs.values()].filter((job) => !job.isEnding && wantsPlace(state, job, now));
   if (wanting.length === 0) {
     state.unplacedLasting = [];
@@ -94,13 +97,6 @@
   return !mayRunUnseen(state, task);
 }
 
-/** Whether an earlier home may have started the task on a target that has not answered since. */
-function mayRunUnseen({ awaited }: HomeState, task: Task): boolean {
-  const { job, definition, recordedPlaces, isAccountedFor } = task;
-  if (awaited.size === 0 || !job.isInherited || isAccountedFor) return false;
-  return !definition.isLasting || recordedPlaces.some((targetId) => awaited.has(targetId));
-}
-
 /** Starts the tasks of a step that have room; returns how many have none. */
 function placeTasks(
   state: HomeState,
@@ -114,7 +110,8 @@
   const findTicket = (view: TargetView): string | undefined =>
     tickets === noTicketsNeeded ? undefined : tickets.get(view.targetId);
   if (place.definition.isGang) {
-    if (idle.length < tasks.length) return 0;
+    if (idle.length < tasks.length || limitStarts(state, place, idle, views, isAllowed).length === 0)
+      return 0;
     const chosen = chooseGangPlaces(place, tasks.length, views, isAllowed);
     const run = tasks.reduce((highest, { lastRun }) => Math.max(highest, lastRun), state.firstRun - 1) + 1;
     const checkpoint = tasks.find((task) => task.checkpoint !== "")?.checkpoint ?? "";
@@ -122,16 +119,19 @@
       const task = tasks[index];
       if (task === undefined) return;
       task.checkpoint = checkpoint;
+      takeQuota(state, task);
       startRun(state, task, run, view.targetId, findTicket(view));
     });
     return 0;
   }
-  for (const [index, task] of idle.entries()) {
+  const allowed = limitStarts(state, place, idle, views, isAllowed);
+  for (const [index, task] of allowed.entries()) {
     const view = choosePlace(place, views, isAllowed);
     // The tasks of a step need the same room.
-    if (view === undefined) return keepRoom(state, place, views, idle.length - index);
+    if (view === undefined) return keepRoom(state, place, views, allowed.length - index);
     takePlace(view, place);
     const run = Math.max(task.lastRun + 1, state.firstRun);
+    takeQuota(state, task);
     startRun(state, task, run, view.targetId, findTicket(view));
   }
   return 0;
--- a/src/job-homes/home-journal.ts
+++ b/src/job-homes/home-journal.ts
@@ -6,6 +6,7 @@
 import { delay } from "../shared/index.js";
 import {
   maximumTransactionEntries,
+  type ExpectedRevision,
   type StoreRecord,
   type TransactionalStore,
   type TransactionResult,
@@ -101,6 +102,11 @@
     }
   }
 
+  /** The condition under which this home writes. */
+  expectHeld(): ExpectedRevision {
+    return { key: this.#options.homeKey, revision: this.#revision };
+  }
+
   close(): void {
     this.#isClosed = true;
     this.#settle(this.#waiting, "superseded");
--- a/src/job-homes/home-keeper.ts
+++ b/src/job-homes/home-keeper.ts
@@ -9,9 +9,10 @@
 import type { Log, Metrics } from "../telemetry/index.js";
 import type { AdviceService } from "./advice-book.js";
 import type { EntrySession } from "./entry-session.js";
+import type { HomeDirectory } from "./home-directory.js";
 import { StoredHomeJournal } from "./home-journal.js";
 import { orderForHome } from "./home-placement.js";
-import { homePrefix, type HomeRecord } from "./home-record.js";
+import { homePrefix } from "./home-record.js";
 import { createHomeState, loadJobs, type HomeState } from "./home-state.js";
 import { HomeTargets } from "./home-targets.js";
 import {
@@ -21,21 +22,14 @@
   type StoredJobs,
   type TakenPool,
 } from "./home-takeover.js";
+import { WorkspacesOfHomes, type WorkspacesOptions } from "./home-workspaces.js";
 import { JobHome } from "./job-home.js";
 import { JoinWait } from "./join-wait.js";
 
-/** What the keeper knows of the fleet of entries. */
-export interface HomeDirectory {
-  /** Entries with a record, and how much work each can do, in cores. */
-  readonly entries: () => ReadonlyMap<string, number>;
-  /** The home of each pool that has one. */
-  homes(): ReadonlyMap<string, HomeRecord & { readonly revision: number }>;
-  /** Milliseconds since this was known to be current. */
-  ageMilliseconds(): number;
-}
+export type { HomeDirectory } from "./home-directory.js";
 
 /** Settings of a keeper. */
-export interface HomeKeeperOptions {
+export interface HomeKeeperOptions extends Pick<WorkspacesOptions, "workspaces"> {
   readonly entryId: string;
   readonly store: TransactionalStore;
   readonly session: EntrySession;
@@ -87,6 +81,7 @@
   /** Pools for which this entry has begun to write that it is their home. */
   readonly #claimed = new Set<string>();
   readonly #joinWait: JoinWait;
+  readonly #workspaces: WorkspacesOfHomes;
 
   /**
    * Creates a keeper; `run` begins to compete.
@@ -95,6 +90,7 @@
   constructor(options: HomeKeeperOptions) {
     this.#options = options;
     this.#joinWait = new JoinWait(options.settleMilliseconds);
+    this.#workspaces = new WorkspacesOfHomes(options);
     options.session.events.on("lost", ({ leaseId, reason }) => {
       this.#joinWait.lost(options.directory.entries().keys());
       this.#vacantSince.clear();
@@ -213,7 +209,7 @@
     const onSuperseded = (reason: string): void => {
       this.#drop(pool, reason);
     };
-    this.#held.set(pool, startHome(this.#options, pool, found, jobs, onSuperseded));
+    this.#held.set(pool, startHome(this.#options, this.#workspaces, pool, found, jobs, onSuperseded));
     this.#options.onTaken?.();
     log.write("info", "home-taken", {
       pool,
@@ -236,6 +232,7 @@
 
 function startHome(
   options: HomeKeeperOptions,
+  forHomes: WorkspacesOfHomes,
   pool: string,
   { record, revision, leaseId, inheritance }: TakenPool,
   jobs: StoredJobs,
@@ -257,6 +254,11 @@
     metrics,
     onSuperseded: supersede,
   });
+  const isActive = (): boolean => !isClosed && session.leaseId() === leaseId;
+  const wake = (): void => {
+    state.wake();
+  };
+  const workspaces = forHomes.create({ pool, journal, isActive, wake });
   const state = createHomeState({
     pool,
     fencingToken: revision,
@@ -265,8 +267,9 @@
     journal,
     log,
     metrics,
-    isActive: () => !isClosed && session.leaseId() === leaseId,
+    isActive,
     supersede,
+    workspaces,
   });
   loadJobs(state, jobs.records, jobs.progress);
   const targets = new HomeTargets(state, {
@@ -287,6 +290,7 @@
   const close = (): void => {
     isClosed = true;
     home.close();
+    workspaces?.quotas.close();
     targets.close();
     journal.close();
   };
--- /dev/null
+++ b/src/job-homes/home-workspaces.ts
@@ -0,0 +1,111 @@
+/**
+ * What the homes of an entry work with where workspaces are configured.
+ * @packageDocumentation
+ */
+import type { TransactionalStore } from "../store/index.js";
+import type { Log, Metrics } from "../telemetry/index.js";
+import {
+  createPoolQuotas,
+  createQuotaBook,
+  type ClosablePoolQuotas,
+  type FairShares,
+  type HomeWorkspaces,
+  type QuotaBook,
+  type WorkspaceTable,
+} from "../workspaces/index.js";
+import type { HomeDirectory } from "./home-directory.js";
+import type { StoredHomeJournal } from "./home-journal.js";
+import { homePrefix } from "./home-record.js";
+
+/** What the homes' work with workspaces is created from. */
+export interface WorkspacesOptions {
+  /** The workspaces of the newest configuration; undefined when it holds none. */
+  readonly workspaces?: (() => WorkspaceTable | undefined) | undefined;
+  readonly store: TransactionalStore;
+  readonly directory: HomeDirectory;
+  readonly pools: () => readonly string[];
+  readonly log: Log;
+  readonly metrics: Metrics;
+}
+
+/** The home that works with them. */
+export interface WorkspacesOwner {
+  readonly pool: string;
+  readonly journal: Pick<StoredHomeJournal, "expectHeld">;
+  readonly isActive: () => boolean;
+  readonly wake: () => void;
+}
+
+/** What a home works with, until it closes. */
+export interface ClosableWorkspaces extends HomeWorkspaces {
+  readonly quotas: ClosablePoolQuotas;
+}
+
+/** No run on targets lasts so long without a home that renews its lease. */
+const lapseMilliseconds = 15_000;
+/** The directory must be this young to show that a pool has no home. */
+const directoryAgeMilliseconds = 2_500;
+
+/** Creates what homes work with; the homes of an entry share one copy of the records. */
+export class WorkspacesOfHomes {
+  readonly #options: WorkspacesOptions;
+  readonly #book: QuotaBook;
+  /** Since when pools outside of the configuration have had no home, by the monotonic clock. */
+  readonly #vacantSince = new Map<string, number>();
+
+  /**
+   * Creates none yet, and reads nothing.
+   * @param options - the store and the configuration
+   */
+  constructor(options: WorkspacesOptions) {
+    this.#options = options;
+    this.#book = createQuotaBook(options.store);
+  }
+
+  /**
+   * Creates what a home works with.
+   * @param owner - the home
+   * @returns its quotas and shares; undefined where nobody tells workspaces apart
+   */
+  create({ pool, journal, isActive, wake }: WorkspacesOwner): ClosableWorkspaces | undefined {
+    const { workspaces: table, store, pools, log, metrics } = this.#options;
+    if (table === undefined) return undefined;
+    const quotas = createPoolQuotas({
+      pool,
+      store,
+      book: this.#book,
+      table,
+      pools,
+      isAbandoned: (other) => this.#isAbandoned(other),
+      expectHeld: () => journal.expectHeld(),
+      expectNoHome: (other) => ({ key: `${homePrefix}${other}`, revision: 0 }),
+      isActive,
+      wake,
+      log,
+      metrics,
+    });
+    return { table, quotas, shares: createEqualShares() };
+  }
+
+  #isAbandoned(pool: string): boolean {
+    const { directory } = this.#options;
+    const now = performance.now();
+    if (directory.homes().has(pool) || directory.ageMilliseconds() > directoryAgeMilliseconds) {
+      this.#vacantSince.delete(pool);
+      return false;
+    }
+    const since = this.#vacantSince.get(pool) ?? now;
+    this.#vacantSince.set(pool, since);
+    return now - since > lapseMilliseconds;
+  }
+}
+
+/** Nobody is over a share. */
+function createEqualShares(): FairShares {
+  return {
+    noteAsked: () => undefined,
+    noteAccepted: () => undefined,
+    isOverShare: () => false,
+    waitMilliseconds: () => 0,
+  };
+}
--- a/src/job-homes/job-home.ts
+++ b/src/job-homes/job-home.ts
@@ -209,7 +209,7 @@
   }
 
   async #accept(submission: JobSubmission): Promise<SubmitOutcome> {
-    const { jobId, terms, definition, deadlineMilliseconds } = submission;
+    const { jobId, terms, definition, deadlineMilliseconds, workspace } = submission;
     const now = performance.now();
     const age = now - this.#firstRequests.note(jobId, now);
     if (age === 0) this.#noteDemand(submission, now);
@@ -221,7 +221,8 @@
       return { kind: "refused", reason: "the pool's backlog is too long", retryAfterMilliseconds };
     }
     const acceptedAt = Date.now();
-    const record: JobRecord = { jobId, terms, definition, acceptedAt, requestedAt: acceptedAt - age };
+    const requestedAt = acceptedAt - age;
+    const record: JobRecord = { jobId, terms, definition, acceptedAt, requestedAt, workspace };
     const write = this.#state.journal.write(`${jobPrefix}${jobId}`, record, { mustBeAbsent: true });
     const timer = setTimeout(() => {
       write.withdraw();
--- a/src/job-homes/test/home-fixture.ts
+++ b/src/job-homes/test/home-fixture.ts
@@ -11,7 +11,9 @@
 } from "../../stand-ins/index.js";
 import type { JobFleet, JobFleetOptions, StoreEngine, StoreFaults } from "../../stand-ins/index.js";
 import { followPrefix, type TransactionalStore } from "../../store/index.js";
-import { createLog, createMetrics } from "../../telemetry/index.js";
+import { createLog, createMetrics, type Metrics } from "../../telemetry/index.js";
+import type { OrderHeader, TargetOrders } from "../../task-runs/index.js";
+import type { WorkspaceTable } from "../../workspaces/index.js";
 import { membersPrefix, openEntrySession, type EntrySession } from "../entry-session.js";
 import { HomeKeeper } from "../home-keeper.js";
 import { decodeHomeRecord, homePrefix } from "../home-record.js";
@@ -28,21 +30,36 @@
   readonly faults: StoreFaults;
   /** Log lines so far. */
   readonly lines: string[];
+  readonly metrics: Metrics;
   /** Stops without telling anyone. */
   crash(): void;
 }
 
 /** What a test works with. */
 export interface HomeFixture {
+  /** The targets of `pool`. */
   readonly fleet: JobFleet;
+  /** The targets of all pools. */
+  readonly fleets: ReadonlyMap<string, JobFleet>;
   readonly engine: StoreEngine;
-  /** Starts an entry, whose store a test may adapt. */
-  startEntry(entryId: string, adapt?: (store: TransactionalStore) => TransactionalStore): TestEntry;
-  /** Waits until an entry holds the pool. */
-  home(entry: TestEntry): Promise<JobHome>;
+  /** Starts an entry, whose store a test may adapt, for `pool` or for others. */
+  startEntry(
+    entryId: string,
+    adapt?: (store: TransactionalStore) => TransactionalStore,
+    pools?: readonly string[],
+  ): TestEntry;
+  /** Waits until an entry holds `pool`, or another one. */
+  home(entry: TestEntry, name?: string): Promise<JobHome>;
   close(): void;
 }
 
+/** Settings of a fixture. */
+export interface HomeFixtureOptions extends Omit<JobFleetOptions, "pool"> {
+  /** Pools beside `pool`, each with a fleet like its. */
+  readonly otherPools?: readonly string[];
+  readonly workspaces?: () => WorkspaceTable | undefined;
+}
+
 const leaseMilliseconds = 1_000;
 const followMilliseconds = 20;
 
@@ -51,33 +68,60 @@
  * @param options - the fleet
  * @returns the fixture
  */
-export function startHomeFixture(options: Omit<JobFleetOptions, "pool">): HomeFixture {
+export function startHomeFixture(options: HomeFixtureOptions): HomeFixture {
   const engine = createStoreEngine();
-  const fleet = startJobFleet({ pool, ...options });
+  const { otherPools = [], workspaces, ...size } = options;
+  const fleet = startJobFleet({ pool, ...size });
+  const others = otherPools.map((other) => [other, startJobFleet({ pool: other, ...size })] as const);
+  const fleets = new Map([[pool, fleet] as const, ...others]);
   const entries: TestEntry[] = [];
   return {
     engine,
     fleet,
-    startEntry: (entryId, adapt = (store) => store) => {
-      const entry = startEntry(entryId, engine, fleet, adapt);
+    fleets,
+    startEntry: (entryId, adapt = (store) => store, pools = [pool]) => {
+      const entry = startEntry({ entryId, engine, fleets, adapt, pools, workspaces });
       entries.push(entry);
       return entry;
     },
-    home: async ({ keeper }) => waitFor(() => keeper.home(pool)),
+    home: async ({ keeper }, name = pool) => waitFor(() => keeper.home(name)),
     close: () => {
       for (const entry of entries) entry.crash();
-      fleet.close();
+      for (const each of fleets.values()) each.close();
       engine.close();
     },
   };
 }
 
-function startEntry(
-  entryId: string,
-  engine: StoreEngine,
-  fleet: JobFleet,
-  adapt: (store: TransactionalStore) => TransactionalStore,
-): TestEntry {
+interface EntryParts {
+  readonly entryId: string;
+  readonly engine: StoreEngine;
+  readonly fleets: ReadonlyMap<string, JobFleet>;
+  readonly adapt: (store: TransactionalStore) => TransactionalStore;
+  readonly pools: readonly string[];
+  readonly workspaces: HomeFixtureOptions["workspaces"];
+}
+
+function failWithoutFleet(): never {
+  throw new Error("there is no fleet");
+}
+
+/** Gives each order to the fleet of its target. */
+function joinOrders(fleets: ReadonlyMap<string, JobFleet>): TargetOrders {
+  const find = ({ target }: OrderHeader): TargetOrders => {
+    const fleet = [...fleets.values()].find(({ targets }) => targets.has(target.targetId));
+    // A target that has been taken away answers through any fleet that it is not there.
+    return (fleet ?? [...fleets.values()][0])?.orders ?? failWithoutFleet();
+  };
+  return {
+    start: async (order) => find(order).start(order),
+    stop: async (order) => find(order).stop(order),
+    pace: async (order) => find(order).pace(order),
+    renew: async (order) => find(order).renew(order),
+  };
+}
+
+function startEntry({ entryId, engine, fleets, adapt, pools, workspaces }: EntryParts): TestEntry {
   const faults = createStoreFaults();
   const store = adapt(new MemoryStoreClient(engine, faults));
   const lines: string[] = [];
@@ -108,10 +152,13 @@
       homes,
       ageMilliseconds: () => members.ageMilliseconds(),
     },
-    pools: () => [pool],
-    listedTargets: () =>
-      new Map([...fleet.targets].map(([targetId, target]) => [targetId, target.describe()] as const)),
-    orders: fleet.orders,
+    pools: () => pools,
+    workspaces,
+    listedTargets: (name) => {
+      const targets = [...(fleets.get(name)?.targets ?? [])];
+      return new Map(targets.map(([targetId, target]) => [targetId, target.describe()] as const));
+    },
+    orders: joinOrders(fleets),
     advice: undefined,
     log,
     metrics,
@@ -130,7 +177,7 @@
     void keeper.close();
     void session.close();
   };
-  return { keeper, session, faults, lines, crash };
+  return { keeper, session, faults, lines, metrics, crash };
 }
 
 /**
--- /dev/null
+++ b/src/job-homes/test/workspace-limits.test.ts
@@ -0,0 +1,267 @@
+/**
+ * A workspace's cap over two pools whose homes are on two entries: never more runs than the cap, whatever fails, and
+ * nobody waits for room that nobody uses.
+ * @packageDocumentation
+ */
+import { afterEach, expect, test } from "vitest";
+import type { RunRecord, TaskBehaviour } from "../../stand-ins/index.js";
+import { createWorkspaceTable, quotaPrefix, type WorkspaceTable } from "../../workspaces/index.js";
+import {
+  createStep,
+  pool,
+  startHomeFixture,
+  submission,
+  waitFor,
+  type HomeFixture,
+  type TestEntry,
+} from "./home-fixture.js";
+import type { JobHome } from "../job-home.js";
+
+const other = "ovens";
+const oneCore = { cpuMillicores: 1_000, memoryMegabytes: 100, accelerators: 0 };
+
+let fixture: HomeFixture;
+afterEach(() => {
+  fixture.close();
+});
+
+function tableOf(caps: Readonly<Record<string, number>>): WorkspaceTable {
+  const definitions = Object.entries(caps).map(([name, cores]) => ({
+    name,
+    weight: 1,
+    cap: { cpuMillicores: cores * 1_000, memoryMegabytes: 0, accelerators: 0 },
+    keys: [name],
+  }));
+  return createWorkspaceTable(definitions).unsafeCoerce();
+}
+
+function start(runMilliseconds: number, workspaces: () => WorkspaceTable | undefined): void {
+  const behaviour = (): TaskBehaviour => ({
+    needs: oneCore,
+    runMilliseconds,
+    isLasting: false,
+    fails: false,
+  });
+  fixture = startHomeFixture({
+    targetCount: 3,
+    coresPerTarget: 4,
+    otherPools: [other],
+    workspaces,
+    behaviour,
+  });
+}
+
+async function startTwo(): Promise<{ entries: [TestEntry, TestEntry]; homes: [JobHome, JobHome] }> {
+  const entries: [TestEntry, TestEntry] = [
+    fixture.startEntry("a", undefined, [pool]),
+    fixture.startEntry("b", undefined, [other]),
+  ];
+  const homes: [JobHome, JobHome] = [await fixture.home(entries[0]), await fixture.home(entries[1], other)];
+  return { entries, homes };
+}
+
+async function submit(home: JobHome, jobId: string, taskCount: number): Promise<void> {
+  const job = submission(jobId, createStep({ taskCount, estimateMilliseconds: 10 }));
+  const terms = { ...job.terms, pool: home.pool, objectiveMilliseconds: 120_000 };
+  const outcome = await home.submit({ ...job, terms, workspace: jobId.split("-")[0] });
+  expect(outcome).toEqual({ kind: "accepted" });
+}
+
+/** Runs of a workspace in all pools. */
+function runsOf(workspace: string): RunRecord[] {
+  const all = [...fixture.fleets.values()].flatMap(({ world }) => world.history);
+  return all.filter(({ task }) => task.startsWith(`${workspace}-`));
+}
+
+function countAt(runs: readonly RunRecord[], at: number): number {
+  return runs.filter(({ from, to }) => from <= at && at < (to ?? Infinity)).length;
+}
+
+/** The most that a start brought to run, by what the targets know. */
+function mostRunning(workspace: string, since = 0): number {
+  const runs = runsOf(workspace);
+  return Math.max(0, ...runs.filter(({ from }) => from >= since).map(({ from }) => countAt(runs, from)));
+}
+
+function countRunning(workspace: string): number {
+  return runsOf(workspace).filter(({ to }) => to === undefined).length;
+}
+
+async function pass(milliseconds: number): Promise<void> {
+  await new Promise((resolve) => setTimeout(resolve, milliseconds));
+}
+
+async function waitForEnd(entry: TestEntry, name: string, jobId: string): Promise<void> {
+  await waitFor(() => {
+    const outcome = entry.keeper.home(name)?.readState(jobId);
+    return outcome?.kind === "state" && outcome.state === "complete";
+  });
+}
+
+test("two pools that compete for one cap use all of it and never more", async () => {
+  start(100, () => tableOf({ w: 6 }));
+  const { entries, homes } = await startTwo();
+  await Promise.all([submit(homes[0], "w-1", 40), submit(homes[1], "w-2", 40)]);
+  await Promise.all([waitForEnd(entries[0], pool, "w-1"), waitForEnd(entries[1], other, "w-2")]);
+  expect(mostRunning("w")).toBe(6);
+  expect(runsOf("w")).toHaveLength(80);
+});
+
+test("a workspace at its cap does not hold up another one's jobs in its pool", async () => {
+  start(1_500, () => tableOf({ w: 2, v: 6 }));
+  const { entries, homes } = await startTwo();
+  await submit(homes[0], "w-1", 30);
+  await waitFor(() => countRunning("w") === 2);
+  const submittedAt = performance.now();
+  await submit(homes[0], "v-1", 6);
+  await waitFor(() => countRunning("v") === 6);
+  expect(Math.max(...runsOf("v").map(({ from }) => from)) - submittedAt).toBeLessThan(1_000);
+  expect(mostRunning("w")).toBe(2);
+  expect(entries[0].metrics.value("workspaces_at_limit", { pool })).toBe(1);
+  const refusals = entries[0].lines.filter((line) => line.includes("quota-refused"));
+  expect(refusals.length).toBeGreaterThan(0);
+  expect(refusals.length).toBeLessThan(4);
+});
+
+test("a share that a pool does not use any more goes to the other one at once", async () => {
+  start(300, () => tableOf({ w: 6 }));
+  const { entries, homes } = await startTwo();
+  await submit(homes[0], "w-1", 6);
+  await waitForEnd(entries[0], pool, "w-1");
+  const submittedAt = performance.now();
+  await submit(homes[1], "w-2", 6);
+  await waitFor(() => countRunning("w") === 6);
+  expect(Math.max(...runsOf("w").map(({ from }) => from)) - submittedAt).toBeLessThan(1_500);
+  await waitForEnd(entries[1], other, "w-2");
+  await pass(1_600);
+  const [record] = fixture.engine.range(`${quotaPrefix}w`);
+  expect(JSON.parse(record?.value ?? "")).toEqual({ pools: {} });
+});
+
+test("the runs of an owner that died count until its successor has seen their ends", async () => {
+  start(1_800, () => tableOf({ w: 6 }));
+  const { entries, homes } = await startTwo();
+  await submit(homes[0], "w-1", 12);
+  await waitFor(() => countRunning("w") === 6);
+  entries[0].crash();
+  await submit(homes[1], "w-2", 12);
+  const next = fixture.startEntry("c", undefined, [pool]);
+  await Promise.all([waitForEnd(next, pool, "w-1"), waitForEnd(entries[1], other, "w-2")]);
+  expect(mostRunning("w")).toBe(6);
+});
+
+test("runs on a target that does not answer to the successor count until they have surely ended", async () => {
+  start(60_000, () => tableOf({ w: 6 }));
+  const { entries, homes } = await startTwo();
+  await submit(homes[0], "w-1", 6);
+  await waitFor(() => countRunning("w") === 6);
+  const silent = new Set(runsOf("w").map(({ targetId }) => targetId));
+  for (const targetId of silent) {
+    const target = fixture.fleet.targets.get(targetId);
+    if (target !== undefined) target.isSilent = true;
+  }
+  entries[0].crash();
+  const next = fixture.startEntry("c", undefined, [pool]);
+  await submit(await fixture.home(next), "w-3", 6);
+  await submit(homes[1], "w-2", 6);
+  await waitFor(() => runsOf("w").length >= 12);
+  expect(mostRunning("w")).toBe(6);
+});
+
+test.each([3_000, 10_000])(
+  "an owner that is cut off for %i ms starts nothing above the cap",
+  async (cutOff) => {
+    start(150, () => tableOf({ w: 6 }));
+    const { entries, homes } = await startTwo();
+    await Promise.all([submit(homes[0], "w-1", 200), submit(homes[1], "w-2", 100)]);
+    await waitFor(() => countRunning("w") === 6);
+    entries[0].faults.mode = "down";
+    const next = fixture.startEntry("c", undefined, [pool]);
+    await pass(cutOff);
+    entries[0].faults.mode = "up";
+    await waitForEnd(next, pool, "w-1");
+    await waitForEnd(entries[1], other, "w-2");
+    expect(mostRunning("w")).toBe(6);
+  },
+  40_000,
+);
+
+test("a store that is down for 9 s lets nothing start above the cap, and work goes on after it", async () => {
+  start(150, () => tableOf({ w: 6 }));
+  const { entries, homes } = await startTwo();
+  await Promise.all([submit(homes[0], "w-1", 60), submit(homes[1], "w-2", 60)]);
+  await waitFor(() => countRunning("w") === 6);
+  for (const { faults } of entries) faults.mode = "down";
+  await pass(9_000);
+  for (const { faults } of entries) faults.mode = "up";
+  await Promise.all([waitForEnd(entries[0], pool, "w-1"), waitForEnd(entries[1], other, "w-2")]);
+  expect(mostRunning("w")).toBe(6);
+}, 40_000);
+
+test("answers of the store that are lost bring nothing above the cap", async () => {
+  start(100, () => tableOf({ w: 6 }));
+  const { entries, homes } = await startTwo();
+  const lose = setInterval(() => {
+    for (const { faults } of entries) faults.loseAnswers += 1;
+  }, 60);
+  await Promise.all([submit(homes[0], "w-1", 40), submit(homes[1], "w-2", 40)]);
+  await pass(2_000);
+  clearInterval(lose);
+  for (const { faults } of entries) faults.loseAnswers = 0;
+  await Promise.all([waitForEnd(entries[0], pool, "w-1"), waitForEnd(entries[1], other, "w-2")]);
+  expect(mostRunning("w")).toBe(6);
+}, 40_000);
+
+test("starts that are carried out late count", async () => {
+  start(400, () => tableOf({ w: 6 }));
+  const { entries, homes } = await startTwo();
+  fixture.fleet.setLate(700);
+  await Promise.all([submit(homes[0], "w-1", 12), submit(homes[1], "w-2", 24)]);
+  await pass(2_500);
+  fixture.fleet.setLate(undefined);
+  await Promise.all([waitForEnd(entries[0], pool, "w-1"), waitForEnd(entries[1], other, "w-2")]);
+  expect(mostRunning("w")).toBeLessThanOrEqual(6);
+}, 40_000);
+
+test("a cap that is lowered while more runs lets nothing start until what runs fits under it", async () => {
+  let table = tableOf({ w: 10 });
+  start(500, () => table);
+  const { entries, homes } = await startTwo();
+  await Promise.all([submit(homes[0], "w-1", 20), submit(homes[1], "w-2", 20)]);
+  await waitFor(() => countRunning("w") === 10);
+  table = tableOf({ w: 4 });
+  const loweredAt = performance.now();
+  await Promise.all([waitForEnd(entries[0], pool, "w-1"), waitForEnd(entries[1], other, "w-2")]);
+  // Orders that were given before are carried out a moment later.
+  expect(mostRunning("w", loweredAt + 50)).toBe(4);
+  expect(mostRunning("w")).toBe(10);
+}, 40_000);
+
+test("a gang of a workspace starts whole or not at all", async () => {
+  start(400, () => tableOf({ w: 6 }));
+  const { entries, homes } = await startTwo();
+  await submit(homes[0], "w-1", 30);
+  await waitFor(() => countRunning("w") === 6);
+  const gang = submission("w-gang", createStep({ taskCount: 5, isGang: true, estimateMilliseconds: 10 }));
+  const terms = { ...gang.terms, pool: other, objectiveMilliseconds: 120_000 };
+  await homes[1].submit({ ...gang, terms, workspace: "w" });
+  await Promise.all([waitForEnd(entries[0], pool, "w-1"), waitForEnd(entries[1], other, "w-gang")]);
+  const members = runsOf("w").filter(({ task }) => task.startsWith("w-gang."));
+  expect(members).toHaveLength(5);
+  const starts = members.map(({ from }) => from);
+  expect(Math.max(...starts) - Math.min(...starts)).toBeLessThan(100);
+  expect(mostRunning("w")).toBe(6);
+});
+
+test("no limit and no workspaces mean no records, no metrics and no log lines", async () => {
+  for (const table of [() => tableOf({ w: 0 }), () => undefined]) {
+    start(50, table);
+    const { entries, homes } = await startTwo();
+    await submit(homes[0], "w-1", 24);
+    await waitForEnd(entries[0], pool, "w-1");
+    expect(fixture.engine.range(quotaPrefix, "quotas0")).toEqual([]);
+    expect(entries[0].lines.filter((line) => line.includes("quota"))).toEqual([]);
+    expect(entries[0].metrics.expose()).not.toMatch(/quota|workspaces/);
+    fixture.close();
+  }
+});
--- a/src/scheduling/index.ts
+++ b/src/scheduling/index.ts
@@ -17,7 +17,7 @@
 export { createForecastMargin, type ForecastMargin } from "./forecast-margin.js";
 export { compareJobs, type OrderedJob } from "./order.js";
 export { choosePace, type ServedTail } from "./pacing.js";
-export { chooseGangPlaces, choosePlace, takePlace, type StepPlace } from "./placement.js";
+export { chooseGangPlaces, choosePlace, countPlaces, takePlace, type StepPlace } from "./placement.js";
 export {
   createTaskRunTimes,
   type ExpectedRunTime,
--- a/src/scheduling/placement.ts
+++ b/src/scheduling/placement.ts
@@ -3,7 +3,7 @@
  * tasks, and targets that fail or stall what they start.
  * @packageDocumentation
  */
-import type { StepDefinition } from "../jobs/index.js";
+import type { Resources, StepDefinition } from "../jobs/index.js";
 import { chargedResources, fits, subtract, type TargetView } from "./target-view.js";
 
 /** A step of one occurrence, for counting its tasks on targets. */
@@ -41,6 +41,42 @@
   return best;
 }
 
+/**
+ * Counts the places of like tasks.
+ * @param place - the tasks' step
+ * @param targets - the targets that may be used
+ * @param most - counting ends there
+ * @param isAllowed - tells of each target whether the tasks may run there
+ * @returns how many of the tasks have room, at most `most`
+ */
+export function countPlaces(
+  place: StepPlace,
+  targets: readonly TargetView[],
+  most: number,
+  isAllowed: (target: TargetView) => boolean = () => true,
+): number {
+  const needed = chargedResources(place.definition);
+  const { maximumPerTarget = Number.POSITIVE_INFINITY } = place.definition;
+  let count = 0;
+  for (const target of targets) {
+    if (count >= most) return most;
+    if (!fits(target.free, needed) || !satisfies(place, target) || !isAllowed(target)) continue;
+    const left = maximumPerTarget - (target.stepCounts.get(place.stepKey) ?? 0);
+    count += Math.min(left, countFitting(target.free, needed), most);
+  }
+  return Math.min(count, most);
+}
+
+function countFitting(free: Resources, needed: Resources): number {
+  const share = (room: number, need: number): number =>
+    need > 0 ? Math.floor(room / need) : Number.POSITIVE_INFINITY;
+  return Math.min(
+    share(free.cpuMillicores, needed.cpuMillicores),
+    share(free.memoryMegabytes, needed.memoryMegabytes),
+    share(free.accelerators, needed.accelerators),
+  );
+}
+
 function satisfies({ stepKey, definition }: StepPlace, target: TargetView): boolean {
   const { requiredLabel, maximumPerTarget } = definition;
   if (requiredLabel !== undefined && !target.labels.includes(requiredLabel)) return false;
--- a/src/wiring/job-entry.ts
+++ b/src/wiring/job-entry.ts
@@ -223,6 +223,7 @@
     session,
     directory: members.directory,
     pools: () => configuration.current()?.pools.map(({ pool }) => pool) ?? [],
+    workspaces: () => configuration.current()?.workspaces,
     listedTargets: registry.listedTargets,
     onTaken: () => {
       registry.follower.hurry();
--- a/src/workspaces/quota-writer.ts
+++ b/src/workspaces/quota-writer.ts
@@ -9,6 +9,7 @@
   type ExpectedRevision,
   type StoreRecord,
   type TransactionalStore,
+  type TransactionResult,
 } from "../store/index.js";
 import type { Log, Metrics } from "../telemetry/index.js";
 import type { HeldQuota, QuotaPlan } from "./held-quota.js";
@@ -90,8 +91,6 @@
       expected: [expectHeld(), ...expected, ...gone],
       writes: batch.map(({ workspace, plan }) => ({ key: `${quotaPrefix}${workspace}`, value: plan.record })),
     });
-    this.#isWriting = false;
-    this.#note(result.kind, now);
     if (result.kind === "done") {
       for (const { held, plan } of batch) held.copy.offer(plan.record, result.revision);
       for (const change of batch) this.#log(change, result.revision);
@@ -101,21 +100,36 @@
       batch.forEach(({ held }, index) => {
         held.copy.noteNotDone(shares[index] ?? noAmounts);
       });
-    if (result.kind === "conflict") takeConflict(batch, expected, result.current);
+    const isOutdated = result.kind === "conflict" && takeConflict(batch, expected, result.current);
+    // The conflict is about the home's own record, or about one that somebody deleted.
+    if (result.kind === "conflict" && !isOutdated) await this.#readAgain(batch);
+    this.#note(result.kind, isOutdated, now);
+    this.#isWriting = false;
     onEnded();
   }
 
-  #note(result: "done" | "conflict" | "not-done" | "unknown", startedAt: number): void {
+  async #readAgain(batch: readonly QuotaChange[]): Promise<void> {
+    const reads = batch.map(async ({ workspace, held }) => {
+      const found = await this.#options.store.get(`${quotaPrefix}${workspace}`);
+      found.ifRight((record) => {
+        if (record === undefined) held.copy.clear();
+        else held.copy.offer(record.value, record.revision);
+      });
+    });
+    await Promise.all(reads);
+  }
+
+  /** Chooses when to write again, and how much at once. */
+  #note(result: TransactionResult["kind"], isOutdated: boolean, startedAt: number): void {
     const { metrics, pool } = this.#options;
     metrics.count("quota_writes_total", { pool, result });
-    const isConflict = result === "conflict";
-    this.#mostWorkspaces = isConflict
+    this.#mostWorkspaces = isOutdated
       ? Math.max(1, Math.floor(Math.min(this.#mostWorkspaces, maximumTransactionEntries / 2) / 2))
       : Math.min(maximumTransactionEntries, this.#mostWorkspaces * 2);
     const now = performance.now();
-    if (result === "done") this.#nextAt = startedAt + pauseMilliseconds;
-    else
-      this.#nextAt = now + (isConflict ? conflictMilliseconds * this.#random.fraction() : failedMilliseconds);
+    // A conflict about the home's own record lasts until its journal has settled it.
+    const pause = isOutdated ? conflictMilliseconds * this.#random.fraction() : failedMilliseconds;
+    this.#nextAt = result === "done" ? startedAt + pauseMilliseconds : now + pause;
   }
 
   #log({ workspace, held, plan }: QuotaChange, revision: number): void {
@@ -147,18 +161,19 @@
   return after.some((amount, resource) => amount < (before[resource] ?? 0)) ? "given-back" : "asked";
 }
 
-/** Takes over what the store said of the records that were expected otherwise. */
+/** Takes over what the store said of the records that were expected otherwise; returns whether there were any. */
 function takeConflict(
   batch: readonly QuotaChange[],
   expected: readonly ExpectedRevision[],
   current: readonly StoreRecord[],
-): void {
+): boolean {
+  let isOutdated = false;
   batch.forEach(({ held }, index) => {
     const asked = expected[index];
     const found = current.find(({ key }) => key === asked?.key);
-    if (found !== undefined) held.copy.offer(found.value, found.revision);
-    // Somebody deleted the record.
-    else if (asked !== undefined && asked.revision > 0 && held.copy.revision() === asked.revision)
-      held.copy.clear();
+    if (found === undefined || found.revision === asked?.revision) return;
+    isOutdated = true;
+    held.copy.offer(found.value, found.revision);
   });
+  return isOutdated;
 }
