Links: one timer for all of them, and none without links

Cause: by the profile of entries that hold nothing, 43 wake-ups a second at rest are mostly timers. Each link had its own timer for silence, four times a second (35 links of a home: 140 wake-ups a second), and heartbeats were put together although nobody was connected. Ruled out: rarer heartbeats (a peer that is silent would be suspected with less room for delay). Change: the tick of the heartbeats checks the silence of all links, and runs only while there is a link or a connection; bounds and intervals stay.

--- a/src/membership/peer-link.ts
+++ b/src/membership/peer-link.ts
@@ -32,6 +32,8 @@
   state(): PeerState;
   /** Time of the last frame from the peer in milliseconds since the epoch. */
   heardAt(): number;
+  /** Looks whether the peer has been silent for too long; to be called at even intervals. */
+  checkSilence(): void;
   /** Bytes of all frames sent so far. */
   bytesSent(): number;
   /** Bytes of all frames received so far. */
@@ -67,7 +69,6 @@
 export const suspectMilliseconds = 1_000;
 /** Silence after which a connection is given up. */
 const giveUpMilliseconds = 3_000;
-const checkMilliseconds = suspectMilliseconds / 4;
 const maximumFrameBytes = 4_194_304;
 /** Header and mask of a WebSocket frame from a client. */
 const frameOverheadBytes = 6;
@@ -151,9 +152,6 @@
     this.#socket = socket;
     this.#isIdentified = false;
     this.#silence.reset();
-    const checks = setInterval(() => {
-      this.#checkSilence(socket);
-    }, checkMilliseconds);
     socket.on("open", () => {
       this.#silence.reset();
       this.#send(this.#options.hello);
@@ -169,7 +167,6 @@
         resolve();
       });
     });
-    clearInterval(checks);
     this.#pending.failAll();
     if (this.#state === "up" || this.#state === "suspect") this.#setState("unreachable");
   }
@@ -206,9 +203,10 @@
     this.#options.onHeartbeat(frame.reports);
   }
 
-  #checkSilence(socket: WebSocket): void {
+  checkSilence(): void {
     const silentMilliseconds = this.#silence.check();
-    if (socket.readyState !== WebSocket.OPEN) return;
+    const socket = this.#socket;
+    if (socket?.readyState !== WebSocket.OPEN) return;
     if (silentMilliseconds > giveUpMilliseconds) socket.terminate();
     else if (silentMilliseconds > suspectMilliseconds && this.#state === "up") this.#setState("suspect");
   }
--- a/src/membership/peer-links.ts
+++ b/src/membership/peer-links.ts
@@ -30,8 +30,8 @@
   known(): RosterRecord[];
   /** Opens and closes links by a new roster. */
   follow(roster: readonly RosterRecord[]): void;
-  /** Closes links that nothing needs any more. */
-  dropUnused(): void;
+  /** Looks for peers that are silent, and closes links that nothing needs any more; to be called at even intervals. */
+  tend(): void;
   /** Calls a peer, over a new link when there is none. */
   call<Request, Reply>(
     peerId: string,
@@ -100,10 +100,8 @@
   };
 
   const dropUnused = (): void => {
-    for (const [peerId, { link, calledAt }] of [...links]) {
-      const speaks = link.state() === "up" || link.state() === "suspect";
-      const isIdle = performance.now() - calledAt > idleMilliseconds;
-      if (known.has(peerId) ? !chosen.has(peerId) && isIdle : !speaks) drop(peerId);
+    for (const [peerId, opened] of [...links]) {
+      if (known.has(peerId) ? !chosen.has(peerId) && isIdle(opened) : !speaks(opened)) drop(peerId);
     }
   };
 
@@ -112,8 +110,7 @@
     known = new Map(roster.map((record) => [record.entryId, record]));
     chosen = new Set(choosePeers(roster, self, maximumLinks));
     for (const [peerId, { record }] of [...links]) {
-      const next = known.get(peerId);
-      if (next !== undefined && isSuccessor(next, record)) drop(peerId);
+      if (isSuccessor(known.get(peerId), record)) drop(peerId);
     }
     dropUnused();
     for (const peerId of chosen) {
@@ -126,7 +123,10 @@
     all: () => [...links.values()].map(({ link }) => link),
     known: () => [...known.values()],
     follow,
-    dropUnused,
+    tend: () => {
+      for (const { link } of links.values()) link.checkSilence();
+      dropUnused();
+    },
     call: async (peerId, definition, request, timeoutMilliseconds) => {
       const record = known.get(peerId);
       const used =
@@ -147,6 +147,14 @@
   };
 }
 
+function speaks({ link }: OpenLink): boolean {
+  return link.state() === "up" || link.state() === "suspect";
+}
+
+function isIdle({ calledAt }: OpenLink): boolean {
+  return performance.now() - calledAt > idleMilliseconds;
+}
+
 /** Sums the bytes of the links that are open and of those that were. */
 function countBytes(links: ReadonlyMap<string, OpenLink>): {
   keep(dropped: PeerLink): void;
@@ -177,7 +185,8 @@
 }
 
 /** Tells whether a record is of a later process, or of the same one at another address. */
-function isSuccessor(next: RosterRecord, current: RosterRecord): boolean {
+function isSuccessor(next: RosterRecord | undefined, current: RosterRecord): boolean {
+  if (next === undefined) return false;
   if (next.incarnation !== current.incarnation) return next.incarnation > current.incarnation;
   return next.peerAddress !== current.peerAddress;
 }
--- a/src/membership/peer-listener.ts
+++ b/src/membership/peer-listener.ts
@@ -26,6 +26,8 @@
   listen(host: string, port: number): Promise<number>;
   /** Sends a frame on every open connection. */
   broadcast(frame: Frame): void;
+  /** How many connections are open. */
+  connections(): number;
   /** Bytes of all frames sent so far. */
   bytesSent(): number;
   /** Bytes of all frames received so far. */
@@ -115,6 +117,7 @@
       const bytes = pack(frame);
       for (const socket of sockets.clients) sendBytes(socket, bytes);
     },
+    connections: () => sockets.clients.size,
     bytesSent: () => bytesSent,
     bytesReceived: () => bytesReceived,
     close: async () => {
--- a/src/membership/peer-network.ts
+++ b/src/membership/peer-network.ts
@@ -10,6 +10,7 @@
 import { createPeerLinks, type PeerIdentity } from "./peer-links.js";
 import { createPeerListener, type PeerAnswer } from "./peer-listener.js";
 import { createSeedDialler } from "./seeds.js";
+import { createTicker } from "./ticker.js";
 
 /** What the network reports. */
 export interface PeerNetworkEvents {
@@ -75,6 +76,7 @@
   };
   let lastHeartbeat = "";
   const createGreeting = (): Frame => {
+    ticker.start();
     // The next heartbeat repeats the reports, since they may differ from this greeting's.
     lastHeartbeat = "";
     return createHeartbeat();
@@ -99,24 +101,28 @@
   );
   const seeds = createSeedDialler(self);
 
-  const tick = (): void => {
+  // An entry without connections has nobody to speak to, and is not woken for it.
+  const ticker = createTicker(heartbeatMilliseconds, () => {
     const heartbeat = createHeartbeat();
     const current = JSON.stringify(heartbeat);
     // Peers hear of this entry on the links that they opened to it, each of which began with all reports.
     listener.broadcast(current === lastHeartbeat ? { kind: "alive" } : heartbeat);
     lastHeartbeat = current;
-    links.dropUnused();
-  };
+    links.tend();
+    return links.all().length + listener.connections() > 0;
+  });
 
   listener.answer(rosterCall, () => ({ records: links.known() }));
-  const timer = setInterval(tick, heartbeatMilliseconds);
   return {
     events,
     answer: (definition, answer) => {
       listener.answer(definition, answer);
     },
-    call: async (peerId, definition, request, timeoutMilliseconds) =>
-      links.call(peerId, definition, request, timeoutMilliseconds),
+    call: async (peerId, definition, request, timeoutMilliseconds) => {
+      const reply = links.call(peerId, definition, request, timeoutMilliseconds);
+      ticker.start();
+      return reply;
+    },
     report: (name, read) => {
       reports.set(name, read);
     },
@@ -134,9 +140,10 @@
     listen: async (host, port) => listener.listen(host, port),
     follow: (roster) => {
       links.follow(roster);
+      if (links.all().length > 0) ticker.start();
     },
     close: async () => {
-      clearInterval(timer);
+      ticker.close();
       links.close();
       events.clearListeners();
       await listener.close();
--- /dev/null
+++ b/src/membership/test/idle-network.test.ts
@@ -0,0 +1,27 @@
+/**
+ * An entry to which no other is connected is not woken by its links.
+ * @packageDocumentation
+ */
+import { afterEach, expect, test, vi } from "vitest";
+import { createLog } from "../../telemetry/index.js";
+import { createPeerNetwork } from "../index.js";
+
+afterEach(() => {
+  vi.useRealTimers();
+});
+
+test("a network without links runs no timer, also when it knows many entries", async () => {
+  vi.useFakeTimers();
+  const network = createPeerNetwork(
+    { entryId: "self", incarnation: 1, zone: "zone" },
+    createLog("silent"),
+    0,
+  );
+  const entries = Array.from({ length: 97 }, (_, index) => `entry-${index}`);
+  network.follow(
+    entries.map((entryId) => ({ entryId, incarnation: 1, peerAddress: "127.0.0.1:1", zone: "zone" })),
+  );
+  expect(vi.getTimerCount()).toBe(0);
+  vi.useRealTimers();
+  await network.close();
+});
