Homes and the duty on machines are looked at when something was heard

Cause: an entry looked ten times a second for pools without home, and four times for the duty, each time over all entries, also while others hold all of it; each pause of a follower made two abort signals that are chained. Ruled out: a longer interval alone, which would delay takeovers. Change: while every pool has a home elsewhere (by what is current) or here, and the duty another holder, the next look comes with the next news of entries, homes, duties or configuration, a second later at the latest; a vacancy that is heard is looked at in that moment, before after up to 100 ms. With a vacancy, without a lease or with an old directory the looks come as before.

--- a/src/fleet/fleet-manager.ts
+++ b/src/fleet/fleet-manager.ts
@@ -4,7 +4,7 @@
  */
 import type { PoolReport } from "../job-homes/index.js";
 import type { RoomArrival } from "../scheduling/index.js";
-import { delay } from "../shared/index.js";
+import { delay, Pause } from "../shared/index.js";
 import type { LogFields } from "../telemetry/index.js";
 import { describeArrivals, describePools, MachineHistory, type FleetView } from "./fleet-view.js";
 import { countOrder } from "./machine-control.js";
@@ -37,6 +37,8 @@
 }
 
 const stepMilliseconds = 250;
+/** While another entry holds the duty, and nothing that is heard says otherwise. */
+const elsewhereMilliseconds = 1_000;
 /** The pause after a step that took long. */
 const shortestPauseMilliseconds = 50;
 /** Orders of an earlier holder may arrive a little later than its lease ends. */
@@ -46,6 +48,7 @@
 export class FleetManager {
   readonly #options: FleetManagerOptions;
   readonly #stop = new AbortController();
+  readonly #pause = new Pause();
   readonly #waves: WaveKeeper;
   readonly #budget: OrderBudget;
   #history = new MachineHistory();
@@ -77,13 +80,20 @@
       if (!duty.isHeld() || duty.fencingToken() !== this.#fencingToken) this.#forget();
       const nextAt = performance.now() + stepMilliseconds;
       if (duty.isHeld()) await this.#step();
-      await delay(Math.max(shortestPauseMilliseconds, nextAt - performance.now()), this.#stop.signal);
+      if (duty.isHeldElsewhere()) await this.#pause.wait(elsewhereMilliseconds);
+      else await delay(Math.max(shortestPauseMilliseconds, nextAt - performance.now()), this.#stop.signal);
     }
   }
 
+  /** Looks at once at who holds the duty, since that may have changed. */
+  hurry(): void {
+    this.#pause.end();
+  }
+
   /** Stops giving orders. */
   close(): void {
     this.#stop.abort();
+    this.#pause.end();
   }
 
   #forget(): void {
--- a/src/job-homes/home-keeper.ts
+++ b/src/job-homes/home-keeper.ts
@@ -3,15 +3,16 @@
  * @packageDocumentation
  */
 import { randomUUID } from "node:crypto";
-import { delay } from "../shared/index.js";
+import { Pause } from "../shared/index.js";
 import type { TransactionalStore } from "../store/index.js";
 import type { RegisteredTarget, TargetOrders } from "../task-runs/index.js";
 import type { Log, Metrics } from "../telemetry/index.js";
 import type { AdviceService } from "./advice-book.js";
 import type { EntrySession } from "./entry-session.js";
+import { areHeldElsewhere, isCurrent, type HomeDirectory } from "./home-directory.js";
 import { StoredHomeJournal } from "./home-journal.js";
 import { orderForHome } from "./home-placement.js";
-import { homePrefix, type HomeRecord } from "./home-record.js";
+import { homePrefix } from "./home-record.js";
 import { createHomeState, loadJobs, type HomeState } from "./home-state.js";
 import { HomeTargets } from "./home-targets.js";
 import {
@@ -24,16 +25,6 @@
 import { JobHome } from "./job-home.js";
 import { JoinWait } from "./join-wait.js";
 
-/** What the keeper knows of the fleet of entries. */
-export interface HomeDirectory {
-  /** Entries with a record, and how much work each can do, in cores. */
-  readonly entries: () => ReadonlyMap<string, number>;
-  /** The home of each pool that has one. */
-  homes(): ReadonlyMap<string, HomeRecord & { readonly revision: number }>;
-  /** Milliseconds since this was known to be current. */
-  ageMilliseconds(): number;
-}
-
 /** Settings of a keeper. */
 export interface HomeKeeperOptions {
   readonly entryId: string;
@@ -66,23 +57,24 @@
 }
 
 const competeMilliseconds = 100;
+/** While every pool has a home by what is heard. */
+const settledMilliseconds = 1_000;
 /** Entries behind the first in a pool's order wait so much longer each, so that the first gets it. */
 const turnMilliseconds = 250;
-/** The directory must be this young to show that a pool has no home. */
-const directoryAgeMilliseconds = 2_500;
 /** Run numbers that each home of a pool has for itself. */
 const runsPerHome = 64;
-/** An entry that could not read a pool's jobs leaves the pool to others for so long. */
+/** For so long an entry leaves a pool to others whose jobs it could not read. */
 const standBackMilliseconds = 3_000;
 
 /** Competes for the homes of pools and runs those that this entry holds. */
 export class HomeKeeper {
   readonly #options: HomeKeeperOptions;
+  readonly #pause = new Pause();
   readonly #stop = new AbortController();
   readonly #held = new Map<string, HeldHome>();
   readonly #vacantSince = new Map<string, number>();
   readonly #taking = new Set<string>();
-  /** Pools whose jobs this entry could not read; others go first until then, by the monotonic clock. */
+  /** Until when others go first, by the monotonic clock. */
   readonly #standsBackUntil = new Map<string, number>();
   /** Pools for which this entry has begun to write that it is their home. */
   readonly #claimed = new Set<string>();
@@ -99,6 +91,7 @@
       this.#joinWait.lost(options.directory.entries().keys());
       this.#vacantSince.clear();
       for (const [pool, held] of this.#held) if (held.leaseId === leaseId) this.#drop(pool, reason);
+      this.hurry();
     });
   }
 
@@ -122,17 +115,23 @@
     }
   }
 
+  /** Looks at once at which pools have no home, since entries, homes or pools have changed. */
+  hurry(): void {
+    this.#pause.end();
+  }
+
   /** Competes until the keeper is closed. */
   async run(): Promise<void> {
     while (!this.#stop.signal.aborted) {
       this.#compete();
-      await delay(competeMilliseconds, this.#stop.signal);
+      await this.#pause.wait(this.#isSettled() ? settledMilliseconds : competeMilliseconds);
     }
   }
 
   /** Writes what is open and gives the homes up. */
   async close(): Promise<void> {
     this.#stop.abort();
+    this.#pause.end();
     const held = [...this.#held.values()];
     await Promise.all(held.map(async ({ state }) => state.journal.flush()));
     for (const home of held) home.close();
@@ -141,15 +140,15 @@
 
   #drop(pool: string, reason: string): void {
     const home = this.#held.get(pool);
-    if (home === undefined) return;
-    this.#held.delete(pool);
-    home.close();
+    if (!this.#held.delete(pool)) return;
+    home?.close();
+    this.hurry();
     this.#options.log.write("warn", "home-lost", { pool, reason });
   }
 
   #compete(): void {
     const { session, directory, pools } = this.#options;
-    if (session.leaseId() === undefined || directory.ageMilliseconds() > directoryAgeMilliseconds) return;
+    if (session.leaseId() === undefined || !isCurrent(directory)) return;
     if (!this.#joinWait.isOver(directory.entries())) return;
     for (const pool of pools()) {
       if (this.#held.has(pool) || this.#taking.has(pool)) continue;
@@ -158,6 +157,13 @@
     }
   }
 
+  /** Whether every pool has a home, so that only what is heard gives this entry something to do. */
+  #isSettled(): boolean {
+    const { session, directory, pools, entryId } = this.#options;
+    const others = pools().filter((pool) => !this.#held.has(pool));
+    return session.leaseId() !== undefined && areHeldElsewhere(directory, others, entryId);
+  }
+
   async #consider(pool: string): Promise<void> {
     const record = this.#options.directory.homes().get(pool);
     if (record === undefined) {
@@ -228,8 +234,8 @@
   /** Removes a record of this entry that no running home stands for: its answer was lost, or its jobs were not read. */
   async #clearOrphan(pool: string, revision: number): Promise<void> {
     const key = `${homePrefix}${pool}`;
-    const writes = [{ key, value: undefined }];
-    const result = await this.#options.store.transact({ expected: [{ key, revision }], writes });
+    const transaction = { expected: [{ key, revision }], writes: [{ key, value: undefined }] };
+    const result = await this.#options.store.transact(transaction);
     this.#options.log.write("info", "home-orphan-cleared", { pool, revision, result: result.kind });
   }
 }
--- a/src/job-homes/index.ts
+++ b/src/job-homes/index.ts
@@ -12,7 +12,8 @@
   type EntrySessionOptions,
 } from "./entry-session.js";
 export { findLargeEntries, orderForHome, type HomeCandidate } from "./home-placement.js";
-export { HomeKeeper, type HomeDirectory, type HomeKeeperOptions } from "./home-keeper.js";
+export type { HomeDirectory } from "./home-directory.js";
+export { HomeKeeper, type HomeKeeperOptions } from "./home-keeper.js";
 export { decodeHomeRecord, homePrefix, type HomeRecord } from "./home-record.js";
 export { HomeGateway, type GatewayOutcome, type JobGateway, type JobGatewayOptions } from "./job-gateway.js";
 export type { JobHome } from "./job-home.js";
--- a/src/job-homes/job-gateway.ts
+++ b/src/job-homes/job-gateway.ts
@@ -10,7 +10,8 @@
 import type { RoomArrival } from "../scheduling/index.js";
 import { delay } from "../shared/index.js";
 import type { StoreFailure, TransactionalStore } from "../store/index.js";
-import type { HomeDirectory, HomeKeeper } from "./home-keeper.js";
+import type { HomeDirectory } from "./home-directory.js";
+import type { HomeKeeper } from "./home-keeper.js";
 import type { JobHome } from "./job-home.js";
 import type { CancelOutcome, JobSubmission, StateOutcome, SubmitOutcome } from "./job-outcomes.js";
 import type { PoolReport } from "./pool-report.js";
--- a/src/job-homes/session-duty.ts
+++ b/src/job-homes/session-duty.ts
@@ -41,6 +41,7 @@
   readonly #options: SessionDutyOptions;
   #holding: Holding | undefined;
   #vacantSince: number | undefined;
+  #isOthers = false;
 
   /**
    * Creates a duty that is not held yet.
@@ -55,6 +56,11 @@
     return this.#holding !== undefined && this.#holding.leaseId === this.#options.session.leaseId();
   }
 
+  /** Whether another entry holds the duty by the store, so that this one has nothing to do before that changes. */
+  isHeldElsewhere(): boolean {
+    return this.#isOthers;
+  }
+
   /** Rises with each holder. */
   fencingToken(): number {
     return this.#holding?.revision ?? 0;
@@ -72,6 +78,7 @@
 
   /** Takes the duty if nobody holds it and it is this entry's turn. */
   async compete(): Promise<void> {
+    this.#isOthers = false;
     if (this.isHeld()) return;
     this.#holding = undefined;
     const { session, holder, store, entryId } = this.#options;
@@ -93,6 +100,7 @@
   async #settleOwn({ value, revision }: StoreRecord, leaseId: string): Promise<void> {
     const { entryId, store } = this.#options;
     const found = parseWith(dutyRecordSchema, value).toMaybe().extract();
+    this.#isOthers = found !== undefined && found.entryId !== entryId;
     if (found?.entryId !== entryId) return;
     if (found.leaseId === leaseId) {
       // The answer to the write that took the duty was lost.
--- a/src/job-homes/test/home-fixture.ts
+++ b/src/job-homes/test/home-fixture.ts
@@ -90,7 +90,9 @@
     prefix: membersPrefix,
     waitMilliseconds: followMilliseconds,
     pauseMilliseconds: () => 1,
-    onChanged: () => undefined,
+    onChanged: () => {
+      keeper.hurry();
+    },
   });
   const homes = (): Map<string, NonNullable<ReturnType<typeof decodeHomeRecord>> & { revision: number }> => {
     const found = [...members.records().values()].flatMap(({ key, value, revision }) => {
--- /dev/null
+++ b/src/job-homes/test/settled-keeper.test.ts
@@ -0,0 +1,97 @@
+/**
+ * An entry that has nothing to take is hardly woken, and looks at once when it hears of a vacancy.
+ * @packageDocumentation
+ */
+import Emittery from "emittery";
+import { Left } from "purify-ts";
+import { afterEach, beforeEach, expect, test, vi } from "vitest";
+import { createStoreEngine, createStoreFaults, MemoryStoreClient } from "../../stand-ins/index.js";
+import type { TargetOrders } from "../../task-runs/index.js";
+import { createLog, createMetrics } from "../../telemetry/index.js";
+import { HomeKeeper, type EntrySession, type EntrySessionEvents, type HomeRecord } from "../index.js";
+
+const refused = { kind: "refused", reason: "not-connected" } as const;
+const orders: TargetOrders = {
+  start: async () => Promise.resolve(refused),
+  stop: async () => Promise.resolve(refused),
+  pace: async () => Promise.resolve(refused),
+  renew: async () => Promise.resolve(Left(refused)),
+};
+
+beforeEach(() => {
+  vi.useFakeTimers();
+});
+afterEach(() => {
+  vi.useRealTimers();
+});
+
+async function startKeeper() {
+  const engine = createStoreEngine();
+  const store = new MemoryStoreClient(engine, createStoreFaults());
+  const leaseId = (await store.grantLease(60)).unsafeCoerce().leaseId;
+  const homes = new Map<string, HomeRecord & { revision: number }>();
+  for (const pool of ["presses", "benders"])
+    homes.set(pool, { entryId: "other", term: "term", barrier: 0, revision: 1 });
+  let age = 0;
+  let looks = 0;
+  const session: EntrySession = {
+    events: new Emittery<EntrySessionEvents>(),
+    leaseId: () => leaseId,
+    standsUntil: () => Number.POSITIVE_INFINITY,
+    close: async () => Promise.resolve(),
+  };
+  const pools = (): string[] => {
+    looks += 1;
+    return [...homes.keys(), "presses"];
+  };
+  const keeper = new HomeKeeper({
+    entryId: "self",
+    store,
+    session,
+    directory: { entries: () => new Map([["self", 1]]), homes: () => homes, ageMilliseconds: () => age },
+    pools,
+    listedTargets: () => new Map(),
+    orders,
+    advice: undefined,
+    log: createLog("silent"),
+    metrics: createMetrics(),
+    runLeaseMilliseconds: 6_000,
+    retentionMilliseconds: 60_000,
+    settleMilliseconds: 0,
+  });
+  void keeper.run();
+  const close = async (): Promise<void> => {
+    engine.close();
+    await keeper.close();
+  };
+  return { keeper, homes, close, looks: () => looks, setAge: (next: number) => void (age = next) };
+}
+
+test("an entry is woken once a second while all pools have a home elsewhere", async () => {
+  const { looks, close } = await startKeeper();
+  await vi.advanceTimersByTimeAsync(10_000);
+  // Each turn looks at the pools twice: for what to take, and for whether there may be more.
+  expect(looks()).toBeLessThanOrEqual(2 * 11);
+  await close();
+});
+
+test("an entry takes a home in the moment in which it hears that the pool has none", async () => {
+  const { keeper, homes, close } = await startKeeper();
+  await vi.advanceTimersByTimeAsync(2_050);
+  homes.delete("presses");
+  keeper.hurry();
+  await vi.advanceTimersByTimeAsync(10);
+  expect(keeper.home("presses")).toBeDefined();
+  await close();
+});
+
+test("an entry that does not know whether others hold the homes goes on looking ten times a second", async () => {
+  const { looks, setAge, close } = await startKeeper();
+  setAge(3_000);
+  await vi.advanceTimersByTimeAsync(1_050);
+  setAge(0);
+  const before = looks();
+  await vi.advanceTimersByTimeAsync(110);
+  expect(looks()).toBeGreaterThan(before);
+  await close();
+});
--- a/src/shared/index.ts
+++ b/src/shared/index.ts
@@ -10,6 +10,6 @@
   weightedRendezvousOrder,
   type WeightedMember,
 } from "./rendezvous.js";
-export { delay, withTimeout } from "./timers.js";
+export { delay, Pause, withTimeout } from "./timers.js";
 export { formatPath, parseWith, type ParseFault } from "./parse.js";
 export { createHttpService, sendJson, readBody, type HttpService, type BodyFault } from "./http.js";
--- a/src/shared/timers.ts
+++ b/src/shared/timers.ts
@@ -22,6 +22,37 @@
   });
 }
 
+/** A wait that others can end, for loops that have nothing to do until they hear of something. */
+export class Pause {
+  #isEnded = false;
+  #finish: (() => void) | undefined;
+
+  /**
+   * Waits.
+   * @param milliseconds - how long
+   * @returns a promise that resolves after the time, or when the pause is ended; at once when it was ended before
+   */
+  async wait(milliseconds: number): Promise<void> {
+    if (!this.#isEnded) {
+      await new Promise<void>((resolve) => {
+        const timer = setTimeout(resolve, milliseconds);
+        this.#finish = () => {
+          clearTimeout(timer);
+          resolve();
+        };
+      });
+    }
+    this.#finish = undefined;
+    this.#isEnded = false;
+  }
+
+  /** Ends the wait, or the next one when there is none now. */
+  end(): void {
+    this.#isEnded = true;
+    this.#finish?.();
+  }
+}
+
 /**
  * Bounds the wait for a promise. The promise itself goes on.
  * @param promise - what is waited for
--- a/src/store/prefix-follower.ts
+++ b/src/store/prefix-follower.ts
@@ -2,7 +2,7 @@
  * A local copy of all records below a prefix that knows how old it is, kept by bounded waits for changes.
  * @packageDocumentation
  */
-import { delay } from "../shared/index.js";
+import { Pause } from "../shared/index.js";
 import type { StoreRecord, TransactionalStore } from "./store.js";
 
 /** Settings of a follower. */
@@ -43,13 +43,14 @@
  */
 export function followPrefix(options: PrefixFollowerOptions): PrefixFollower {
   const { store, prefix, listAfterMilliseconds = Number.POSITIVE_INFINITY } = options;
-  const stop = new AbortController();
-  let pause = new AbortController();
+  const pause = new Pause();
+  let isClosed = false;
   let held = new Map<string, StoreRecord>();
   let currentAt = Number.NEGATIVE_INFINITY;
   let reachableSince = Number.NEGATIVE_INFINITY;
   let isReachable = true;
 
+  const hasClosed = (): boolean => isClosed;
   const noteReachable = (next: boolean, reason: string): void => {
     if (next === isReachable) return;
     isReachable = next;
@@ -102,12 +103,12 @@
 
   const run = async (): Promise<void> => {
     let revision: number | undefined;
-    while (!stop.signal.aborted) {
+    while (!hasClosed()) {
       const isOld = performance.now() - currentAt > listAfterMilliseconds;
       revision = revision === undefined || isOld ? await readList() : await readChanges(revision);
-      pause = new AbortController();
+      if (hasClosed()) return;
       const milliseconds = revision === undefined ? retryMilliseconds : options.pauseMilliseconds();
-      await delay(milliseconds, AbortSignal.any([stop.signal, pause.signal]));
+      await pause.wait(milliseconds);
     }
   };
 
@@ -117,10 +118,11 @@
     ageMilliseconds: () => performance.now() - currentAt,
     reachableForMilliseconds: () => performance.now() - reachableSince,
     hurry: () => {
-      pause.abort();
+      pause.end();
     },
     close: () => {
-      stop.abort();
+      isClosed = true;
+      pause.end();
     },
   };
 }
--- a/src/wiring/job-entry.ts
+++ b/src/wiring/job-entry.ts
@@ -134,9 +134,13 @@
   const { capacityCores } = options;
   const self: RosterRecord = { entryId, incarnation, peerAddress, zone, capacityCores };
 
-  const members = followMembers(store, peers, log);
+  const members = followMembers(store, peers, log, () => {
+    keeper.hurry();
+    fleet?.hurry();
+  });
   const configuration = followConfiguration(options, (table) => {
     ingress.applyLimits(table);
+    keeper.hurry();
   });
   const session = openEntrySession({ store, self, log, leaseMilliseconds: entryLeaseMilliseconds });
   const orders = wireOrders(options, peers, members);
--- a/src/wiring/job-followers.ts
+++ b/src/wiring/job-followers.ts
@@ -52,9 +52,15 @@
  * @param store - the store
  * @param peers - opens links to the entries
  * @param log - takes losses of the store
+ * @param onChanged - called when entries, homes or duties changed
  * @returns what is known of them
  */
-export function followMembers(store: TransactionalStore, peers: PeerNetwork, log: Log): Members {
+export function followMembers(
+  store: TransactionalStore,
+  peers: PeerNetwork,
+  log: Log,
+  onChanged: () => void,
+): Members {
   let entries: readonly RosterRecord[] = [];
   let homes: ReadonlyMap<string, HomeRecord & { readonly revision: number }> = new Map();
   const follower = followPrefix({
@@ -68,6 +74,7 @@
       );
       homes = decodeHomes(records.values());
       peers.follow(entries);
+      onChanged();
     },
     onReachable: (isReachable, reason) => {
       log.write(isReachable ? "info" : "warn", isReachable ? "store-regained" : "store-lost", { reason });
