Entry cost: the start ends when all entries have joined

Cause: on a machine that is short of processor time 40 entries hadn't joined after 3 s, so that their start counted as rest. Change: the start lasts until every entry has a record and two seconds more, and is told in all, not by the second.

--- a/src/soak/entry-cost.ts
+++ b/src/soak/entry-cost.ts
@@ -3,7 +3,7 @@
  * they hold.
  * @packageDocumentation
  */
-import { decodeHomeRecord, homePrefix } from "../job-homes/index.js";
+import { decodeHomeRecord, entryPrefix, homePrefix } from "../job-homes/index.js";
 import { createRandom, delay } from "../shared/index.js";
 import type { SoakBounds } from "./bounds.js";
 import { Callers } from "./callers.js";
@@ -31,7 +31,7 @@
 /** What an entry held while it was measured. */
 export type EntryRole = "owner" | "relay" | "neither";
 
-/** What one entry cost in one span, each second. */
+/** What one entry cost in one span: in all for its start, each second for the others. */
 export interface EntryCost {
   readonly entryId: string;
   readonly processId: number;
@@ -47,7 +47,10 @@
 type SpanName = "start" | "rest" | "load";
 type Readings = ReadonlyMap<string, ProcessReading>;
 
-const startMilliseconds = 3_000;
+/** Entries take homes and duties in this time after the last one has joined. */
+const settleMilliseconds = 2_000;
+const longestJoinMilliseconds = 30_000;
+const pollMilliseconds = 100;
 const millisecondsPerSecond = 1_000;
 const nothing: ProcessReading = { processorMilliseconds: 0, wakeUps: 0, counters: new Map() };
 
@@ -60,7 +63,8 @@
   const { seconds, seed, wire } = options;
   const history = createHistory();
   const session = await startSession({ ...options, history });
-  await delay(startMilliseconds);
+  await waitUntilJoined(session);
+  await delay(settleMilliseconds);
   const started = await readAll(session);
   await delay(seconds * millisecondsPerSecond);
   const rested = await readAll(session);
@@ -80,9 +84,8 @@
     if (holders.has(entryId)) return "owner";
     return countRelayed(loaded.get(entryId)) > 0 ? "relay" : "neither";
   };
-  const startSeconds = startMilliseconds / millisecondsPerSecond;
   const costs = [
-    ...compare("start", new Map(), started, startSeconds),
+    ...compare("start", new Map(), started, 1),
     ...compare("rest", started, rested, seconds),
     ...compare("load", rested, loaded, seconds),
   ];
@@ -93,6 +96,12 @@
   }));
 }
 
+async function waitUntilJoined({ engine, entries }: PlatformSession): Promise<void> {
+  const endsAt = performance.now() + longestJoinMilliseconds;
+  const joined = (): number => engine.range(entryPrefix, `${entryPrefix}~`).length;
+  while (joined() < entries.length && performance.now() < endsAt) await delay(pollMilliseconds);
+}
+
 async function handInJobs(
   { seconds, jobsPerSecond, seed }: EntryCostOptions,
   { queues }: PlatformSession,
@@ -157,7 +166,7 @@
 const shownSeries = /store_calls_total|caller_answers|relayed_orders_total|target_calls|frames|log_lines/;
 
 /**
- * Puts costs into words: a line for each span and role, the mean of its entries each second.
+ * Puts costs into words: a line for each span and role, the mean of its entries each second, at the start in all.
  * @param costs - what was measured
  * @returns the text
  */
@@ -182,8 +191,8 @@
     .map((name) => [name, mean(({ counts }) => counts.get(name) ?? 0)] as const)
     .filter(([, rate]) => rate > 0);
   return [
-    `${span} ${role} entries=${costs.length} processor=${mean((cost) => cost.processorMilliseconds).toFixed(2)} ms/s ` +
-      `(${least.toFixed(2)} to ${most.toFixed(2)}) wakeUps=${mean((cost) => cost.wakeUps).toFixed(1)}/s processes=${costs.map(({ processId }) => processId).join(",")}`,
-    ...counted.map(([name, rate]) => `    ${name} ${rate.toFixed(2)}/s`),
+    `${span} ${role} entries=${costs.length} processor=${mean((cost) => cost.processorMilliseconds).toFixed(2)} ms ` +
+      `(${least.toFixed(2)} to ${most.toFixed(2)}) wakeUps=${mean((cost) => cost.wakeUps).toFixed(1)} processes=${costs.map(({ processId }) => processId).join(",")}`,
+    ...counted.map(([name, rate]) => `    ${name} ${rate.toFixed(2)}`),
   ];
 }
--- a/src/soak/test/entry-cost.test.ts
+++ b/src/soak/test/entry-cost.test.ts
@@ -18,6 +18,6 @@
 test("the costs of entries are told as the mean of those of one role, with the least and the most", () => {
   const text = formatEntryCosts([cost("a", "neither", 4), cost("b", "neither", 8), cost("c", "owner", 30)]);
 
-  expect(text).toContain("rest neither entries=2 processor=6.00 ms/s (4.00 to 8.00)");
-  expect(text).toContain('store_calls_total{call="watch"} 3.00/s');
+  expect(text).toContain("rest neither entries=2 processor=6.00 ms (4.00 to 8.00)");
+  expect(text).toContain('store_calls_total{call="watch"} 3.00');
 });
