--- a/src/job-homes/test/home-fixture.ts
+++ b/src/job-homes/test/home-fixture.ts
@@ -134,7 +134,9 @@
     prefix: membersPrefix,
     waitMilliseconds: followMilliseconds,
     pauseMilliseconds: () => 1,
-    onChanged: () => undefined,
+    onChanged: () => {
+      keeper.hurry();
+    },
   });
   const homes = (): Map<string, NonNullable<ReturnType<typeof decodeHomeRecord>> & { revision: number }> => {
     const found = [...members.records().values()].flatMap(({ key, value, revision }) => {
--- a/src/wiring/job-entry.ts
+++ b/src/wiring/job-entry.ts
@@ -143,9 +143,13 @@
     probeKey: `${entryPrefix}${entryId}`,
   });
   const options = { ...given, store };
-  const members = followMembers(store, peers, log);
+  const members = followMembers(store, peers, log, () => {
+    keeper.hurry();
+    fleet?.hurry();
+  });
   const configuration = followConfiguration(options, (table) => {
     ingress.applyLimits(table);
+    keeper.hurry();
   });
   const session = openEntrySession({ store, self, log, leaseMilliseconds: entryLeaseMilliseconds });
   const orders = wireOrders(options, peers, members);
