Silent targets are asked again, and starts without an answer looked for after 0.3 s

Ruled out: waiting for room and later jobs placed first, for these jobs; a step's slowest task by its own work.

Change: while a renewal has no answer and a run should have ended, the home asks again without a wait, beside the first; the first report counts. A short task's start without an answer is looked for after 0.3 s, not 0.8; the report after a stop is asked for at once.

--- /dev/null
+++ b/src/job-homes/silent-targets.ts
@@ -0,0 +1,38 @@
+/**
+ * Asks targets again that have been silent for longer than what runs there lets expect. Answers renewals that are lost
+ * or carried out seconds late: the ends of all runs on the target are heard late with them, and the next steps wait.
+ * @packageDocumentation
+ */
+import type { HomeState, HomeTarget, TargetRun } from "./home-state.js";
+
+/** A target that answers at all answers within this time. */
+const shortestSilenceMilliseconds = 200;
+/** A run that is over for so long should have been heard of. */
+const newsMilliseconds = 100;
+/** What is expected of a run that goes on although it was expected to have ended: so much of what it has run already. */
+const overdueShare = 0.25;
+
+/**
+ * Asks a target again whose news are overdue.
+ * @param state - the home
+ * @param target - the target
+ * @param now - the monotonic clock
+ */
+export function askSilentTarget(state: HomeState, { session, runs }: HomeTarget, now: number): void {
+  const silence = session.silentMilliseconds();
+  if (silence < shortestSilenceMilliseconds) return;
+  for (const each of runs.values()) {
+    if (!isOverdue(state, each, now, silence)) continue;
+    session.askAgain();
+    return;
+  }
+}
+
+function isOverdue(state: HomeState, { task, run }: TargetRun, now: number, silence: number): boolean {
+  const { definition, job } = task;
+  if (definition.isLasting || run.confirmedAt === undefined) return false;
+  const expected = state.runTimes.ofQueue(job.record.terms.queue).task(definition);
+  const elapsed = now - run.startedAt;
+  const overdue = elapsed - expected - newsMilliseconds;
+  return overdue > 0 && silence >= overdueShare * elapsed;
+}
--- a/src/job-homes/start-looks.ts
+++ b/src/job-homes/start-looks.ts
@@ -6,7 +6,10 @@
 import type { RunEnd, TargetReport } from "../task-runs/index.js";
 import { isTaskOver, type HomeState, type HomeTarget, type TargetRun } from "./home-state.js";
 import { confirmShown } from "./run-ends.js";
+import { doubtStart } from "./unsettled-starts.js";
 
+/** A start without an answer is looked for after this time: an order that is younger then tells what became of it. */
+const doubtMilliseconds = 300;
 const lookTimeoutMilliseconds = 700;
 const repeatMilliseconds = 500;
 
@@ -17,12 +20,19 @@
  */
 export function lookForStarts(state: HomeState, target: HomeTarget): void {
   const now = performance.now();
+  for (const each of target.runs.values()) if (isDoubtful(each, now)) doubtStart(state, target, each);
   const due = [...target.runs.values()].filter((each) => needsLook(each, now));
   if (due.length === 0) return;
   for (const { run } of due) run.lookedForAt = now;
   void look(state, target, due);
 }
 
+/** Lasting tasks are started only once their place is stored, which may take longer. */
+function isDoubtful({ task, run }: TargetRun, now: number): boolean {
+  if (run.status !== "starting" || task.definition.isLasting) return false;
+  return run.startedAt + doubtMilliseconds <= now;
+}
+
 function needsLook({ task, run }: TargetRun, now: number): boolean {
   if (run.status !== "unresolved" || isTaskOver(task)) return false;
   return (run.lookedForAt ?? -Infinity) + repeatMilliseconds <= now;
@@ -42,6 +52,7 @@
     for (const each of runs) settle(each, report);
     // The session's own report brings the ends.
     session.hurry();
+    session.askAgain();
   });
 }
 
--- a/src/job-homes/start-orders.ts
+++ b/src/job-homes/start-orders.ts
@@ -7,7 +7,7 @@
 import { isTaskOver, removeRun, type HomeState, type HomeTarget, type TargetRun } from "./home-state.js";
 import { storePlaces } from "./job-progress.js";
 import { describeAnswer } from "./run-trace.js";
-import { noteUnansweredStart } from "./unsettled-starts.js";
+import { doubtStart } from "./unsettled-starts.js";
 
 const startTimeoutMilliseconds = 800;
 /** A target is left alone for a while after it refused, by why it did. */
@@ -127,11 +127,7 @@
     ...describeAnswer(outcome, askedAt, performance.now()),
   });
   if (outcome.kind === "done") confirmStart(target, started, outcome.clockMilliseconds);
-  if (outcome.kind === "unknown" && run.status === "starting") {
-    run.status = "unresolved";
-    noteUnansweredStart(state, run.targetId, { task: task.name, run: run.run, startedAt: run.startedAt });
-    target.distrust += distrustPerRefusal;
-  }
+  if (outcome.kind === "unknown" && run.status === "starting") doubtStart(state, target, started);
   if (reason !== undefined) takeRefusal(state, target, started, reason);
 }
 
--- a/src/job-homes/stopper.ts
+++ b/src/job-homes/stopper.ts
@@ -5,6 +5,7 @@
  */
 import { isTaskOver, type HomeState, type HomeTarget, type TargetRun } from "./home-state.js";
 import { describeAnswer } from "./run-trace.js";
+import { askSilentTarget } from "./silent-targets.js";
 import { lookForStarts } from "./start-looks.js";
 
 const stopTimeoutMilliseconds = 700;
@@ -19,6 +20,7 @@
   const now = performance.now();
   for (const target of state.targets.values()) {
     lookForStarts(state, target);
+    askSilentTarget(state, target, now);
     for (const each of target.runs.values()) {
       if (!needsStop(each)) continue;
       const { stopAskedAt, stopConfirmedAt } = each.run;
@@ -55,7 +57,9 @@
   const isSameLife = state.targets.get(run.targetId) === target;
   if (outcome.kind === "done" && isSameLife) {
     run.stopConfirmedAt = performance.now();
+    // Only a report that was asked for after the stop shows that nothing of the run is left.
     target.session.hurry();
+    target.session.askAgain();
   }
   if (result === "fenced") state.supersede("a target has seen a higher fencing token");
 }
--- a/src/job-homes/test/start-looks.test.ts
+++ b/src/job-homes/test/start-looks.test.ts
@@ -3,7 +3,7 @@
  * @packageDocumentation
  */
 import { Right } from "purify-ts";
-import { expect, test } from "vitest";
+import { afterEach, expect, test, vi } from "vitest";
 import type { OrderOutcome, PresentRun, RunEnd, TargetOrders } from "../../task-runs/index.js";
 import { TargetSession } from "../../task-runs/index.js";
 import { createLog, createMetrics } from "../../telemetry/index.js";
@@ -14,6 +14,10 @@
 import { keepUnsettledStarts, takeUnsettledStarts } from "../unsettled-starts.js";
 import { createStep, pool, terms } from "./home-fixture.js";
 
+afterEach(() => {
+  vi.restoreAllMocks();
+});
+
 const unanswered: OrderOutcome = { kind: "unknown", message: "no answer in time" };
 const targetId = "target";
 
@@ -167,3 +171,41 @@
   await pass();
   expect(carriedOver[0]?.run.stopConfirmedAt).toBeUndefined();
 });
+
+/** A home whose start has had no answer for so long, although its target answers at once; returns the stops. */
+async function startSilently(silentMilliseconds: number, isLasting: boolean): Promise<string[]> {
+  const stops: string[] = [];
+  const state = createState({
+    start: async () => new Promise(() => undefined),
+    stop: async ({ task }) => {
+      stops.push(task);
+      return Promise.resolve(unanswered);
+    },
+    pace: async () => Promise.resolve(unanswered),
+    renew: async () =>
+      Promise.resolve(Right({ startedAtUnix: 1, clockMilliseconds: 1, present: [], ends: [] })),
+  });
+  const definition = { spec: "", steps: [createStep({ taskCount: 1, isLasting })] };
+  const record = { jobId: "job", terms, definition, acceptedAt: 0, requestedAt: 0 };
+  addJob(state, record, undefined, 0, false);
+  state.targets.set(targetId, createTarget(state));
+  const task = state.tasks.get("job.0.0.0");
+  if (task === undefined) throw new Error("the job has no task");
+  startRun(state, task, 1, targetId, undefined);
+  const later = performance.now() + silentMilliseconds;
+  vi.spyOn(performance, "now").mockReturnValue(later);
+  for (let tick = 0; tick < 2; tick += 1) {
+    stopUnwanted(state);
+    await pass();
+  }
+  return stops;
+}
+
+test("a start that is lost is looked for and stopped long before its order has run into its timeout", async () => {
+  expect(await startSilently(350, false)).toEqual(["job.0.0.0"]);
+});
+
+test("a start whose answer may just be slow is left alone, and so is one that waits for its place to be stored", async () => {
+  expect(await startSilently(200, false)).toEqual([]);
+  expect(await startSilently(350, true)).toEqual([]);
+});
--- a/src/job-homes/unsettled-starts.ts
+++ b/src/job-homes/unsettled-starts.ts
@@ -11,6 +11,21 @@
 const rememberedMilliseconds = 15_000;
 const stopTimeoutMilliseconds = 700;
 
+/** A target is used less for a while after it left a start without an answer. */
+const distrustPerStart = 1;
+
+/**
+ * Notes that a start has brought no answer for so long that it may be lost.
+ * @param state - the home
+ * @param target - where it was asked for
+ * @param started - the run
+ */
+export function doubtStart(state: HomeState, target: HomeTarget, { task, run }: TargetRun): void {
+  run.status = "unresolved";
+  noteUnansweredStart(state, run.targetId, { task: task.name, run: run.run, startedAt: run.startedAt });
+  target.distrust += distrustPerStart;
+}
+
 /**
  * Remembers a start that brought no answer.
  * @param state - the home
--- a/src/task-runs/target-session.ts
+++ b/src/task-runs/target-session.ts
@@ -4,6 +4,7 @@
  */
 import { delay } from "../shared/index.js";
 import type { Metrics } from "../telemetry/index.js";
+import { RepeatedRenewal } from "./repeated-renewal.js";
 import type { RegisteredTarget, RunEnd, TargetOrders, TargetReport } from "./target-orders.js";
 
 /** What a session tells and asks its home. */
@@ -81,6 +82,7 @@
   #endsPerSecond = 0;
   #reportedAt = performance.now();
   #pause = new AbortController();
+  readonly #renewal = new RepeatedRenewal();
 
   /**
    * Creates a session; `run` begins to renew.
@@ -162,6 +164,16 @@
     return this.#acknowledgedSequence;
   }
 
+  /** How long the target has not answered since it was last asked, in milliseconds; 0 while nothing is asked. */
+  silentMilliseconds(): number {
+    return this.#renewal.silentMilliseconds();
+  }
+
+  /** Asks for a report that waits for no end, beside the renewal that has no answer yet. */
+  askAgain(): void {
+    this.#renewal.askAgain();
+  }
+
   /** Ends the pause before the next renewal. */
   hurry(): void {
     this.#pause.abort();
@@ -204,23 +216,25 @@
     // there would never count as ended.
     const isSteady = this.#isKnown && this.#failuresInARow === 0;
     const waitMilliseconds = isSteady ? handlers.chooseWait(this) : 0;
-    const askedAt = performance.now();
-    const answer = await orders.renew({
-      target: this.#target,
-      fencingToken,
-      acknowledgedSequence: this.#nextAcknowledgement(),
-      leaseUntilMilliseconds: isSteady ? this.nextLeaseEnd() : undefined,
-      waitMilliseconds,
-      timeoutMilliseconds: waitMilliseconds + renewTimeoutMilliseconds,
+    const { outcome, askedAt } = await this.#renewal.ask(async (isAgain) => {
+      const wait = isAgain ? 0 : waitMilliseconds;
+      return orders.renew({
+        target: this.#target,
+        fencingToken,
+        acknowledgedSequence: this.#nextAcknowledgement(),
+        leaseUntilMilliseconds: isSteady ? this.nextLeaseEnd() : undefined,
+        waitMilliseconds: wait,
+        timeoutMilliseconds: wait + renewTimeoutMilliseconds,
+      });
     });
     if (this.#stop.signal.aborted) return;
-    metrics.count("target_renewals_total", { result: answer.isRight() ? "answered" : "failed" });
-    answer.caseOf({
-      Left: (outcome) => {
+    metrics.count("target_renewals_total", { result: outcome.isRight() ? "answered" : "failed" });
+    outcome.caseOf({
+      Left: (failure) => {
         this.#failuresInARow += 1;
-        if (outcome.kind !== "refused") return;
-        if (outcome.reason === "fenced") handlers.onFenced(this);
-        if (outcome.reason === "other-instance") this.#finish("replaced");
+        if (failure.kind !== "refused") return;
+        if (failure.reason === "fenced") handlers.onFenced(this);
+        if (failure.reason === "other-instance") this.#finish("replaced");
       },
       Right: (report) => {
         if (report.startedAtUnix === this.#options.target.startedAtUnix) this.#takeReport(report, askedAt);
