Run times are learned from progress, and the end of a step from a sketch of how uneven its tasks are

Cause: run times were learned from heard ends only. While a turn begins, those are the short runs (survivorship); while renewals are lost, they are seconds too long, so that forecasts and objectives grew alike: from the fifth second on jobs were accepted by objectives of 4 to 9 s that were 2.5 s in truth. Within a step tasks of 6 or more lie at 2.2 and 4.3 times their middle at the 95th and 99th percentile, late ends included; the step's longest at 1.5 times its mean. Ruled out: runs that go on as censored observations of a fitted distribution: progress says more from a twelfth of a run on.

Change: the first progress that tells something is learned from, an end only where none did; an end after a silence counts as its progress told, or not at all. What runs is planned by its progress, and without one by how long others ran on that had run as long (a sketch of run time by expectation, 65 bins, forgetting). The longest of a step's tasks comes from a second sketch (run time by the middle of its step) instead of one factor. Logs tell run times, projections and what a forecast was made of.

--- a/src/job-homes/home-forecast.ts
+++ b/src/job-homes/home-forecast.ts
@@ -2,7 +2,7 @@
  * Puts a home's state into the form of the forecast.
  * @packageDocumentation
  */
-import type { Job, JobDefinition, Occurrence, QueueTerms, Resources, Task } from "../jobs/index.js";
+import type { Job, JobDefinition, Occurrence, QueueTerms, Resources, Task, TaskRun } from "../jobs/index.js";
 import {
   add,
   bookJob,
@@ -17,7 +17,9 @@
   type ForecastJob,
   type ForecastStep,
   type JobForecast,
+  type QueueRunTimes,
 } from "../scheduling/index.js";
+import type { LogFields } from "../telemetry/index.js";
 import { rankJob } from "./job-rank.js";
 import { isInService, type HomeState, type PlannedRoom } from "./home-state.js";
 
@@ -79,6 +81,21 @@
   };
 }
 
+/**
+ * Describes a forecast for the log.
+ * @param forecast - the forecast
+ * @returns its end and the job's objective, as they were compared, and what they were made of, in milliseconds
+ */
+export function describeForecast(forecast: HomeForecast): LogFields {
+  return {
+    endMilliseconds: Math.round(forecast.endMilliseconds),
+    uncorrectedEndMilliseconds: Math.round(forecast.uncorrectedEndMilliseconds),
+    objectiveMilliseconds: Math.round(forecast.objectiveMilliseconds),
+    chainMilliseconds: Math.round(forecast.chainMilliseconds),
+    estimatedChainMilliseconds: Math.round(forecast.estimatedChainMilliseconds),
+  };
+}
+
 /**
  * Takes the room of a job that has just been accepted from the plan that callers share.
  * @param state - the home
@@ -138,25 +155,37 @@
 }
 
 function readOccurrence(state: HomeState, job: Job, { steps }: Occurrence, now: number): ForecastJob {
-  const { task: expected } = state.runTimes.ofQueue(job.record.terms.queue);
+  const expected = state.runTimes.ofQueue(job.record.terms.queue);
   return { steps: steps.map((tasks) => readStep(tasks, expected, now)) };
 }
 
-function readStep(tasks: readonly Task[], expected: ExpectedRunTime, now: number): ForecastStep {
+function readStep(tasks: readonly Task[], expected: QueueRunTimes, now: number): ForecastStep {
   const definition = tasks[0]?.definition;
-  const runMilliseconds = definition === undefined ? 0 : expected(definition);
+  const runMilliseconds = definition === undefined ? 0 : expected.task(definition);
   const running: number[] = [];
   let waiting = 0;
   for (const { succeeded, runs } of tasks) {
     const run = runs[0];
     if (succeeded) continue;
     if (run === undefined) waiting += 1;
-    else running.push(Math.max(shortestRestMilliseconds, run.startedAt + runMilliseconds - now));
+    else running.push(Math.max(shortestRestMilliseconds, restOfRun(tasks, run, expected, now)));
   }
   const needs = definition === undefined ? noResources : chargedResources(definition);
   return { waiting, running, needs, runMilliseconds, after: definition?.after ?? [] };
 }
 
+/** What a run still takes: by its progress, or by how long others have run on that had run as long. */
+function restOfRun(
+  [task]: readonly Task[],
+  { startedAt, projectedMilliseconds }: TaskRun,
+  expected: QueueRunTimes,
+  now: number,
+): number {
+  const elapsed = now - startedAt;
+  if (projectedMilliseconds !== undefined) return projectedMilliseconds - elapsed;
+  return task === undefined ? 0 : expected.rest(task.definition, elapsed);
+}
+
 const noResources: Resources = { cpuMillicores: 0, memoryMegabytes: 0, accelerators: 0 };
 
 /** The room of all targets in use, less what lasting tasks take of it. */
--- a/src/job-homes/home-state.ts
+++ b/src/job-homes/home-state.ts
@@ -50,6 +50,8 @@
   distrust: number;
   /** Pace of its fillers. */
   pacePercent: number;
+  /** When its last report came, by the monotonic clock; undefined before. */
+  reportedAt?: number | undefined;
   /** Highest sequence among its ends that have been handled. */
   handledSequence: number;
   /** Ends when all ends so far are stored and acknowledged. */
--- a/src/job-homes/job-home.ts
+++ b/src/job-homes/job-home.ts
@@ -16,7 +16,7 @@
 import { createAdviceBook, type AdviceBook, type AdviceService } from "./advice-book.js";
 import { dispatch } from "./dispatcher.js";
 import { createFirstRequests } from "./first-requests.js";
-import { bookAccepted, forecastJob, type HomeForecast } from "./home-forecast.js";
+import { bookAccepted, describeForecast, forecastJob, type HomeForecast } from "./home-forecast.js";
 import { addJob, forgetJob, openDue, type HomeState, type HomeTarget } from "./home-state.js";
 import { readRecentLoad, reportPool, type PoolReport } from "./pool-report.js";
 import type { CancelOutcome, JobSubmission, StateOutcome, SubmitOutcome } from "./job-outcomes.js";
@@ -249,13 +249,10 @@
     this.#state.log.write("info", "job-refused", {
       job: jobId,
       queue: terms.queue,
-      endMilliseconds: Math.round(forecast.endMilliseconds),
-      objectiveMilliseconds: Math.round(forecast.objectiveMilliseconds),
+      ...describeForecast(forecast),
       backlogCoreSeconds: Math.round(backlogCoreSeconds),
       cores: Math.round(cores),
       busyCores: Math.round(busyCores),
-      chainMilliseconds: Math.round(forecast.chainMilliseconds),
-      estimatedChainMilliseconds: Math.round(forecast.estimatedChainMilliseconds),
       retryAfterMilliseconds: Math.round(retryAfterMilliseconds),
     });
   }
@@ -279,17 +276,12 @@
       job: record.jobId,
       queue,
       pool,
-      endMilliseconds: roundOrNone(forecast?.endMilliseconds),
-      objectiveMilliseconds: roundOrNone(forecast?.objectiveMilliseconds),
+      ...(forecast === undefined ? {} : describeForecast(forecast)),
     });
     this.#wake();
   }
 }
 
-function roundOrNone(value: number | undefined): number | undefined {
-  return value === undefined ? undefined : Math.round(value);
-}
-
 function forget(state: HomeState, job: Job): void {
   forgetJob(state, job);
   state.journal.write(`${jobPrefix}${job.id}`, undefined, { urgency: "soon" });
--- a/src/job-homes/job-rank.ts
+++ b/src/job-homes/job-rank.ts
@@ -59,5 +59,7 @@
 function remainingRun({ succeeded, runs }: Task, whole: number, now: number): number {
   if (succeeded) return 0;
   const [run] = runs;
-  return run === undefined ? whole : Math.max(0, whole - (now - run.startedAt));
+  return run === undefined
+    ? whole
+    : Math.max(0, (run.projectedMilliseconds ?? whole) - (now - run.startedAt));
 }
--- a/src/job-homes/run-ends.ts
+++ b/src/job-homes/run-ends.ts
@@ -7,7 +7,8 @@
 import { mostEndsListed, type PresentRun, type RunEnd, type TargetReport } from "../task-runs/index.js";
 import { isTaskOver, removeRun, type HomeState, type HomeTarget, type TargetRun } from "./home-state.js";
 import { storeProgress } from "./job-progress.js";
-import { describeVanished } from "./run-trace.js";
+import { learnEnd, learnProgress } from "./run-learning.js";
+import { describeRunTime, describeVanished } from "./run-trace.js";
 
 /** A target is trusted less after a failure, and more after a success. */
 const distrustPerFailure = 1;
@@ -30,11 +31,13 @@
   askedAt: number,
 ): void {
   const present = new Set(report.present.map(({ task }) => task));
-  for (const each of report.present) takePresent(state, target, each);
+  const unheard = askedAt - (target.reportedAt ?? askedAt);
+  target.reportedAt = performance.now();
+  for (const each of report.present) takePresent(state, target, each, report.clockMilliseconds);
   const ended = new Set(freshEnds.map(({ task }) => task));
   const touched = new Set<Job>();
   for (const end of freshEnds) {
-    const job = takeEnd(state, target, end, report.clockMilliseconds);
+    const job = takeEnd(state, target, end, report.clockMilliseconds, unheard);
     if (job !== undefined) touched.add(job);
   }
   const listsAllEnds = report.ends.length < mostEndsListed;
@@ -51,11 +54,12 @@
   if (freshEnds.length > 0 || present.size === 0) state.wake();
 }
 
-function takePresent(state: HomeState, target: HomeTarget, present: PresentRun): void {
+function takePresent(state: HomeState, target: HomeTarget, present: PresentRun, targetClock: number): void {
   const task = state.tasks.get(present.task);
   const known = target.runs.get(present.task);
   if (task !== undefined && known?.run.run === present.run) {
     updateRun(known, present);
+    learnProgress(state, task, known.run, targetClock);
     return;
   }
   if (task !== undefined && !isTaskOver(task) && task.runs.length === 0) {
@@ -127,7 +131,13 @@
 }
 
 /** Takes one end; returns the job whose progress has to be stored. */
-function takeEnd(state: HomeState, target: HomeTarget, end: RunEnd, targetClock: number): Job | undefined {
+function takeEnd(
+  state: HomeState,
+  target: HomeTarget,
+  end: RunEnd,
+  targetClock: number,
+  unheardMilliseconds: number,
+): Job | undefined {
   const task = state.tasks.get(end.task);
   const known = target.runs.get(end.task);
   if (known?.run.run === end.run) removeRun(state, target, known);
@@ -138,38 +148,19 @@
     target: target.session.targetId,
     kind: end.kind,
     sequence: end.sequence,
+    ...describeRunTime(known, targetClock, unheardMilliseconds),
   });
   if (task === undefined) return undefined;
   task.lastRun = Math.max(task.lastRun, end.run);
   if (end.checkpoint !== "") task.checkpoint = end.checkpoint;
   if (end.kind === "succeeded") {
-    learnRunTime(state, task, known?.run, targetClock);
+    learnEnd(state, task, known?.run, targetClock, unheardMilliseconds);
     return takeSuccess(target, task);
   }
   if (end.kind === "failed") return takeFailure(target, task, end.run);
   return undefined;
 }
 
-/**
- * Learns how long a run took by its target's clock: when this process hears of the start and the end depends on how
- * busy it is itself.
- */
-function learnRunTime(
-  { runTimes }: HomeState,
-  task: Task,
-  run: TaskRun | undefined,
-  targetClock: number,
-): void {
-  const { job, definition } = task;
-  if (job.finalState !== undefined || run?.isWhole !== true || run.targetStartedAt === undefined) return;
-  const { queue } = job.record.terms;
-  task.runMilliseconds = targetClock - run.targetStartedAt;
-  runTimes.learn(queue, definition, task.runMilliseconds);
-  const tasks = job.occurrences.get(task.occurrence)?.steps[task.step] ?? [];
-  const known = tasks.flatMap(({ runMilliseconds }) => runMilliseconds ?? []);
-  if (known.length === tasks.length) runTimes.learnStep(queue, known);
-}
-
 function takeSuccess(target: HomeTarget, task: Task): Job | undefined {
   const { job, definition } = task;
   target.distrust *= distrustKeptBySuccess;
--- a/src/job-homes/run-trace.ts
+++ b/src/job-homes/run-trace.ts
@@ -5,6 +5,7 @@
 import type { TaskRun } from "../jobs/index.js";
 import type { OrderOutcome, TargetReport } from "../task-runs/index.js";
 import type { LogFields } from "../telemetry/index.js";
+import type { TargetRun } from "./home-state.js";
 
 /**
  * Describes a run that a report does not show, as the home knew it.
@@ -35,6 +36,30 @@
   };
 }
 
+/**
+ * Describes how long a run has taken, as its home learns from it.
+ * @param ended - the run, undefined for one that the home doesn't know
+ * @param targetClock - the target's clock when it listed the end
+ * @param unheardMilliseconds - for so long before it was asked for that, the target had told nothing
+ * @returns the run's time by its target's clock when its end was heard, what its progress told of it, and what the
+ * caller had guessed, in milliseconds
+ */
+export function describeRunTime(
+  ended: TargetRun | undefined,
+  targetClock: number,
+  unheardMilliseconds: number,
+): LogFields {
+  if (ended === undefined || ended.task.definition.isLasting) return {};
+  const { targetStartedAt, projectedMilliseconds } = ended.run;
+  return {
+    milliseconds: targetStartedAt === undefined ? undefined : Math.round(targetClock - targetStartedAt),
+    projectedMilliseconds:
+      projectedMilliseconds === undefined ? undefined : Math.round(projectedMilliseconds),
+    estimateMilliseconds: Math.round(ended.task.definition.estimateMilliseconds),
+    unheardMilliseconds: Math.round(unheardMilliseconds),
+  };
+}
+
 /**
  * Describes what an order brought.
  * @param outcome - what it brought
--- a/src/jobs/job.ts
+++ b/src/jobs/job.ts
@@ -22,6 +22,8 @@
   confirmedAt: number | undefined;
   /** The target's clock when it confirmed the start; undefined before. */
   targetStartedAt?: number | undefined;
+  /** How long it takes in all by the progress that its target showed last; undefined while that tells nothing. */
+  projectedMilliseconds?: number | undefined;
   /** Whether a report of its target has shown it; until then a later life under the identifier may have taken the start. */
   isListed: boolean;
   /** When a start without an answer was last looked for, by the monotonic clock. */
--- a/src/scheduling/index.ts
+++ b/src/scheduling/index.ts
@@ -18,6 +18,7 @@
 export { compareJobs, type OrderedJob } from "./order.js";
 export { choosePace, type ServedTail } from "./pacing.js";
 export { chooseGangPlaces, choosePlace, takePlace, type StepPlace } from "./placement.js";
+export { projectRunTime, timeRun } from "./run-progress.js";
 export {
   createTaskRunTimes,
   type ExpectedRunTime,
--- a/src/scheduling/run-times.ts
+++ b/src/scheduling/run-times.ts
@@ -4,6 +4,7 @@
  * @packageDocumentation
  */
 import type { StepDefinition } from "../jobs/index.js";
+import { RatioSketch, unseenRestShare } from "./ratio-sketch.js";
 
 /** What a run time is expected from. */
 export type TimedStep = Pick<StepDefinition, "estimateMilliseconds" | "taskCount">;
@@ -17,11 +18,13 @@
   readonly task: ExpectedRunTime;
   /** The longest of a step's tasks, for which the next step waits. */
   readonly step: ExpectedRunTime;
+  /** How long a task runs on that has run for a time and shows no progress, in milliseconds. */
+  rest(step: TimedStep, elapsedMilliseconds: number): number;
 }
 
 /** Learns how long tasks run against their callers' estimates. */
 export interface TaskRunTimes {
-  /** Takes the run time of a task that has succeeded, in milliseconds. */
+  /** Takes the run time of a task, in milliseconds. */
   learn(queue: string, step: TimedStep, runMilliseconds: number): void;
   /** Takes the run times of all tasks of a step, in milliseconds. */
   learnStep(queue: string, runMilliseconds: readonly number[]): void;
@@ -36,9 +39,6 @@
 /** One run counts no further off the expected time than by this factor: a target may be slow for a while. */
 const longestFactor = 8;
 
-/** Weight of the newest step in how uneven the tasks of a step are. */
-const unevennessRate = 0.1;
-
 /** A line through the logarithms of estimates and run times. */
 class LearnedRunTimes implements QueueRunTimes {
   #weight = 0;
@@ -48,8 +48,10 @@
   #estimateSquares = 0;
   #products = 0;
   #runSquares = 0;
-  /** How far the longest task of a step lies above the mean, for each unit of what their number explains. */
-  #unevenness = 0;
+  /** Run times by what was expected of them. */
+  readonly #misses = new RatioSketch();
+  /** Run times by the middle of their step. */
+  readonly #unevenness = new RatioSketch();
 
   learn({ estimateMilliseconds, taskCount }: TimedStep, runMilliseconds: number): void {
     const estimate = Math.log(estimateMilliseconds);
@@ -58,6 +60,7 @@
     const run = Math.min(expected + bound, Math.max(expected - bound, Math.log(runMilliseconds)));
     // The tasks of a step share an estimate, so that together they count once.
     const weight = 1 / Math.max(1, taskCount);
+    this.#misses.add(runMilliseconds / this.task({ estimateMilliseconds, taskCount }), weight);
     const kept = keptWeight ** weight;
     const before = this.#weight * kept;
     this.#weight = before + weight;
@@ -72,10 +75,11 @@
   }
 
   learnStep(runMilliseconds: readonly number[]): void {
-    if (runMilliseconds.length < 2) return;
-    const mean = runMilliseconds.reduce((sum, each) => sum + each, 0) / runMilliseconds.length;
-    const above = Math.max(...runMilliseconds) / mean - 1;
-    this.#unevenness += unevennessRate * (above / explainLongest(runMilliseconds.length) - this.#unevenness);
+    if (runMilliseconds.length < 2 || !runMilliseconds.every((each) => each > 0)) return;
+    // Against the mean a long task would count for less the fewer tasks its step has.
+    const logarithms = runMilliseconds.reduce((sum, each) => sum + Math.log(each), 0);
+    const middle = Math.exp(logarithms / runMilliseconds.length);
+    for (const each of runMilliseconds) this.#unevenness.add(each / middle, 1 / runMilliseconds.length);
   }
 
   readonly task = ({ estimateMilliseconds }: TimedStep): number => {
@@ -83,8 +87,15 @@
     return Math.exp(this.#expectLogarithm(Math.log(estimateMilliseconds)) + this.#spread() / 2);
   };
 
-  readonly step = (step: TimedStep): number =>
-    this.task(step) * (1 + this.#unevenness * explainLongest(step.taskCount));
+  readonly step = (step: TimedStep): number => {
+    const unevenness = this.#unevenness.largest(Math.max(1, step.taskCount)) / this.#unevenness.largest(1);
+    return this.task(step) * unevenness;
+  };
+
+  rest(step: TimedStep, elapsedMilliseconds: number): number {
+    const expected = this.task(step);
+    return expected > 0 ? expected * this.#misses.rest(elapsedMilliseconds / expected) : 0;
+  }
 
   /** Variance of the run times' logarithms about what is expected: the mean of such times lies above their middle. */
   #spread(): number {
@@ -107,15 +118,12 @@
   }
 }
 
-/** The largest of so many even draws lies about so many deviations above their mean. */
-function explainLongest(count: number): number {
-  return Math.sqrt(2 * Math.log(Math.max(1, count)));
-}
-
 /** What is expected of a queue of which nothing has run yet. */
 const unlearned: QueueRunTimes = {
   task: ({ estimateMilliseconds }) => estimateMilliseconds,
   step: ({ estimateMilliseconds }) => estimateMilliseconds,
+  rest: ({ estimateMilliseconds }, elapsedMilliseconds) =>
+    Math.max(estimateMilliseconds - elapsedMilliseconds, unseenRestShare * elapsedMilliseconds),
 };
 
 /**
