The first seconds of a turn are played against a home that knows run times; a lost start is stopped when that is known

Change: turn-model.ts plays a home with its targets, reports, progress and late orders without a network; turn.test.ts holds the bounds (accepted and late, in time, refused) against a home that knows run times beforehand. The stop of a lost start is asked for as soon as a look has not found it.

--- a/src/job-homes/start-looks.ts
+++ b/src/job-homes/start-looks.ts
@@ -17,14 +17,15 @@
  * Looks for the starts of a target that brought no answer.
  * @param state - the home
  * @param target - the target
+ * @param onSettled - called once it is known of some what became of them
  */
-export function lookForStarts(state: HomeState, target: HomeTarget): void {
+export function lookForStarts(state: HomeState, target: HomeTarget, onSettled: () => void): void {
   const now = performance.now();
   for (const each of target.runs.values()) if (isDoubtful(each, now)) doubtStart(state, target, each);
   const due = [...target.runs.values()].filter((each) => needsLook(each, now));
   if (due.length === 0) return;
   for (const { run } of due) run.lookedForAt = now;
-  void look(state, target, due);
+  void look(state, target, due).then(onSettled);
 }
 
 /** Lasting tasks are started only once their place is stored, which may take longer. */
--- a/src/job-homes/stopper.ts
+++ b/src/job-homes/stopper.ts
@@ -19,7 +19,9 @@
   if (!state.isActive()) return;
   const now = performance.now();
   for (const target of state.targets.values()) {
-    lookForStarts(state, target);
+    lookForStarts(state, target, () => {
+      stopUnwanted(state);
+    });
     askSilentTarget(state, target, now);
     for (const each of target.runs.values()) {
       if (!needsStop(each)) continue;
--- /dev/null
+++ b/src/job-homes/test/turn-model.ts
@@ -0,0 +1,426 @@
+/**
+ * A home that is asked for several times its room, played without a network: its targets, their runs and reports, and
+ * what callers are told, by a clock that is handed in.
+ * @packageDocumentation
+ */
+import { Right } from "purify-ts";
+import { vi } from "vitest";
+import type { JobDefinition, StepDefinition } from "../../jobs/index.js";
+import { admitJob, type TaskRunTimes } from "../../scheduling/index.js";
+import { createRandom, type Random } from "../../shared/index.js";
+import {
+  TargetSession,
+  type OrderOutcome,
+  type PresentRun,
+  type RenewOrder,
+  type RunEnd,
+  type StartOrder,
+  type TargetOrders,
+} from "../../task-runs/index.js";
+import { createLog, createMetrics } from "../../telemetry/index.js";
+import { createAdviceBook } from "../advice-book.js";
+import { dispatch } from "../dispatcher.js";
+import { bookAccepted, forecastJob } from "../home-forecast.js";
+import { addJob, createHomeState, type HomeState, type HomeTarget } from "../home-state.js";
+import type { HomeJournal } from "../journal-writes.js";
+import { takeReport } from "../run-ends.js";
+import { stopUnwanted } from "../stopper.js";
+import { createStep, pool, terms } from "./home-fixture.js";
+
+/** The load that is played. */
+export interface TurnLoad {
+  readonly seed: number;
+  /** How many times the room is asked for. */
+  readonly overload: number;
+  readonly milliseconds: number;
+  /** Share of the tasks that run seven times as long as others. */
+  readonly tailShare: number;
+  /** Tasks of a step; drawn when undefined. */
+  readonly width?: number;
+  /** Share of the orders that are carried out 2 s late. */
+  readonly lateOrderShare: number;
+  /** What the home has learned before, as a factor to the truth; undefined for nothing. */
+  readonly learnedFactor?: number;
+  /** Whether the home knows run times beforehand. */
+  readonly knowsRunTimes: boolean;
+}
+
+/** What became of the jobs. */
+export interface TurnResult {
+  readonly asked: number;
+  readonly accepted: number;
+  readonly inTime: number;
+  readonly late: number;
+  /** By acceptance: forecast end, true end, objective that was forecast, true objective. */
+  readonly jobs: readonly PlayedJob[];
+}
+
+/** An accepted job. */
+export interface PlayedJob {
+  readonly at: number;
+  readonly forecastMilliseconds: number;
+  readonly objectiveMilliseconds: number;
+  readonly trueObjectiveMilliseconds: number;
+  readonly chainMilliseconds: number;
+  readonly trueChainMilliseconds: number;
+  readonly endMilliseconds: number;
+}
+
+const journal: HomeJournal = {
+  write: () => ({ result: Promise.resolve("stored"), withdraw: () => undefined }),
+  waiting: () => 0,
+  flush: async () => Promise.resolve(),
+  close: () => undefined,
+};
+
+const targetCount = 12;
+const targetCores = 32;
+const stepMilliseconds = 10;
+const reportMilliseconds = 40;
+const quietReportMilliseconds = 500;
+const tickMilliseconds = 100;
+const lateMilliseconds = 2_000;
+const startTimeoutMilliseconds = 800;
+const tailFactor = 7;
+const usualSteps = 1.5;
+const usualWidth = 8.5;
+const usualCores = 3.25;
+const usualMilliseconds = 800;
+const queueTerms = { ...terms, slackFactor: 1.6, objectiveMilliseconds: 600, attempts: 2 };
+
+/** A run on a target. */
+interface PlayedRun {
+  readonly task: string;
+  readonly run: number;
+  readonly from: number;
+  readonly to: number;
+}
+
+interface PlayedTarget {
+  readonly home: HomeTarget;
+  readonly coming: PlayedRun[];
+  readonly runs: PlayedRun[];
+  readonly ends: RunEnd[];
+  reportedAt: number;
+  reportDueAt: number;
+  sequence: number;
+}
+
+/** Draws about a standard deviation. */
+function drawNormal(random: Random): number {
+  let sum = 0;
+  for (let draw = 0; draw < 12; draw += 1) sum += random.integer(0, 1_000_000) / 1_000_000;
+  return sum - 6;
+}
+
+/**
+ * Plays a turn.
+ * @param load - the load
+ * @returns what became of its jobs
+ */
+export async function playTurn(load: TurnLoad): Promise<TurnResult> {
+  let now = 1_000_000;
+  const clock = vi.spyOn(performance, "now").mockImplementation(() => now);
+  try {
+    return await new Play(load, (at) => (now = at)).play(now);
+  } finally {
+    clock.mockRestore();
+  }
+}
+
+class Play {
+  /** Draws jobs; orders have draws of their own, so that every policy is asked for the same jobs. */
+  readonly #random: Random;
+  readonly #orderRandom: Random;
+  readonly #runTimes = new Map<string, number>();
+  readonly #trueSteps = new WeakMap<StepDefinition, { readonly mean: number; readonly longest: number }>();
+  readonly #targets = new Map<string, PlayedTarget>();
+  readonly #state: HomeState;
+  readonly #advice;
+  readonly #played: (Omit<PlayedJob, "endMilliseconds"> & { jobId: string })[] = [];
+  #now = 0;
+  #asked = 0;
+  #isAwake = false;
+
+  constructor(
+    private readonly load: TurnLoad,
+    private readonly setClock: (now: number) => void,
+  ) {
+    this.#random = createRandom(load.seed);
+    this.#orderRandom = createRandom(load.seed + 1);
+    const orders: TargetOrders = {
+      start: async (order) => this.#start(order),
+      stop: async (order) => this.#stop(order),
+      pace: async () => Promise.reject(new Error("no fillers are played")),
+      renew: async (order) => this.#look(order),
+    };
+    const created = createHomeState({
+      pool,
+      fencingToken: 1,
+      firstRun: 1,
+      orders,
+      journal,
+      log: createLog("silent"),
+      metrics: createMetrics(),
+      isActive: () => true,
+      supersede: () => undefined,
+    });
+    this.#state = load.knowsRunTimes ? { ...created, runTimes: this.#oracle() } : created;
+    this.#state.wake = () => {
+      this.#isAwake = true;
+    };
+    this.#advice = createAdviceBook(undefined, this.#state.log, () => undefined);
+    for (let index = 0; index < targetCount; index += 1) this.#addTarget(`target-${index}`, orders);
+  }
+
+  async play(from: number): Promise<TurnResult> {
+    const { milliseconds, overload } = this.load;
+    this.#now = from;
+    if (this.load.learnedFactor !== undefined) this.#teach(this.load.learnedFactor);
+    const perSecond = (overload * targetCount * targetCores) / this.#usualCoreSeconds();
+    let nextAt = from;
+    while (this.#now < from + milliseconds || this.#state.openJobs.size > 0) {
+      while (nextAt <= this.#now && nextAt < from + milliseconds) {
+        this.#ask(from);
+        nextAt += (-1_000 / perSecond) * Math.log((this.#random.integer(0, 999_998) + 1) / 1_000_000);
+      }
+      for (const target of this.#targets.values()) this.#runTarget(target);
+      if (this.#now % tickMilliseconds === 0) stopUnwanted(this.#state);
+      if (this.#isAwake) dispatch(this.#state, this.#advice);
+      this.#isAwake = false;
+      await flush();
+      this.#now += stepMilliseconds;
+      this.setClock(this.#now);
+      if (this.#now > from + 300_000) throw new Error("the turn does not end");
+    }
+    const jobs = this.#played.map(({ jobId, ...job }) => {
+      const ended = this.#ends.get(jobId) ?? Infinity;
+      return { ...job, endMilliseconds: ended - job.at - from };
+    });
+    const inTime = jobs.filter((job) => job.endMilliseconds <= job.trueObjectiveMilliseconds).length;
+    return { asked: this.#asked, accepted: jobs.length, inTime, late: jobs.length - inTime, jobs };
+  }
+
+  readonly #ends = new Map<string, number>();
+
+  /** Work of a job on the mean, in core-seconds. */
+  #usualCoreSeconds(): number {
+    const tasks = usualSteps * (this.load.width ?? usualWidth);
+    const seconds = (usualMilliseconds / 1_000) * (1 + this.load.tailShare * (tailFactor - 1));
+    return tasks * seconds * usualCores;
+  }
+
+  #ask(from: number): void {
+    const jobId = `job-${this.#asked}`;
+    this.#asked += 1;
+    const definition = this.#drawJob(jobId);
+    const forecast = forecastJob(this.#state, queueTerms, definition, 0);
+    if (admitJob(forecast).kind === "refuse") return;
+    const record = { jobId, terms: queueTerms, definition, acceptedAt: 0, requestedAt: 0 };
+    const job = addJob(this.#state, record, undefined, 0, false);
+    bookAccepted(this.#state, queueTerms, definition);
+    job.expectedEndAt = this.#now + forecast.uncorrectedEndMilliseconds;
+    const chain = definition.steps.reduce((sum, step) => sum + (this.#trueSteps.get(step)?.longest ?? 0), 0);
+    this.#played.push({
+      jobId,
+      at: this.#now - from,
+      forecastMilliseconds: forecast.uncorrectedEndMilliseconds,
+      objectiveMilliseconds: forecast.objectiveMilliseconds,
+      trueObjectiveMilliseconds: queueTerms.slackFactor * chain + queueTerms.objectiveMilliseconds,
+      chainMilliseconds: forecast.chainMilliseconds,
+      trueChainMilliseconds: chain,
+    });
+    this.#isAwake = true;
+  }
+
+  #drawJob(jobId: string): JobDefinition {
+    const random = this.#random;
+    const stepCount = this.#pick([1, 1, 2, 2]);
+    const steps: StepDefinition[] = [];
+    const scale = Math.exp(0.5 * drawNormal(random) - 0.125);
+    const estimate = usualMilliseconds * scale * Math.exp(0.5 * drawNormal(random));
+    for (let index = 0; index < stepCount; index += 1) {
+      const taskCount =
+        this.load.width ??
+        Math.min(32, Math.max(1, Math.round(8 * Math.exp(0.6 * drawNormal(random) - 0.18))));
+      const step = createStep({
+        taskCount,
+        resources: { cpuMillicores: random.integer(1_500, 5_000), memoryMegabytes: 100, accelerators: 0 },
+        estimateMilliseconds: Math.round(estimate),
+        after: index === 0 ? [] : [index - 1],
+      });
+      const times = Array.from({ length: taskCount }, () => this.#drawTask(scale));
+      times.forEach((time, task) => this.#runTimes.set(`${jobId}.0.${index}.${task}`, time));
+      this.#trueSteps.set(step, {
+        mean: times.reduce((sum, time) => sum + time, 0) / taskCount,
+        longest: Math.max(...times),
+      });
+      steps.push(step);
+    }
+    return { spec: "", steps };
+  }
+
+  #drawTask(scale: number): number {
+    const isTail = this.#random.integer(0, 999) < 1_000 * this.load.tailShare;
+    const uneven = Math.exp(0.15 * drawNormal(this.#random));
+    return usualMilliseconds * scale * uneven * (isTail ? tailFactor : 1);
+  }
+
+  #pick<Value>(values: readonly Value[]): Value {
+    return values[this.#random.integer(0, values.length - 1)] as Value;
+  }
+
+  #oracle(): TaskRunTimes {
+    const task = (step: object): number => this.#trueSteps.get(step as StepDefinition)?.mean ?? 0;
+    const step = (each: object): number => this.#trueSteps.get(each as StepDefinition)?.longest ?? 0;
+    const rest = (each: object, elapsed: number): number => Math.max(0, task(each) - elapsed);
+    return { learn: () => undefined, learnStep: () => undefined, ofQueue: () => ({ task, step, rest }) };
+  }
+
+  #teach(factor: number): void {
+    const random = createRandom(this.load.seed + 2);
+    for (let index = 0; index < 200; index += 1) {
+      const definition = createStep({ taskCount: 1, estimateMilliseconds: usualMilliseconds });
+      const milliseconds = factor * usualMilliseconds * Math.exp(0.5 * drawNormal(random));
+      this.#state.runTimes.learn(queueTerms.queue, definition, milliseconds);
+    }
+  }
+
+  #addTarget(targetId: string, orders: TargetOrders): void {
+    const session = new TargetSession({
+      target: {
+        targetId,
+        address: "127.0.0.1:1",
+        startedAtUnix: 1,
+        pool,
+        availabilityZone: "zone",
+        state: "ready",
+        capacity: { cpuMillicores: targetCores * 1_000, memoryMegabytes: 65_536, accelerators: 0 },
+        rack: undefined,
+        labels: [],
+        remainingMilliseconds: undefined,
+      },
+      orders,
+      fencingToken: 1,
+      leaseMilliseconds: 1_000,
+      metrics: createMetrics(),
+      handlers: {
+        onReport: () => undefined,
+        onGone: () => undefined,
+        onFenced: () => undefined,
+        isActive: () => true,
+        chooseWait: () => 0,
+      },
+      inheritedLeaseUntil: 0,
+    });
+    session.isKnown = () => true;
+    session.nextLeaseEnd = () => this.#now + 1_000;
+    const home: HomeTarget = {
+      session,
+      runs: new Map(),
+      isRecorded: true,
+      isVacating: false,
+      blockedUntil: 0,
+      distrust: 0,
+      pacePercent: 100,
+      handledSequence: 0,
+      acknowledging: Promise.resolve(),
+    };
+    this.#state.targets.set(targetId, home);
+    this.#targets.set(targetId, {
+      home,
+      coming: [],
+      runs: [],
+      ends: [],
+      reportedAt: 0,
+      reportDueAt: 0,
+      sequence: 0,
+    });
+  }
+
+  async #start({ target, task, run }: StartOrder): Promise<OrderOutcome> {
+    const played = this.#targets.get(target.targetId);
+    const isLate = this.#orderRandom.integer(0, 999) < 1_000 * this.load.lateOrderShare;
+    const from = this.#now + (isLate ? lateMilliseconds : 0);
+    const to = from + (this.#runTimes.get(task) ?? 0);
+    played?.coming.push({ task, run, from, to });
+    if (!isLate) return { kind: "done", clockMilliseconds: this.#now };
+    await this.#until(this.#now + startTimeoutMilliseconds);
+    return { kind: "unknown", message: "no answer" };
+  }
+
+  /** A target refuses a start that was stopped before it was carried out. */
+  async #stop({ target, task, run }: Parameters<TargetOrders["stop"]>[0]): Promise<OrderOutcome> {
+    const played = this.#targets.get(target.targetId);
+    const others = (each: PlayedRun): boolean => each.task !== task || each.run !== run;
+    for (const runs of [played?.coming, played?.runs]) runs?.splice(0, Infinity, ...runs.filter(others));
+    return Promise.resolve({ kind: "done", clockMilliseconds: this.#now });
+  }
+
+  async #look({ target }: RenewOrder): ReturnType<TargetOrders["renew"]> {
+    const played = this.#targets.get(target.targetId);
+    const present = played === undefined ? [] : this.#show(played);
+    return Promise.resolve(
+      Right({ startedAtUnix: 1, clockMilliseconds: this.#now, present, ends: played?.ends ?? [] }),
+    );
+  }
+
+  #show({ runs }: PlayedTarget): PresentRun[] {
+    return runs.map(({ task, run, from, to }) => ({
+      task,
+      run,
+      checkpoint: "",
+      percent: Math.floor((100 * (this.#now - from)) / (to - from)),
+      usage: 0,
+    }));
+  }
+
+  readonly #waits: { readonly at: number; readonly resolve: () => void }[] = [];
+
+  async #until(at: number): Promise<void> {
+    await new Promise<void>((resolve) => this.#waits.push({ at, resolve }));
+  }
+
+  #runTarget(target: PlayedTarget): void {
+    for (const wait of this.#waits.splice(0)) {
+      if (wait.at <= this.#now) wait.resolve();
+      else this.#waits.push(wait);
+    }
+    move(target.coming, target.runs, ({ from }) => from <= this.#now);
+    const ended: PlayedRun[] = [];
+    move(target.runs, ended, ({ to }) => to <= this.#now);
+    for (const { task, run } of ended) {
+      target.sequence += 1;
+      target.ends.push({ sequence: target.sequence, task, run, kind: "succeeded", checkpoint: "" });
+    }
+    if (ended.length > 0 && target.reportDueAt === 0)
+      target.reportDueAt = Math.max(this.#now, target.reportedAt + reportMilliseconds);
+    const isDue = target.reportDueAt > 0 && target.reportDueAt <= this.#now;
+    if (!isDue && this.#now - target.reportedAt < quietReportMilliseconds) return;
+    this.#report(target);
+  }
+
+  #report(target: PlayedTarget): void {
+    target.reportedAt = this.#now;
+    target.reportDueAt = 0;
+    const ends = target.ends.splice(0);
+    const present = this.#show(target);
+    const report = { startedAtUnix: 1, clockMilliseconds: this.#now, present, ends };
+    takeReport(this.#state, target.home, report, ends, this.#now);
+    for (const { task } of ends) {
+      const jobId = task.split(".")[0] ?? "";
+      const job = this.#state.jobs.get(jobId);
+      if (job?.finishedOccurrences.size === 1) this.#ends.set(jobId, this.#now);
+    }
+    this.#isAwake = true;
+  }
+}
+
+function move<Value>(from: Value[], to: Value[], isDue: (value: Value) => boolean): void {
+  const all = from.splice(0);
+  for (const value of all) (isDue(value) ? to : from).push(value);
+}
+
+async function flush(): Promise<void> {
+  for (let round = 0; round < 8; round += 1) await Promise.resolve();
+}
--- /dev/null
+++ b/src/job-homes/test/turn.test.ts
@@ -0,0 +1,76 @@
+/**
+ * The first seconds of a pool that is asked for five times its room, against a home that knows run times beforehand.
+ * @packageDocumentation
+ */
+import { describe, expect, test } from "vitest";
+import { playTurn, type TurnLoad, type TurnResult } from "./turn-model.js";
+
+const usual: TurnLoad = {
+  seed: 1,
+  overload: 5,
+  milliseconds: 6_000,
+  tailShare: 0.03,
+  lateOrderShare: 0,
+  knowsRunTimes: false,
+};
+const seeds = [1, 2];
+const mostLate = 0.05;
+const leastInTime = 0.9;
+const mostRefusedBeside = 0.05;
+const testMilliseconds = 120_000;
+
+/** Plays a load with some seeds; returns the sums. */
+async function playAll(load: TurnLoad): Promise<Omit<TurnResult, "jobs">> {
+  const sum = { asked: 0, accepted: 0, inTime: 0, late: 0 };
+  for (const seed of seeds) {
+    const { asked, accepted, inTime, late } = await playTurn({ ...load, seed });
+    sum.asked += asked;
+    sum.accepted += accepted;
+    sum.inTime += inTime;
+    sum.late += late;
+  }
+  return sum;
+}
+
+/** Figures by their names, so that a failure shows all of them. */
+async function compare(load: TurnLoad): Promise<{ late: number; inTime: number; refusedBeside: number }> {
+  const { asked, accepted, inTime, late } = await playAll(load);
+  const knowing = await playAll({ ...load, knowsRunTimes: true });
+  return {
+    late: late / accepted,
+    inTime: inTime / knowing.inTime,
+    refusedBeside: (knowing.accepted - accepted) / asked,
+  };
+}
+
+describe("of the jobs that are accepted hardly any is late, and nearly as many are in time as with known run times", () => {
+  test.each<[string, Partial<TurnLoad>]>([
+    ["when nothing is known", {}],
+    ["when a tenth of the orders is carried out 2 s late", { lateOrderShare: 0.1 }],
+    ["when run times were learned three times too long", { learnedFactor: 3 }],
+    ["when run times were learned three times too short", { learnedFactor: 1 / 3 }],
+  ])(
+    "%s",
+    async (_, changes) => {
+      const { late, inTime } = await compare({ ...usual, ...changes });
+      expect.soft(late, "accepted and late").toBeLessThanOrEqual(mostLate);
+      expect.soft(inTime, "in time").toBeGreaterThanOrEqual(leastInTime);
+    },
+    testMilliseconds,
+  );
+});
+
+describe("ends are forecast so well that few accepted jobs are late and no more are refused than with known run times", () => {
+  const widths = [1, 8, 32];
+  const tailShares = [0, 0.03, 0.1];
+  const loads = widths.flatMap((width) => tailShares.map((tailShare) => ({ width, tailShare })));
+  test.each(loads)(
+    "for steps of $width tasks of which a share of $tailShare runs seven times as long",
+    async (changes) => {
+      const { late, refusedBeside } = await compare({ ...usual, ...changes });
+      expect.soft(late, "accepted and late").toBeLessThanOrEqual(mostLate);
+      expect.soft(refusedBeside, "refused beside those").toBeLessThanOrEqual(mostRefusedBeside);
+    },
+    testMilliseconds,
+  );
+});
