--- a/src/job-homes/job-home.ts
+++ b/src/job-homes/job-home.ts
@@ -9,7 +9,7 @@
 import { createAdviceBook, type AdviceBook, type AdviceService } from "./advice-book.js";
 import { dispatch } from "./dispatcher.js";
 import { createFirstRequests } from "./first-requests.js";
-import { bookAccepted, forecastJob, type HomeForecast } from "./home-forecast.js";
+import { bookAccepted, describeForecast, forecastJob, type HomeForecast } from "./home-forecast.js";
 import { addJob, openDue, type HomeState } from "./home-state.js";
 import { readRecentLoad, reportPool, type PoolReport } from "./pool-report.js";
 import type { CancelOutcome, JobSubmission, StateOutcome, SubmitOutcome } from "./job-outcomes.js";
@@ -236,13 +236,10 @@
       job: jobId,
       queue: terms.queue,
       workspace,
-      endMilliseconds: Math.round(forecast.endMilliseconds),
-      objectiveMilliseconds: Math.round(forecast.objectiveMilliseconds),
+      ...describeForecast(forecast),
       backlogCoreSeconds: Math.round(backlogCoreSeconds),
       cores: Math.round(cores),
       busyCores: Math.round(busyCores),
-      chainMilliseconds: Math.round(forecast.chainMilliseconds),
-      estimatedChainMilliseconds: Math.round(forecast.estimatedChainMilliseconds),
       retryAfterMilliseconds: Math.round(retryAfterMilliseconds),
     });
   }
@@ -268,13 +265,8 @@
       queue,
       pool,
       workspace: record.workspace,
-      endMilliseconds: roundOrNone(forecast?.endMilliseconds),
-      objectiveMilliseconds: roundOrNone(forecast?.objectiveMilliseconds),
+      ...(forecast === undefined ? {} : describeForecast(forecast)),
     });
     this.#wake();
   }
 }
-
-function roundOrNone(value: number | undefined): number | undefined {
-  return value === undefined ? undefined : Math.round(value);
-}
--- a/src/job-homes/stopper.ts
+++ b/src/job-homes/stopper.ts
@@ -5,6 +5,7 @@
  */
 import { isTaskOver, type HomeState, type HomeTarget, type TargetRun } from "./home-state.js";
 import { describeAnswer } from "./run-trace.js";
+import { askSilentTarget } from "./silent-targets.js";
 import { lookForStarts } from "./start-looks.js";
 
 const stopTimeoutMilliseconds = 700;
@@ -18,7 +19,10 @@
   if (!state.isActive()) return;
   const now = performance.now();
   for (const target of state.targets.values()) {
-    lookForStarts(state, target);
+    lookForStarts(state, target, () => {
+      stopUnwanted(state);
+    });
+    askSilentTarget(state, target, now);
     for (const each of target.runs.values()) {
       if (!needsStop(each)) continue;
       const { stopAskedAt, stopConfirmedAt } = each.run;
@@ -55,7 +59,9 @@
   const isSameLife = state.targets.get(run.targetId) === target;
   if (outcome.kind === "done" && isSameLife) {
     run.stopConfirmedAt = performance.now();
+    // Only a report that was asked for after the stop shows that nothing of the run is left.
     target.session.hurry();
+    target.session.askAgain();
   }
   if (result === "fenced") state.supersede("a target has seen a higher fencing token");
 }
--- a/src/workspaces/quota-record.ts
+++ b/src/workspaces/quota-record.ts
@@ -2,7 +2,7 @@
  * What the store holds of a workspace's cap: the share of each pool, and what pools ask for.
  * @packageDocumentation
  */
-import { z } from "zod";
+import * as z from "zod";
 import type { Resources } from "../jobs/index.js";
 import { parseWith } from "../shared/index.js";
 
