--- a/src/workspaces/home-workspaces.ts
+++ b/src/workspaces/home-workspaces.ts
@@ -34,6 +34,14 @@
   room(workspace: string): Resources | undefined;
 }
 
+/** What a workspace is given of a pool, in cores. */
+export interface ShareRates {
+  /** Work accepted a second, over about the last one. */
+  readonly givenCores: number;
+  /** Its part of the pool; infinite while the pool has enough for all. */
+  readonly allowedCores: number;
+}
+
 /** How a full pool is shared between the workspaces that have work for it. */
 export interface FairShares {
   /** Takes work that a workspace asks for, accepted or not, in core-seconds. */
@@ -44,6 +52,8 @@
   isOverShare(workspace: string, now: number): boolean;
   /** How long it takes until a workspace that is over its share is within it again, in milliseconds. */
   waitMilliseconds(workspace: string, now: number): number;
+  /** What a workspace is given, and what it may have. */
+  rates(workspace: string, now: number): ShareRates;
 }
 
 /** What a home works with where workspaces are configured. */
