Order and admission know shares: who had its share lets others go first and takes what nobody waits for

Order: workspaces within their share go first, except before an accepted job with half a second or less to spare. Exports for the forecast of a workspace's room: describeNewJob, describeOpenJob, usableShare, retry bounds. Without workspaces both are as before; decisions.test.ts: its ordered() got the new field, one test was added.

--- a/src/job-homes/dispatcher.ts
+++ b/src/job-homes/dispatcher.ts
@@ -16,6 +16,7 @@
 import type { AdviceBook } from "./advice-book.js";
 import { rankJob, type RankedJob } from "./job-rank.js";
 import { moveLastingTasks, reservePlace } from "./lasting-places.js";
+import { readOverShares } from "./over-shares.js";
 import { startRun } from "./start-orders.js";
 import { isTaskOver, type HomeState } from "./home-state.js";
 import { describePlace, isUsable, viewTarget } from "./target-views.js";
@@ -39,7 +40,8 @@
     return;
   }
   const views = [...state.targets.values()].filter((target) => isUsable(target, now)).map(viewTarget);
-  const ranked = wanting.map((job) => rankJob(state, job, now));
+  const isOverShare = readOverShares(state, now);
+  const ranked = wanting.map((job) => rankJob(state, job, now, isOverShare));
   ranked.sort((left, right) => compareJobs(left, right, now));
   const place = ({ job }: RankedJob): UnplacedTasks[] =>
     [...job.occurrences.values()].flatMap((occurrence) =>
--- a/src/job-homes/home-forecast.ts
+++ b/src/job-homes/home-forecast.ts
@@ -19,12 +19,13 @@
   type JobForecast,
 } from "../scheduling/index.js";
 import { rankJob } from "./job-rank.js";
+import { readOverShares } from "./over-shares.js";
 import { isInService, type HomeState, type PlannedRoom } from "./home-state.js";
 
 /** A job is worth something until this many times its objective. */
 const latestFactor = 3;
 /** How far ahead room is planned; after that it is taken to stay as it is. */
-const horizonMilliseconds = 60_000;
+export const horizonMilliseconds = 60_000;
 /** A plan of the room serves callers for so many times the time that it took, within these bounds. */
 const planAgeFactor = 20;
 const shortestPlanMilliseconds = 40;
@@ -97,7 +98,13 @@
   state.roomPlan = { ...plan, room: bookJob(plan.room, asked, horizonMilliseconds, age) };
 }
 
-function describeNewJob({ steps }: JobDefinition, expected: ExpectedRunTime): ForecastJob {
+/**
+ * Puts a job that comes into the form of the forecast.
+ * @param definition - the job
+ * @param expected - how long its steps are expected to run
+ * @returns the job, of which nothing has started
+ */
+export function describeNewJob({ steps }: JobDefinition, expected: ExpectedRunTime): ForecastJob {
   return {
     steps: steps.map((step) => ({
       waiting: step.taskCount,
@@ -130,11 +137,23 @@
 
 function readOpenJobs(state: HomeState, now: number): ForecastJob[] {
   const open = [...state.openJobs.values()].filter(({ isEnding }) => !isEnding);
-  const ranked = open.map((job) => rankJob(state, job, now)).filter(({ isLasting }) => !isLasting);
+  const isOverShare = readOverShares(state, now);
+  const ranked = open
+    .map((job) => rankJob(state, job, now, isOverShare))
+    .filter(({ isLasting }) => !isLasting);
   ranked.sort((left, right) => compareJobs(left, right, now));
-  return ranked.flatMap(({ job }) =>
-    [...job.occurrences.values()].map((occurrence) => readOccurrence(state, job, occurrence, now)),
-  );
+  return ranked.flatMap(({ job }) => describeOpenJob(state, job, now));
+}
+
+/**
+ * Puts an open job into the form of the forecast.
+ * @param state - the home
+ * @param job - the job
+ * @param now - the monotonic clock
+ * @returns what is left of each of its occurrences
+ */
+export function describeOpenJob(state: HomeState, job: Job, now: number): ForecastJob[] {
+  return [...job.occurrences.values()].map((occurrence) => readOccurrence(state, job, occurrence, now));
 }
 
 function readOccurrence(state: HomeState, job: Job, { steps }: Occurrence, now: number): ForecastJob {
--- a/src/job-homes/job-rank.ts
+++ b/src/job-homes/job-rank.ts
@@ -10,6 +10,7 @@
   type OrderedJob,
 } from "../scheduling/index.js";
 import type { HomeState } from "./home-state.js";
+import { noOverShares, type OverShares } from "./over-shares.js";
 
 /** A job with what its order depends on. */
 export interface RankedJob extends OrderedJob {
@@ -21,10 +22,16 @@
  * @param state - the home, whose learned run times count
  * @param job - the job
  * @param now - the monotonic clock
+ * @param isOverShare - tells of which workspaces jobs go after others
  * @returns the job with its rank
  */
-export function rankJob(state: Pick<HomeState, "runTimes">, job: Job, now: number): RankedJob {
-  const { definition, terms } = job.record;
+export function rankJob(
+  state: Pick<HomeState, "runTimes">,
+  job: Job,
+  now: number,
+  isOverShare: OverShares = noOverShares,
+): RankedJob {
+  const { definition, terms, workspace } = job.record;
   const { step: expected } = state.runTimes.ofQueue(terms.queue);
   const chain = longestChainMilliseconds(definition, expected);
   return {
@@ -32,6 +39,7 @@
     priority: terms.priority,
     isLasting: isLastingJob(definition),
     hasStarted: job.hasStarted,
+    isOverShare: isOverShare(workspace),
     dueAt: job.requestedAt + terms.slackFactor * chain + terms.objectiveMilliseconds,
     remainingMilliseconds: Math.min(chain, remainingMilliseconds(job, expected, now)),
     acceptedAt: job.acceptedAt,
--- a/src/scheduling/admission.ts
+++ b/src/scheduling/admission.ts
@@ -20,8 +20,10 @@
 export type JobAdmission =
   { readonly kind: "accept" } | { readonly kind: "refuse"; readonly retryAfterMilliseconds: number };
 
-const shortestRetryMilliseconds = 1_000;
-const longestRetryMilliseconds = 15_000;
+/** Callers come again no earlier than this after a refusal. */
+export const shortestRetryMilliseconds = 1_000;
+/** Callers come again no later than this after a refusal. */
+export const longestRetryMilliseconds = 15_000;
 
 /**
  * Decides on a job.
--- a/src/scheduling/forecast.ts
+++ b/src/scheduling/forecast.ts
@@ -68,7 +68,7 @@
 }
 
 /** Targets are never full to the last core: tasks do not divide their room evenly. */
-const usableShare = 0.9;
+export const usableShare = 0.9;
 /** Times are told apart no finer than this, which bounds the work of a plan. */
 const tickMilliseconds = 20;
 
--- a/src/scheduling/index.ts
+++ b/src/scheduling/index.ts
@@ -3,11 +3,18 @@
  * @packageDocumentation
  */
 export { admitJob, type JobAdmission, type JobForecast } from "./admission.js";
+export {
+  admitInShare,
+  type ShareAdmission,
+  type ShareRefusal,
+  type WorkspaceStanding,
+} from "./share-admission.js";
 export { createDemandForecast, createWorkRate, type WorkRate } from "./demand.js";
 export {
   bookJob,
   forecastEnd,
   planRoom,
+  usableShare,
   type ForecastJob,
   type ForecastStep,
   type RoomArrival,
--- a/src/scheduling/order.ts
+++ b/src/scheduling/order.ts
@@ -1,6 +1,6 @@
 /**
  * The order in which jobs get room. Answers a pool whose backlog is longer than its jobs' objectives: what can still be
- * in time goes before what cannot, what has begun is finished, and urgent queues go first.
+ * in time goes before what cannot, what has begun is finished, urgent queues go first, and workspaces that had their share let others go before them.
  * @packageDocumentation
  */
 
@@ -10,6 +10,8 @@
   readonly priority: number;
   readonly isLasting: boolean;
   readonly hasStarted: boolean;
+  /** Whether its workspace has lately had its share of the pool; false where nobody tells workspaces apart. */
+  readonly isOverShare: boolean;
   /** When the job is due, by the monotonic clock. */
   readonly dueAt: number;
   /** The time that its remaining steps take on idle targets. */
@@ -17,6 +19,9 @@
   readonly acceptedAt: number;
 }
 
+/** Jobs of a workspace that had its share let others go first until they have only so much time to spare. */
+const patienceMilliseconds = 500;
+
 /**
  * Compares two jobs.
  * @param left - a job
@@ -30,9 +35,16 @@
   if (leftLate !== isLate(right, now)) return leftLate ? 1 : -1;
   if (left.priority !== right.priority) return left.priority - right.priority;
   if (left.hasStarted !== right.hasStarted) return left.hasStarted ? -1 : 1;
+  const leftYields = yields(left, now);
+  if (leftYields !== yields(right, now)) return leftYields ? 1 : -1;
   return left.acceptedAt - right.acceptedAt;
 }
 
 function isLate({ dueAt, remainingMilliseconds, isLasting }: OrderedJob, now: number): boolean {
   return !isLasting && now + remainingMilliseconds > dueAt;
 }
+
+/** Whether a job can let others go first and still be in time. */
+function yields({ isOverShare, dueAt, remainingMilliseconds }: OrderedJob, now: number): boolean {
+  return isOverShare && now + remainingMilliseconds + patienceMilliseconds < dueAt;
+}
--- a/src/scheduling/test/decisions.test.ts
+++ b/src/scheduling/test/decisions.test.ts
@@ -151,6 +151,7 @@
   priority: 0,
   isLasting: false,
   hasStarted: false,
+  isOverShare: false,
   dueAt: 10_000,
   remainingMilliseconds: 1_000,
   acceptedAt: 0,
@@ -169,6 +170,14 @@
   expect(names.map(([name]) => name)).toEqual(["lasting", "begun", "urgent", "patient", "late"]);
 });
 
+test("workspaces that had their share let others go first while their jobs can wait", () => {
+  const order = (had: OrderedJob): string =>
+    compareJobs(ordered({ acceptedAt: 5 }), had, 0) < 0 ? "after" : "before";
+  expect(order(ordered({ isOverShare: true }))).toBe("after");
+  expect(order(ordered({ isOverShare: true, dueAt: 1_400 }))).toBe("before");
+  expect(order(ordered({ isOverShare: true, hasStarted: true }))).toBe("before");
+});
+
 const step: StepDefinition = {
   taskCount: 1,
   resources: { cpuMillicores: 4_000, memoryMegabytes: 1_000, accelerators: 0 },
