Homes admit by share and cap, and leave what lies beyond a cap out of their demand

Work that only its cap keeps out is neither demand nor asked for. pool-report.ts subtracts what capped-work.ts counts. Logs and the metric of refusals only for jobs of workspaces.

--- /dev/null
+++ b/src/job-homes/capped-work.ts
@@ -0,0 +1,69 @@
+/**
+ * Waiting work that its workspace's cap keeps from starting: no machine would end it sooner.
+ * @packageDocumentation
+ */
+import type { HomeState } from "./home-state.js";
+import { readWorkspaceRoom } from "./workspace-room.js";
+
+/** Work that waits for room. */
+export interface WaitingWork {
+  readonly coreSeconds: number;
+  /** Cores that would soon end it. */
+  readonly cores: number;
+}
+
+const millicoresPerCore = 1_000;
+const nothing: WaitingWork = { coreSeconds: 0, cores: 0 };
+
+/**
+ * Counts waiting work beyond caps.
+ * @param state - the home
+ * @param waiting - what waits of each workspace
+ * @returns the part of it that may not start, however much room the pool has
+ */
+export function countBeyondCaps(
+  state: Pick<HomeState, "workspaces" | "targets">,
+  waiting: ReadonlyMap<string, WaitingWork>,
+): WaitingWork {
+  if (waiting.size === 0) return nothing;
+  const running = countRunningCores(state);
+  let [coreSeconds, cores] = [0, 0];
+  for (const [workspace, work] of waiting) {
+    const room = readWorkspaceRoom(state, workspace);
+    if (room === undefined || work.cores === 0) continue;
+    const left = Math.max(0, room.cpuMillicores / millicoresPerCore - (running.get(workspace) ?? 0));
+    const beyond = Math.max(0, work.cores - left);
+    cores += beyond;
+    coreSeconds += (work.coreSeconds * beyond) / work.cores;
+  }
+  return { coreSeconds, cores };
+}
+
+/**
+ * Adds waiting work to that of its workspace.
+ * @param waiting - what waits of each workspace
+ * @param workspace - the workspace; work of none is left out
+ * @param work - what is added
+ */
+export function addWaiting(
+  waiting: Map<string, WaitingWork>,
+  workspace: string | undefined,
+  work: WaitingWork,
+): void {
+  if (workspace === undefined) return;
+  const { coreSeconds, cores } = waiting.get(workspace) ?? nothing;
+  waiting.set(workspace, { coreSeconds: coreSeconds + work.coreSeconds, cores: cores + work.cores });
+}
+
+function countRunningCores({ targets }: Pick<HomeState, "targets">): ReadonlyMap<string, number> {
+  const running = new Map<string, number>();
+  for (const { runs } of targets.values()) {
+    for (const { task } of runs.values()) {
+      const { workspace } = task.job.record;
+      if (workspace === undefined || task.definition.isFiller) continue;
+      const cores = task.definition.resources.cpuMillicores / millicoresPerCore;
+      running.set(workspace, (running.get(workspace) ?? 0) + cores);
+    }
+  }
+  return running;
+}
--- a/src/job-homes/job-home.ts
+++ b/src/job-homes/job-home.ts
@@ -10,15 +10,15 @@
   type Job,
   type JobRecord,
 } from "../jobs/index.js";
-import { admitJob, isLastingJob, jobCoreSeconds, type RoomArrival } from "../scheduling/index.js";
+import type { RoomArrival } from "../scheduling/index.js";
 import { delay } from "../shared/index.js";
 import type { TransactionalStore } from "../store/index.js";
 import { createAdviceBook, type AdviceBook, type AdviceService } from "./advice-book.js";
 import { dispatch } from "./dispatcher.js";
-import { createFirstRequests } from "./first-requests.js";
-import { bookAccepted, forecastJob, type HomeForecast } from "./home-forecast.js";
+import { bookAccepted } from "./home-forecast.js";
 import { addJob, forgetJob, openDue, type HomeState, type HomeTarget } from "./home-state.js";
-import { readRecentLoad, reportPool, type PoolReport } from "./pool-report.js";
+import { reportPool, type PoolReport } from "./pool-report.js";
+import { JobAdmission, type AcceptedJob } from "./job-admission.js";
 import type { CancelOutcome, JobSubmission, StateOutcome, SubmitOutcome } from "./job-outcomes.js";
 import { endJob, hasEnded, storeProgress } from "./job-progress.js";
 import { RoundPace } from "./round-pause.js";
@@ -49,7 +49,7 @@
   readonly #options: JobHomeOptions;
   readonly #stop = new AbortController();
   readonly #advice: AdviceBook;
-  readonly #firstRequests = createFirstRequests();
+  readonly #admission: JobAdmission;
   readonly #accepting = new Map<string, Promise<SubmitOutcome>>();
   #round: NodeJS.Timeout | undefined;
   readonly #pace = new RoundPace();
@@ -66,6 +66,7 @@
     this.pool = state.pool;
     this.#state = state;
     this.#options = options;
+    this.#admission = new JobAdmission(state);
     this.#advice = createAdviceBook(options.advice, state.log, () => {
       this.#wake();
     });
@@ -210,16 +211,9 @@
 
   async #accept(submission: JobSubmission): Promise<SubmitOutcome> {
     const { jobId, terms, definition, deadlineMilliseconds } = submission;
-    const now = performance.now();
-    const age = now - this.#firstRequests.note(jobId, now);
-    if (age === 0) this.#noteDemand(submission, now);
-    const forecast = forecastJob(this.#state, terms, definition, age);
-    const admission = admitJob(forecast);
-    if (admission.kind === "refuse" && !isLastingJob(definition)) {
-      const { retryAfterMilliseconds } = admission;
-      this.#logRefusal(submission, forecast, retryAfterMilliseconds);
-      return { kind: "refused", reason: "the pool's backlog is too long", retryAfterMilliseconds };
-    }
+    const decision = this.#admission.decide(submission, performance.now());
+    if (decision.kind === "refused") return decision;
+    const { ageMilliseconds: age } = decision;
     const acceptedAt = Date.now();
     const record: JobRecord = { jobId, terms, definition, acceptedAt, requestedAt: acceptedAt - age };
     const write = this.#state.journal.write(`${jobPrefix}${jobId}`, record, { mustBeAbsent: true });
@@ -234,32 +228,10 @@
       const retryAfterMilliseconds = retryAfterStoreMilliseconds;
       return { kind: "refused", reason: "the store does not answer", retryAfterMilliseconds };
     }
-    this.#add(record, forecast);
+    this.#add(record, decision);
     return { kind: "accepted" };
   }
 
-  /** Takes the work of a job that is asked for the first time. */
-  #noteDemand({ terms, definition }: JobSubmission, now: number): void {
-    const { demand, runTimes } = this.#state;
-    demand.note(jobCoreSeconds(definition, runTimes.ofQueue(terms.queue).task), now);
-  }
-
-  #logRefusal({ jobId, terms }: JobSubmission, forecast: HomeForecast, retryAfterMilliseconds: number): void {
-    const { backlogCoreSeconds, cores, busyCores } = readRecentLoad(this.#state);
-    this.#state.log.write("info", "job-refused", {
-      job: jobId,
-      queue: terms.queue,
-      endMilliseconds: Math.round(forecast.endMilliseconds),
-      objectiveMilliseconds: Math.round(forecast.objectiveMilliseconds),
-      backlogCoreSeconds: Math.round(backlogCoreSeconds),
-      cores: Math.round(cores),
-      busyCores: Math.round(busyCores),
-      chainMilliseconds: Math.round(forecast.chainMilliseconds),
-      estimatedChainMilliseconds: Math.round(forecast.estimatedChainMilliseconds),
-      retryAfterMilliseconds: Math.round(retryAfterMilliseconds),
-    });
-  }
-
   /** A job that the store holds already: accepted for another pool, or by a write of this home without an answer. */
   async #findStored(jobId: string): Promise<SubmitOutcome> {
     const found = await this.#options.store.get(`${jobPrefix}${jobId}`);
@@ -269,7 +241,8 @@
     return { kind: "accepted" };
   }
 
-  #add(record: JobRecord, forecast: HomeForecast | undefined): void {
+  #add(record: JobRecord, accepted: AcceptedJob | undefined): void {
+    const forecast = accepted?.forecast;
     const job = addJob(this.#state, record, undefined, Date.now(), false);
     bookAccepted(this.#state, record.terms, record.definition);
     if (forecast !== undefined && Number.isFinite(forecast.uncorrectedEndMilliseconds))
@@ -281,6 +254,7 @@
       pool,
       endMilliseconds: roundOrNone(forecast?.endMilliseconds),
       objectiveMilliseconds: roundOrNone(forecast?.objectiveMilliseconds),
+      workspace: accepted?.workspaceOverShare,
     });
     this.#wake();
   }
--- a/src/job-homes/pool-report.ts
+++ b/src/job-homes/pool-report.ts
@@ -4,6 +4,7 @@
  */
 import { isStepReady, type Occurrence } from "../jobs/index.js";
 import { stepCoreSeconds, type ExpectedRunTime } from "../scheduling/index.js";
+import { addWaiting, countBeyondCaps, type WaitingWork } from "./capped-work.js";
 import { isInService, type HomeState } from "./home-state.js";
 import { countTargetsWanted } from "./lasting-places.js";
 import type { PoolLoad } from "./pool-load.js";
@@ -22,7 +23,7 @@
 export interface PoolReport {
   readonly pool: string;
   readonly targets: readonly TargetLoad[];
-  /** Accepted work that has not ended, in core-seconds. */
+  /** Accepted work that has not ended, in core-seconds, less what waits beyond caps of workspaces. */
   readonly backlogCoreSeconds: number;
   /** Cores that serve such work, those of lasting tasks not counted. */
   readonly cores: number;
@@ -40,6 +41,8 @@
 /** Work that waits for room asks for the cores that end it in this time. */
 const catchUpSeconds = 1.5;
 
+const nothingWaits: WaitingWork = { coreSeconds: 0, cores: 0 };
+
 /** Refusals tell a load that is no older than this. */
 const loadAgeMilliseconds = 100;
 
@@ -64,16 +67,21 @@
  */
 function readLoad(state: HomeState): PoolLoad {
   const load = { backlogCoreSeconds: 0, waitingCores: 0 };
+  const byWorkspace = new Map<string, WaitingWork>();
   for (const job of state.openJobs.values()) {
     const { task: expected } = state.runTimes.ofQueue(job.record.terms.queue);
     for (const occurrence of job.occurrences.values()) {
       for (const step of occurrence.steps.keys()) {
-        const { backlogCoreSeconds, waitingCores } = readStep(occurrence, step, expected);
+        const { backlogCoreSeconds, waiting } = readStep(occurrence, step, expected);
         load.backlogCoreSeconds += backlogCoreSeconds;
-        load.waitingCores += waitingCores;
+        load.waitingCores += waiting.cores;
+        addWaiting(byWorkspace, job.record.workspace, waiting);
       }
     }
   }
+  const beyondCaps = countBeyondCaps(state, byWorkspace);
+  load.backlogCoreSeconds -= beyondCaps.coreSeconds;
+  load.waitingCores -= beyondCaps.cores;
   return { ...load, ...readCores(state) };
 }
 
@@ -82,18 +90,19 @@
   occurrence: Occurrence,
   step: number,
   expected: ExpectedRunTime,
-): { backlogCoreSeconds: number; waitingCores: number } {
+): { backlogCoreSeconds: number; waiting: WaitingWork } {
   const tasks = occurrence.steps[step] ?? [];
   const definition = tasks[0]?.definition;
-  if (definition === undefined) return { backlogCoreSeconds: 0, waitingCores: 0 };
+  if (definition === undefined) return { backlogCoreSeconds: 0, waiting: nothingWaits };
   const open = tasks.filter(({ succeeded }) => !succeeded);
   const backlogCoreSeconds = stepCoreSeconds(definition, open.length, expected);
-  if (!isStepReady(occurrence, step)) return { backlogCoreSeconds, waitingCores: 0 };
+  if (!isStepReady(occurrence, step)) return { backlogCoreSeconds, waiting: nothingWaits };
   const waiting = open.filter(({ runs }) => runs.length === 0).length;
   const coreSeconds = stepCoreSeconds(definition, waiting, expected);
   // More cores than tasks could use would not end them sooner.
   const atMost = (waiting * definition.resources.cpuMillicores) / millicoresPerCore;
-  return { backlogCoreSeconds, waitingCores: Math.min(atMost, coreSeconds / catchUpSeconds) };
+  const cores = Math.min(atMost, coreSeconds / catchUpSeconds);
+  return { backlogCoreSeconds, waiting: { coreSeconds, cores } };
 }
 
 function readCores(state: HomeState): { cores: number; busyCores: number } {
--- /dev/null
+++ b/src/job-homes/test/job-admission.test.ts
@@ -0,0 +1,156 @@
+/**
+ * How a home decides on jobs of workspaces: by its share, by its cap, and what it reports of either.
+ * @packageDocumentation
+ */
+import { expect, test } from "vitest";
+import type { Resources, StepDefinition } from "../../jobs/index.js";
+import { createLog, createMetrics } from "../../telemetry/index.js";
+import { createWorkspaceTable, type HomeWorkspaces } from "../../workspaces/index.js";
+import { addJob, createHomeState, type HomeState } from "../home-state.js";
+import { JobAdmission, type JobDecision } from "../job-admission.js";
+import { readOverShares } from "../over-shares.js";
+import { reportPool } from "../pool-report.js";
+import { createStep, pool, submission, terms } from "./home-fixture.js";
+
+const workspace = "north";
+const noCap: Resources = { cpuMillicores: 0, memoryMegabytes: 0, accelerators: 0 };
+const fourCores = { cpuMillicores: 4_000, memoryMegabytes: 0, accelerators: 0 };
+const promptTerms = { ...terms, slackFactor: 1, objectiveMilliseconds: 1_000 };
+const step = createStep({ taskCount: 4, estimateMilliseconds: 2_000 });
+
+interface Played {
+  readonly state: HomeState;
+  readonly lines: string[];
+  readonly noted: string[];
+  readonly decide: (jobId: string, changes?: Partial<StepDefinition>, of?: string) => JobDecision["kind"];
+}
+
+/** A home with room for a hundred cores that come at once. */
+function createPlayed(cap: Resources, overShare: readonly string[] = [], isShared = true): Played {
+  const unused = async (): Promise<never> => Promise.reject(new Error("no orders are given here"));
+  const [lines, noted]: [string[], string[]] = [[], []];
+  const definition = { name: workspace, weight: 1, cap, keys: [] };
+  const hasCap = cap.cpuMillicores > 0;
+  const workspaces: HomeWorkspaces = {
+    table: () => createWorkspaceTable([definition]).toMaybe().extractNullable() ?? undefined,
+    quotas: {
+      beginRound: () => undefined,
+      countAllowed: (_, __, wanted) => wanted,
+      take: () => undefined,
+      room: (name) => (hasCap && name === workspace ? cap : undefined),
+    },
+    shares: {
+      noteAsked: (name) => noted.push(`asked ${name}`),
+      noteAccepted: (name) => noted.push(`accepted ${name}`),
+      isOverShare: (name) => {
+        noted.push(`looked at ${name}`);
+        return overShare.includes(name);
+      },
+      waitMilliseconds: () => 1_000,
+      rates: () => ({ givenCores: 70, allowedCores: 50 }),
+    },
+  };
+  const state = createHomeState({
+    pool,
+    fencingToken: 1,
+    firstRun: 1,
+    orders: { start: unused, stop: unused, pace: unused, renew: unused },
+    journal: {
+      write: () => ({ result: Promise.resolve("stored"), withdraw: () => undefined }),
+      waiting: () => 0,
+      flush: async () => Promise.resolve(),
+      close: () => undefined,
+    },
+    log: createLog("info", (line) => lines.push(line)),
+    metrics: createMetrics(),
+    isActive: () => true,
+    supersede: () => undefined,
+    workspaces: isShared ? workspaces : undefined,
+  });
+  const resources = { cpuMillicores: 100_000, memoryMegabytes: 100_000, accelerators: 0 };
+  state.expectedRoom = [{ resources, at: 0 }];
+  const admission = new JobAdmission(state);
+  const decide: Played["decide"] = (jobId, changes = {}, of = workspace) => {
+    const asked = { ...submission(jobId, { ...step, ...changes }), terms: promptTerms, workspace: of };
+    return admission.decide(asked, performance.now()).kind;
+  };
+  return { state, lines, noted, decide };
+}
+
+function addOwnJob(state: HomeState, jobId: string, of: string): void {
+  const now = Date.now();
+  const definition = { spec: "", steps: [step] };
+  const record = { jobId, terms: promptTerms, definition, acceptedAt: now, requestedAt: now, workspace: of };
+  addJob(state, record, undefined, now, false);
+}
+
+test("a job that its cap keeps beyond its objective is refused at once, one that fits is taken", () => {
+  const { state, lines, noted, decide } = createPlayed(fourCores);
+  expect([decide("first"), decide("second"), decide("other", {}, "south")]).toEqual([
+    "accept",
+    "refused",
+    "accept",
+  ]);
+  const refused = lines.find((line) => line.includes("job-refused")) ?? "";
+  expect(refused).toMatch(/ workspace=north reason=limit givenCores=70 allowedCores=50 /);
+  expect(state.metrics.value("jobs_refused_total", { pool, reason: "limit" })).toBe(1);
+  // What may not run is no demand.
+  expect(noted.filter((each) => each.startsWith("asked"))).toEqual(["asked north", "asked south"]);
+});
+
+test("work that its owner has here already counts against its cap", () => {
+  const { state, decide } = createPlayed(fourCores);
+  addOwnJob(state, "waiting", workspace);
+  expect([decide("wide"), decide("tiny", { taskCount: 0 })]).toEqual(["refused", "accept"]);
+});
+
+test("a cap of 0 sets no limit", () => {
+  const { decide } = createPlayed({ ...fourCores, memoryMegabytes: 0, accelerators: 0 });
+  expect(decide("fits", { resources: { ...step.resources, memoryMegabytes: 5_000 } })).toBe("accept");
+});
+
+test("a workspace over its share is refused where it would wait, and its caller's return asks for nothing new", () => {
+  const { state, noted, decide } = createPlayed(noCap, [workspace]);
+  const wide = { taskCount: 90, estimateMilliseconds: 800 };
+  expect(decide("now", wide)).toBe("accept");
+  for (const [index, name] of ["filler", "filler"].entries()) addOwnJob(state, `${name}-${index}`, "south");
+  state.expectedRoom = [];
+  state.roomPlan = undefined;
+  expect([decide("waits"), decide("waits")]).toEqual(["refused", "refused"]);
+  expect(noted.filter((each) => each.startsWith("asked"))).toHaveLength(2);
+  expect(noted.filter((each) => each.startsWith("accepted"))).toHaveLength(1);
+});
+
+test("lasting jobs and pools that know no workspaces are taken as before, without a word of workspaces", () => {
+  const lasting = createPlayed(fourCores, [workspace]);
+  expect(lasting.decide("lasting", { isLasting: true, taskCount: 9 })).toBe("accept");
+  const unshared = createPlayed(fourCores, [workspace], false);
+  unshared.state.expectedRoom = [];
+  expect(unshared.decide("refused")).toBe("refused");
+  expect(unshared.lines.join()).toContain("job-refused");
+  expect(unshared.lines.join()).not.toMatch(/workspace|reason|givenCores/);
+  expect(unshared.state.metrics.expose()).not.toContain("jobs_refused_total");
+  expect([...lasting.noted, ...unshared.noted]).toEqual([]);
+});
+
+test("waiting work beyond its cap is no reason to fetch machines", () => {
+  const measure = (cap: Resources, jobs: number): [number, number] => {
+    const { state } = createPlayed(cap);
+    for (let index = 0; index < jobs; index += 1) addOwnJob(state, String(index), workspace);
+    addOwnJob(state, "other", "south");
+    const { demandCores, backlogCoreSeconds } = reportPool(state);
+    return [demandCores, backlogCoreSeconds];
+  };
+  // Two jobs of four cores and eight core-seconds each wait, of which one may run.
+  expect(measure(noCap, 2)).toEqual([12, 24]);
+  expect(measure(fourCores, 2)).toEqual([8, 16]);
+  expect(measure(fourCores, 9)).toEqual(measure(fourCores, 1));
+});
+
+test("whether a workspace is over its share is looked up once for a round, not for every job", () => {
+  const { state, noted } = createPlayed(noCap, [workspace]);
+  const isOverShare = readOverShares(state, 0);
+  const answers = [workspace, workspace, "south", undefined].map(isOverShare);
+  expect(answers).toEqual([true, true, false, false]);
+  expect(noted).toEqual(["looked at north", "looked at south"]);
+});
