--- a/src/job-homes/home-keeper.ts
+++ b/src/job-homes/home-keeper.ts
@@ -4,66 +4,32 @@
  */
 import { randomUUID } from "node:crypto";
 import { Pause } from "../shared/index.js";
-import type { TransactionalStore } from "../store/index.js";
-import type { RegisteredTarget, TargetOrders } from "../task-runs/index.js";
-import type { Log, Metrics } from "../telemetry/index.js";
-import type { AdviceService } from "./advice-book.js";
-import type { EntrySession } from "./entry-session.js";
 import { areHeldElsewhere, isCurrent, type HomeDirectory } from "./home-directory.js";
-import { StoredHomeJournal } from "./home-journal.js";
 import { orderForHome } from "./home-placement.js";
 import { homePrefix } from "./home-record.js";
-import { createHomeState, loadJobs, type HomeState } from "./home-state.js";
-import { HomeTargets } from "./home-targets.js";
-import {
-  inheritedLeaseMilliseconds,
-  loadPoolJobs,
-  takePool,
-  type StoredJobs,
-  type TakenPool,
-} from "./home-takeover.js";
+import { loadPoolJobs, takePool } from "./home-takeover.js";
 import { WorkspacesOfHomes, type WorkspacesOptions } from "./home-workspaces.js";
-import { JobHome } from "./job-home.js";
+import { startHome, type HeldHome, type HeldHomeOptions } from "./held-home.js";
+import type { JobHome } from "./job-home.js";
 import { JoinWait } from "./join-wait.js";
 
 /** Settings of a keeper. */
-export interface HomeKeeperOptions extends Pick<WorkspacesOptions, "workspaces"> {
+export interface HomeKeeperOptions extends HeldHomeOptions, Pick<WorkspacesOptions, "workspaces"> {
   readonly entryId: string;
-  readonly store: TransactionalStore;
-  readonly session: EntrySession;
   readonly directory: HomeDirectory;
   /** Pools that need a home. */
   readonly pools: () => readonly string[];
-  /** Targets of a pool as the registry lists them; undefined while the registry was not read. */
-  readonly listedTargets: (pool: string) => ReadonlyMap<string, RegisteredTarget> | undefined;
   /** Called when this entry has taken a pool. */
   readonly onTaken?: () => void;
-  readonly orders: TargetOrders;
-  readonly advice: AdviceService | undefined;
-  readonly log: Log;
-  readonly metrics: Metrics;
-  /** How long a lease on runs lasts. */
-  readonly runLeaseMilliseconds: number;
-  readonly retentionMilliseconds: number;
   /** An entry that has just joined waits so long, until others that start with it have joined. */
   readonly settleMilliseconds: number;
 }
 
-interface HeldHome {
-  readonly home: JobHome;
-  readonly state: HomeState;
-  readonly targets: HomeTargets;
-  readonly leaseId: string;
-  close(): void;
-}
-
 const competeMilliseconds = 100;
 /** While every pool has a home by what is heard. */
 const settledMilliseconds = 1_000;
 /** Entries behind the first in a pool's order wait so much longer each, so that the first gets it. */
 const turnMilliseconds = 250;
-/** Run numbers that each home of a pool has for itself. */
-const runsPerHome = 64;
 /** For so long an entry leaves a pool to others whose jobs it could not read. */
 const standBackMilliseconds = 3_000;
 
@@ -252,70 +218,3 @@
     this.#options.log.write("info", "home-orphan-cleared", { pool, revision, result: result.kind });
   }
 }
-
-function startHome(
-  options: HomeKeeperOptions,
-  forHomes: WorkspacesOfHomes,
-  pool: string,
-  { record, revision, leaseId, inheritance }: TakenPool,
-  jobs: StoredJobs,
-  onSuperseded: (reason: string) => void,
-): HeldHome {
-  const { store, session, orders, log, metrics, runLeaseMilliseconds } = options;
-  const homeKey = `${homePrefix}${pool}`;
-  let isClosed = false;
-  const supersede = (reason: string): void => {
-    if (!isClosed) onSuperseded(reason);
-  };
-  const journal = new StoredHomeJournal({
-    store,
-    homeKey,
-    record,
-    revision,
-    leaseId,
-    log,
-    metrics,
-    onSuperseded: supersede,
-  });
-  const isActive = (): boolean => !isClosed && session.leaseId() === leaseId;
-  const wake = (): void => {
-    state.wake();
-  };
-  const workspaces = forHomes.create({ pool, journal, isActive, wake });
-  const state = createHomeState({
-    pool,
-    fencingToken: revision,
-    firstRun: (inheritance.homes - 1) * runsPerHome + 1,
-    orders,
-    journal,
-    log,
-    metrics,
-    isActive,
-    supersede,
-    workspaces,
-  });
-  loadJobs(state, jobs.records, jobs.progress);
-  const targets = new HomeTargets(state, {
-    leaseMilliseconds: runLeaseMilliseconds,
-    homes: inheritance.homes,
-  });
-  const leaseUntil = performance.now() + inheritedLeaseMilliseconds(runLeaseMilliseconds);
-  targets.inherit(inheritance, leaseUntil);
-  const home = new JobHome({
-    state,
-    store,
-    advice: options.advice,
-    retentionMilliseconds: options.retentionMilliseconds,
-  });
-  const listed = options.listedTargets(pool);
-  if (listed !== undefined) targets.follow(listed);
-  home.start();
-  const close = (): void => {
-    isClosed = true;
-    home.close();
-    workspaces?.quotas.close();
-    targets.close();
-    journal.close();
-  };
-  return { home, state, targets, leaseId, close };
-}
--- a/src/job-homes/home-workspaces.ts
+++ b/src/job-homes/home-workspaces.ts
@@ -5,10 +5,10 @@
 import type { TransactionalStore } from "../store/index.js";
 import type { Log, Metrics } from "../telemetry/index.js";
 import {
+  createFairShares,
   createPoolQuotas,
   createQuotaBook,
   type ClosablePoolQuotas,
-  type FairShares,
   type HomeWorkspaces,
   type QuotaBook,
   type WorkspaceTable,
@@ -34,6 +34,8 @@
   readonly journal: Pick<StoredHomeJournal, "expectHeld">;
   readonly isActive: () => boolean;
   readonly wake: () => void;
+  /** Cores of the pool that serve short tasks. */
+  readonly cores: () => number;
 }
 
 /** What a home works with, until it closes. */
@@ -67,7 +69,7 @@
    * @param owner - the home
    * @returns its quotas and shares; undefined where nobody tells workspaces apart
    */
-  create({ pool, journal, isActive, wake }: WorkspacesOwner): ClosableWorkspaces | undefined {
+  create({ pool, journal, isActive, wake, cores }: WorkspacesOwner): ClosableWorkspaces | undefined {
     const { workspaces: table, store, pools, log, metrics } = this.#options;
     if (table === undefined) return undefined;
     const quotas = createPoolQuotas({
@@ -84,7 +86,8 @@
       log,
       metrics,
     });
-    return { table, quotas, shares: createEqualShares() };
+    const shares = createFairShares({ weight: (name) => table()?.find(name)?.weight, cores });
+    return { table, quotas, shares };
   }
 
   #isAbandoned(pool: string): boolean {
@@ -99,13 +102,3 @@
     return now - since > lapseMilliseconds;
   }
 }
-
-/** Nobody is over a share. */
-function createEqualShares(): FairShares {
-  return {
-    noteAsked: () => undefined,
-    noteAccepted: () => undefined,
-    isOverShare: () => false,
-    waitMilliseconds: () => 0,
-  };
-}
--- a/src/job-homes/job-home.ts
+++ b/src/job-homes/job-home.ts
@@ -3,17 +3,17 @@
  * @packageDocumentation
  */
 import { decodeJobRecord, jobPrefix, readJobState, type JobRecord } from "../jobs/index.js";
-import { admitJob, isLastingJob, jobCoreSeconds, type RoomArrival } from "../scheduling/index.js";
+import type { RoomArrival } from "../scheduling/index.js";
 import { delay } from "../shared/index.js";
 import type { TransactionalStore } from "../store/index.js";
 import { createAdviceBook, type AdviceBook, type AdviceService } from "./advice-book.js";
 import { dispatch } from "./dispatcher.js";
-import { createFirstRequests } from "./first-requests.js";
-import { bookAccepted, describeForecast, forecastJob, type HomeForecast } from "./home-forecast.js";
+import { bookAccepted, describeForecast } from "./home-forecast.js";
 import { addJob, openDue, type HomeState } from "./home-state.js";
-import { readRecentLoad, reportPool, type PoolReport } from "./pool-report.js";
+import { reportPool, type PoolReport } from "./pool-report.js";
+import { JobAdmission, type AcceptedJob } from "./job-admission.js";
 import type { CancelOutcome, JobSubmission, StateOutcome, SubmitOutcome } from "./job-outcomes.js";
-import { answerAgain, backlogReason, findJob, type JobCaller } from "./job-owners.js";
+import { answerAgain, findJob, type JobCaller } from "./job-owners.js";
 import { endJob, forgetStored, hasEnded, storeProgress } from "./job-progress.js";
 import { RoundPace } from "./round-pause.js";
 import { stopUnwanted } from "./stopper.js";
@@ -43,8 +43,8 @@
   readonly #options: JobHomeOptions;
   readonly #stop = new AbortController();
   readonly #advice: AdviceBook;
-  readonly #firstRequests = createFirstRequests();
   readonly #submissions = new SubmissionsInProgress();
+  readonly #admission: JobAdmission;
   #round: NodeJS.Timeout | undefined;
   readonly #pace = new RoundPace();
   #isStarted = false;
@@ -60,6 +60,7 @@
     this.pool = state.pool;
     this.#state = state;
     this.#options = options;
+    this.#admission = new JobAdmission(state);
     this.#advice = createAdviceBook(options.advice, state.log, () => {
       this.#wake();
     });
@@ -187,16 +188,9 @@
 
   async #accept(submission: JobSubmission): Promise<SubmitOutcome> {
     const { jobId, terms, definition, deadlineMilliseconds, workspace } = submission;
-    const now = performance.now();
-    const age = now - this.#firstRequests.note(jobId, now);
-    if (age === 0) this.#noteDemand(submission, now);
-    const forecast = forecastJob(this.#state, terms, definition, age);
-    const admission = admitJob(forecast);
-    if (admission.kind === "refuse" && !isLastingJob(definition)) {
-      const { retryAfterMilliseconds } = admission;
-      this.#logRefusal(submission, forecast, retryAfterMilliseconds);
-      return { kind: "refused", reason: backlogReason, retryAfterMilliseconds };
-    }
+    const decision = this.#admission.decide(submission, performance.now());
+    if (decision.kind === "refused") return decision;
+    const { ageMilliseconds: age } = decision;
     const acceptedAt = Date.now();
     const owner = workspace === undefined ? {} : { workspace };
     const record: JobRecord = {
@@ -219,31 +213,10 @@
       const retryAfterMilliseconds = retryAfterStoreMilliseconds;
       return { kind: "refused", reason: "the store does not answer", retryAfterMilliseconds };
     }
-    this.#add(record, forecast);
+    this.#add(record, decision);
     return { kind: "accepted" };
   }
 
-  /** Takes the work of a job that is asked for the first time. */
-  #noteDemand({ terms, definition }: JobSubmission, now: number): void {
-    const { demand, runTimes } = this.#state;
-    demand.note(jobCoreSeconds(definition, runTimes.ofQueue(terms.queue).task), now);
-  }
-
-  #logRefusal(submission: JobSubmission, forecast: HomeForecast, retryAfterMilliseconds: number): void {
-    const { jobId, terms, workspace } = submission;
-    const { backlogCoreSeconds, cores, busyCores } = readRecentLoad(this.#state);
-    this.#state.log.write("info", "job-refused", {
-      job: jobId,
-      queue: terms.queue,
-      workspace,
-      ...describeForecast(forecast),
-      backlogCoreSeconds: Math.round(backlogCoreSeconds),
-      cores: Math.round(cores),
-      busyCores: Math.round(busyCores),
-      retryAfterMilliseconds: Math.round(retryAfterMilliseconds),
-    });
-  }
-
   /** A job that the store holds already: accepted for another pool, or by a write of this home without an answer. */
   async #findStored(submission: JobSubmission): Promise<SubmitOutcome> {
     const { jobId } = submission;
@@ -254,7 +227,8 @@
     return answerAgain(record, submission, this.#state.log);
   }
 
-  #add(record: JobRecord, forecast: HomeForecast | undefined): void {
+  #add(record: JobRecord, accepted: AcceptedJob | undefined): void {
+    const forecast = accepted?.forecast;
     const job = addJob(this.#state, record, undefined, Date.now(), false);
     bookAccepted(this.#state, record.terms, record.definition);
     if (forecast !== undefined && Number.isFinite(forecast.uncorrectedEndMilliseconds))
@@ -265,6 +239,7 @@
       queue,
       pool,
       workspace: record.workspace,
+      isOverShare: accepted?.isOverShare,
       ...(forecast === undefined ? {} : describeForecast(forecast)),
     });
     this.#wake();
--- a/src/workspaces/index.ts
+++ b/src/workspaces/index.ts
@@ -2,10 +2,11 @@
  * Workspaces that compete for a fleet's room: who they are, what each may run, and how a full pool is shared.
  * @packageDocumentation
  */
+export { createFairShares, type FairSharesOptions } from "./fair-shares.js";
 export { createPoolQuotas, type ClosablePoolQuotas, type PoolQuotasOptions } from "./pool-quotas.js";
 export { createQuotaBook, type QuotaBook } from "./quota-book.js";
 export { quotaPrefix } from "./quota-record.js";
-export type { FairShares, HomeWorkspaces, PoolQuotas } from "./home-workspaces.js";
+export type { FairShares, HomeWorkspaces, PoolQuotas, ShareRates } from "./home-workspaces.js";
 export { identifyCaller, type CallerIdentity, type KeyFault } from "./identify-caller.js";
 export {
   createWorkspaceTable,
