Model of homes: a workspace with a cap, of which no more runs than that

The same histories of faults are played once more with the short jobs in a workspace capped at three tasks.

--- a/src/job-homes/test/home-model.test.ts
+++ b/src/job-homes/test/home-model.test.ts
@@ -14,7 +14,7 @@
   type HomeFixture,
   type TestEntry,
 } from "./home-fixture.js";
-import { HomeModel, type JobKind } from "./home-model.js";
+import { HomeModel, cappedTasks, caps, findAboveCap, workspace, type JobKind } from "./home-model.js";
 
 const targetCount = 4;
 /** The first two found starts that the next life of a target carried out. */
@@ -44,8 +44,12 @@
   #entries = 1;
   #pending: Promise<unknown>[] = [];
 
-  constructor() {
-    this.fixture = startHomeFixture({ targetCount, coresPerTarget: 4, behaviour });
+  readonly #isCapped: boolean;
+
+  constructor(isCapped: boolean) {
+    this.#isCapped = isCapped;
+    const workspaces = (): typeof caps | undefined => (isCapped ? caps : undefined);
+    this.fixture = startHomeFixture({ targetCount, coresPerTarget: 4, behaviour, workspaces });
     this.#entry = this.fixture.startEntry("entry-1");
   }
 
@@ -59,7 +63,9 @@
     const jobId = `${kind}-${this.model.jobs.size}`;
     const job = { jobId, kind, state: "unknown", isCancelled: false } as const;
     this.model.jobs.set(jobId, { ...job });
-    const answered = home.submit(submission(jobId, ...stepsOf[kind])).then((outcome) => {
+    const owner = this.#isCapped && kind !== "lasting" ? workspace : undefined;
+    const asked = { ...submission(jobId, ...stepsOf[kind]), workspace: owner };
+    const answered = home.submit(asked).then((outcome) => {
       const known = this.model.jobs.get(jobId);
       if (known !== undefined) known.state = outcome.kind;
     });
@@ -109,7 +115,9 @@
   /** What the history breaks so far. */
   findViolations(): string[] {
     const { history, lapses } = this.fixture.fleet.world;
-    return this.model.findViolations(history, lapses);
+    const isOwn = (task: string): boolean => !task.startsWith("lasting");
+    const above = this.#isCapped ? findAboveCap(history, isOwn, cappedTasks) : [];
+    return [...above, ...this.model.findViolations(history, lapses)];
   }
 
   /** What callers would miss at the end. */
@@ -251,8 +259,9 @@
 /** Plays steps with pauses between them; returns what is wrong. */
 async function playSteps(
   steps: readonly { readonly step: Step; readonly pause: number }[],
+  isCapped: boolean,
 ): Promise<string[]> {
-  const play = new Play();
+  const play = new Play(isCapped);
   const names: string[] = [];
   try {
     for (const { step, pause } of steps) {
@@ -270,15 +279,22 @@
   }
 }
 
-test("no interleaving of faults and callers breaks a rule, and all is done once they end", async () => {
+async function playSamples(isCapped: boolean): Promise<string[][]> {
   const pause = fc.integer({ min: 0, max: 250 });
   const steps = fc.array(fc.record({ step: stepArbitrary, pause }), {
     minLength: commandsPerRun,
     maxLength: commandsPerRun,
   });
-  const given = process.env.HOME_MODEL_SEED;
-  const chosen = given === undefined ? seeds : [Number(given)];
+  const chosen = process.env.HOME_MODEL_SEED?.split(",").map(Number) ?? seeds;
   const samples = chosen.flatMap((seed) => fc.sample(steps, { seed, numRuns: runs }));
-  const wrong = await Promise.all(samples.map(playSteps));
-  expect(wrong.filter((found) => found.length > 0)).toEqual([]);
+  const wrong = await Promise.all(samples.map(async (sample) => playSteps(sample, isCapped)));
+  return wrong.filter((found) => found.length > 0);
+}
+
+test("no interleaving of faults and callers breaks a rule, and all is done once they end", async () => {
+  expect(await playSamples(false)).toEqual([]);
+}, 60_000);
+
+test("the same holds for a workspace with a cap, of which no more runs than that", async () => {
+  expect(await playSamples(true)).toEqual([]);
 }, 60_000);
--- a/src/job-homes/test/home-model.ts
+++ b/src/job-homes/test/home-model.ts
@@ -4,8 +4,23 @@
  * @packageDocumentation
  */
 import type { LeaseLapse, RunRecord } from "../../stand-ins/index.js";
+import { createWorkspaceTable } from "../../workspaces/index.js";
 import { terms } from "./home-fixture.js";
 
+/** The workspace of the short jobs, where there is one. */
+export const workspace = "agency";
+/** How many of its tasks, of one core each, may run at once. */
+export const cappedTasks = 3;
+/** The configuration's workspaces. */
+export const caps = createWorkspaceTable([
+  {
+    name: workspace,
+    weight: 1,
+    cap: { cpuMillicores: cappedTasks * 1_000, memoryMegabytes: 0, accelerators: 0 },
+    keys: [],
+  },
+]).unsafeCoerce();
+
 /** Kinds of jobs that are handed in. */
 export type JobKind = "short" | "failing" | "lasting";
 
@@ -97,6 +112,26 @@
   }
 }
 
+/**
+ * Checks that no start brought more to run of a workspace than its cap.
+ * @param history - all runs so far
+ * @param isOwn - whether a task belongs to the workspace
+ * @param most - how many of its tasks may run at once
+ * @returns what is wrong
+ */
+export function findAboveCap(
+  history: readonly RunRecord[],
+  isOwn: (task: string) => boolean,
+  most: number,
+): string[] {
+  const own = history.filter(({ task }) => isOwn(task));
+  return own.flatMap(({ task, from }) => {
+    const running = own.filter((run) => run.from <= from && from < (run.to ?? Infinity));
+    const names = running.map((run) => `${run.task}/${run.run}@${run.targetId}`);
+    return running.length > most ? [`${task} started as one of ${running.length}: ${names.join(" ")}`] : [];
+  });
+}
+
 function hasLapsed({ targetId, to = 0 }: RunRecord, until: number, lapses: readonly LeaseLapse[]): boolean {
   return lapses.some((lapse) => lapse.targetId === targetId && lapse.at >= to && lapse.at <= until);
 }
