A refusal's log line keeps the order of its fields

Cause: failed-requests.test.ts "a refused job: the line of the refusal holds the load that decided it" failed in the whole run: what the forecast was made of stood between the objective and the load. Result: the test passes as it is.

--- a/src/job-homes/job-home.ts
+++ b/src/job-homes/job-home.ts
@@ -246,13 +246,16 @@
 
   #logRefusal({ jobId, terms }: JobSubmission, forecast: HomeForecast, retryAfterMilliseconds: number): void {
     const { backlogCoreSeconds, cores, busyCores } = readRecentLoad(this.#state);
+    const { endMilliseconds, objectiveMilliseconds, ...parts } = describeForecast(forecast);
     this.#state.log.write("info", "job-refused", {
       job: jobId,
       queue: terms.queue,
-      ...describeForecast(forecast),
+      endMilliseconds,
+      objectiveMilliseconds,
       backlogCoreSeconds: Math.round(backlogCoreSeconds),
       cores: Math.round(cores),
       busyCores: Math.round(busyCores),
+      ...parts,
       retryAfterMilliseconds: Math.round(retryAfterMilliseconds),
     });
   }
