--- a/src/job-homes/job-admission.ts
+++ b/src/job-homes/job-admission.ts
@@ -151,14 +151,17 @@
     standing: Readonly<Record<string, string | number | undefined>>,
   ): void {
     const { backlogCoreSeconds, cores, busyCores } = readRecentLoad(this.#state);
+    const { endMilliseconds, objectiveMilliseconds, ...parts } = describeForecast(forecast);
     this.#state.log.write("info", "job-refused", {
       job: jobId,
       queue: terms.queue,
       workspace,
-      ...describeForecast(forecast),
+      endMilliseconds,
+      objectiveMilliseconds,
       backlogCoreSeconds: Math.round(backlogCoreSeconds),
       cores: Math.round(cores),
       busyCores: Math.round(busyCores),
+      ...parts,
       retryAfterMilliseconds: Math.round(retryAfterMilliseconds),
       ...standing,
     });
