An older progress of a job does not follow the job's end into the store

Cause: urgent writes passed others, also of their own key. Change: an urgent write makes all waiting writes of its key urgent, so that they keep their order; urgent writes that are left over do not wait the long pause.

--- a/src/job-homes/home-journal.ts
+++ b/src/job-homes/home-journal.ts
@@ -122,16 +122,23 @@
     const earlier = this.#last.get(write.key);
     if (earlier?.isSent === false) {
       earlier.value = write.value;
-      earlier.isUrgent ||= write.isUrgent;
+      if (write.isUrgent) this.#hurryKey(write.key);
       earlier.settles.push(settle);
       return earlier;
     }
     const item: Waiting = { ...write, settles: [settle], isSent: false, mayBeStored: false };
+    // An older write of the key may have to be sent again: it must not come after this one.
+    if (write.isUrgent && earlier !== undefined) this.#hurryKey(write.key);
     this.#waiting.push(item);
     this.#last.set(write.key, item);
     return item;
   }
 
+  /** Makes all waiting writes of a key urgent, so that they keep their order. */
+  #hurryKey(key: string): void {
+    for (const item of this.#waiting) item.isUrgent ||= item.key === key;
+  }
+
   #begin(urgency: "now" | "soon"): void {
     if (urgency === "now" && !this.#hasUrgent) {
       this.#hasUrgent = true;
@@ -144,7 +151,7 @@
 
   async #run(): Promise<void> {
     while (this.#waiting.length > 0 && !this.#isClosed) {
-      const isUrgent = this.#hasUrgent || this.#waiting.some(({ isSent }) => isSent);
+      const isUrgent = this.#hasUrgent || this.#waiting.some((item) => item.isSent || item.isUrgent);
       // More than one transaction holds has gathered already.
       if (this.#waiting.length < maximumTransactionEntries)
         await delay(isUrgent ? gatherNowMilliseconds : gatherSoonMilliseconds, this.#gathering.signal);
--- a/src/job-homes/test/home-journal.test.ts
+++ b/src/job-homes/test/home-journal.test.ts
@@ -190,3 +190,22 @@
   expect(await second.result).toBe("stored");
   expect((await store.get("progress/a")).unsafeCoerce()?.value).toBe("second");
 });
+
+test("a write that was surely not stored does not follow the end of its job into the store", async () => {
+  const { journal, store } = await openJournal();
+  const transact = store.transact.bind(store);
+  let calls = 0;
+  store.transact = async (transaction) => {
+    calls += 1;
+    if (calls > 1) return transact(transaction);
+    await delay(150);
+    return { kind: "not-done", failure: { kind: "over-budget", message: "status 429" } };
+  };
+  const progress = journal.write("progress/a", "half", { urgency: "soon" });
+  await delay(450);
+  const end = journal.write("progress/a", "complete");
+  expect(await end.result).toBe("stored");
+  expect(await progress.result).toBe("stored");
+  await journal.flush();
+  expect((await store.get("progress/a")).unsafeCoerce()?.value).toBe("complete");
+});
