--- a/src/job-homes/job-admission.ts
+++ b/src/job-homes/job-admission.ts
@@ -131,6 +131,7 @@
     const rates = workspaces?.shares.rates(workspace, now);
     metrics.count("jobs_refused_total", { pool, reason: cause });
     this.#logRefusal(submission, forecast, retryAfterMilliseconds, {
+      workspace,
       reason: cause,
       givenCores: Math.round(rates?.givenCores ?? 0),
       // Left out while the pool has enough for all.
@@ -145,7 +146,7 @@
   }
 
   #logRefusal(
-    { jobId, terms, workspace }: JobSubmission,
+    { jobId, terms }: JobSubmission,
     forecast: HomeForecast,
     retryAfterMilliseconds: number,
     standing: Readonly<Record<string, string | number | undefined>>,
@@ -155,7 +156,6 @@
     this.#state.log.write("info", "job-refused", {
       job: jobId,
       queue: terms.queue,
-      workspace,
       endMilliseconds,
       objectiveMilliseconds,
       backlogCoreSeconds: Math.round(backlogCoreSeconds),
