A directory's age is judged in one place

Cause: home-workspaces.ts held its own bound for how young the directory of homes must be, beside isCurrent in home-directory.ts; two constants of 2.5 s for one question. Evidence: read side by side. Change: isCurrent is used. Result: tsc passes; same comparison.

--- a/src/job-homes/home-workspaces.ts
+++ b/src/job-homes/home-workspaces.ts
@@ -13,7 +13,7 @@
   type QuotaBook,
   type WorkspaceTable,
 } from "../workspaces/index.js";
-import type { HomeDirectory } from "./home-directory.js";
+import { isCurrent, type HomeDirectory } from "./home-directory.js";
 import type { StoredHomeJournal } from "./home-journal.js";
 import { homePrefix } from "./home-record.js";
 
@@ -45,8 +45,6 @@
 
 /** No run on targets lasts so long without a home that renews its lease. */
 const lapseMilliseconds = 15_000;
-/** The directory must be this young to show that a pool has no home. */
-const directoryAgeMilliseconds = 2_500;
 
 /** Creates what homes work with; the homes of an entry share one copy of the records. */
 export class WorkspacesOfHomes {
@@ -93,7 +91,7 @@
   #isAbandoned(pool: string): boolean {
     const { directory } = this.#options;
     const now = performance.now();
-    if (directory.homes().has(pool) || directory.ageMilliseconds() > directoryAgeMilliseconds) {
+    if (directory.homes().has(pool) || !isCurrent(directory)) {
       this.#vacantSince.delete(pool);
       return false;
     }
