Store relay: each call has a function of its own; a call of the store itself is called direct

Ruled out: renaming the value of store-way, which logs hold. Change: three functions taken out, one renamed.

--- a/src/store-relays/relayed-store.ts
+++ b/src/store-relays/relayed-store.ts
@@ -81,7 +81,7 @@
     waitMilliseconds: number,
   ): Promise<Either<StoreFailure, StoreChanges | undefined>> {
     const { direct } = this.#options;
-    const straight = await this.#straight(async () =>
+    const straight = await this.#callDirect(async () =>
       direct.changesAfter(prefix, afterRevision, waitMilliseconds),
     );
     if (straight !== undefined) return straight;
@@ -97,21 +97,21 @@
   }
 
   async grantLease(ttlSeconds: number): Promise<Either<StoreFailure, StoreLease>> {
-    const straight = await this.#straight(async () => this.#options.direct.grantLease(ttlSeconds));
+    const straight = await this.#callDirect(async () => this.#options.direct.grantLease(ttlSeconds));
     if (straight !== undefined) return straight;
     const answer = readReply(await this.#askPeers(leaseCall, { kind: "grant", ttlSeconds }));
     return answer.map((lease) => ({ leaseId: lease.leaseId, ttlSeconds: lease.ttlSeconds }));
   }
 
   async renewLease(leaseId: string): Promise<Either<StoreFailure, boolean>> {
-    const straight = await this.#straight(async () => this.#options.direct.renewLease(leaseId));
+    const straight = await this.#callDirect(async () => this.#options.direct.renewLease(leaseId));
     if (straight !== undefined) return straight;
     const answer = readReply(await this.#askPeers(leaseCall, { kind: "renew", leaseId }));
     return answer.map(({ stands }) => stands);
   }
 
   async revokeLease(leaseId: string): Promise<Either<StoreFailure, boolean>> {
-    const straight = await this.#straight(async () => this.#options.direct.revokeLease(leaseId));
+    const straight = await this.#callDirect(async () => this.#options.direct.revokeLease(leaseId));
     if (straight !== undefined) return straight;
     const answer = readReply(await this.#askPeers(leaseCall, { kind: "revoke", leaseId }));
     return answer.map(({ stands }) => stands);
@@ -155,11 +155,11 @@
     definition: PeerCall<Request, Reply<Value>>,
     request: Request,
   ): Promise<Either<StoreFailure, Value>> {
-    return (await this.#straight(straight)) ?? readReply(await this.#askPeers(definition, request));
+    return (await this.#callDirect(straight)) ?? readReply(await this.#askPeers(definition, request));
   }
 
   /** Makes a straight call; undefined when it has to go through others. */
-  async #straight<Value>(
+  async #callDirect<Value>(
     call: () => Promise<Either<StoreFailure, Value>>,
   ): Promise<Either<StoreFailure, Value> | undefined> {
     if (this.#usesPeers()) return undefined;
--- a/src/store-relays/store-relay.ts
+++ b/src/store-relays/store-relay.ts
@@ -3,6 +3,7 @@
  * @packageDocumentation
  */
 import type { Either } from "purify-ts";
+import type * as z from "zod";
 import type { PeerNetwork } from "../membership/index.js";
 import type { StoreFailure, StoreLease, TransactionalStore } from "../store/index.js";
 import type { Metrics } from "../telemetry/index.js";
@@ -53,48 +54,58 @@
       ),
     ),
   );
-  peers.answer(changesCall, async ({ prefix, afterRevision, waitMilliseconds }) =>
-    relay("changes", async () => {
-      const answer = await direct.changesAfter(prefix, afterRevision, waitMilliseconds);
-      return toReply(
-        answer.map((found) => ({
-          isGone: found === undefined,
-          revision: found?.revision ?? 0,
-          changes: (found?.changes ?? []).map(({ key, revision, value }) => ({
-            key,
-            revision,
-            written: toList(value),
-          })),
-        })),
-      );
-    }),
-  );
-  peers.answer(leaseCall, async (request) =>
-    relay("lease", async () => {
-      if (request.kind === "grant")
-        return toReply(
-          (await direct.grantLease(request.ttlSeconds)).map((lease) => describeLease(lease, true)),
-        );
-      const { kind, leaseId } = request;
-      const answer = await (kind === "renew" ? direct.renewLease(leaseId) : direct.revokeLease(leaseId));
-      return toReply(answer.map((stands) => describeLease({ leaseId, ttlSeconds: 0 }, stands)));
-    }),
-  );
-  peers.answer(transactCall, async ({ expected, writes }) =>
-    relay("transact", async () => {
-      const result = await direct.transact({
-        expected,
-        writes: writes.map(({ key, written, leaseId }) => ({
-          key,
-          value: written[0],
-          ...(leaseId === undefined ? {} : { leaseId }),
-        })),
-      });
-      return result.kind === "conflict" ? { ...result, current: [...result.current] } : result;
-    }),
+  peers.answer(changesCall, async (request) => relay("changes", async () => readChanges(direct, request)));
+  peers.answer(leaseCall, async (request) => relay("lease", async () => keepLease(direct, request)));
+  peers.answer(transactCall, async (request) => relay("transact", async () => transact(direct, request)));
+}
+
+async function readChanges(
+  direct: TransactionalStore,
+  { prefix, afterRevision, waitMilliseconds }: z.infer<typeof changesCall.request>,
+): Promise<AnswerReply<RelayedChanges>> {
+  const answer = await direct.changesAfter(prefix, afterRevision, waitMilliseconds);
+  return toReply(
+    answer.map((found) => ({
+      isGone: found === undefined,
+      revision: found?.revision ?? 0,
+      changes: (found?.changes ?? []).map(({ key, revision, value }) => ({
+        key,
+        revision,
+        written: toList(value),
+      })),
+    })),
   );
 }
 
+async function keepLease(
+  direct: TransactionalStore,
+  request: z.infer<typeof leaseCall.request>,
+): Promise<AnswerReply<RelayedLease>> {
+  if (request.kind === "grant")
+    return toReply((await direct.grantLease(request.ttlSeconds)).map((lease) => describeLease(lease, true)));
+  const { kind, leaseId } = request;
+  const answer = await (kind === "renew" ? direct.renewLease(leaseId) : direct.revokeLease(leaseId));
+  return toReply(answer.map((stands) => describeLease({ leaseId, ttlSeconds: 0 }, stands)));
+}
+
+async function transact(
+  direct: TransactionalStore,
+  { expected, writes }: z.infer<typeof transactCall.request>,
+): Promise<Exclude<z.infer<typeof transactCall.reply>, typeof noWay>> {
+  const result = await direct.transact({
+    expected,
+    writes: writes.map(({ key, written, leaseId }) => ({
+      key,
+      value: written[0],
+      ...(leaseId === undefined ? {} : { leaseId }),
+    })),
+  });
+  return result.kind === "conflict" ? { ...result, current: [...result.current] } : result;
+}
+
+type RelayedChanges = Extract<z.infer<typeof changesCall.reply>, { kind: "answer" }>["value"];
+type RelayedLease = Extract<z.infer<typeof leaseCall.reply>, { kind: "answer" }>["value"];
+
 /** What a relay looks at in a reply. */
 interface RelayReply {
   readonly kind: string;
@@ -124,6 +135,6 @@
   return value === undefined ? [] : [value];
 }
 
-function describeLease(lease: StoreLease, stands: boolean): StoreLease & { readonly stands: boolean } {
+function describeLease(lease: StoreLease, stands: boolean): RelayedLease {
   return { ...lease, stands };
 }
