Shares: names that stood for two things stand for one

Cause: usableShare was a number of the forecast and a function on caps, PoolShares a class beside the type PoolShare, share a quotient in countFitting. Change: plannableShare, WeightedShares, quotient; comments of two times say what they are.

--- a/src/job-homes/workspace-room.ts
+++ b/src/job-homes/workspace-room.ts
@@ -13,7 +13,7 @@
   planRoom,
   scale,
   subtract,
-  usableShare,
+  plannableShare,
   type ForecastJob,
   type RoomPlan,
 } from "../scheduling/index.js";
@@ -48,7 +48,7 @@
 /** More workspaces than that do not call within a moment. */
 const maximumKnown = 1_000;
 /** A cap can be used to its last core, unlike the room of targets, of which a plan leaves a part; above 1 by rounding. */
-const wholeRoom = (1 + 1e-9) / usableShare;
+const wholeRoom = (1 + 1e-9) / plannableShare;
 
 /**
  * Creates forecasts for a home.
--- a/src/scheduling/forecast.ts
+++ b/src/scheduling/forecast.ts
@@ -68,7 +68,7 @@
 }
 
 /** Targets are never full to the last core: tasks do not divide their room evenly. */
-export const usableShare = 0.9;
+export const plannableShare = 0.9;
 /** Times are told apart no finer than this, which bounds the work of a plan. */
 const tickMilliseconds = 20;
 
@@ -87,10 +87,10 @@
   arrivals: readonly RoomArrival[] = [],
 ): RoomPlan {
   const open = jobs.map(openJob);
-  const room = new Room(scale(capacity, usableShare));
+  const room = new Room(scale(capacity, plannableShare));
   const releases = new Releases(horizonMilliseconds);
   for (const { resources, atMilliseconds } of arrivals) {
-    releases.add(atMilliseconds, { resources: scale(resources, usableShare), ended: undefined });
+    releases.add(atMilliseconds, { resources: scale(resources, plannableShare), ended: undefined });
   }
   for (const { steps } of open) startRunning(steps, room, releases);
   let waiting = open.flatMap(({ steps }) => steps);
--- a/src/scheduling/index.ts
+++ b/src/scheduling/index.ts
@@ -14,7 +14,7 @@
   bookJob,
   forecastEnd,
   planRoom,
-  usableShare,
+  plannableShare,
   type ForecastJob,
   type ForecastStep,
   type RoomArrival,
--- a/src/scheduling/order.ts
+++ b/src/scheduling/order.ts
@@ -1,6 +1,7 @@
 /**
  * The order in which jobs get room. Answers a pool whose backlog is longer than its jobs' objectives: what can still be
- * in time goes before what cannot, what has begun is finished, urgent queues go first, and workspaces that had their share let others go before them.
+ * in time goes before what cannot, what has begun is finished, urgent queues go first, and workspaces that had their
+ * share let others go before them.
  * @packageDocumentation
  */
 
--- a/src/scheduling/placement.ts
+++ b/src/scheduling/placement.ts
@@ -68,12 +68,12 @@
 }
 
 function countFitting(free: Resources, needed: Resources): number {
-  const share = (room: number, need: number): number =>
+  const quotient = (room: number, need: number): number =>
     need > 0 ? Math.floor(room / need) : Number.POSITIVE_INFINITY;
   return Math.min(
-    share(free.cpuMillicores, needed.cpuMillicores),
-    share(free.memoryMegabytes, needed.memoryMegabytes),
-    share(free.accelerators, needed.accelerators),
+    quotient(free.cpuMillicores, needed.cpuMillicores),
+    quotient(free.memoryMegabytes, needed.memoryMegabytes),
+    quotient(free.accelerators, needed.accelerators),
   );
 }
 
--- a/src/workspaces/fair-shares.ts
+++ b/src/workspaces/fair-shares.ts
@@ -26,9 +26,9 @@
   allowedCores: number;
 }
 
-/** Work counts about so long. */
+/** Time constant with which work that was asked for or given loses weight. */
 const decayMilliseconds = 1_000;
-/** Parts hold so long. */
+/** The pool is divided anew no sooner than this. */
 const divisionMilliseconds = 50;
 /** Less than this part of the cores is no measure of what a pool can take. */
 const leastShare = 0.5;
@@ -50,10 +50,10 @@
  * @returns the shares
  */
 export function createFairShares(options: FairSharesOptions): FairShares {
-  return new PoolShares(options);
+  return new WeightedShares(options);
 }
 
-class PoolShares implements FairShares {
+class WeightedShares implements FairShares {
   readonly #options: FairSharesOptions;
   readonly #accounts = new Map<string, Account>();
   #dividedAt = Number.NEGATIVE_INFINITY;
--- a/src/workspaces/held-quota.ts
+++ b/src/workspaces/held-quota.ts
@@ -38,6 +38,7 @@
 
 /** Others may work by an earlier configuration for so long. */
 const configurationMilliseconds = 3_000;
+/** While they may, a copy of the record must be younger than this. */
 const youngMilliseconds = 1_000;
 
 /** One workspace's cap in one pool. */
