Names and comments that needed explaining

Cause: #misses held ratios, #isOthers told that a duty is held elsewhere, tend was a metaphor; three comments lacked what they bound. Change: #ratios, #isElsewhere, check; the comments say it.

--- a/src/job-homes/home-keeper.ts
+++ b/src/job-homes/home-keeper.ts
@@ -26,7 +26,7 @@
 }
 
 const competeMilliseconds = 100;
-/** While every pool has a home by what is heard. */
+/** Time between two looks while every pool has a home, as far as this entry has heard. */
 const settledMilliseconds = 1_000;
 /** Entries behind the first in a pool's order wait so much longer each, so that the first gets it. */
 const turnMilliseconds = 250;
@@ -41,7 +41,7 @@
   readonly #held = new Map<string, HeldHome>();
   readonly #vacantSince = new Map<string, number>();
   readonly #taking = new Set<string>();
-  /** Until when others go first, by the monotonic clock. */
+  /** Until when others may take a pool first, by pool and the monotonic clock. */
   readonly #standsBackUntil = new Map<string, number>();
   /** Pools for which this entry has begun to write that it is their home. */
   readonly #claimed = new Set<string>();
--- a/src/job-homes/session-duty.ts
+++ b/src/job-homes/session-duty.ts
@@ -41,7 +41,7 @@
   readonly #options: SessionDutyOptions;
   #holding: Holding | undefined;
   #vacantSince: number | undefined;
-  #isOthers = false;
+  #isElsewhere = false;
 
   /**
    * Creates a duty that is not held yet.
@@ -58,7 +58,7 @@
 
   /** Whether another entry holds the duty by the store, so that this one has nothing to do before that changes. */
   isHeldElsewhere(): boolean {
-    return this.#isOthers;
+    return this.#isElsewhere;
   }
 
   /** Rises with each holder. */
@@ -78,7 +78,7 @@
 
   /** Takes the duty if nobody holds it and it is this entry's turn. */
   async compete(): Promise<void> {
-    this.#isOthers = false;
+    this.#isElsewhere = false;
     if (this.isHeld()) return;
     this.#holding = undefined;
     const { session, holder, store, entryId } = this.#options;
@@ -100,7 +100,7 @@
   async #settleOwn({ value, revision }: StoreRecord, leaseId: string): Promise<void> {
     const { entryId, store } = this.#options;
     const found = parseWith(dutyRecordSchema, value).toMaybe().extract();
-    this.#isOthers = found !== undefined && found.entryId !== entryId;
+    this.#isElsewhere = found !== undefined && found.entryId !== entryId;
     if (found?.entryId !== entryId) return;
     if (found.leaseId === leaseId) {
       // The answer to the write that took the duty was lost.
--- a/src/job-homes/unsettled-starts.ts
+++ b/src/job-homes/unsettled-starts.ts
@@ -94,7 +94,7 @@
 }
 
 /**
- * Takes the unanswered starts that the next life of a target has to be asked to stop.
+ * Takes the unsettled starts that the next life of a target has to be asked to stop.
  * @param state - the home
  * @param targetId - the target
  * @returns the starts, no longer kept
--- a/src/membership/peer-links.ts
+++ b/src/membership/peer-links.ts
@@ -31,7 +31,7 @@
   /** Opens and closes links by a new roster. */
   follow(roster: readonly RosterRecord[]): void;
   /** Looks for peers that are silent, and closes links that nothing needs any more; to be called at even intervals. */
-  tend(): void;
+  check(): void;
   /** Calls a peer, over a new link when there is none. */
   call<Request, Reply>(
     peerId: string,
@@ -123,7 +123,7 @@
     all: () => [...links.values()].map(({ link }) => link),
     known: () => [...known.values()],
     follow,
-    tend: () => {
+    check: () => {
       for (const { link } of links.values()) link.checkSilence();
       dropUnused();
     },
--- a/src/membership/peer-network.ts
+++ b/src/membership/peer-network.ts
@@ -108,7 +108,7 @@
     // Peers hear of this entry on the links that they opened to it, each of which began with all reports.
     listener.broadcast(current === lastHeartbeat ? { kind: "alive" } : heartbeat);
     lastHeartbeat = current;
-    links.tend();
+    links.check();
     return links.all().length + listener.connections() > 0;
   });
 
--- a/src/scheduling/run-times.ts
+++ b/src/scheduling/run-times.ts
@@ -49,7 +49,7 @@
   #products = 0;
   #runSquares = 0;
   /** Run times by what was expected of them. */
-  readonly #misses = new RatioSketch();
+  readonly #ratios = new RatioSketch();
   /** Run times by the middle of their step. */
   readonly #unevenness = new RatioSketch();
 
@@ -60,7 +60,7 @@
     const run = Math.min(expected + bound, Math.max(expected - bound, Math.log(runMilliseconds)));
     // The tasks of a step share an estimate, so that together they count once.
     const weight = 1 / Math.max(1, taskCount);
-    this.#misses.add(runMilliseconds / this.task({ estimateMilliseconds, taskCount }), weight);
+    this.#ratios.add(runMilliseconds / this.task({ estimateMilliseconds, taskCount }), weight);
     const kept = keptWeight ** weight;
     const before = this.#weight * kept;
     this.#weight = before + weight;
@@ -94,7 +94,7 @@
 
   rest(step: TimedStep, elapsedMilliseconds: number): number {
     const expected = this.task(step);
-    return expected > 0 ? expected * this.#misses.rest(elapsedMilliseconds / expected) : 0;
+    return expected > 0 ? expected * this.#ratios.rest(elapsedMilliseconds / expected) : 0;
   }
 
   /** Variance of the run times' logarithms about what is expected: the mean of such times lies above their middle. */
--- a/src/wiring/job-entry.ts
+++ b/src/wiring/job-entry.ts
@@ -142,6 +142,7 @@
     entries: () => members.directory.entries(),
     probeKey: `${entryPrefix}${entryId}`,
   });
+  // From here on the store is that with a way through other entries.
   const options = { ...given, store };
   const members = followMembers(store, peers, log, () => {
     keeper.hurry();
