--- a/src/soak/entry-cost.ts
+++ b/src/soak/entry-cost.ts
@@ -80,10 +80,6 @@
   // Processes that end by themselves can write what they have recorded.
   await Promise.all(session.entries.map(async (entry) => entry.stop()));
   await session.close();
-  const roleOf = (entryId: string): EntryRole => {
-    if (holders.has(entryId)) return "owner";
-    return countRelayed(loaded.get(entryId)) > 0 ? "relay" : "neither";
-  };
   const costs = [
     ...compare("start", new Map(), started, 1),
     ...compare("rest", started, rested, seconds),
@@ -91,7 +87,7 @@
   ];
   return costs.map((cost) => ({
     ...cost,
-    role: roleOf(cost.entryId),
+    role: findRole(cost.entryId, holders, loaded),
     processId: processIds.get(cost.entryId) ?? 0,
   }));
 }
@@ -133,6 +129,11 @@
   return new Set(records.flatMap((record) => record?.entryId ?? []));
 }
 
+function findRole(entryId: string, holders: ReadonlySet<string>, loaded: Readings): EntryRole {
+  if (holders.has(entryId)) return "owner";
+  return countRelayed(loaded.get(entryId)) > 0 ? "relay" : "neither";
+}
+
 function countRelayed(reading: ProcessReading | undefined): number {
   const relayed = [...(reading?.counters ?? [])].filter(([series]) =>
     series.includes("relayed_orders_total"),
