--- a/src/job-homes/home-workspaces.ts
+++ b/src/job-homes/home-workspaces.ts
@@ -13,7 +13,7 @@
   type QuotaBook,
   type WorkspaceTable,
 } from "../workspaces/index.js";
-import type { HomeDirectory } from "./home-directory.js";
+import { isCurrent, type HomeDirectory } from "./home-directory.js";
 import type { StoredHomeJournal } from "./home-journal.js";
 import { homePrefix } from "./home-record.js";
 
@@ -45,15 +45,14 @@
 
 /** No run on targets lasts so long without a home that renews its lease. */
 const lapseMilliseconds = 15_000;
-/** The directory must be this young to show that a pool has no home. */
-const directoryAgeMilliseconds = 2_500;
+const unseenMilliseconds = 5_000;
 
 /** Creates what homes work with; the homes of an entry share one copy of the records. */
 export class WorkspacesOfHomes {
   readonly #options: WorkspacesOptions;
   readonly #book: QuotaBook;
-  /** Since when pools outside of the configuration have had no home, by the monotonic clock. */
-  readonly #vacantSince = new Map<string, number>();
+  /** Since when pools outside of the configuration have had no home, and when that was seen last, by the monotonic clock. */
+  readonly #vacant = new Map<string, { readonly since: number; readonly seenAt: number }>();
 
   /**
    * Creates none yet, and reads nothing.
@@ -93,12 +92,15 @@
   #isAbandoned(pool: string): boolean {
     const { directory } = this.#options;
     const now = performance.now();
-    if (directory.homes().has(pool) || directory.ageMilliseconds() > directoryAgeMilliseconds) {
-      this.#vacantSince.delete(pool);
+    if (directory.homes().has(pool) || !isCurrent(directory)) {
+      this.#vacant.delete(pool);
       return false;
     }
-    const since = this.#vacantSince.get(pool) ?? now;
-    this.#vacantSince.set(pool, since);
+    const known = this.#vacant.get(pool);
+    // A pool that was not asked about meanwhile may have been configured, and have had a home.
+    const isSeen = known !== undefined && now - known.seenAt < unseenMilliseconds;
+    const since = isSeen ? known.since : now;
+    this.#vacant.set(pool, { since, seenAt: now });
     return now - since > lapseMilliseconds;
   }
 }
