--- a/src/job-homes/test/workspace-limits.test.ts
+++ b/src/job-homes/test/workspace-limits.test.ts
@@ -152,23 +152,26 @@
 });
 
 // In KNOWN-RED.txt.
-test.fails("runs on a target that does not answer to the successor count until they have surely ended", async () => {
-  start(60_000, () => tableOf({ w: 6 }));
-  const { entries, homes } = await startTwo();
-  await submit(homes[0], "w-1", 6);
-  await waitFor(() => countRunning("w") === 6);
-  const silent = new Set(runsOf("w").map(({ targetId }) => targetId));
-  for (const targetId of silent) {
-    const target = fixture.fleet.targets.get(targetId);
-    if (target !== undefined) target.isSilent = true;
-  }
-  entries[0].crash();
-  const next = fixture.startEntry("c", undefined, [pool]);
-  await submit(await fixture.home(next), "w-3", 6);
-  await submit(homes[1], "w-2", 6);
-  await waitFor(() => runsOf("w").length >= 12);
-  expect(mostRunning("w")).toBe(6);
-});
+test.fails(
+  "runs on a target that does not answer to the successor count until they have surely ended",
+  async () => {
+    start(60_000, () => tableOf({ w: 6 }));
+    const { entries, homes } = await startTwo();
+    await submit(homes[0], "w-1", 6);
+    await waitFor(() => countRunning("w") === 6);
+    const silent = new Set(runsOf("w").map(({ targetId }) => targetId));
+    for (const targetId of silent) {
+      const target = fixture.fleet.targets.get(targetId);
+      if (target !== undefined) target.isSilent = true;
+    }
+    entries[0].crash();
+    const next = fixture.startEntry("c", undefined, [pool]);
+    await submit(await fixture.home(next), "w-3", 6);
+    await submit(homes[1], "w-2", 6);
+    await waitFor(() => runsOf("w").length >= 12);
+    expect(mostRunning("w")).toBe(6);
+  },
+);
 
 test.each([3_000, 10_000])(
   "an owner that is cut off for %i ms starts nothing above the cap",
