--- a/src/fleet/fleet-view.ts
+++ b/src/fleet/fleet-view.ts
@@ -174,7 +174,7 @@
         pool,
         isStandby,
         cores: (report?.cores ?? 0) + comingCores,
-        demandCores: report?.demandCores ?? 0,
+        demandCores: report === undefined ? 0 : forecastDemand(report, history),
         waitingLastingTasks: report?.waitingLastingTasks ?? 0,
         wantedMachines: report?.wantedTargets ?? 0,
         comingMachines: coming.length,
@@ -184,6 +184,12 @@
   });
 }
 
+/** The cores that a pool's work will demand when a machine arrives that is ordered now. */
+function forecastDemand({ demandCores, demandGrowthPerSecond }: PoolReport, history: MachineHistory): number {
+  const arrivalSeconds = (history.moveMilliseconds() + reactionMilliseconds) / millisecondsPerSecond;
+  return demandCores + demandGrowthPerSecond * arrivalSeconds;
+}
+
 /** Whether a machine is on its way to its pool: it will serve soon, but the pool's owner does not know its target yet. */
 function isArriving(
   { machineId, state, targetId }: Machine,
--- a/src/fleet/move-plan.ts
+++ b/src/fleet/move-plan.ts
@@ -26,7 +26,7 @@
   readonly isStandby: boolean;
   /** Cores for short tasks, including those of machines on their way to the pool. */
   readonly cores: number;
-  /** Cores that the pool's work demands now. */
+  /** Cores that the pool's work will demand when a machine arrives that is ordered now. */
   readonly demandCores: number;
   /** Number of long-running tasks that fit on no target of the pool. */
   readonly waitingLastingTasks: number;
--- a/src/fleet/test/fleet-manager.test.ts
+++ b/src/fleet/test/fleet-manager.test.ts
@@ -71,6 +71,7 @@
       cores,
       busyCores: cores,
       demandCores,
+      demandGrowthPerSecond: 0,
       waitingLastingTasks: 0,
       wantedTargets: 0,
     };
@@ -101,6 +102,7 @@
     cores: 0,
     busyCores: 0,
     demandCores: 0,
+    demandGrowthPerSecond: 0,
     waitingLastingTasks: 0,
     wantedTargets: 0,
   };
--- a/src/fleet/test/plans.test.ts
+++ b/src/fleet/test/plans.test.ts
@@ -96,6 +96,7 @@
     cores: 32,
     busyCores: 0,
     demandCores: 0,
+    demandGrowthPerSecond: 0,
     waitingLastingTasks: 0,
     wantedTargets: 0,
     ...changes,
--- a/src/pool-owners/messages.ts
+++ b/src/pool-owners/messages.ts
@@ -94,6 +94,7 @@
       cores: z.number(),
       busyCores: z.number(),
       demandCores: z.number(),
+      demandGrowthPerSecond: z.number().default(0),
       waitingLastingTasks: z.number(),
       wantedTargets: z.number().default(0),
     }),
--- a/src/pool-owners/owner-state.ts
+++ b/src/pool-owners/owner-state.ts
@@ -18,11 +18,11 @@
   createDemandForecast,
   createForecastMargin,
   createTaskRunTimes,
+  type DemandForecast,
   type ForecastMargin,
   type RoomPlan,
   type TaskRunTimes,
   type UnplacedTasks,
-  type WorkRate,
 } from "../scheduling/index.js";
 import type { RegisteredTarget, TargetOrders, TargetSession } from "../task-runs/index.js";
 import type { Log, Metrics } from "../telemetry/index.js";
@@ -97,7 +97,7 @@
   /** Undefined where workspaces are not distinguished. */
   readonly workspaces: OwnerWorkspaces | undefined;
   /** Rate of the work that callers submit, whether it is accepted or not. */
-  readonly demand: WorkRate;
+  readonly demand: DemandForecast;
   /** All jobs whose state can be read: open ones and ended ones within their retention. */
   readonly jobs: Map<string, Job>;
   /** Jobs that have not ended, by job id. */
--- a/src/pool-owners/pool-report.ts
+++ b/src/pool-owners/pool-report.ts
@@ -31,6 +31,8 @@
   readonly busyCores: number;
   /** Cores that the submitted work needs now, whether it is accepted or not. */
   readonly demandCores: number;
+  /** Cores by which the submitted work needs more with each second; 0 while it needs no more. */
+  readonly demandGrowthPerSecond: number;
   /** Long-running tasks without a place: those that do not run, and those that have to leave their target. */
   readonly waitingLastingTasks: number;
   /** Additional targets for the waiting long-running tasks that fit on none of the pool's targets. */
@@ -141,8 +143,18 @@
   }));
   const { waitingCores, ...load } = readLoad(state);
   // During a load surge new work needs as many cores as the running work uses; waiting work needs its own in addition.
-  const demandCores = Math.max(state.demand.read(performance.now()), load.busyCores) + waitingCores;
+  const now = performance.now();
+  const demandCores = Math.max(state.demand.read(now), load.busyCores) + waitingCores;
+  const demandGrowthPerSecond = state.demand.readGrowth(now);
   const waitingLastingTasks = state.unplacedLongRunning.reduce((sum, { count }) => sum + count, 0);
   const wantedTargets = countTargetsWanted(state);
-  return { pool: state.pool, targets, ...load, demandCores, waitingLastingTasks, wantedTargets };
+  return {
+    pool: state.pool,
+    targets,
+    ...load,
+    demandCores,
+    demandGrowthPerSecond,
+    waitingLastingTasks,
+    wantedTargets,
+  };
 }
--- a/src/scheduling/demand.ts
+++ b/src/scheduling/demand.ts
@@ -37,6 +37,16 @@
   };
 }
 
+/** A forecast of the work that callers request of a pool. */
+export interface DemandForecast extends WorkRate {
+  /**
+   * How fast the requested work grows.
+   * @param now - the monotonic clock
+   * @returns core-seconds per second, for each second that passes; 0 while it shrinks or too few jobs arrive
+   */
+  readGrowth(now: number): number;
+}
+
 /** Short enough to show a load surge within a second, long enough for a few jobs to arrive within it. */
 const baseMilliseconds = 900;
 /** Long enough that a few large jobs in a row are not taken for the peak of a surge. */
@@ -55,6 +65,8 @@
 const onsetShare = 0.4;
 /** Time constant with which the peak of earlier surges decays. */
 const peakDecayMilliseconds = 90_000;
+/** Decayed number of arrivals from which work can be said to grow: one large job alone is no growth. */
+const growthJobs = 1.5;
 
 /**
  * Creates a forecast of a pool's demand under load surges: after a quiet time, callers request several times the mean
@@ -62,13 +74,14 @@
  * that are requested later arrive too late for its first jobs.
  * @returns a forecast of 0; its `read` returns the expected rate
  */
-export function createDemandForecast(): WorkRate {
+export function createDemandForecast(): DemandForecast {
   const baseRate = createWorkRate(baseMilliseconds);
   const peakRate = createWorkRate(peakMilliseconds);
   const onsetRate = createWorkRate(onsetMilliseconds);
   const onsetArrivals = createWorkRate(onsetMilliseconds);
   const burstRate = createWorkRate(burstMilliseconds);
   const burstArrivals = createWorkRate(burstMilliseconds);
+  const baseArrivals = createWorkRate(baseMilliseconds);
   let lastPeak = 0;
   let lastPeakAt = 0;
 
@@ -77,7 +90,7 @@
   return {
     note: (coreSeconds, now) => {
       for (const rate of [baseRate, peakRate, onsetRate, burstRate]) rate.note(coreSeconds, now);
-      for (const count of [onsetArrivals, burstArrivals]) count.note(1, now);
+      for (const count of [onsetArrivals, burstArrivals, baseArrivals]) count.note(1, now);
       const current = peakRate.read(now);
       if (current < expectedPeak(now)) return;
       lastPeak = current;
@@ -90,5 +103,12 @@
       const current = Math.max(baseRate.read(now), burstJobCount >= burstJobs ? burstRate.read(now) : 0);
       return isSurge ? Math.max(current, expectedPeak(now)) : current;
     },
+    readGrowth: (now) => {
+      const jobCount = baseArrivals.read(now) * (baseMilliseconds / millisecondsPerSecond);
+      if (jobCount < growthJobs) return 0;
+      // The slower average lags behind the faster one by the difference of their time constants.
+      const lagSeconds = (peakMilliseconds - baseMilliseconds) / millisecondsPerSecond;
+      return Math.max(0, baseRate.read(now) - peakRate.read(now)) / lagSeconds;
+    },
   };
 }
--- a/src/scheduling/index.ts
+++ b/src/scheduling/index.ts
@@ -10,7 +10,7 @@
   type ShareRefusal,
   type WorkspaceShareStatus,
 } from "./share-admission.js";
-export { createDemandForecast, createWorkRate, type WorkRate } from "./demand.js";
+export { createDemandForecast, createWorkRate, type DemandForecast, type WorkRate } from "./demand.js";
 export {
   reserveJob,
   forecastEnd,
