--- a/src/fleet/fleet-manager.ts
+++ b/src/fleet/fleet-manager.ts
@@ -117,6 +117,7 @@
     const orders = (this.#orders ??= await this.#openOrders());
     const view = await this.#readView();
     if (view === undefined || orders === undefined) return;
+    await orders.refresh();
     this.#history.record(view);
     const waves = await this.#waves.plan(view);
     const machineIds = [...view.machines.keys()];
--- a/src/fleet/order-record.ts
+++ b/src/fleet/order-record.ts
@@ -1,30 +1,29 @@
 /**
  * Stores which machines were ordered recently. When the holder of the leader role is lost during a load surge, the next
- * holder waits only for these machines, and can move all other machines at once.
+ * holder waits only for these machines, each from its own order on, and can move all other machines at once.
  * @packageDocumentation
  */
 import * as z from "zod";
 import type { SessionLeaderRole } from "../pool-owners/index.js";
 import { parseWith } from "../shared/index.js";
-import type { TransactionalStore } from "../store/index.js";
+import type { StoreRecord, TransactionalStore } from "../store/index.js";
 import type { Log } from "../telemetry/index.js";
 
-/** Store key of the record. */
-export const orderRecordKey = "machine-orders/recent";
+/** Prefix of the records, one for each batch of orders. */
+export const orderRecordPrefix = "machine-orders/recent/";
 
 const orderRecordSchema = z.object({
-  /** Machines that were ordered shortly before the record was written. */
+  /** Machines that were ordered shortly after the record was written. */
   machineIds: z.array(z.string()),
 });
 
+const millisecondsPerSecond = 1_000;
+
 /** Settings of a record. */
 export interface OrderRecordOptions {
   readonly store: TransactionalStore;
   readonly leaderRole: SessionLeaderRole;
-  /**
-   * How long after taking the leader role this entry sends no orders for machines that an earlier holder ordered; after it,
-   * no order of an earlier holder can still take effect.
-   */
+  /** How long after an order was recorded no other holder sends one for its machine; after it, it cannot take effect. */
   readonly waitMilliseconds: number;
   readonly log: Log;
 }
@@ -32,9 +31,9 @@
 /** The recent orders of the present leadership term and those of earlier terms that may still take effect. */
 export class OrderRecord {
   readonly #options: OrderRecordOptions;
-  readonly #earlier: ReadonlySet<string>;
-  /** Time of this holder's last order by machine, by the monotonic clock. */
-  readonly #ordered = new Map<string, number>();
+  /** Machines that earlier holders ordered, as last read. */
+  #earlier: ReadonlySet<string>;
+  #batches = 0;
 
   private constructor(options: OrderRecordOptions, earlier: ReadonlySet<string>) {
     this.#options = options;
@@ -47,17 +46,21 @@
    * @returns the record; undefined when the store did not answer
    */
   static async open(options: OrderRecordOptions): Promise<OrderRecord | undefined> {
-    const found = await options.store.get(orderRecordKey);
-    if (found.isLeft()) return undefined;
-    const value = found.orDefault(undefined)?.value;
-    const { machineIds } = parseWith(orderRecordSchema, value).orDefault({ machineIds: [] });
-    return new OrderRecord(options, new Set(machineIds));
+    const earlier = await readEarlier(options);
+    return earlier === undefined ? undefined : new OrderRecord(options, earlier);
+  }
+
+  /** Reads again which orders of earlier holders may still take effect, as long as there are any. */
+  async refresh(): Promise<void> {
+    if (this.isSettled()) return;
+    this.#earlier = (await readEarlier(this.#options)) ?? this.#earlier;
   }
 
   /** Whether no order of an earlier holder can still be in flight. */
   isSettled(): boolean {
     const { leaderRole, waitMilliseconds } = this.#options;
-    return leaderRole.isHeld() && leaderRole.heldForMilliseconds() >= waitMilliseconds;
+    if (!leaderRole.isHeld()) return false;
+    return this.#earlier.size === 0 || leaderRole.heldForMilliseconds() >= waitMilliseconds;
   }
 
   /**
@@ -70,30 +73,50 @@
   }
 
   /**
-   * Stores machines as recently ordered. Must be called before the orders are sent.
+   * Stores machines as recently ordered, under a lease of its own: the store removes the record once the orders can no
+   * longer take effect. Must be called before the orders are sent.
    * @param machineIds - identifiers of the machines
    * @returns true if the record is stored and this entry still holds the leader role; otherwise no order may be sent
    */
   async recordOrders(machineIds: readonly string[]): Promise<boolean> {
-    const { store, leaderRole, log } = this.#options;
-    const now = performance.now();
-    for (const machineId of machineIds) this.#ordered.set(machineId, now);
-    const value = { machineIds: this.#listRecent(now) };
-    const result = await store.transact({
-      expected: [leaderRole.expectHeld()],
-      writes: [{ key: orderRecordKey, value }],
+    const { store, leaderRole, log, waitMilliseconds } = this.#options;
+    const granted = await store.grantLease(waitMilliseconds / millisecondsPerSecond);
+    const lease = granted.toMaybe().extract();
+    this.#batches += 1;
+    const key = `${termPrefix(leaderRole)}${this.#batches}`;
+    const result =
+      lease === undefined
+        ? undefined
+        : await store.transact({
+            expected: [leaderRole.expectHeld()],
+            writes: [{ key, value: { machineIds }, leaseId: lease.leaseId }],
+          });
+    if (result?.kind === "done") return leaderRole.isHeld();
+    log.write("warn", "orders-not-noted", {
+      machines: machineIds.length,
+      result: result?.kind ?? "no-lease",
     });
-    if (result.kind === "done") return leaderRole.isHeld();
-    log.write("warn", "orders-not-noted", { machines: machineIds.length, result: result.kind });
     return false;
   }
+}
 
-  /** Lists the machines that a next holder must not order yet: recent orders, and unsettled ones of earlier holders. */
-  #listRecent(now: number): string[] {
-    for (const [machineId, at] of this.#ordered) {
-      if (now - at > this.#options.waitMilliseconds) this.#ordered.delete(machineId);
-    }
-    const earlier = this.isSettled() ? [] : this.#earlier;
-    return [...new Set([...this.#ordered.keys(), ...earlier])];
-  }
+/** Prefix of the records of the present leadership term. */
+function termPrefix(leaderRole: SessionLeaderRole): string {
+  return `${orderRecordPrefix}${leaderRole.fencingToken()}/`;
+}
+
+/** Reads which machines other holders ordered recently; undefined when the store did not answer. */
+async function readEarlier({
+  store,
+  leaderRole,
+}: OrderRecordOptions): Promise<ReadonlySet<string> | undefined> {
+  const own = termPrefix(leaderRole);
+  const found = await store.list(orderRecordPrefix);
+  const records = found.toMaybe().extract()?.records;
+  const machineIds = records?.filter(({ key }) => !key.startsWith(own)).flatMap(decodeMachineIds);
+  return machineIds === undefined ? undefined : new Set(machineIds);
+}
+
+function decodeMachineIds({ value }: StoreRecord): readonly string[] {
+  return parseWith(orderRecordSchema, value).orDefault({ machineIds: [] }).machineIds;
 }
