--- a/src/jobs/job.ts
+++ b/src/jobs/job.ts
@@ -97,8 +97,11 @@
   /** Indexes of the occurrences whose tasks have all succeeded. */
   readonly finishedOccurrences: Set<number>;
   hasStarted: boolean;
-  /** Whether a former owner accepted the job and may have started its tasks. */
-  readonly isFromFormerOwner: boolean;
+  /**
+   * Store revision of the record of a job that a former owner accepted, and whose tasks it may have started; undefined for
+   * a job that this owner accepted.
+   */
+  readonly formerRevision: number | undefined;
   /** Whether the end of the job is being stored; no further tasks are started. */
   isEnding: boolean;
   finalState: ProgressRecord["finalState"];
@@ -117,14 +120,14 @@
  * @param record - the record of the accepted job
  * @param progress - the stored progress; undefined when none was stored
  * @param acceptedAt - when it was accepted, by the monotonic clock
- * @param isFromFormerOwner - whether a former owner accepted it
+ * @param formerRevision - store revision of its record if a former owner accepted it; undefined otherwise
  * @returns the job without occurrences; `openOccurrences` creates them
  */
 export function createJob(
   record: JobRecord,
   progress: ProgressRecord | undefined,
   acceptedAt: number,
-  isFromFormerOwner: boolean,
+  formerRevision?: number,
 ): Job {
   const job: Job = {
     id: record.jobId,
@@ -133,7 +136,7 @@
     dueCount: 0,
     finishedOccurrences: new Set(),
     hasStarted: progress !== undefined && hasStoredOutcome(progress),
-    isFromFormerOwner,
+    formerRevision,
     isEnding: false,
     finalState: progress?.finalState,
     endedAt: progress?.endedAt,
--- a/src/jobs/test/job.test.ts
+++ b/src/jobs/test/job.test.ts
@@ -54,7 +54,7 @@
 });
 
 function openJob(record: JobRecord, due = 1): Job {
-  const job = createJob(record, undefined, 0, false);
+  const job = createJob(record, undefined, 0);
   openOccurrences(job, due);
   return job;
 }
@@ -109,7 +109,7 @@
           else task.failures = failures;
         });
         const stored = decodeProgressRecord(JSON.parse(JSON.stringify(encodeProgress(job))));
-        const restored = createJob(record, stored, 0, true);
+        const restored = createJob(record, stored, 0, 1);
         openOccurrences(restored, 1, stored);
         expect(allTasks(restored).map((task) => [task.succeeded, task.failures])).toEqual(
           allTasks(job).map((task) => [task.succeeded, task.failures]),
--- /dev/null
+++ b/src/pool-owners/awaited-targets.ts
@@ -0,0 +1,48 @@
+/**
+ * Targets of earlier owners that have not reported since the takeover, with the jobs that may have runs on them. A target
+ * that earlier owners had not used for a while holds back only jobs from before that time.
+ * @packageDocumentation
+ */
+
+/** Targets that may have runs of which this owner does not know. */
+export interface AwaitedTargets {
+  /**
+   * Adds a target.
+   * @param targetId - the target
+   * @param unusedSince - highest store revision of a job that may have runs there; infinite when any job may
+   */
+  add(targetId: string, unusedSince: number): void;
+  /** Removes a target that has reported or whose leases have lapsed; returns whether it was awaited. */
+  delete(targetId: string): boolean;
+  has(targetId: string): boolean;
+  /** Number of awaited targets. */
+  size(): number;
+  /** Whether a job with this store revision may have runs on the target. */
+  mayRun(targetId: string, revision: number): boolean;
+  /** Whether a job with this store revision may have runs on any awaited target. */
+  mayRunAnywhere(revision: number): boolean;
+}
+
+/**
+ * Creates an empty set.
+ * @returns the set
+ */
+export function createAwaitedTargets(): AwaitedTargets {
+  const targets = new Map<string, number>();
+  let latest = Number.NEGATIVE_INFINITY;
+  return {
+    add: (targetId, unusedSince) => {
+      targets.set(targetId, unusedSince);
+      latest = Math.max(latest, unusedSince);
+    },
+    delete: (targetId) => {
+      const isDeleted = targets.delete(targetId);
+      if (isDeleted) latest = Math.max(Number.NEGATIVE_INFINITY, ...targets.values());
+      return isDeleted;
+    },
+    has: (targetId) => targets.has(targetId),
+    size: () => targets.size,
+    mayRun: (targetId, revision) => revision <= (targets.get(targetId) ?? Number.NEGATIVE_INFINITY),
+    mayRunAnywhere: (revision) => revision <= latest,
+  };
+}
--- a/src/pool-owners/held-pool.ts
+++ b/src/pool-owners/held-pool.ts
@@ -11,10 +11,11 @@
 import { ownerPrefix } from "./owner-record.js";
 import { createOwnerState, loadJobs, type OwnerState } from "./owner-state.js";
 import { OwnerTargets } from "./owner-targets.js";
-import { formerLeaseMilliseconds, type StoredJobs, type TakenPool } from "./owner-takeover.js";
+import { formerLeaseMilliseconds, type TakenPool } from "./owner-takeover.js";
 import type { WorkspacesOfOwners } from "./owner-workspaces.js";
 import { PoolOwner } from "./pool-owner.js";
 import { readRecentLoad } from "./pool-report.js";
+import type { StoredJobs } from "./stored-jobs.js";
 
 /** Dependencies and settings of the owners of an entry. */
 export interface HeldPoolOptions {
@@ -96,7 +97,7 @@
     supersede,
     workspaces,
   });
-  loadJobs(state, jobs.records, jobs.progress);
+  loadJobs(state, jobs);
   const targets = new OwnerTargets(state, {
     leaseMilliseconds: runLeaseMilliseconds,
     ownerCount: takeoverState.homes,
@@ -108,6 +109,9 @@
     store,
     advice: options.advice,
     retentionMilliseconds: options.retentionMilliseconds,
+    onTick: () => {
+      targets.reviewUse();
+    },
   });
   const listed = options.listedTargets(pool);
   if (listed !== undefined) targets.follow(listed);
--- a/src/pool-owners/journal-writes.ts
+++ b/src/pool-owners/journal-writes.ts
@@ -40,6 +40,8 @@
   write(key: string, value: unknown, options?: JournalWriteOptions): JournalWrite;
   /** Number of writes that are not stored yet. */
   waiting(): number;
+  /** Highest store revision of the writes whose results are settled. */
+  storedRevision(): number;
   /** Waits until all pending writes have a result; resolves early if the journal is closed. */
   flush(): Promise<void>;
   /** Ends all pending writes with the result `superseded`. */
--- a/src/pool-owners/owner-journal.ts
+++ b/src/pool-owners/owner-journal.ts
@@ -60,6 +60,7 @@
   /** The latest pending write of each key. */
   readonly #last = new Map<string, PendingWrite>();
   #revision: number;
+  #storedRevision: number;
   #record: OwnerRecord;
   #isClosed = false;
   #running: Promise<void> | undefined;
@@ -73,6 +74,7 @@
   constructor(options: OwnerJournalOptions) {
     this.#options = options;
     this.#revision = options.revision;
+    this.#storedRevision = options.revision;
     this.#record = options.record;
   }
 
@@ -98,6 +100,10 @@
     return this.#pendingWrites.length;
   }
 
+  storedRevision(): number {
+    return this.#storedRevision;
+  }
+
   async flush(): Promise<void> {
     while (this.#running !== undefined && !this.#isClosed) {
       this.#batchDelay.abort();
@@ -170,6 +176,7 @@
     const batch = this.#takeBatch();
     const result = await this.#transact(batch);
     if (result.kind === "done") {
+      this.#storedRevision = Math.max(this.#storedRevision, result.revision);
       this.#settle(batch, "stored");
       return;
     }
@@ -251,7 +258,7 @@
       writes: [{ key: ownerKey, value: this.#record, leaseId }],
     });
     if (result.kind === "done") {
-      this.#revision = result.revision;
+      this.#adoptRevision(result.revision);
       log.write("info", "journal-barrier", { homeKey: ownerKey, barrier, revision: result.revision });
       return true;
     }
@@ -277,7 +284,13 @@
     const current = found.orDefault(undefined);
     const held = decodeOwnerRecord(current?.value);
     if (current === undefined || held?.term !== this.#record.term) this.#supersede();
-    else this.#revision = current.revision;
+    else this.#adoptRevision(current.revision);
+  }
+
+  /** Notes a new revision of the owner record. Writes that became known to be stored before it have lower revisions. */
+  #adoptRevision(revision: number): void {
+    this.#revision = revision;
+    this.#storedRevision = Math.max(this.#storedRevision, revision);
   }
 
   #supersede(): void {
--- a/src/pool-owners/owner-record.ts
+++ b/src/pool-owners/owner-record.ts
@@ -25,8 +25,16 @@
 const takeoverStateSchema = z.object({
   /** How many times the pool has been taken. */
   homes: z.number(),
-  /** Addresses and start times of the targets that may have runs, by target identifier. */
-  targets: z.record(z.string(), z.object({ address: z.string(), startedAtUnix: z.number() })),
+  /** The targets that may have runs, by target identifier. */
+  targets: z.record(
+    z.string(),
+    z.object({
+      address: z.string(),
+      startedAtUnix: z.number(),
+      /** Highest store revision of a job that may have runs on the target; omitted while any job may. */
+      unusedSince: z.number().optional(),
+    }),
+  ),
 });
 
 /** The state that a pool's next owner needs. */
--- a/src/pool-owners/owner-state.ts
+++ b/src/pool-owners/owner-state.ts
@@ -27,8 +27,10 @@
 import type { RegisteredTarget, TargetOrders, TargetSession } from "../task-runs/index.js";
 import type { Log, Metrics } from "../telemetry/index.js";
 import type { OwnerWorkspaces } from "../workspaces/index.js";
+import { createAwaitedTargets, type AwaitedTargets } from "./awaited-targets.js";
 import type { OwnerJournal } from "./journal-writes.js";
 import type { PoolLoad } from "./pool-load.js";
+import type { StoredJobs } from "./stored-jobs.js";
 
 /** A run together with its task. */
 export interface TargetRun {
@@ -43,6 +45,13 @@
   readonly runs: Map<string, TargetRun>;
   /** Whether the takeover state in the store lists this target; the next owner checks the listed targets for runs. */
   isRecorded: boolean;
+  /** The first record of the pool's targets that lists this target as it is; undefined before it is written. */
+  recordedBy?: number | undefined;
+  /**
+   * Set while no task may be started on the target: the highest store revision of a job that may have runs on it, as the
+   * takeover state says.
+   */
+  unusedSince?: number | undefined;
   /** Whether the target is being vacated: no task is started on it. */
   isVacating: boolean;
   /** No task is started on the target before this time, by the monotonic clock. */
@@ -121,7 +130,7 @@
    * Targets of earlier owners that have not reported yet and whose leases have not expired; tasks that may still run there
    * are not started elsewhere.
    */
-  awaitedTargets: Set<string>;
+  readonly awaitedTargets: AwaitedTargets;
   /** Unanswered starts whose target has restarted since, by target: the restarted target may still carry them out. */
   readonly unsettledStarts: Map<string, readonly TargetRun[]>;
   /** Recent starts that received no answer, by target, whether or not their outcome has become known since. */
@@ -167,7 +176,7 @@
     targets: new Map(),
     wake: () => undefined,
     listedTargets: new Map(),
-    awaitedTargets: new Set(),
+    awaitedTargets: createAwaitedTargets(),
     placeRecords: new Map(),
     unsettledStarts: new Map(),
     unansweredStarts: new Map(),
@@ -181,17 +190,15 @@
 /**
  * Loads the stored jobs of a pool into its owner.
  * @param state - the owner
- * @param records - accepted jobs of the pool
- * @param progress - stored progress by job id
+ * @param stored - accepted jobs of the pool, their store revisions and their progress
  */
-export function loadJobs(
-  state: OwnerState,
-  records: readonly JobRecord[],
-  progress: ReadonlyMap<string, ProgressRecord>,
-): void {
+export function loadJobs(state: OwnerState, { records, revisions, progress }: StoredJobs): void {
   const endedAt = ({ jobId }: JobRecord): number => progress.get(jobId)?.endedAt ?? 0;
   const byEnd = [...records].sort((left, right) => endedAt(left) - endedAt(right));
-  for (const record of byEnd) addJob(state, record, progress.get(record.jobId), Date.now(), true);
+  for (const record of byEnd) {
+    const formerRevision = revisions.get(record.jobId) ?? 0;
+    addJob(state, record, progress.get(record.jobId), Date.now(), formerRevision);
+  }
 }
 
 /**
@@ -200,7 +207,7 @@
  * @param record - the accepted job
  * @param progress - the job's stored progress; undefined when none is stored
  * @param unixMilliseconds - the current Unix time
- * @param isFromFormerOwner - whether an earlier owner accepted the job
+ * @param formerRevision - store revision of the record of a job that an earlier owner accepted; undefined for other jobs
  * @returns the job
  */
 export function addJob(
@@ -208,10 +215,10 @@
   record: JobRecord,
   progress: ProgressRecord | undefined,
   unixMilliseconds: number,
-  isFromFormerOwner: boolean,
+  formerRevision?: number,
 ): Job {
   const age = Math.max(0, unixMilliseconds - record.acceptedAt);
-  const job = createJob(record, progress, performance.now() - age, isFromFormerOwner);
+  const job = createJob(record, progress, performance.now() - age, formerRevision);
   state.jobs.set(job.id, job);
   if (job.finalState !== undefined) {
     state.endedJobs.add(job);
--- a/src/pool-owners/owner-takeover.ts
+++ b/src/pool-owners/owner-takeover.ts
@@ -8,13 +8,13 @@
   decodeProgressRecord,
   jobPrefix,
   progressPrefix,
-  type JobRecord,
   type ProgressRecord,
 } from "../jobs/index.js";
 import { delay, withTimeout } from "../shared/index.js";
 import type { StoreRecord, TransactionalStore } from "../store/index.js";
 import { slowestClockRate } from "../task-runs/index.js";
 import type { Log } from "../telemetry/index.js";
+import type { StoredJobs } from "./stored-jobs.js";
 import {
   decodeOwnerRecord,
   decodeTakeoverState,
@@ -88,12 +88,6 @@
   return runLeaseMilliseconds / slowestClockRate + orderDeliveryMilliseconds;
 }
 
-/** The stored jobs of a pool. */
-export interface StoredJobs {
-  readonly records: readonly JobRecord[];
-  readonly progress: ReadonlyMap<string, ProgressRecord>;
-}
-
 const loadRetryMilliseconds = 100;
 /** An entry that has not read a pool's jobs within this time leaves the pool to another entry. */
 const loadTimeoutMilliseconds = 4_000;
@@ -140,17 +134,19 @@
     .chain(({ records }) => progress.map((found) => ({ records, progressRecords: found.records })))
     .mapLeft(({ kind, message }) => `${kind}: ${message}`)
     .map(({ records, progressRecords }) => {
-      const decoded = records.flatMap((record) => decodeOrLog(record, decodeJobRecord, log) ?? []);
-      const own = decoded.filter(({ terms }) => terms.pool === pool);
-      const ids = new Set(own.map(({ jobId }) => jobId));
+      const own = records.flatMap((record) => {
+        const job = decodeOrLog(record, decodeJobRecord, log);
+        return job?.terms.pool === pool ? [{ job, revision: record.revision }] : [];
+      });
+      const revisions = new Map(own.map(({ job, revision }) => [job.jobId, revision]));
       const byJob = new Map<string, ProgressRecord>();
       for (const record of progressRecords) {
         const jobId = record.key.slice(progressPrefix.length);
-        if (!ids.has(jobId)) continue;
+        if (!revisions.has(jobId)) continue;
         const found = decodeOrLog(record, decodeProgressRecord, log);
         if (found !== undefined) byJob.set(jobId, found);
       }
-      return { records: own, progress: byJob };
+      return { records: own.map(({ job }) => job), revisions, progress: byJob };
     });
 }
 
--- a/src/pool-owners/owner-targets.ts
+++ b/src/pool-owners/owner-targets.ts
@@ -4,10 +4,11 @@
  */
 import { choosePace } from "../scheduling/index.js";
 import { TargetSession, type RegisteredTarget, type TargetSessionHandlers } from "../task-runs/index.js";
-import { takeoverStatePrefix, type TakeoverState } from "./owner-record.js";
+import type { TakeoverState } from "./owner-record.js";
 import { removeRun, type OwnerState, type PoolTarget } from "./owner-state.js";
 import { formerLeaseMilliseconds } from "./owner-takeover.js";
 import { handleReport } from "./run-ends.js";
+import { TargetRecords } from "./target-records.js";
 import { keepUnsettledStarts, refuseLateStarts, takeUnsettledStarts } from "./unsettled-starts.js";
 
 /** How long a renewal waits at the target for the end of a run. Targets without runs need fewer renewals. */
@@ -33,6 +34,7 @@
   readonly #state: OwnerState;
   readonly #options: OwnerTargetsOptions;
   readonly #handlers: TargetSessionHandlers;
+  readonly #records: TargetRecords;
 
   /**
    * Creates the set of sessions, which is empty at first.
@@ -42,6 +44,7 @@
   constructor(state: OwnerState, options: OwnerTargetsOptions) {
     this.#state = state;
     this.#options = options;
+    this.#records = new TargetRecords(state, options.ownerCount);
     this.#handlers = {
       onReport: (session, report, freshEnds, requestSentAt) => {
         const target = this.#find(session);
@@ -76,7 +79,12 @@
     this.#closeUnlisted();
     const targets = [...state.targets.values()];
     if (targets.some(({ isRecorded, session }) => !isRecorded && session.isListed()))
-      this.#recordTargets("now");
+      this.#records.write("now");
+  }
+
+  /** Records which targets have become unused, and which are about to be used again. */
+  reviewUse(): void {
+    this.#records.reviewUse();
   }
 
   /**
@@ -85,11 +93,12 @@
    * @param leaseUntil - when the earlier owner's run leases have certainly ended, by the monotonic clock
    */
   restoreTargets(takeoverState: TakeoverState, leaseUntil: number): void {
-    const { pool, awaitedTargets: awaited, targets } = this.#state;
-    for (const [targetId, { address, startedAtUnix }] of Object.entries(takeoverState.targets)) {
-      awaited.add(targetId);
-      this.#open(unlistedTarget(pool, targetId, address, startedAtUnix), leaseUntil);
-      targets.get(targetId)?.session.setListed(false);
+    const { pool, awaitedTargets: awaited } = this.#state;
+    for (const [targetId, { address, startedAtUnix, unusedSince }] of Object.entries(takeoverState.targets)) {
+      awaited.add(targetId, unusedSince ?? Number.POSITIVE_INFINITY);
+      const target = this.#open(unlistedTarget(pool, targetId, address, startedAtUnix), leaseUntil);
+      target.unusedSince = unusedSince;
+      target.session.setListed(false);
     }
   }
 
@@ -117,7 +126,7 @@
     this.#open(target, 0);
   }
 
-  #open(target: RegisteredTarget, formerLeaseUntil: number): void {
+  #open(target: RegisteredTarget, formerLeaseUntil: number): PoolTarget {
     const { pool, targets, orders, fencingToken, metrics, log } = this.#state;
     const unsettled = takeUnsettledStarts(this.#state, target.targetId);
     const unsettledUntil = unsettled.length === 0 ? 0 : performance.now() + this.#lateOrderMilliseconds();
@@ -145,6 +154,7 @@
     refuseLateStarts(this.#state, opened);
     log.write("info", "target-session-opened", { pool, target: target.targetId, address: target.address });
     void session.run();
+    return opened;
   }
 
   /** Closes sessions with targets that left the registry, once they have no runs and all their run ends are stored. */
@@ -164,32 +174,13 @@
   #drop(target: PoolTarget, reason: string): void {
     if (reason === "replaced") keepUnsettledStarts(this.#state, target, this.#lateOrderMilliseconds());
     dropTarget(this.#state, target, reason);
-    this.#recordTargets("soon");
+    this.#records.write("soon");
   }
 
   /** An order of this age can no longer be carried out. */
   #lateOrderMilliseconds(): number {
     return formerLeaseMilliseconds(this.#options.leaseMilliseconds);
   }
-
-  /** Stores which targets may have runs. A new target is used only once it is stored. */
-  #recordTargets(urgency: "now" | "soon"): void {
-    const state = this.#state;
-    const open = [...state.targets.values()];
-    const targets = Object.fromEntries(
-      open.map(({ session }) => {
-        const { address, startedAtUnix } = session.target();
-        return [session.targetId, { address, startedAtUnix }] as const;
-      }),
-    );
-    const value: TakeoverState = { homes: this.#options.ownerCount, targets };
-    const write = state.journal.write(`${takeoverStatePrefix}${state.pool}`, value, { urgency });
-    void write.result.then((result) => {
-      if (result !== "stored") return;
-      for (const target of open) target.isRecorded = true;
-      state.wake();
-    });
-  }
 }
 
 /** Creates a target that is known only from the takeover state. */
--- a/src/pool-owners/pool-owner.ts
+++ b/src/pool-owners/pool-owner.ts
@@ -27,6 +27,8 @@
   readonly advice: AdviceService | undefined;
   /** How long the state of an ended job can still be read. */
   readonly retentionMilliseconds: number;
+  /** Called in each of the owner's periodic rounds. */
+  readonly onTick?: () => void;
 }
 
 const tickMilliseconds = 100;
@@ -175,6 +177,7 @@
     this.#forgetEnded(unixNow);
     // The sender repeats the request while the targets have to stay empty.
     if (now - this.#lastVacateAt > vacateExpiryMilliseconds) this.vacate([]);
+    this.#options.onTick?.();
     stopUnwanted(this.#state);
     this.#scheduleRound();
   }
@@ -233,7 +236,7 @@
 
   #add(record: JobRecord, accepted: AcceptedJob | undefined): void {
     const forecast = accepted?.forecast;
-    const job = addJob(this.#state, record, undefined, Date.now(), false);
+    const job = addJob(this.#state, record, undefined, Date.now());
     reserveRoomForJob(this.#state, record.terms, record.definition);
     if (forecast !== undefined && Number.isFinite(forecast.uncorrectedEndMilliseconds))
       job.expectedEndAt = performance.now() + forecast.uncorrectedEndMilliseconds;
--- a/src/pool-owners/run-ends.ts
+++ b/src/pool-owners/run-ends.ts
@@ -49,7 +49,7 @@
       pool: state.pool,
       target: target.session.targetId,
       present: present.size,
-      left: state.awaitedTargets.size,
+      left: state.awaitedTargets.size(),
     });
   if (freshEnds.length > 0 || present.size === 0) state.wake();
 }
--- /dev/null
+++ b/src/pool-owners/stored-jobs.ts
@@ -0,0 +1,13 @@
+/**
+ * The jobs of a pool as the store holds them.
+ * @packageDocumentation
+ */
+import type { JobRecord, ProgressRecord } from "../jobs/index.js";
+
+/** The stored jobs of a pool. */
+export interface StoredJobs {
+  readonly records: readonly JobRecord[];
+  /** Store revision of each record, by job id. */
+  readonly revisions: ReadonlyMap<string, number>;
+  readonly progress: ReadonlyMap<string, ProgressRecord>;
+}
--- /dev/null
+++ b/src/pool-owners/target-records.ts
@@ -0,0 +1,87 @@
+/**
+ * The takeover state of a pool as its owner keeps it: which targets may have runs. A target is used only once the record
+ * lists it, and a target that is not used any more is recorded as such, so that a next owner that cannot reach it does not
+ * hold back jobs that cannot have runs there.
+ * @packageDocumentation
+ */
+import { takeoverStatePrefix, type TakeoverState } from "./owner-record.js";
+import type { OwnerState, PoolTarget } from "./owner-state.js";
+
+/** A target counts as unused after this many unanswered renewals; a single answer may be lost. */
+const unansweredRenewals = 2;
+
+/**
+ * Finds which jobs may have runs on a target.
+ * @param state - the owner
+ * @param target - the target
+ * @returns undefined while tasks may be started on the target; else the highest store revision of a job that may have runs
+ * there, 0 when no job has any
+ */
+export function findUnusedSince(state: OwnerState, target: PoolTarget): number | undefined {
+  const { session, runs, isVacating } = target;
+  const isSilent = session.failuresInARow() >= unansweredRenewals;
+  // What this owner has accepted is newer than its own record, and has no runs on a target that it has never used.
+  if (isSilent && !session.isKnown()) return state.fencingToken;
+  if (isSilent) return state.journal.storedRevision();
+  const isEmpty = session.isResponsive() && runs.size === 0 && !state.unansweredStarts.has(session.targetId);
+  return isVacating && isEmpty ? 0 : undefined;
+}
+
+/** The record of a pool's targets. */
+export class TargetRecords {
+  readonly #state: OwnerState;
+  readonly #ownerCount: number;
+  #writes = 0;
+
+  /**
+   * Creates the record; nothing is written before a method is called.
+   * @param state - the owner
+   * @param ownerCount - how many times the pool has been taken
+   */
+  constructor(state: OwnerState, ownerCount: number) {
+    this.#state = state;
+    this.#ownerCount = ownerCount;
+  }
+
+  /** Records which targets have become unused, and which are about to be used again. */
+  reviewUse(): void {
+    let hasChanged = false;
+    for (const target of this.#state.targets.values()) {
+      const unusedSince = findUnusedSince(this.#state, target);
+      if ((unusedSince === undefined) === (target.unusedSince === undefined)) continue;
+      target.unusedSince = unusedSince;
+      target.isRecorded = false;
+      target.recordedBy = undefined;
+      hasChanged = true;
+    }
+    if (hasChanged) this.write("now");
+  }
+
+  /**
+   * Stores the present targets. Those that are listed as in use may be used once this is stored.
+   * @param urgency - how long the write may wait for others
+   */
+  write(urgency: "now" | "soon"): void {
+    const state = this.#state;
+    this.#writes += 1;
+    const number = this.#writes;
+    const open = [...state.targets.values()];
+    for (const target of open) target.recordedBy ??= number;
+    const value: TakeoverState = {
+      homes: this.#ownerCount,
+      targets: Object.fromEntries(open.map((target) => [target.session.targetId, describeTarget(target)])),
+    };
+    const write = state.journal.write(`${takeoverStatePrefix}${state.pool}`, value, { urgency });
+    void write.result.then((result) => {
+      if (result !== "stored") return;
+      // An earlier write of the record may be stored after the use of a target has changed.
+      for (const target of open) target.isRecorded ||= (target.recordedBy ?? Infinity) <= number;
+      state.wake();
+    });
+  }
+}
+
+function describeTarget({ session, unusedSince }: PoolTarget): TakeoverState["targets"][string] {
+  const { address, startedAtUnix } = session.target();
+  return { address, startedAtUnix, ...(unusedSince === undefined ? {} : { unusedSince }) };
+}
--- a/src/pool-owners/target-views.ts
+++ b/src/pool-owners/target-views.ts
@@ -17,6 +17,7 @@
   const { session } = target;
   return (
     target.isRecorded &&
+    target.unusedSince === undefined &&
     !target.isVacating &&
     target.blockedUntil <= now &&
     session.isKnown() &&
--- a/src/pool-owners/test/job-admission.test.ts
+++ b/src/pool-owners/test/job-admission.test.ts
@@ -64,6 +64,7 @@
     journal: {
       write: () => ({ result: Promise.resolve("stored"), withdraw: () => undefined }),
       waiting: () => 0,
+      storedRevision: () => 0,
       flush: async () => Promise.resolve(),
       close: () => undefined,
     },
@@ -87,7 +88,7 @@
   const now = Date.now();
   const definition = { spec: "", steps: [step] };
   const record = { jobId, terms: promptTerms, definition, acceptedAt: now, requestedAt: now, workspace: of };
-  addJob(state, record, undefined, now, false);
+  addJob(state, record, undefined, now);
 }
 
 test("a job that cannot meet its objective within the cap is refused at once, one that can is accepted", () => {
--- a/src/pool-owners/test/job-rank.test.ts
+++ b/src/pool-owners/test/job-rank.test.ts
@@ -17,7 +17,7 @@
   const first = createStep({ estimateMilliseconds: stepMilliseconds });
   const definition = { spec: "", steps: [first, { ...first, after: [0] }] };
   const record = { jobId, terms: queueTerms, definition, acceptedAt: 0, requestedAt: 0 };
-  const job = createJob(record, undefined, acceptedAt, false);
+  const job = createJob(record, undefined, acceptedAt);
   openOccurrences(job, 1);
   return job;
 }
--- a/src/pool-owners/test/owner-cost.test.ts
+++ b/src/pool-owners/test/owner-cost.test.ts
@@ -22,6 +22,7 @@
 const journal: OwnerJournal = {
   write: () => ({ result: Promise.resolve("stored"), withdraw: () => undefined }),
   waiting: () => 0,
+  storedRevision: () => 0,
   flush: async () => Promise.resolve(),
   close: () => undefined,
 };
@@ -69,7 +70,7 @@
   return Array.from({ length: count }, (_, index) => {
     const definition = { spec: "", steps: [createStep()] };
     const record = { jobId: `known-${index}`, terms, definition, acceptedAt: now, requestedAt: now };
-    return addJob(state, record, progress, now, false);
+    return addJob(state, record, progress, now);
   });
 }
 
--- a/src/pool-owners/test/owner-targets.test.ts
+++ b/src/pool-owners/test/owner-targets.test.ts
@@ -34,6 +34,7 @@
       return { result, withdraw: () => undefined };
     },
     waiting: () => settles.length,
+    storedRevision: () => 0,
     flush: async () => Promise.resolve(),
     close: () => undefined,
   };
@@ -61,7 +62,7 @@
     supersede: () => undefined,
   });
   const definition = { spec: "", steps: [createStep()] };
-  addJob(state, { jobId: "job", terms, definition, acceptedAt: 0, requestedAt: 0 }, undefined, 0, false);
+  addJob(state, { jobId: "job", terms, definition, acceptedAt: 0, requestedAt: 0 }, undefined, 0);
   const targets = new OwnerTargets(state, { leaseMilliseconds: 6_000, ownerCount: 1 });
   targets.follow(new Map([[listed.targetId, listed]]));
   await waitFor(() => settles.length > 0);
--- a/src/pool-owners/test/run-ends.test.ts
+++ b/src/pool-owners/test/run-ends.test.ts
@@ -29,6 +29,7 @@
       return { result, withdraw: () => undefined };
     },
     waiting: () => writes.length,
+    storedRevision: () => 0,
     flush: async () => Promise.resolve(),
     close: () => undefined,
   };
@@ -55,7 +56,7 @@
   const state = createState(journal);
   const definition = { spec: "", steps: [createStep()] };
   const record = { jobId: "job", terms, definition, acceptedAt: 0, requestedAt: 0 };
-  const job = addJob(state, record, undefined, 0, false);
+  const job = addJob(state, record, undefined, 0);
   const ending = endJob(state, job, "cancelled");
   const progress = storeProgress(state, job);
   expect(writes).toHaveLength(1);
@@ -71,7 +72,7 @@
   const state = createState(journal);
   const definition = { spec: "", steps: [createStep()] };
   const record = { jobId: "job", terms, definition, acceptedAt: 0, requestedAt: 0 };
-  const job = addJob(state, record, undefined, 0, false);
+  const job = addJob(state, record, undefined, 0);
   const ending = endJob(state, job, "complete");
   writes[0]?.settle("superseded");
   expect(await ending).toBe(false);
@@ -90,7 +91,7 @@
     requestedAt: 0,
   };
   const progress = { succeeded: [], failures: { "0.0.0": 1 }, failedRuns: { "0.0.0": [65] } };
-  const job = addJob(state, record, progress, 0, true);
+  const job = addJob(state, record, progress, 0, 1);
   const target = createTarget(state);
   reportFailure(state, target, 1, 65);
   expect(allTasks(job)[0]?.failures).toBe(1);
@@ -109,7 +110,7 @@
     const state = createState(journal);
     const definition = { spec: "", steps: [createStep({ taskCount: 2 })] };
     const record = { jobId: "job", terms, definition, acceptedAt: 0, requestedAt: 0 };
-    addJob(state, record, undefined, 0, false);
+    addJob(state, record, undefined, 0);
     reportEnd(state, createTarget(state), 1, 65, kind);
     // After a lost lease, the next session with the same incarnation receives all ends again.
     const reopened = createTarget(state);
@@ -132,13 +133,7 @@
     createLog("info", (line) => lines.push(line)),
   );
   const definition = { spec: "", steps: [createStep({ taskCount: 1 })] };
-  const job = addJob(
-    state,
-    { jobId: "job", terms, definition, acceptedAt: 0, requestedAt: 0 },
-    undefined,
-    0,
-    false,
-  );
+  const job = addJob(state, { jobId: "job", terms, definition, acceptedAt: 0, requestedAt: 0 }, undefined, 0);
   const target = createTarget(state);
   state.targets.set("target", target);
   const [task] = allTasks(job);
@@ -171,20 +166,20 @@
     const state = createState(createManualJournal().journal);
     const definition = { spec: "", steps: [createStep({ taskCount: 1 })] };
     const record = { jobId: "job", terms, definition, acceptedAt: 0, requestedAt: 0 };
-    const [task] = allTasks(addJob(state, record, undefined, 0, false));
+    const [task] = allTasks(addJob(state, record, undefined, 0));
     if (task === undefined) throw new Error("the job has no task");
     const target = createTarget(state);
     const run = createRun();
     task.runs.push(run);
     target.runs.set(task.name, { task, run });
-    state.awaitedTargets.add("target");
+    state.awaitedTargets.add("target", Infinity);
     const ends = Array.from({ length: count }, (_, index): RunEnd => {
       return { sequence: index + 1, task: `other.0.0.${index}`, run: 1, kind: "succeeded", checkpoint: "" };
     });
     const report = { startedAtUnix: 1, clockMilliseconds: 0, present: [], ends };
     handleReport(state, target, report, ends, performance.now());
     expect(task.runs).toHaveLength(runsLeft);
-    expect(state.awaitedTargets.size).toBe(awaitedLeft);
+    expect(state.awaitedTargets.size()).toBe(awaitedLeft);
   },
 );
 
--- a/src/pool-owners/test/run-time-learning.test.ts
+++ b/src/pool-owners/test/run-time-learning.test.ts
@@ -16,6 +16,7 @@
 const journal: OwnerJournal = {
   write: () => ({ result: Promise.resolve("stored"), withdraw: () => undefined }),
   waiting: () => 0,
+  storedRevision: () => 0,
   flush: async () => Promise.resolve(),
   close: () => undefined,
 };
@@ -94,7 +95,7 @@
   jobs += 1;
   const definition = { spec: "", steps: [step] };
   const record = { jobId: `job-${jobs}`, terms: queueTerms, definition, acceptedAt: 0, requestedAt: 0 };
-  const job = addJob(state, record, undefined, 0, false);
+  const job = addJob(state, record, undefined, 0);
   const targetStartedAt = 1_000;
   for (const task of allTasks(job)) {
     const milliseconds = typeof runMilliseconds === "number" ? runMilliseconds : runMilliseconds(task.index);
--- a/src/pool-owners/test/start-checks.test.ts
+++ b/src/pool-owners/test/start-checks.test.ts
@@ -48,7 +48,7 @@
   const state = createState(orders);
   const definition = { spec: "", steps: [createStep({ taskCount: 1, isLasting: true })] };
   const record = { jobId: "job", terms, definition, acceptedAt: 0, requestedAt: 0 };
-  addJob(state, record, undefined, 0, false);
+  addJob(state, record, undefined, 0);
   state.targets.set(targetId, createTarget(state));
   const task = state.tasks.get("job.0.0.0");
   if (task === undefined) throw new Error("the job has no task");
@@ -70,6 +70,7 @@
   const journal: OwnerJournal = {
     write: () => ({ result: Promise.resolve("stored"), withdraw: () => undefined }),
     waiting: () => 0,
+    storedRevision: () => 0,
     flush: async () => Promise.resolve(),
     close: () => undefined,
   };
@@ -187,7 +188,7 @@
   });
   const definition = { spec: "", steps: [createStep({ taskCount: 1, isLasting })] };
   const record = { jobId: "job", terms, definition, acceptedAt: 0, requestedAt: 0 };
-  addJob(state, record, undefined, 0, false);
+  addJob(state, record, undefined, 0);
   state.targets.set(targetId, createTarget(state));
   const task = state.tasks.get("job.0.0.0");
   if (task === undefined) throw new Error("the job has no task");
--- a/src/pool-owners/test/surge-model.ts
+++ b/src/pool-owners/test/surge-model.ts
@@ -69,6 +69,7 @@
 const journal: OwnerJournal = {
   write: () => ({ result: Promise.resolve("stored"), withdraw: () => undefined }),
   waiting: () => 0,
+  storedRevision: () => 0,
   flush: async () => Promise.resolve(),
   close: () => undefined,
 };
@@ -224,7 +225,7 @@
     const forecast = forecastJob(this.#state, queueTerms, definition, 0);
     if (admitJob(forecast).kind === "refuse") return;
     const record = { jobId, terms: queueTerms, definition, acceptedAt: 0, requestedAt: 0 };
-    const job = addJob(this.#state, record, undefined, 0, false);
+    const job = addJob(this.#state, record, undefined, 0);
     reserveRoomForJob(this.#state, queueTerms, definition);
     job.expectedEndAt = this.#now + forecast.uncorrectedEndMilliseconds;
     const chain = definition.steps.reduce((sum, step) => sum + (this.#trueSteps.get(step)?.longest ?? 0), 0);
--- a/src/pool-owners/unseen-runs.ts
+++ b/src/pool-owners/unseen-runs.ts
@@ -16,6 +16,7 @@
   task: Task,
 ): boolean {
   const { job, definition, recordedPlaces, isAccountedFor } = task;
-  if (awaited.size === 0 || !job.isFromFormerOwner || isAccountedFor) return false;
-  return !definition.isLasting || recordedPlaces.some((targetId) => awaited.has(targetId));
+  const { formerRevision } = job;
+  if (formerRevision === undefined || isAccountedFor || !awaited.mayRunAnywhere(formerRevision)) return false;
+  return !definition.isLasting || recordedPlaces.some((targetId) => awaited.mayRun(targetId, formerRevision));
 }
--- a/src/pool-owners/workspace-limits.ts
+++ b/src/pool-owners/workspace-limits.ts
@@ -81,9 +81,9 @@
 /** Sums the resources of tasks that may still run on targets of earlier owners which have not reported, by workspace. */
 function readUnseenRuns(state: OwnerState): Map<string, Resources> {
   const unseen = new Map<string, Resources>();
-  if (state.awaitedTargets.size === 0) return unseen;
+  if (state.awaitedTargets.size() === 0) return unseen;
   for (const job of state.openJobs.values()) {
-    if (!job.isFromFormerOwner || job.record.workspace === undefined) continue;
+    if (job.formerRevision === undefined || job.record.workspace === undefined) continue;
     for (const task of allTasks(job)) {
       if (!task.succeeded && task.runs.length === 0 && mayRunUnseen(state, task)) addUsage(unseen, task);
     }
