--- a/src/fleet/test/surge-fleet.ts
+++ b/src/fleet/test/surge-fleet.ts
@@ -55,6 +55,7 @@
 const busyPool = "presses";
 const standbyPool = "spare";
 
+/** A caller whose job is not accepted. */
 interface SimulatedCaller {
   readonly cores: number;
   readonly firstAt: number;
@@ -66,7 +67,8 @@
   arrivesAt: number;
 }
 
-interface WaitingRun {
+/** An accepted job that has not started. */
+interface WaitingJob {
   readonly cores: number;
   readonly firstAt: number;
 }
@@ -92,7 +94,7 @@
   readonly #history = new MachineHistory();
   readonly #machines = new Map<string, SimulatedMachine>();
   readonly #running: { readonly cores: number; readonly endsAt: number }[] = [];
-  #waiting: WaitingRun[] = [];
+  #waiting: WaitingJob[] = [];
   #callers: SimulatedCaller[] = [];
   #arrivals: readonly RoomArrival[] = [];
   #room: { readonly plan: RoomPlan; readonly plannedAt: number } | undefined;
@@ -125,13 +127,12 @@
       this.#startWaiting();
       this.#machineSeconds += (this.#countMachines() * stepMilliseconds) / 1_000;
     }
-    const { submitted, inTime, machineSeconds, moves } = {
+    return {
       submitted: this.#submitted,
       inTime: this.#inTime,
       machineSeconds: this.#machineSeconds,
       moves: this.#moves,
     };
-    return { submitted, inTime, machineSeconds, moves };
   }
 
   #addCaller(): void {
--- a/src/fleet/test/surge-onset.test.ts
+++ b/src/fleet/test/surge-onset.test.ts
@@ -36,3 +36,12 @@
   });
   expect(inTime / submitted).toBeGreaterThan(5 / 6);
 });
+
+test("three of four callers with large jobs are served in time while a load surge grows", () => {
+  const { submitted, inTime } = simulateAll({
+    milliseconds: 12_000,
+    jobsPerSecond: growingSurge(6),
+    jobCores: 180,
+  });
+  expect(inTime / submitted).toBeGreaterThan(3 / 4);
+});
--- /dev/null
+++ b/src/pool-owners/journal-batch.ts
@@ -0,0 +1,54 @@
+/**
+ * Chooses which pending writes of an owner's journal share the next transaction.
+ * @packageDocumentation
+ */
+import { maximumTransactionEntries } from "../store/index.js";
+import type { JournalResult } from "./journal-writes.js";
+
+/** A write whose result is not settled. */
+export interface PendingWrite {
+  readonly key: string;
+  value: unknown;
+  readonly mustBeAbsent: boolean;
+  readonly settles: ((result: JournalResult) => void)[];
+  /** Whether a caller, or a job whose work is done, is waiting for the write. */
+  isUrgent: boolean;
+  /** Whether a transaction with the write is in progress, or the write may be stored already. */
+  isSent: boolean;
+  /** Whether a transaction with the write had no answer. The write may then be stored, whatever later attempts return. */
+  mayBeStored: boolean;
+}
+
+/** Maximum size of a transaction, far below the limit of the store. */
+const bytesPerTransaction = 400_000;
+
+/**
+ * Chooses writes of different keys that fit in one transaction. The first write always fits.
+ * @param pending - the pending writes, in the order of submission
+ * @returns the chosen writes
+ */
+export function chooseBatch(pending: readonly PendingWrite[]): PendingWrite[] {
+  let bytes = 0;
+  let entries = 1;
+  const batch: PendingWrite[] = [];
+  const keys = new Set<string>();
+  for (const item of sortByUrgency(pending)) {
+    // A transaction can contain a key only once; the older write goes first.
+    if (keys.has(item.key)) continue;
+    bytes += item.value === undefined ? 0 : JSON.stringify(item.value).length;
+    entries += item.mustBeAbsent ? 2 : 1;
+    const isFull = entries > maximumTransactionEntries || bytes > bytesPerTransaction;
+    if (isFull && batch.length > 0) break;
+    batch.push(item);
+    keys.add(item.key);
+  }
+  return batch;
+}
+
+/** Writes that may be stored already come first, then urgent writes, then the others, each in the order of submission. */
+function sortByUrgency(pending: readonly PendingWrite[]): PendingWrite[] {
+  const sent = pending.filter(({ isSent }) => isSent);
+  const fresh = pending.filter(({ isSent }) => !isSent);
+  const urgent = fresh.filter(({ isUrgent }) => isUrgent);
+  return [...sent, ...urgent, ...fresh.filter(({ isUrgent }) => !isUrgent)];
+}
--- a/src/pool-owners/long-running-moves.ts
+++ b/src/pool-owners/long-running-moves.ts
@@ -4,7 +4,8 @@
  * @packageDocumentation
  */
 import { isStepReady, type Occurrence, type Task } from "../jobs/index.js";
-import type { OwnerState, PoolTarget } from "./owner-state.js";
+import type { OwnerState } from "./owner-state.js";
+import type { PoolTarget } from "./pool-target.js";
 
 const fullPercent = 100;
 
--- a/src/pool-owners/long-running-places.ts
+++ b/src/pool-owners/long-running-places.ts
@@ -13,7 +13,8 @@
   type TargetView,
   type UnplacedTasks,
 } from "../scheduling/index.js";
-import type { OwnerState, PoolTarget } from "./owner-state.js";
+import type { OwnerState } from "./owner-state.js";
+import type { PoolTarget } from "./pool-target.js";
 import type { RankedJob } from "./job-rank.js";
 import { findTargetToLeave, mayStopForMove } from "./long-running-moves.js";
 import { describePlace, isUsable, viewTarget } from "./target-views.js";
--- a/src/pool-owners/owner-forecast.ts
+++ b/src/pool-owners/owner-forecast.ts
@@ -22,7 +22,8 @@
 import type { LogFields } from "../telemetry/index.js";
 import { rankJob } from "./job-rank.js";
 import { createOverShareCheck } from "./over-share-check.js";
-import { isInService, type OwnerState, type PlannedRoom } from "./owner-state.js";
+import type { OwnerState, PlannedRoom } from "./owner-state.js";
+import { isInService } from "./pool-target.js";
 
 /** A job's result still has value until this many times its objective. */
 const latestFactor = 3;
--- a/src/pool-owners/owner-journal.ts
+++ b/src/pool-owners/owner-journal.ts
@@ -14,6 +14,7 @@
 } from "../store/index.js";
 import type { Log, Metrics } from "../telemetry/index.js";
 import { decodeOwnerRecord, type OwnerRecord } from "./owner-record.js";
+import { chooseBatch, type PendingWrite } from "./journal-batch.js";
 import type { OwnerJournal, JournalResult, JournalWrite, JournalWriteOptions } from "./journal-writes.js";
 
 /** Settings of a journal. */
@@ -32,27 +33,11 @@
 }
 
 const retryMilliseconds = 60;
-/** Maximum size of a transaction, far below the limit of the store. */
-const bytesPerTransaction = 400_000;
-
 /** How long urgent writes wait for other writes, to share a transaction with them. */
 const urgentBatchDelayMilliseconds = 15;
 /** How long writes that are not urgent wait for other writes. */
 const batchDelayMilliseconds = 400;
 
-interface PendingWrite {
-  readonly key: string;
-  value: unknown;
-  readonly mustBeAbsent: boolean;
-  readonly settles: ((result: JournalResult) => void)[];
-  /** Whether a caller, or a job whose work is done, is waiting for the write. */
-  isUrgent: boolean;
-  /** Whether a transaction with the write is in progress, or the write may be stored already. */
-  isSent: boolean;
-  /** Whether a transaction with the write had no answer. The write may then be stored, whatever later attempts return. */
-  mayBeStored: boolean;
-}
-
 /** A journal whose transactions require that the owner record is unchanged. */
 export class StoredOwnerJournal implements OwnerJournal {
   readonly #options: OwnerJournalOptions;
@@ -173,7 +158,8 @@
   }
 
   async #writeOnce(): Promise<void> {
-    const batch = this.#takeBatch();
+    const batch = chooseBatch(this.#pendingWrites);
+    for (const item of batch) item.isSent = true;
     const result = await this.#transact(batch);
     if (result.kind === "done") {
       this.#storedRevision = Math.max(this.#storedRevision, result.revision);
@@ -191,33 +177,6 @@
     if (result.kind === "not-done") await delay(retryMilliseconds);
   }
 
-  #takeBatch(): PendingWrite[] {
-    let bytes = 0;
-    let entries = 1;
-    const batch: PendingWrite[] = [];
-    const keys = new Set<string>();
-    for (const item of this.#sortedByUrgency()) {
-      // A transaction can contain a key only once; the older write goes first.
-      if (keys.has(item.key)) continue;
-      bytes += item.value === undefined ? 0 : JSON.stringify(item.value).length;
-      entries += item.mustBeAbsent ? 2 : 1;
-      const isFull = entries > maximumTransactionEntries || bytes > bytesPerTransaction;
-      if (isFull && batch.length > 0) break;
-      item.isSent = true;
-      batch.push(item);
-      keys.add(item.key);
-    }
-    return batch;
-  }
-
-  /** Writes that may be stored already come first, then urgent writes, then the others, each in the order of submission. */
-  #sortedByUrgency(): PendingWrite[] {
-    const sent = this.#pendingWrites.filter(({ isSent }) => isSent);
-    const fresh = this.#pendingWrites.filter(({ isSent }) => !isSent);
-    const urgent = fresh.filter(({ isUrgent }) => isUrgent);
-    return [...sent, ...urgent, ...fresh.filter(({ isUrgent }) => !isUrgent)];
-  }
-
   async #transact(batch: readonly PendingWrite[]): Promise<TransactionResult> {
     const { store, ownerKey, metrics, log } = this.#options;
     const startedAt = performance.now();
--- a/src/pool-owners/owner-state.ts
+++ b/src/pool-owners/owner-state.ts
@@ -12,7 +12,6 @@
   type ProgressRecord,
   type Resources,
   type Task,
-  type TaskRun,
 } from "../jobs/index.js";
 import {
   createDemandForecast,
@@ -24,50 +23,15 @@
   type TaskRunTimes,
   type UnplacedTasks,
 } from "../scheduling/index.js";
-import type { RegisteredTarget, TargetOrders, TargetSession } from "../task-runs/index.js";
+import type { RegisteredTarget, TargetOrders } from "../task-runs/index.js";
 import type { Log, Metrics } from "../telemetry/index.js";
 import type { OwnerWorkspaces } from "../workspaces/index.js";
 import { createAwaitedTargets, type AwaitedTargets } from "./awaited-targets.js";
 import type { OwnerJournal } from "./journal-writes.js";
 import type { PoolLoad } from "./pool-load.js";
+import type { PoolTarget, TargetRun, UnansweredStart } from "./pool-target.js";
 import type { StoredJobs } from "./stored-jobs.js";
 
-/** A run together with its task. */
-export interface TargetRun {
-  readonly task: Task;
-  readonly run: TaskRun;
-}
-
-/** A target of the pool, as its owner tracks it. */
-export interface PoolTarget {
-  readonly session: TargetSession;
-  /** Runs that may be present on the target, by task name. */
-  readonly runs: Map<string, TargetRun>;
-  /** Whether the takeover state in the store lists this target; the next owner checks the listed targets for runs. */
-  isRecorded: boolean;
-  /** The first record of the pool's targets that lists this target as it is; undefined before it is written. */
-  recordedBy?: number | undefined;
-  /**
-   * Set while no task may be started on the target: the highest store revision of a job that may have runs on it, as the
-   * takeover state says.
-   */
-  unusedSince?: number | undefined;
-  /** Whether the target is being vacated: no task is started on it. */
-  isVacating: boolean;
-  /** No task is started on the target before this time, by the monotonic clock. */
-  blockedUntil: number;
-  /** Rises with failed runs and refused or unanswered starts, falls with successful runs. */
-  failureScore: number;
-  /** Speed of the target's best-effort tasks, 0 to 100 percent of full speed. */
-  pacePercent: number;
-  /** When the target's last report arrived, by the monotonic clock; undefined before the first one. */
-  reportedAt?: number | undefined;
-  /** Highest sequence number among the target's run ends that have been handled. */
-  handledSequence: number;
-  /** Resolves once all run ends received so far are stored and acknowledged. */
-  acknowledging: Promise<void>;
-}
-
 /** Capacity that new targets are expected to add to the pool. */
 export interface ExpectedRoom {
   readonly resources: Resources;
@@ -84,14 +48,6 @@
   readonly validMilliseconds: number;
 }
 
-/** A start order that received no answer. */
-export interface UnansweredStart {
-  readonly task: string;
-  readonly run: number;
-  /** When the start was requested, by the monotonic clock. */
-  readonly startedAt: number;
-}
-
 /** State that is shared by all parts of an owner. */
 export interface OwnerState {
   readonly pool: string;
@@ -292,16 +248,6 @@
   if (task.job.finalState !== undefined && task.runs.length === 0) state.tasks.delete(task.name);
 }
 
-/**
- * Whether a target's room counts as part of the pool's capacity.
- * @param target - the target
- * @returns false for a target that is being vacated, is draining, has left, or does not respond
- */
-export function isInService({ session, isVacating }: PoolTarget): boolean {
-  const isReady = session.isListed() && session.target().state === "ready";
-  return isReady && !isVacating && session.failuresInARow() === 0;
-}
-
 /** Whether a task needs no further runs: it has succeeded, or its job has ended or is ending. */
 export function isTaskOver({ job, succeeded }: Task): boolean {
   return succeeded || job.isEnding || job.finalState !== undefined;
--- a/src/pool-owners/owner-targets.ts
+++ b/src/pool-owners/owner-targets.ts
@@ -5,7 +5,8 @@
 import { choosePace } from "../scheduling/index.js";
 import { TargetSession, type RegisteredTarget, type TargetSessionHandlers } from "../task-runs/index.js";
 import type { TakeoverState } from "./owner-record.js";
-import { removeRun, type OwnerState, type PoolTarget } from "./owner-state.js";
+import { removeRun, type OwnerState } from "./owner-state.js";
+import type { PoolTarget } from "./pool-target.js";
 import { formerLeaseMilliseconds } from "./owner-takeover.js";
 import { handleReport } from "./run-ends.js";
 import { TargetRecords } from "./target-records.js";
--- a/src/pool-owners/pool-report.ts
+++ b/src/pool-owners/pool-report.ts
@@ -5,7 +5,8 @@
 import { isStepReady, type Occurrence } from "../jobs/index.js";
 import { stepCoreSeconds, type ExpectedRunTime } from "../scheduling/index.js";
 import { addWaitingWork, countWorkBeyondCaps, type WaitingWork } from "./capped-work.js";
-import { isInService, type OwnerState } from "./owner-state.js";
+import type { OwnerState } from "./owner-state.js";
+import { isInService } from "./pool-target.js";
 import { countTargetsWanted } from "./long-running-places.js";
 import type { PoolLoad } from "./pool-load.js";
 
--- a/src/pool-owners/run-ends.ts
+++ b/src/pool-owners/run-ends.ts
@@ -5,7 +5,8 @@
  */
 import { noteSuccess, type Job, type Task, type TaskRun } from "../jobs/index.js";
 import { mostEndsListed, type PresentRun, type RunEnd, type TargetReport } from "../task-runs/index.js";
-import { isTaskOver, removeRun, type OwnerState, type PoolTarget, type TargetRun } from "./owner-state.js";
+import { isTaskOver, removeRun, type OwnerState } from "./owner-state.js";
+import type { PoolTarget, TargetRun } from "./pool-target.js";
 import { storeProgress } from "./job-progress.js";
 import { learnEnd, learnProgress } from "./run-learning.js";
 import { describeRunTime, describeVanished } from "./run-trace.js";
--- a/src/pool-owners/run-trace.ts
+++ b/src/pool-owners/run-trace.ts
@@ -5,7 +5,7 @@
 import type { TaskRun } from "../jobs/index.js";
 import type { OrderOutcome, TargetReport } from "../task-runs/index.js";
 import type { LogFields } from "../telemetry/index.js";
-import type { TargetRun } from "./owner-state.js";
+import type { TargetRun } from "./pool-target.js";
 
 /**
  * Describes a run that is missing from a report.
--- a/src/pool-owners/silent-targets.ts
+++ b/src/pool-owners/silent-targets.ts
@@ -4,7 +4,8 @@
  * the next steps.
  * @packageDocumentation
  */
-import type { OwnerState, PoolTarget, TargetRun } from "./owner-state.js";
+import type { OwnerState } from "./owner-state.js";
+import type { PoolTarget, TargetRun } from "./pool-target.js";
 
 /** Shorter silences are normal: a reachable target answers within this time. */
 const minimumSilenceMilliseconds = 200;
--- a/src/pool-owners/start-checks.ts
+++ b/src/pool-owners/start-checks.ts
@@ -4,7 +4,8 @@
  * @packageDocumentation
  */
 import type { RunEnd, TargetReport } from "../task-runs/index.js";
-import { isTaskOver, type OwnerState, type PoolTarget, type TargetRun } from "./owner-state.js";
+import { isTaskOver, type OwnerState } from "./owner-state.js";
+import type { PoolTarget, TargetRun } from "./pool-target.js";
 import { confirmShown } from "./run-ends.js";
 import { markStartUnanswered } from "./unsettled-starts.js";
 
--- a/src/pool-owners/start-orders.ts
+++ b/src/pool-owners/start-orders.ts
@@ -4,7 +4,8 @@
  */
 import type { Task, TaskRun } from "../jobs/index.js";
 import type { OrderOutcome, OrderRefusal } from "../task-runs/index.js";
-import { isTaskOver, removeRun, type OwnerState, type PoolTarget, type TargetRun } from "./owner-state.js";
+import { isTaskOver, removeRun, type OwnerState } from "./owner-state.js";
+import type { PoolTarget, TargetRun } from "./pool-target.js";
 import { storePlaces } from "./job-progress.js";
 import { describeAnswer } from "./run-trace.js";
 import { markStartUnanswered } from "./unsettled-starts.js";
--- a/src/pool-owners/stopper.ts
+++ b/src/pool-owners/stopper.ts
@@ -3,7 +3,8 @@
  * until the target has confirmed them.
  * @packageDocumentation
  */
-import { isTaskOver, type OwnerState, type PoolTarget, type TargetRun } from "./owner-state.js";
+import { isTaskOver, type OwnerState } from "./owner-state.js";
+import type { PoolTarget, TargetRun } from "./pool-target.js";
 import { describeAnswer } from "./run-trace.js";
 import { querySilentTarget } from "./silent-targets.js";
 import { checkStarts } from "./start-checks.js";
--- a/src/pool-owners/target-records.ts
+++ b/src/pool-owners/target-records.ts
@@ -5,7 +5,8 @@
  * @packageDocumentation
  */
 import { takeoverStatePrefix, type TakeoverState } from "./owner-record.js";
-import type { OwnerState, PoolTarget } from "./owner-state.js";
+import type { OwnerState } from "./owner-state.js";
+import type { PoolTarget } from "./pool-target.js";
 
 /** A target counts as unused after this many unanswered renewals; a single answer may be lost. */
 const unansweredRenewals = 2;
--- a/src/pool-owners/target-views.ts
+++ b/src/pool-owners/target-views.ts
@@ -4,7 +4,8 @@
  */
 import type { StepDefinition, Task } from "../jobs/index.js";
 import { subtract, type StepPlace, type TargetView } from "../scheduling/index.js";
-import type { OwnerState, PoolTarget } from "./owner-state.js";
+import type { OwnerState } from "./owner-state.js";
+import type { PoolTarget } from "./pool-target.js";
 
 /**
  * Checks whether a scheduling round may start runs on a target.
--- a/src/pool-owners/test/silent-targets.test.ts
+++ b/src/pool-owners/test/silent-targets.test.ts
@@ -8,7 +8,8 @@
 import { createTaskRunTimes } from "../../scheduling/index.js";
 import { TargetSession, type TargetOrders } from "../../task-runs/index.js";
 import { createMetrics } from "../../telemetry/index.js";
-import type { OwnerState, PoolTarget } from "../owner-state.js";
+import type { OwnerState } from "../owner-state.js";
+import type { PoolTarget } from "../pool-target.js";
 import { querySilentTarget } from "../silent-targets.js";
 import { createStep, terms } from "./owner-fixture.js";
 
--- a/src/pool-owners/test/start-checks.test.ts
+++ b/src/pool-owners/test/start-checks.test.ts
@@ -8,7 +8,8 @@
 import { TargetSession } from "../../task-runs/index.js";
 import { createLog, createMetrics } from "../../telemetry/index.js";
 import type { OwnerJournal } from "../journal-writes.js";
-import { addJob, createOwnerState, type OwnerState, type PoolTarget } from "../owner-state.js";
+import { addJob, createOwnerState, type OwnerState } from "../owner-state.js";
+import type { PoolTarget } from "../pool-target.js";
 import { startRun } from "../start-orders.js";
 import { stopUnwanted } from "../stopper.js";
 import { keepUnsettledStarts, takeUnsettledStarts } from "../unsettled-starts.js";
--- a/src/pool-owners/unsettled-starts.ts
+++ b/src/pool-owners/unsettled-starts.ts
@@ -5,7 +5,8 @@
  * starts elsewhere.
  * @packageDocumentation
  */
-import type { OwnerState, PoolTarget, TargetRun, UnansweredStart } from "./owner-state.js";
+import type { OwnerState } from "./owner-state.js";
+import type { PoolTarget, TargetRun, UnansweredStart } from "./pool-target.js";
 
 /** Bounds the number of unanswered starts that are kept for each target. */
 const maximumUnanswered = 200;
--- a/src/pool-owners/vacating.ts
+++ b/src/pool-owners/vacating.ts
@@ -3,7 +3,8 @@
  * @packageDocumentation
  */
 import type { RoomArrival } from "../scheduling/index.js";
-import type { OwnerState, PoolTarget } from "./owner-state.js";
+import type { OwnerState } from "./owner-state.js";
+import type { PoolTarget } from "./pool-target.js";
 
 /** The registry is checked for new targets that are expected within this time. */
 const arrivalNoticeMilliseconds = 800;
--- a/src/pool-owners/workspace-limits.ts
+++ b/src/pool-owners/workspace-limits.ts
@@ -5,7 +5,8 @@
 import { allTasks, type Resources, type Task } from "../jobs/index.js";
 import { countPlaces, scale, type StepPlace, type TargetView } from "../scheduling/index.js";
 import type { OwnerWorkspaces } from "../workspaces/index.js";
-import type { OwnerState, TargetRun } from "./owner-state.js";
+import type { OwnerState } from "./owner-state.js";
+import type { TargetRun } from "./pool-target.js";
 import { mayRunUnseen } from "./unseen-runs.js";
 
 /**
