Test that demand grows only in a load surge

Cause: the growth of demand decides on machines, and only its sum with the plan of moves was tested. Change: a test of the forecast alone: a rising, a steady and a falling load, and one large job.

--- a/src/scheduling/test/decisions.test.ts
+++ b/src/scheduling/test/decisions.test.ts
@@ -307,6 +307,27 @@
   expect(reachedShare(5)).toBeLessThan(0.6);
 });
 
+test("demand grows while a load surge builds up, and neither with one job nor in a steady or falling load", () => {
+  const readGrowth = (jobsPerSecond: (milliseconds: number) => number, until: number): number => {
+    const demand = createDemandForecast();
+    let due = 0;
+    for (let now = 0; now < until; now += 10) {
+      due += jobsPerSecond(now) / 100;
+      for (; due >= 1; due -= 1) demand.note(10, now);
+    }
+    return demand.readGrowth(until);
+  };
+  // 10 more jobs of 10 core-seconds each second.
+  const rising = readGrowth((milliseconds) => milliseconds / 100, 3_000);
+  expect(rising).toBeGreaterThan(40);
+  expect(rising).toBeLessThan(110);
+  expect(readGrowth(() => 30, 12_000)).toBeLessThan(10);
+  expect(readGrowth((milliseconds) => (milliseconds < 4_000 ? 30 : 0), 4_500)).toBe(0);
+  const single = createDemandForecast();
+  single.note(500, 100);
+  expect(single.readGrowth(200)).toBe(0);
+});
+
 test("the margin follows repeated forecast errors, and rare large errors barely change it", () => {
   const margin = createForecastMargin();
   for (let job = 0; job < 100; job += 1) margin.learn(job % 10 === 0 ? 9_000 : 400);
