Keep what is known of an unused target until it can be used again

Cause: an owner took a target that its predecessor had recorded as unused for one in use until two renewals were unanswered, and then recorded a later bound, so that a further takeover held back more jobs than it had to. Change: the record of a target stays until the target answers and is not being vacated. Result: found by reading; a test of three owners fails without it.

--- a/src/pool-owners/target-records.ts
+++ b/src/pool-owners/target-records.ts
@@ -18,7 +18,7 @@
  * @returns undefined while tasks may be started on the target; else the highest store revision of a job that may have runs
  * there, 0 when no job has any
  */
-export function findUnusedSince(state: OwnerState, target: PoolTarget): number | undefined {
+function findUnusedSince(state: OwnerState, target: PoolTarget): number | undefined {
   const { session, runs, isVacating } = target;
   const isSilent = session.failuresInARow() >= unansweredRenewals;
   // What this owner has accepted is newer than its own record, and has no runs on a target that it has never used.
@@ -28,6 +28,13 @@
   return isVacating && isEmpty ? 0 : undefined;
 }
 
+/** Finds what the record has to say of a target: what it says stays until the target can be used again. */
+function reviewTarget(state: OwnerState, target: PoolTarget): number | undefined {
+  if (target.unusedSince === undefined) return findUnusedSince(state, target);
+  const isUsedAgain = target.session.isResponsive() && !target.isVacating;
+  return isUsedAgain ? undefined : target.unusedSince;
+}
+
 /** The record of a pool's targets. */
 export class TargetRecords {
   readonly #state: OwnerState;
@@ -48,8 +55,8 @@
   reviewUse(): void {
     let hasChanged = false;
     for (const target of this.#state.targets.values()) {
-      const unusedSince = findUnusedSince(this.#state, target);
-      if ((unusedSince === undefined) === (target.unusedSince === undefined)) continue;
+      const unusedSince = reviewTarget(this.#state, target);
+      if (unusedSince === target.unusedSince) continue;
       target.unusedSince = unusedSince;
       target.isRecorded = false;
       target.recordedBy = undefined;
--- a/src/pool-owners/test/target-records.test.ts
+++ b/src/pool-owners/test/target-records.test.ts
@@ -4,6 +4,7 @@
  */
 import { afterEach, expect, test } from "vitest";
 import type { JobTarget, TaskBehaviour } from "../../stand-ins/index.js";
+import { decodeTakeoverState } from "../owner-record.js";
 import { createStep, pool, startOwnerFixture, submission, waitFor } from "./owner-fixture.js";
 import type { OwnerFixture, TestEntry } from "./owner-fixture.js";
 
@@ -38,6 +39,14 @@
   return target.describe().targetId;
 }
 
+/** What the takeover state says of a target. */
+function readUnusedSince(targetId: string): number | undefined {
+  const state = decodeTakeoverState(
+    JSON.parse(fixture.engine.range(`inheritance/${pool}`)[0]?.value ?? "{}"),
+  );
+  return state.targets[targetId]?.unusedSince;
+}
+
 /** Waits until all tasks of the job have run, and expects the entry to have waited for the silent target until then. */
 async function expectAllRunBeside(entry: TestEntry, silentId: string): Promise<void> {
   const run = (): number => new Set(fixture.fleet.world.history.map(({ task }) => task)).size;
@@ -58,10 +67,12 @@
   const second = fixture.startEntry("b");
   await fixture.owner(second);
   await waitFor(() => fixture.engine.range(`inheritance/${pool}`)[0]?.value.includes("unusedSince"));
+  const unusedSince = readUnusedSince(silentId);
   await crashWithWaitingTasks(second);
   const third = fixture.startEntry("c");
   await fixture.owner(third);
   await expectAllRunBeside(third, silentId);
+  expect(readUnusedSince(silentId)).toBe(unusedSince);
 });
 
 test("no job waits, after a takeover, for a target that was empty and vacated", async () => {
