Leave out a collection of demand in the same instant as the one before it

A wall clock that steps back would have made it negative. Change: the time is monotonic, and a collection without any time since the last one is left out; its increase counts at the next. Result: a test that fails without the check.

--- a/src/capacity/demand-collector.ts
+++ b/src/capacity/demand-collector.ts
@@ -51,7 +51,8 @@
 export function createDemandCollector(peers: PeerNetwork, counter: DemandCounter): DemandCollector {
   const observed = new Map<string, ObservedPool>();
   const before = new Map<string, EntryTotals>();
-  let collectedAt = 0;
+  /** When demand was last collected, in seconds of the monotonic clock; undefined before the first collection. */
+  let collectedAt: number | undefined;
 
   const readAll = async (): Promise<Map<string, EntryTotals>> => {
     const found = new Map<string, EntryTotals>([["", { incarnation: 0, pools: counter.all() }]]);
@@ -63,7 +64,12 @@
     return found;
   };
 
-  const observe = (pool: CollectedPool, increases: readonly PoolTotals[], seconds: number): void => {
+  const observe = (
+    pool: CollectedPool,
+    increases: readonly PoolTotals[],
+    now: number,
+    seconds: number,
+  ): void => {
     const entry = observed.get(pool.name) ?? {
       tracker: createDemandTracker(pool.declaredRunSeconds),
       observations: 0,
@@ -71,7 +77,7 @@
     observed.set(pool.name, entry);
     const total = increases.reduce(addTotals, noTotals);
     const { tracker } = entry;
-    tracker.observe({ atSeconds: collectedAt, arrivals: total.arrivals / seconds, queued: total.waiting });
+    tracker.observe({ atSeconds: now, arrivals: total.arrivals / seconds, queued: total.waiting });
     const mean = total.runMilliseconds / Math.max(1, total.runs) / millisecondsPerSecond;
     for (let run = 0; run < Math.min(total.runs, maximumRunsPerCollection); run += 1) tracker.recordRun(mean);
     entry.observations += 1;
@@ -80,15 +86,16 @@
   return {
     collect: async (pools) => {
       const found = await readAll();
-      const now = Date.now() / millisecondsPerSecond;
-      const seconds = now - collectedAt;
-      const isFirst = collectedAt === 0;
+      const now = performance.now() / millisecondsPerSecond;
+      const seconds = collectedAt === undefined ? undefined : now - collectedAt;
+      // Without any time in between there is no rate: the next collection counts both increases.
+      if (seconds !== undefined && seconds <= 0) return;
       collectedAt = now;
       for (const pool of pools) {
         const increases = [...found].map(([entryId, totals]) =>
           subtractTotals(pool.name, totals, before.get(entryId)),
         );
-        if (!isFirst) observe(pool, increases, seconds);
+        if (seconds !== undefined) observe(pool, increases, now, seconds);
       }
       for (const [entryId, totals] of found) before.set(entryId, totals);
     },
--- a/src/capacity/test/collector.test.ts
+++ b/src/capacity/test/collector.test.ts
@@ -1,5 +1,5 @@
 import { Left } from "purify-ts";
-import { afterEach, describe, expect, it } from "vitest";
+import { afterEach, describe, expect, it, vi } from "vitest";
 import { createPeerNetwork, type PeerNetwork } from "../../membership/index.js";
 import { waitUntil } from "../../stand-ins/fleet/index.js";
 import { createLog } from "../../telemetry/index.js";
@@ -63,6 +63,23 @@
   });
 });
 
+describe("a collection at the same time as the one before it", () => {
+  it("is left out, and its increase counts at the next one", async () => {
+    const [holder] = await connectTwo();
+    const counter = createDemandCounter();
+    const collector = createDemandCollector(holder, counter);
+    const clock = vi.spyOn(performance, "now");
+    for (let collection = 0; collection <= 60; collection += 1) {
+      clock.mockReturnValue(1_000 * (collection + 1));
+      await collector.collect(pools);
+      counter.totals("quotes").arrivals += 5;
+      await collector.collect(pools);
+    }
+    clock.mockRestore();
+    expect(collector.demand("quotes")?.load).toBeGreaterThan(0);
+  });
+});
+
 describe("demand counting allocator", () => {
   it("counts a request with a retry once", async () => {
     const counter = createDemandCounter();
