--- a/src/jobs/job.ts
+++ b/src/jobs/job.ts
@@ -109,6 +109,8 @@
   endedAt: number | undefined;
   /** When it was accepted, by the monotonic clock; may lie before the start of this process for jobs that were taken over. */
   readonly acceptedAt: number;
+  /** Forecast end at its acceptance, by the monotonic clock; undefined without a forecast. */
+  expectedEndAt: number | undefined;
   /** When a caller first submitted it, by the monotonic clock. */
   readonly requestedAt: number;
 }
@@ -139,6 +141,7 @@
     finalState: progress?.finalState,
     endedAt: progress?.endedAt,
     acceptedAt,
+    expectedEndAt: undefined,
     requestedAt: acceptedAt - (record.acceptedAt - record.requestedAt),
   };
   return job;
--- a/src/measures/job-path/parts.ts
+++ b/src/measures/job-path/parts.ts
@@ -11,7 +11,10 @@
 // The first part whose pattern matches the URL of a frame's file counts, so the patterns must follow renames of files.
 const parts: readonly (readonly [part: string, files: RegExp])[] = [
   ["callers and targets of the measurement", /\/measures\/|\/stand-ins\//],
-  ["submission and forecast", /\/(owner-forecast|forecast|admission|demand|first-requests)\.ts$/],
+  [
+    "submission and forecast",
+    /\/(owner-forecast|forecast|forecast-margin|admission|demand|first-requests)\.ts$/,
+  ],
   ["load of the pool", /\/pool-report\.ts$/],
   [
     "rounds of placing",
--- a/src/pool-owners/job-admission.ts
+++ b/src/pool-owners/job-admission.ts
@@ -88,7 +88,8 @@
     ageMilliseconds: number,
   ): JobDecision {
     const { jobId, terms, definition } = submission;
-    const limitEndMilliseconds = this.#rooms.forecast(workspace, terms, definition, now);
+    const limitEnd = this.#rooms.forecast(workspace, terms, definition, now);
+    const limitEndMilliseconds = limitEnd === 0 ? 0 : limitEnd + this.#state.forecastMargin.milliseconds();
     const work = this.#readWork(submission);
     // Work beyond the workspace's cap could not run: it is neither demand for machines nor a claim on the share.
     if (ageMilliseconds === 0 && limitEndMilliseconds <= forecast.objectiveMilliseconds) {
--- a/src/pool-owners/job-progress.ts
+++ b/src/pool-owners/job-progress.ts
@@ -100,6 +100,9 @@
 }
 
 function recordEnd(state: OwnerState, job: Job, finalState: NonNullable<Job["finalState"]>): void {
+  const { expectedEndAt } = job;
+  if (finalState === "complete" && expectedEndAt !== undefined)
+    state.forecastMargin.learn(performance.now() - expectedEndAt);
   const milliseconds = Math.round(performance.now() - job.acceptedAt);
   const { queue } = job.record.terms;
   state.log.write("info", "job-ended", { job: job.id, queue, state: finalState, milliseconds });
--- a/src/pool-owners/owner-forecast.ts
+++ b/src/pool-owners/owner-forecast.ts
@@ -38,6 +38,8 @@
 
 /** The forecast of a job's end, with the values that it is based on. */
 export interface OwnerForecast extends JobForecast {
+  /** The forecast end without the margin learned from earlier forecasts. */
+  readonly uncorrectedEndMilliseconds: number;
   /** The time that the job's longest chain of steps takes on idle targets, by learned run times. */
   readonly chainMilliseconds: number;
   /** The same chain by the caller's estimates. */
@@ -61,21 +63,23 @@
   const now = performance.now();
   const { step: expected } = state.runTimes.ofQueue(terms.queue);
   const plan = readRoomPlan(state, now);
-  const endMilliseconds = forecastEnd(
+  const end = forecastEnd(
     plan.room,
     describeNewJob(definition, expected),
     horizonMilliseconds,
     now - plan.plannedAt,
   );
+  const endMilliseconds = end + state.forecastMargin.milliseconds();
   const chain = longestChainMilliseconds(definition, expected);
   const objective = terms.slackFactor * chain + terms.objectiveMilliseconds;
   return {
     endMilliseconds,
+    uncorrectedEndMilliseconds: end,
     chainMilliseconds: chain,
     estimatedChainMilliseconds: longestChainMilliseconds(definition, (step) => step.estimateMilliseconds),
     objectiveMilliseconds: objective - ageMilliseconds,
     latestMilliseconds: latestFactor * objective - ageMilliseconds,
-    startsNow: endMilliseconds <= chain + startToleranceMilliseconds,
+    startsNow: end <= chain + startToleranceMilliseconds,
   };
 }
 
@@ -88,6 +92,7 @@
 export function describeForecast(forecast: OwnerForecast): LogFields {
   return {
     endMilliseconds: Math.round(forecast.endMilliseconds),
+    uncorrectedEndMilliseconds: Math.round(forecast.uncorrectedEndMilliseconds),
     objectiveMilliseconds: Math.round(forecast.objectiveMilliseconds),
     chainMilliseconds: Math.round(forecast.chainMilliseconds),
     estimatedChainMilliseconds: Math.round(forecast.estimatedChainMilliseconds),
--- a/src/pool-owners/owner-state.ts
+++ b/src/pool-owners/owner-state.ts
@@ -15,8 +15,10 @@
 } from "../jobs/index.js";
 import {
   createDemandForecast,
+  createForecastMargin,
   createTaskRunTimes,
   type DemandForecast,
+  type ForecastMargin,
   type RoomPlan,
   type TaskRunTimes,
   type UnplacedTasks,
@@ -97,6 +99,8 @@
   roomPlan: PlannedRoom | undefined;
   /** The pool's load as last measured, with the time by the monotonic clock; undefined before the first measurement. */
   recentLoad: { readonly load: PoolLoad; readonly readAt: number } | undefined;
+  /** Safety margin of the forecasts, learned from the errors of earlier ones. */
+  readonly forecastMargin: ForecastMargin;
   /** Pending writes of the records of where long-running tasks may run, by job id. */
   readonly placeRecords: Map<string, Promise<boolean>>;
 }
@@ -119,6 +123,7 @@
     ...parts,
     runTimes: createTaskRunTimes(),
     demand: createDemandForecast(),
+    forecastMargin: createForecastMargin(),
     jobs: new Map(),
     openJobs: new Map(),
     endedJobs: new Set(),
--- a/src/pool-owners/pool-owner.ts
+++ b/src/pool-owners/pool-owner.ts
@@ -236,8 +236,10 @@
 
   #add(record: JobRecord, accepted: AcceptedJob | undefined): void {
     const forecast = accepted?.forecast;
-    addJob(this.#state, record, undefined, Date.now());
+    const job = addJob(this.#state, record, undefined, Date.now());
     reserveRoomForJob(this.#state, record.terms, record.definition);
+    if (forecast !== undefined && Number.isFinite(forecast.uncorrectedEndMilliseconds))
+      job.expectedEndAt = performance.now() + forecast.uncorrectedEndMilliseconds;
     const { queue, pool } = record.terms;
     this.#state.log.write("info", "job-accepted", {
       job: record.jobId,
--- a/src/pool-owners/test/surge-model.ts
+++ b/src/pool-owners/test/surge-model.ts
@@ -226,13 +226,14 @@
     const forecast = forecastJob(this.#state, queueTerms, definition, 0);
     if (admitJob(forecast).kind === "refuse") return;
     const record = { jobId, terms: queueTerms, definition, acceptedAt: 0, requestedAt: 0 };
-    addJob(this.#state, record, undefined, 0);
+    const job = addJob(this.#state, record, undefined, 0);
     reserveRoomForJob(this.#state, queueTerms, definition);
+    job.expectedEndAt = this.#now + forecast.uncorrectedEndMilliseconds;
     const chain = definition.steps.reduce((sum, step) => sum + (this.#trueSteps.get(step)?.longest ?? 0), 0);
     this.#acceptedJobs.push({
       jobId,
       at: this.#now - from,
-      forecastMilliseconds: forecast.endMilliseconds,
+      forecastMilliseconds: forecast.uncorrectedEndMilliseconds,
       objectiveMilliseconds: forecast.objectiveMilliseconds,
       trueObjectiveMilliseconds: queueTerms.slackFactor * chain + queueTerms.objectiveMilliseconds,
       chainMilliseconds: forecast.chainMilliseconds,
--- a/src/scheduling/index.ts
+++ b/src/scheduling/index.ts
@@ -22,6 +22,7 @@
   type RoomPlan,
 } from "./forecast.js";
 export { countWantedTargets, type UnplacedTasks } from "./long-running-room.js";
+export { createForecastMargin, type ForecastMargin } from "./forecast-margin.js";
 export { compareJobs, type OrderedJob } from "./order.js";
 export { choosePace, type TailLatency } from "./pacing.js";
 export { chooseGangPlaces, choosePlace, countPlaces, allocatePlace, type StepPlace } from "./placement.js";
--- a/src/scheduling/test/decisions.test.ts
+++ b/src/scheduling/test/decisions.test.ts
@@ -12,6 +12,7 @@
   choosePlace,
   compareJobs,
   createDemandForecast,
+  createForecastMargin,
   createWorkRate,
   forecastEnd,
   planRoom,
@@ -326,3 +327,12 @@
   single.note(500, 100);
   expect(single.readGrowth(200)).toBe(0);
 });
+
+test("the margin follows repeated forecast errors, and rare large errors barely change it", () => {
+  const margin = createForecastMargin();
+  for (let job = 0; job < 100; job += 1) margin.learn(job % 10 === 0 ? 9_000 : 400);
+  expect(margin.milliseconds()).toBeGreaterThan(300);
+  expect(margin.milliseconds()).toBeLessThan(700);
+  for (let job = 0; job < 300; job += 1) margin.learn(-600);
+  expect(margin.milliseconds()).toBe(0);
+});
