--- a/review/lib/platform.mjs
+++ b/review/lib/platform.mjs
@@ -316,8 +316,9 @@
     this.born = Date.now();
   }
 
-  async start() {
-    this.#server = await serve((request, response) => this.#handle(request, response));
+  /** Starts this life; a worker that comes back under its id listens on its earlier port again. */
+  async start(port = 0) {
+    this.#server = await serve((request, response) => this.#handle(request, response), port);
     this.address = `${host}:${this.#server.address().port}`;
     this.#register();
     this.#every(heartbeatMilliseconds, () => this.#register());
@@ -334,7 +335,20 @@
     for (const run of this.#running.values()) this.#note("run-lost", run);
     this.#running.clear();
     if (isKnown) this.#world.store.remove(`servers/${this.id}`);
-    else setTimeout(() => this.#world.store.remove(`servers/${this.id}`), 3 * heartbeatMilliseconds).unref();
+    else setTimeout(() => this.#expire(), 3 * heartbeatMilliseconds).unref();
+  }
+
+  /** Removes the record of a worker that has been silent, unless it has come back meanwhile. */
+  #expire() {
+    const next = this.#world.workers.get(this.machine);
+    if (next === undefined || next === this || next.id !== this.id)
+      this.#world.store.remove(`servers/${this.id}`);
+  }
+
+  /** Carries out an order that got no answer when it was sent. */
+  carryOutLate(url, body) {
+    if (url === "/run-start") this.#runStart(body, undefined);
+    else if (url === "/run-stop") this.#runStop(body, undefined);
   }
 
   runningTasks() {
@@ -397,9 +411,7 @@
 
   async #handle(request, response) {
     const body = await readBody(request);
-    const delayed = this.#world.onWorkerCall(this, request.url, body);
-    if (delayed !== undefined) await sleep(delayed);
-    if (!this.#isAlive) return;
+    if (this.#world.onWorkerCall(this, request.url, body) === "silent" || !this.#isAlive) return;
     if (request.headers["expect-instance"] !== this.id) {
       this.#answer(response, 421, {});
       return;
@@ -412,6 +424,7 @@
   }
 
   #answer(response, status, body) {
+    if (response === undefined) return;
     send(response, status, { "clock-ms": this.#clock(), born: this.born, ...body });
   }
 
@@ -872,6 +885,19 @@
     return worker;
   }
 
+  /** Crashes a worker; it starts again under its id, and remembers nothing. */
+  async restartWorker(worker, downMilliseconds) {
+    const { id, service, zone, rack, capacity, machine, address } = worker;
+    this.record.write(`worker ${id}: crashes`);
+    worker.stop(false);
+    await sleep(downMilliseconds);
+    const next = new Worker(this, { id, service, zone, rack, capacity, machine });
+    this.workers.set(machine, next);
+    await next.start(Number(address.split(":")[1]));
+    this.record.write(`worker ${id}: starts again`);
+    return next;
+  }
+
   async #addEntry(name, index) {
     const [front, readiness, control, peers, metrics] = await findFreePorts(5);
     const storePort = await this.store.listenFor(name);
