--- a/review/4/case.mjs
+++ b/review/4/case.mjs
@@ -37,7 +37,7 @@
   });
   const { record, entries } = world;
   try {
-    if (!(await world.start(3))) return 2;
+    if (!(await world.start(7))) return 2;
     if (!(await waitFor(() => world.ownerOf(pool) !== undefined, 10_000))) return 2;
     await sleep(4000);
     const owner = world.ownerOf(pool);
--- a/review/lib/platform.mjs
+++ b/review/lib/platform.mjs
@@ -338,6 +338,15 @@
     else setTimeout(() => this.#expire(), 3 * heartbeatMilliseconds).unref();
   }
 
+  /** Loses power: what runs is lost, and calls are not answered any more, until `stop` frees the port. */
+  goDark() {
+    this.#isAlive = false;
+    for (const timer of this.#timers) clearInterval(timer);
+    for (const run of this.#running.values()) this.#note("run-lost", run);
+    this.#running.clear();
+    setTimeout(() => this.#expire(), 3 * heartbeatMilliseconds).unref();
+  }
+
   /** Removes the record of a worker that has been silent, unless it has come back meanwhile. */
   #expire() {
     const next = this.#world.workers.get(this.machine);
@@ -888,9 +897,13 @@
   /** Crashes a worker; it starts again under its id, and remembers nothing. */
   async restartWorker(worker, downMilliseconds) {
     const { id, service, zone, rack, capacity, machine, address } = worker;
-    this.record.write(`worker ${id}: crashes`);
-    worker.stop(false);
+    this.record.write(`worker ${id}: goes dark`);
+    const listed = this.machines.list().find((each) => each.machine === machine);
+    listed.state = "down";
+    worker.goDark();
     await sleep(downMilliseconds);
+    listed.state = "up";
+    worker.stop(false);
     const next = new Worker(this, { id, service, zone, rack, capacity, machine });
     this.workers.set(machine, next);
     await next.start(Number(address.split(":")[1]));
