An entry's member record can't be replaced by an older write, and is restored when it is gone

Cause: the member record, by which the others find an entry, was the one record written without a condition. The store left the first write without an answer; the entry wrote the record again under a second lease; then the store carried out the first write, which bound the record to the first lease. Nobody renewed that one, so the record was deleted, while the entry kept its pools under the second lease. Nothing compared the two.

Change: each write of the record is conditional on the revision that it replaces, so that a write of unknown outcome can't follow a later one; the write is settled under the same lease. With each renewal the entry compares its copy of the member list with what it wrote, and writes the record again when it is gone or another one (member-record-replaced, member_records_replaced_total). A lease under which nothing could be written is revoked.

--- a/src/fleet/test/fleet-manager.test.ts
+++ b/src/fleet/test/fleet-manager.test.ts
@@ -6,6 +6,7 @@
 import { Right } from "purify-ts";
 import { afterEach, expect, test } from "vitest";
 import {
+  entryPrefix,
   leaderRolePrefix,
   membersPrefix,
   openEntrySession,
@@ -129,7 +130,10 @@
   const lines: string[] = [];
   const log = createLog("info", (line) => lines.push(line));
   const self = { entryId, incarnation: 1, peerAddress: "127.0.0.1:1", zone: "zone" };
-  const session = openEntrySession({ store, self, log, leaseMilliseconds });
+  const metrics = createMetrics();
+  const listedRevision = (): number | undefined =>
+    members.records().get(`${entryPrefix}${entryId}`)?.revision;
+  const session = openEntrySession({ store, self, listedRevision, log, metrics, leaseMilliseconds });
   const members = followPrefix({
     store,
     prefix: membersPrefix,
@@ -173,7 +177,7 @@
     orderLeaseMilliseconds,
     ordersPerSecond: 64,
     log,
-    metrics: createMetrics(),
+    metrics,
   });
   void manager.run();
   const crash = (): void => {
--- a/src/measures/job-path/measured-owner.ts
+++ b/src/measures/job-path/measured-owner.ts
@@ -2,7 +2,7 @@
  * One owner in this process, over stand-ins that cost little.
  * @packageDocumentation
  */
-import { OwnershipManager, openEntrySession, type PoolOwner } from "../../pool-owners/index.js";
+import { entryPrefix, OwnershipManager, openEntrySession, type PoolOwner } from "../../pool-owners/index.js";
 import { delay } from "../../shared/index.js";
 import { createStoreEngine, createStoreFaults, MemoryStoreClient } from "../../stand-ins/store/index.js";
 import { createLog, createMetrics } from "../../telemetry/index.js";
@@ -92,7 +92,9 @@
   // Lines are written as in a running entry, and thrown away.
   const log = createLog("info", () => undefined);
   const self = { entryId: "a", incarnation: 1, peerAddress: "127.0.0.1:1", zone: "zone" };
-  const session = openEntrySession({ store, self, log, leaseMilliseconds });
+  const metrics = createMetrics();
+  const listedRevision = (): number | undefined => engine.range(`${entryPrefix}a`)[0]?.revision;
+  const session = openEntrySession({ store, self, listedRevision, log, metrics, leaseMilliseconds });
   const keeper = new OwnershipManager({
     entryId: "a",
     store,
@@ -103,7 +105,7 @@
     orders,
     advice: undefined,
     log,
-    metrics: createMetrics(),
+    metrics,
     runLeaseMilliseconds,
     retentionMilliseconds,
     settleMilliseconds: 0,
--- a/src/pool-owners/entry-session.ts
+++ b/src/pool-owners/entry-session.ts
@@ -5,15 +5,9 @@
  */
 import Emittery from "emittery";
 import { Left, type Either } from "purify-ts";
-import type { MemberRecord } from "../membership/index.js";
 import { delay, withTimeout } from "../shared/index.js";
 import type { StoreFailure, TransactionalStore } from "../store/index.js";
-import type { Log } from "../telemetry/index.js";
-
-/** Prefix of all records that are bound to the leases of entries. */
-export const membersPrefix = "members/";
-/** Prefix of the member records. */
-export const entryPrefix = `${membersPrefix}entries/`;
+import { MemberRegistration, type MemberRegistrationOptions } from "./member-registration.js";
 
 /** Events of a session. */
 export interface EntrySessionEvents {
@@ -34,11 +28,8 @@
   close(): Promise<void>;
 }
 
-/** Settings of a session. */
-export interface EntrySessionOptions {
-  readonly store: TransactionalStore;
-  readonly self: MemberRecord;
-  readonly log: Log;
+/** Dependencies and settings of a session. */
+export interface EntrySessionOptions extends MemberRegistrationOptions {
   readonly leaseMilliseconds: number;
 }
 
@@ -87,6 +78,40 @@
   return Date.now() >= untilUnix;
 }
 
+/** Renews a lease once; a renewal counts from when it was asked for. */
+async function renewOnce(
+  store: TransactionalStore,
+  lease: ActiveLease,
+  leaseMilliseconds: number,
+): Promise<"renewed" | "failed" | "ended"> {
+  const requestSentAt = readClocks();
+  const timedOut: Either<StoreFailure, boolean> = Left({
+    kind: "timeout",
+    message: "the lease may have ended",
+  });
+  const left = Math.max(0, lease.until - requestSentAt.monotonic);
+  const renewed = await withTimeout(store.renewLease(lease.leaseId), left, timedOut);
+  if (renewed.isLeft()) return "failed";
+  if (!renewed.orDefault(false)) return "ended";
+  Object.assign(lease, computeLeaseEnd(requestSentAt, leaseMilliseconds));
+  return "renewed";
+}
+
+/** Writes the member record until a write succeeds or the lease may have ended; returns whether the lease can be used. */
+async function registerUnder(
+  registration: MemberRegistration,
+  lease: ActiveLease,
+  stop: AbortSignal,
+): Promise<boolean> {
+  while (!stop.aborted && isUnexpired(lease)) {
+    const result = await registration.register(lease.leaseId);
+    if (result === "written") return isUnexpired(lease);
+    if (result === "lease-ended") return false;
+    await delay(retryMilliseconds, stop);
+  }
+  return false;
+}
+
 /** The wait before the next renewal, which can be cut short. */
 class RenewalPause {
   #abortController = new AbortController();
@@ -118,8 +143,9 @@
  * @returns the session, which has no lease yet
  */
 export function openEntrySession(options: EntrySessionOptions): EntrySession {
-  const { store, self, log, leaseMilliseconds } = options;
+  const { store, log, leaseMilliseconds } = options;
   const events = new Emittery<EntrySessionEvents>();
+  const registration = new MemberRegistration(options);
   const stop = new AbortController();
   let lease: ActiveLease | undefined;
   const pause = new RenewalPause();
@@ -137,39 +163,28 @@
     const granted = await store.grantLease(leaseMilliseconds / millisecondsPerSecond);
     if (granted.isLeft()) return false;
     const { leaseId } = granted.unsafeCoerce();
-    const key = `${entryPrefix}${self.entryId}`;
-    // An earlier process of this entry may have left a record, which is replaced unconditionally.
-    const result = await store.transact({ expected: [], writes: [{ key, value: self, leaseId }] });
-    if (result.kind !== "done") return false;
-    lease = { leaseId, ...computeLeaseEnd(requestSentAt, leaseMilliseconds) };
+    const opened = { leaseId, ...computeLeaseEnd(requestSentAt, leaseMilliseconds) };
+    if (!(await registerUnder(registration, opened, stop.signal))) {
+      void store.revokeLease(leaseId);
+      return false;
+    }
+    lease = opened;
     log.write("info", "entry-session-opened", { leaseId, leaseMilliseconds });
     void events.emit("opened", { leaseId });
     return true;
   };
 
-  const renewOnce = async (current: ActiveLease): Promise<"renewed" | "failed" | "ended"> => {
-    const requestSentAt = readClocks();
-    const timedOut: Either<StoreFailure, boolean> = Left({
-      kind: "timeout",
-      message: "the lease may have ended",
-    });
-    const left = Math.max(0, current.until - requestSentAt.monotonic);
-    const renewed = await withTimeout(store.renewLease(current.leaseId), left, timedOut);
-    if (renewed.isLeft()) return "failed";
-    if (!renewed.orDefault(false)) return "ended";
-    Object.assign(current, computeLeaseEnd(requestSentAt, leaseMilliseconds));
-    pause.noteRenewed();
-    return "renewed";
-  };
-
   const renewUntilLost = async (standing: ActiveLease): Promise<string> => {
     let wait = leaseMilliseconds / renewalsPerLease;
     while (!isStopped() && isUnexpired(lease)) {
       await pause.wait(Math.min(wait, standing.until - performance.now()));
       if (isStopped()) return "closed";
-      const result = await renewOnce(standing);
+      const result = await renewOnce(store, standing, leaseMilliseconds);
       if (result === "ended") return "the store has ended it";
       wait = result === "renewed" ? leaseMilliseconds / renewalsPerLease : retryMilliseconds;
+      if (result === "failed") continue;
+      pause.noteRenewed();
+      void registration.restoreIfReplaced(standing.leaseId);
     }
     return "not renewed in time";
   };
--- a/src/pool-owners/index.ts
+++ b/src/pool-owners/index.ts
@@ -4,9 +4,8 @@
  * @packageDocumentation
  */
 export { type Advice, type AdviceService } from "./advice-cache.js";
+export { entryPrefix, membersPrefix } from "./member-registration.js";
 export {
-  entryPrefix,
-  membersPrefix,
   openEntrySession,
   type EntrySession,
   type EntrySessionEvents,
--- a/src/pool-owners/owner-record.ts
+++ b/src/pool-owners/owner-record.ts
@@ -4,7 +4,7 @@
  */
 import * as z from "zod";
 import { parseWith } from "../shared/index.js";
-import { membersPrefix } from "./entry-session.js";
+import { membersPrefix } from "./member-registration.js";
 
 /** Prefix of the records that name the entry which owns a pool. They are deleted when the entry's lease ends. */
 export const ownerPrefix = `${membersPrefix}homes/`;
--- a/src/pool-owners/session-leader-role.ts
+++ b/src/pool-owners/session-leader-role.ts
@@ -6,7 +6,8 @@
 import * as z from "zod";
 import type { ExpectedRevision, StoreRecord, TransactionalStore } from "../store/index.js";
 import type { Log } from "../telemetry/index.js";
-import { membersPrefix, type EntrySession } from "./entry-session.js";
+import type { EntrySession } from "./entry-session.js";
+import { membersPrefix } from "./member-registration.js";
 
 /** Prefix of the records that name the entry which holds a leader role. */
 export const leaderRolePrefix = `${membersPrefix}duties/`;
--- a/src/pool-owners/test/owner-fixture.ts
+++ b/src/pool-owners/test/owner-fixture.ts
@@ -14,7 +14,8 @@
 import { createLog, createMetrics, type Metrics } from "../../telemetry/index.js";
 import type { OrderHeader, TargetOrders } from "../../task-runs/index.js";
 import type { WorkspaceTable } from "../../workspaces/index.js";
-import { membersPrefix, openEntrySession, type EntrySession } from "../entry-session.js";
+import { openEntrySession, type EntrySession } from "../entry-session.js";
+import { entryPrefix, membersPrefix } from "../member-registration.js";
 import { OwnershipManager } from "../ownership-manager.js";
 import { decodeOwnerRecord, ownerPrefix } from "../owner-record.js";
 import type { PoolOwner } from "../pool-owner.js";
@@ -128,7 +129,9 @@
   const log = createLog("info", (line) => lines.push(line));
   const metrics = createMetrics();
   const self = { entryId, incarnation: 1, peerAddress: "127.0.0.1:1", zone: "zone" };
-  const session = openEntrySession({ store, self, log, leaseMilliseconds });
+  const listedRevision = (): number | undefined =>
+    members.records().get(`${entryPrefix}${entryId}`)?.revision;
+  const session = openEntrySession({ store, self, listedRevision, log, metrics, leaseMilliseconds });
   const members = followPrefix({
     store,
     prefix: membersPrefix,
--- a/src/wiring/job-entry.ts
+++ b/src/wiring/job-entry.ts
@@ -135,9 +135,7 @@
   const peers = createPeerNetwork({ entryId, incarnation, zone }, log, permanentLinks);
   await peers.listen(addresses.peers.host, addresses.peers.port);
   const loopDelay = startLoadProbe(log, metrics, peers);
-  const peerAddress = `${addresses.peers.host}:${addresses.peers.port}`;
-  const { capacityCores } = base;
-  const self: MemberRecord = { entryId, incarnation, peerAddress, zone, capacityCores };
+  const self = describeSelf(base, incarnation);
 
   const store = wireStorePaths({
     ...base,
@@ -155,7 +153,7 @@
     ingress.applyLimits(table);
     ownershipManager.hurry();
   });
-  const session = openEntrySession({ store, self, log, leaseMilliseconds: entryLeaseMilliseconds });
+  const session = wireSession(options, self, members);
   const orders = wireOrders(options, peers, members);
   const ownerParts = { session, members, configuration };
   const { registry, ownershipManager } = wireOwners({ ...options, orders }, ownerParts);
@@ -170,7 +168,7 @@
   await ingress.listen(addresses.requests.host, addresses.requests.port);
   await readiness.listen(addresses.readiness.host, addresses.readiness.port);
   await metricsService.listen(addresses.metrics.host, addresses.metrics.port);
-  log.write("info", "entry-started", { incarnation, peerAddress });
+  log.write("info", "entry-started", { incarnation, peerAddress: self.peerAddress });
 
   const closeFollowers = (): void => {
     members.follower.close();
@@ -221,6 +219,20 @@
   readonly gateway: OwnerGateway;
 }
 
+/** The member record of this entry. */
+function describeSelf(options: JobEntryOptions, incarnation: number): MemberRecord {
+  const { entryId, availabilityZone, addresses, capacityCores } = options;
+  const peerAddress = `${addresses.peers.host}:${addresses.peers.port}`;
+  return { entryId, incarnation, peerAddress, zone: availabilityZone, capacityCores };
+}
+
+/** Opens this entry's lease; its member record is looked for in the copy of the member list. */
+function wireSession(options: JobEntryOptions, self: MemberRecord, { follower }: Members): EntrySession {
+  const key = `${entryPrefix}${self.entryId}`;
+  const listedRevision = (): number | undefined => follower.records().get(key)?.revision;
+  return openEntrySession({ ...options, self, listedRevision, leaseMilliseconds: entryLeaseMilliseconds });
+}
+
 /** Relays orders to targets for other entries, and can send this entry's orders through other entries. */
 function wireOrders(options: JobEntryOptions, peers: PeerNetwork, members: Members): TargetOrders {
   const { entryId, orders, log, metrics } = options;
