A cancellation of a job whose record is unsettled waits for the decision, and nothing unsettled is called unknown

The gateway then found the record in the store, asked the owner again, and took the second "not known" for final.

Change: a cancellation waits for the decision in progress, then ends the job before a round places it; it is acknowledged when the end is stored. A read is answered "undecided", and asked again until the caller's deadline, then 503. The gateway does not report a stored job as unknown. An owner reads a stored job back until it succeeds. Calls to an owner in the same process have the timeout of calls to another one. It works because every answer about a job now follows the decision that its record depends on.

--- a/src/pool-owners/job-gateway.ts
+++ b/src/pool-owners/job-gateway.ts
@@ -3,12 +3,12 @@
  * owner changes meanwhile.
  * @packageDocumentation
  */
-import { Right, type Either } from "purify-ts";
+import { Left, Right, type Either } from "purify-ts";
 import type { z } from "zod";
 import { decodeJobRecord, jobPrefix, type JobState } from "../jobs/index.js";
 import type { PeerCall, PeerFailure, PeerNetwork } from "../membership/index.js";
 import type { RoomArrival } from "../scheduling/index.js";
-import { delay } from "../shared/index.js";
+import { delay, withTimeout } from "../shared/index.js";
 import type { StoreFailure, TransactionalStore } from "../store/index.js";
 import type { OwnerDirectory } from "./owner-directory.js";
 import type { OwnershipManager } from "./ownership-manager.js";
@@ -73,7 +73,7 @@
   async submit(submission: JobSubmission): Promise<SubmitOutcome> {
     const { terms, deadlineMilliseconds } = submission;
     const local = async (owner: PoolOwner): Promise<SubmitOutcome> => owner.submit(submission);
-    const answer = await this.#requestFromOwner<JobSubmission, SubmitOutcome | NotOwner>(
+    const answer = await this.#requestFromOwner<JobSubmission, SubmitOutcome>(
       terms.pool,
       submitCall,
       submission,
@@ -94,7 +94,12 @@
   ): Promise<GatewayOutcome<JobState>> {
     const local = (owner: PoolOwner): StateOutcome => owner.readState(jobId, caller);
     const request = createJobRequest(pool, jobId, caller);
-    const answer = await this.#queryJob<StateOutcome>(request, stateCall, local, deadlineMilliseconds);
+    const answer = await this.#queryJob<Exclude<StateOutcome, Unanswered>>(
+      request,
+      stateCall,
+      local,
+      deadlineMilliseconds,
+    );
     if (answer.kind === "none") return { kind: "unavailable", reason: answer.reason };
     if (answer.reply.kind === "state") return { kind: "found", value: answer.reply.state };
     return { kind: "not-known" };
@@ -122,7 +127,7 @@
   ): Promise<GatewayOutcome<number>> {
     const local = (owner: PoolOwner): PendingReply => ({ kind: "pending", count: owner.countPending(queue) });
     const request = { pool, queue };
-    const answer = await this.#requestFromOwner<typeof request, PendingReply | NotOwner>(
+    const answer = await this.#requestFromOwner<typeof request, PendingReply>(
       pool,
       pendingCall,
       request,
@@ -152,7 +157,7 @@
       ...owner.vacate(targetIds, arrivals),
     });
     const request = { pool, targetIds: [...targetIds], arrivals: [...arrivals] };
-    const answer = await this.#requestFromOwner<typeof request, VacateReply | NotOwner>(
+    const answer = await this.#requestFromOwner<typeof request, VacateReply>(
       pool,
       vacateCall,
       request,
@@ -172,7 +177,7 @@
   ): Promise<Either<PeerFailure, Reply> | "no-home"> {
     const { keeper: ownershipManager, directory, entryId, peers } = this.#options;
     const owner = ownershipManager.owner(pool);
-    if (owner !== undefined) return Right(await local(owner));
+    if (owner !== undefined) return callLocal(owner, local, timeoutMilliseconds);
     const holder = directory.owners().get(pool)?.entryId;
     if (holder === undefined || holder === entryId) return "no-home";
     return peers.call(holder, definition, request, timeoutMilliseconds);
@@ -184,11 +189,11 @@
    */
   async #requestFromOwner<Request, Reply extends { readonly kind: string }>(
     pool: string,
-    definition: PeerCall<Request, Reply>,
+    definition: PeerCall<Request, Reply | Unanswered>,
     request: Request,
-    local: (owner: PoolOwner) => Promise<Reply> | Reply,
+    local: (owner: PoolOwner) => Promise<Reply | Unanswered> | Reply | Unanswered,
     deadlineMilliseconds: number,
-  ): Promise<OwnerAnswer<Exclude<Reply, NotOwner>>> {
+  ): Promise<OwnerAnswer<Reply>> {
     const deadlineAt = performance.now() + deadlineMilliseconds - replyMarginMilliseconds;
     let mayHaveArrived = false;
     let reason = "the pool has no home";
@@ -199,7 +204,8 @@
         if (!mayHaveArrived) break;
       } else if (answer.isRight()) {
         const reply = answer.unsafeCoerce();
-        if (isOwnerReply<Reply>(reply)) return { kind: "reply", reply };
+        if (!isUnanswered(reply)) return { kind: "reply", reply };
+        if (reply.kind === "undecided") reason = "it is not known yet whether the job is accepted";
       } else {
         const failure = answer.swap().unsafeCoerce();
         reason = `the home does not answer: ${failure.kind}`;
@@ -213,26 +219,24 @@
   /** Queries a job's owner; if it does not know the job, queries the owner of the pool in the job's stored record. */
   async #queryJob<Reply extends { readonly kind: string }>(
     request: JobRequest,
-    definition: PeerCall<JobRequest, Reply | NotOwner>,
-    local: (owner: PoolOwner) => Promise<Reply> | Reply,
+    definition: PeerCall<JobRequest, Reply | Unanswered>,
+    local: (owner: PoolOwner) => Promise<Reply | Unanswered> | Reply | Unanswered,
     deadlineMilliseconds: number,
-  ): Promise<OwnerAnswer<Exclude<Reply, NotOwner>>> {
+  ): Promise<OwnerAnswer<Reply>> {
     const startedAt = performance.now();
-    const queryOwner = async (pool: string, left: number): Promise<OwnerAnswer<Exclude<Reply, NotOwner>>> =>
-      this.#requestFromOwner<JobRequest, Reply | NotOwner>(
-        pool,
-        definition,
-        { ...request, pool },
-        local,
-        left,
-      );
+    const queryOwner = async (pool: string, left: number): Promise<OwnerAnswer<Reply>> =>
+      this.#requestFromOwner<JobRequest, Reply>(pool, definition, { ...request, pool }, local, left);
     const first = await queryOwner(request.pool, deadlineMilliseconds);
     if (first.kind === "none" || first.reply.kind !== "not-known") return first;
     const stored = await this.#findPool(request);
     if (stored.isLeft()) return { kind: "none", mayHaveArrived: true, reason: "the store does not answer" };
     const storedPool = stored.orDefault(undefined);
     if (storedPool === undefined) return first;
-    return queryOwner(storedPool, deadlineMilliseconds - (performance.now() - startedAt));
+    const second = await queryOwner(storedPool, deadlineMilliseconds - (performance.now() - startedAt));
+    // The job is stored, so that an owner which does not hold it proves nothing: the next owner would run it.
+    if (second.kind === "reply" && second.reply.kind === "not-known")
+      return { kind: "none", mayHaveArrived: true, reason: "the owner does not hold the stored job" };
+    return second;
   }
 
   /** The pool in a job's stored record; undefined when there is no such job or the caller may not access it. */
@@ -252,8 +256,9 @@
   return caller === undefined ? { pool, jobId } : { pool, jobId, caller };
 }
 
-interface NotOwner {
-  readonly kind: "not-home";
+/** A reply after which the caller asks again: the entry does not own the pool, or cannot tell yet whether it has the job. */
+interface Unanswered {
+  readonly kind: "not-home" | "undecided";
 }
 
 type VacateReply = { readonly kind: "report" } & PoolReport;
@@ -263,10 +268,24 @@
   readonly count: number;
 }
 
-function isOwnerReply<Reply extends { readonly kind: string }>(
-  reply: Reply,
-): reply is Exclude<Reply, NotOwner> {
-  return reply.kind !== "not-home";
+function isUnanswered(reply: { readonly kind: string }): reply is Unanswered {
+  return reply.kind === "not-home" || reply.kind === "undecided";
+}
+
+/** Calls the owner in this entry, with the same timeout as an owner in another one. */
+async function callLocal<Reply>(
+  owner: PoolOwner,
+  local: (owner: PoolOwner) => Promise<Reply> | Reply,
+  timeoutMilliseconds: number,
+): Promise<Either<PeerFailure, Reply>> {
+  const reply = local(owner);
+  if (!(reply instanceof Promise)) return Right(reply);
+  const timedOut: Either<PeerFailure, Reply> = Left({
+    kind: "timeout",
+    message: "the owner has not answered in time",
+  });
+  const answered = reply.then((value): Either<PeerFailure, Reply> => Right(value));
+  return withTimeout(answered, timeoutMilliseconds, timedOut);
 }
 
 type OwnerAnswer<Reply> =
--- a/src/pool-owners/job-outcomes.ts
+++ b/src/pool-owners/job-outcomes.ts
@@ -23,9 +23,14 @@
   /** The job may or may not have been accepted. */
   | { readonly kind: "unknown"; readonly reason: string };
 
-/** The outcome of a query for a job's state; `not-known` when this owner has no such job. */
+/**
+ * The outcome of a query for a job's state; `not-known` when this owner has no such job, `undecided` while it is not known
+ * whether a submission of the job is accepted.
+ */
 export type StateOutcome =
-  { readonly kind: "state"; readonly state: JobState } | { readonly kind: "not-known" };
+  | { readonly kind: "state"; readonly state: JobState }
+  | { readonly kind: "not-known" }
+  | { readonly kind: "undecided" };
 
 /** The outcome of a cancellation. */
 export type CancelOutcome =
--- a/src/pool-owners/messages.ts
+++ b/src/pool-owners/messages.ts
@@ -8,6 +8,8 @@
 import { jobCallerSchema } from "./job-access.js";
 
 const notOwner = z.object({ kind: z.literal("not-home") });
+/** The owner does not know yet whether it has the job; the caller asks again. */
+const undecided = z.object({ kind: z.literal("undecided") });
 
 /** Submits a job. */
 export const submitCall = definePeerCall(
@@ -44,6 +46,7 @@
       state: z.enum(["queued", "active", "complete", "failed", "cancelled"]),
     }),
     z.object({ kind: z.literal("not-known") }),
+    undecided,
     notOwner,
   ]),
 );
--- a/src/pool-owners/pool-owner.ts
+++ b/src/pool-owners/pool-owner.ts
@@ -5,7 +5,7 @@
 import { decodeJobRecord, jobPrefix, readJobState, type JobRecord } from "../jobs/index.js";
 import type { RoomArrival } from "../scheduling/index.js";
 import { delay } from "../shared/index.js";
-import type { TransactionalStore } from "../store/index.js";
+import type { StoreRecord, TransactionalStore } from "../store/index.js";
 import { createAdviceCache, type AdviceCache, type AdviceService } from "./advice-cache.js";
 import { dispatch } from "./dispatcher.js";
 import { reserveRoomForJob, describeForecast } from "./owner-forecast.js";
@@ -37,6 +37,7 @@
 /** A request to vacate targets expires after this time; its sender repeats it while the targets have to stay empty. */
 const vacateExpiryMilliseconds = 2_000;
 const retryAfterStoreFailureMilliseconds = 2_000;
+const readRetryMilliseconds = 60;
 
 /** Accepts the jobs of one pool and places their tasks in periodic and event-driven rounds. */
 export class PoolOwner {
@@ -87,20 +88,24 @@
    * Reads a job's state.
    * @param jobId - the job
    * @param caller - the caller; undefined where callers are not distinguished
-   * @returns the job's state; `not-known` when this owner does not hold the job or the caller has no access to it
+   * @returns the job's state; `undecided` while it is not known whether the job is accepted; `not-known` when this owner
+   * does not hold the job or the caller has no access to it
    */
   readState(jobId: string, caller?: JobCaller): StateOutcome {
     const job = findJob(this.#state.jobs, jobId, caller);
-    return job === undefined ? { kind: "not-known" } : { kind: "state", state: readJobState(job) };
+    if (job !== undefined) return { kind: "state", state: readJobState(job) };
+    return { kind: this.#submissions.isDeciding(jobId) ? "undecided" : "not-known" };
   }
 
   /**
-   * Cancels a job and stops its runs.
+   * Cancels a job and stops its runs. Waits for the decision on a submission of the job that is in progress; a job that is
+   * accepted then does not start.
    * @param jobId - the job
    * @param caller - the caller; undefined where callers are not distinguished
    * @returns `cancelled` once the cancellation is stored or when the job has already ended; `unknown` when it is not stored
    */
   async cancel(jobId: string, caller?: JobCaller): Promise<CancelOutcome> {
+    await this.#submissions.untilDecided(jobId);
     const job = findJob(this.#state.jobs, jobId, caller);
     if (job === undefined) return { kind: "not-known" };
     if (job.finalState !== undefined) return { kind: "cancelled" };
@@ -227,13 +232,26 @@
    */
   async #findStored(submission: JobSubmission): Promise<SubmitOutcome> {
     const { jobId } = submission;
-    const found = await this.#options.store.get(`${jobPrefix}${jobId}`);
-    const record = decodeJobRecord(found.orDefault(undefined)?.value);
+    const stored = await this.#readStored(jobId);
+    const record = decodeJobRecord(stored?.value);
     if (record === undefined) return { kind: "unknown", reason: "the stored job was not read" };
     if (record.terms.pool === this.pool && !this.#state.jobs.has(jobId)) this.#add(record, undefined);
     return answerRepeatedSubmission(record, submission, this.#state.log);
   }
 
+  /**
+   * Reads a job's record, with retries while this owner holds the pool: a stored job that its owner does not hold would be
+   * unknown to callers until the next owner runs it.
+   */
+  async #readStored(jobId: string): Promise<StoreRecord | undefined> {
+    while (!this.#stop.signal.aborted) {
+      const found = await this.#options.store.get(`${jobPrefix}${jobId}`);
+      if (found.isRight()) return found.orDefault(undefined);
+      await delay(readRetryMilliseconds, this.#stop.signal);
+    }
+    return undefined;
+  }
+
   #add(record: JobRecord, accepted: AcceptedJob | undefined): void {
     const forecast = accepted?.forecast;
     const job = addJob(this.#state, record, undefined, Date.now());
--- a/src/pool-owners/submissions-in-progress.ts
+++ b/src/pool-owners/submissions-in-progress.ts
@@ -31,4 +31,22 @@
     if (this.#decisions.get(jobId) === decision) this.#decisions.delete(jobId);
     return decision.workspace === workspace ? outcome : undefined;
   }
+
+  /** Whether the decision on an identifier is in progress, so that it is not known whether its job is accepted. */
+  isDeciding(jobId: string): boolean {
+    return this.#decisions.has(jobId);
+  }
+
+  /**
+   * Waits until no decision on an identifier is in progress.
+   * @param jobId - the identifier
+   */
+  async untilDecided(jobId: string): Promise<void> {
+    for (
+      let decision = this.#decisions.get(jobId);
+      decision !== undefined;
+      decision = this.#decisions.get(jobId)
+    )
+      await decision.outcome;
+  }
 }
