--- a/src/pool-owners/held-pool.ts
+++ b/src/pool-owners/held-pool.ts
@@ -108,6 +108,7 @@
     state,
     store,
     advice: options.advice,
+    cancellations: jobs.cancellations,
     retentionMilliseconds: options.retentionMilliseconds,
     onTick: () => {
       targets.reviewUse();
--- a/src/pool-owners/job-outcomes.ts
+++ b/src/pool-owners/job-outcomes.ts
@@ -32,8 +32,12 @@
   | { readonly kind: "not-known" }
   | { readonly kind: "undecided" };
 
-/** The outcome of a cancellation. */
+/**
+ * The outcome of a cancellation; `not-accepted` when there is no such job, and none with its identifier is accepted for some
+ * time; `not-known` when this owner has no such job, but another one may have it.
+ */
 export type CancelOutcome =
   | { readonly kind: "cancelled" }
+  | { readonly kind: "not-accepted" }
   | { readonly kind: "not-known" }
   | { readonly kind: "unknown"; readonly reason: string };
--- a/src/pool-owners/messages.ts
+++ b/src/pool-owners/messages.ts
@@ -57,6 +57,7 @@
   jobRequest,
   z.discriminatedUnion("kind", [
     z.object({ kind: z.literal("cancelled") }),
+    z.object({ kind: z.literal("not-accepted") }),
     z.object({ kind: z.literal("not-known") }),
     z.object({ kind: z.literal("unknown"), reason: z.string() }),
     notOwner,
--- a/src/pool-owners/owner-takeover.ts
+++ b/src/pool-owners/owner-takeover.ts
@@ -14,6 +14,7 @@
 import type { StoreRecord, TransactionalStore } from "../store/index.js";
 import { slowestClockRate } from "../task-runs/index.js";
 import type { Log } from "../telemetry/index.js";
+import { decodeCancellation } from "./early-cancellations.js";
 import type { StoredJobs } from "./stored-jobs.js";
 import {
   decodeOwnerRecord,
@@ -134,7 +135,10 @@
     .chain(({ records }) => progress.map((found) => ({ records, progressRecords: found.records })))
     .mapLeft(({ kind, message }) => `${kind}: ${message}`)
     .map(({ records, progressRecords }) => {
+      const cancellations = records.flatMap(({ value }) => decodeCancellation(value) ?? []);
+      const cancelled = new Set(cancellations.map(({ jobId }) => `${jobPrefix}${jobId}`));
       const own = records.flatMap((record) => {
+        if (cancelled.has(record.key)) return [];
         const job = decodeOrLog(record, decodeJobRecord, log);
         return job?.terms.pool === pool ? [{ job, revision: record.revision }] : [];
       });
@@ -146,7 +150,12 @@
         const found = decodeOrLog(record, decodeProgressRecord, log);
         if (found !== undefined) byJob.set(jobId, found);
       }
-      return { records: own.map(({ job }) => job), revisions, progress: byJob };
+      return {
+        records: own.map(({ job }) => job),
+        revisions,
+        progress: byJob,
+        cancellations: cancellations.filter((cancellation) => cancellation.pool === pool),
+      };
     });
 }
 
--- a/src/pool-owners/pool-owner.ts
+++ b/src/pool-owners/pool-owner.ts
@@ -8,6 +8,12 @@
 import type { StoreRecord, TransactionalStore } from "../store/index.js";
 import { createAdviceCache, type AdviceCache, type AdviceService } from "./advice-cache.js";
 import { dispatch } from "./dispatcher.js";
+import {
+  decodeCancellation,
+  EarlyCancellations,
+  remainingAfter,
+  type CancellationRecord,
+} from "./early-cancellations.js";
 import { reserveRoomForJob, describeForecast } from "./owner-forecast.js";
 import { addJob, openDueOccurrences, type OwnerState } from "./owner-state.js";
 import { reportPool, type PoolReport } from "./pool-report.js";
@@ -27,6 +33,8 @@
   readonly advice: AdviceService | undefined;
   /** How long the state of an ended job can still be read. */
   readonly retentionMilliseconds: number;
+  /** Cancellations of unknown jobs that earlier owners stored; none by default. */
+  readonly cancellations?: readonly CancellationRecord[];
   /** Called in each of the owner's periodic rounds. */
   readonly onTick?: () => void;
 }
@@ -47,6 +55,7 @@
   readonly #stop = new AbortController();
   readonly #adviceCache: AdviceCache;
   readonly #submissions = new SubmissionsInProgress();
+  readonly #cancellations: EarlyCancellations;
   readonly #admission: JobAdmission;
   #roundTimer: NodeJS.Timeout | undefined;
   readonly #roundPace = new RoundPace();
@@ -64,6 +73,7 @@
     this.#state = state;
     this.#options = options;
     this.#admission = new JobAdmission(state);
+    this.#cancellations = new EarlyCancellations(state, options.cancellations ?? []);
     this.#adviceCache = createAdviceCache(options.advice, state.log, () => {
       this.#scheduleRound();
     });
@@ -80,6 +90,8 @@
   async submit(submission: JobSubmission): Promise<SubmitOutcome> {
     const existing = this.#state.jobs.get(submission.jobId);
     if (existing !== undefined) return answerRepeatedSubmission(existing.record, submission, this.#state.log);
+    const refusedFor = this.#cancellations.remainingMilliseconds(submission.jobId, Date.now());
+    if (refusedFor !== undefined) return this.#refuseCancelled(submission, refusedFor);
     const outcome = await this.#submissions.decide(submission, async () => this.#accept(submission));
     return outcome ?? this.submit(submission);
   }
@@ -99,15 +111,21 @@
 
   /**
    * Cancels a job and stops its runs. Waits for the decision on a submission of the job that is in progress; a job that is
-   * accepted then does not start.
+   * accepted then does not start. For a job that is not known, stores that it is not accepted any more: its submission may
+   * still be on its way.
    * @param jobId - the job
    * @param caller - the caller; undefined where callers are not distinguished
-   * @returns `cancelled` once the cancellation is stored or when the job has already ended; `unknown` when it is not stored
+   * @returns `cancelled` once the cancellation is stored or when the job has already ended; `not-accepted` once it is stored
+   * that the job is not accepted any more; `unknown` when nothing is stored
    */
   async cancel(jobId: string, caller?: JobCaller): Promise<CancelOutcome> {
-    await this.#submissions.untilDecided(jobId);
+    while (this.#submissions.isDeciding(jobId)) await this.#submissions.untilDecided(jobId);
     const job = findJob(this.#state.jobs, jobId, caller);
-    if (job === undefined) return { kind: "not-known" };
+    if (job === undefined) {
+      // A job of another workspace does not exist for this caller.
+      if (this.#state.jobs.has(jobId)) return { kind: "not-known" };
+      return this.#cancelUnknown(jobId, caller);
+    }
     if (job.finalState !== undefined) return { kind: "cancelled" };
     const isStored = await endJob(this.#state, job, "cancelled");
     stopUnwanted(this.#state);
@@ -158,6 +176,49 @@
     clearTimeout(this.#roundTimer);
   }
 
+  async #cancelUnknown(jobId: string, caller: JobCaller | undefined): Promise<CancelOutcome> {
+    const result = await this.#cancellations.keep(jobId);
+    if (result === "kept") return { kind: "not-accepted" };
+    if (result === "exists") return this.#cancelStored(jobId, caller);
+    const isFull = result === "too-many";
+    return {
+      kind: "unknown",
+      reason: isFull ? "too many unknown jobs were cancelled" : "the cancellation is not stored",
+    };
+  }
+
+  /** Cancels a job that is stored although this owner does not hold it; the record may also be an earlier cancellation. */
+  async #cancelStored(jobId: string, caller: JobCaller | undefined): Promise<CancelOutcome> {
+    const stored = await this.#readStored(jobId);
+    const cancellation = decodeCancellation(stored?.value);
+    if (cancellation !== undefined) {
+      this.#cancellations.adopt(cancellation);
+      return { kind: "not-accepted" };
+    }
+    const record = decodeJobRecord(stored?.value);
+    if (record === undefined) return { kind: "unknown", reason: "the stored job was not read" };
+    if (record.terms.pool !== this.pool) return { kind: "not-known" };
+    this.#hold(record);
+    return this.cancel(jobId, caller);
+  }
+
+  #refuseCancelled(
+    { jobId, terms, workspace }: JobSubmission,
+    retryAfterMilliseconds: number,
+  ): SubmitOutcome {
+    const { queue, pool } = terms;
+    const { log, metrics } = this.#state;
+    log.write("info", "cancelled-job-refused", {
+      job: jobId,
+      queue,
+      pool,
+      workspace,
+      retryAfterMilliseconds,
+    });
+    metrics.count("cancelled_jobs_refused_total", { pool });
+    return { kind: "refused", reason: "the job was cancelled", retryAfterMilliseconds };
+  }
+
   #scheduleRound(): void {
     if (!this.#isStarted || this.#stop.signal.aborted) return;
     this.#roundTimer ??= setTimeout(() => {
@@ -180,6 +241,7 @@
     const unixNow = Date.now();
     for (const job of this.#state.openJobs.values()) openDueOccurrences(this.#state, job, unixNow);
     this.#forgetEnded(unixNow);
+    this.#cancellations.forgetExpired(unixNow);
     // The sender repeats the request while the targets have to stay empty.
     if (now - this.#lastVacateAt > vacateExpiryMilliseconds) this.vacate([]);
     this.#options.onTick?.();
@@ -227,15 +289,18 @@
   }
 
   /**
-   * Handles a job that is already in the store: another pool accepted it, or an earlier write of this owner succeeded
-   * although its response was lost.
+   * Handles a job whose identifier is already in the store: another pool accepted it, an earlier write of this owner succeeded
+   * although its response was lost, or the job was cancelled before its submission arrived.
    */
   async #findStored(submission: JobSubmission): Promise<SubmitOutcome> {
     const { jobId } = submission;
     const stored = await this.#readStored(jobId);
+    const cancellation = decodeCancellation(stored?.value);
+    if (cancellation !== undefined)
+      return this.#refuseCancelled(submission, remainingAfter(cancellation.cancelledAt, Date.now()));
     const record = decodeJobRecord(stored?.value);
     if (record === undefined) return { kind: "unknown", reason: "the stored job was not read" };
-    if (record.terms.pool === this.pool && !this.#state.jobs.has(jobId)) this.#add(record, undefined);
+    if (record.terms.pool === this.pool) this.#hold(record);
     return answerRepeatedSubmission(record, submission, this.#state.log);
   }
 
@@ -252,6 +317,11 @@
     return undefined;
   }
 
+  /** Holds a job of this pool that is stored. */
+  #hold(record: JobRecord): void {
+    if (!this.#state.jobs.has(record.jobId)) this.#add(record, undefined);
+  }
+
   #add(record: JobRecord, accepted: AcceptedJob | undefined): void {
     const forecast = accepted?.forecast;
     const job = addJob(this.#state, record, undefined, Date.now());
--- a/src/pool-owners/stored-jobs.ts
+++ b/src/pool-owners/stored-jobs.ts
@@ -3,6 +3,7 @@
  * @packageDocumentation
  */
 import type { JobRecord, ProgressRecord } from "../jobs/index.js";
+import type { CancellationRecord } from "./early-cancellations.js";
 
 /** The stored jobs of a pool. */
 export interface StoredJobs {
@@ -10,4 +11,6 @@
   /** Store revision of each record, by job id. */
   readonly revisions: ReadonlyMap<string, number>;
   readonly progress: ReadonlyMap<string, ProgressRecord>;
+  /** Identifiers that were cancelled before a job with them was accepted. */
+  readonly cancellations: readonly CancellationRecord[];
 }
--- a/src/pool-owners/submissions-in-progress.ts
+++ b/src/pool-owners/submissions-in-progress.ts
@@ -38,15 +38,10 @@
   }
 
   /**
-   * Waits until no decision on an identifier is in progress.
+   * Waits for the decision on an identifier that is in progress; another one may begin before the caller goes on.
    * @param jobId - the identifier
    */
   async untilDecided(jobId: string): Promise<void> {
-    for (
-      let decision = this.#decisions.get(jobId);
-      decision !== undefined;
-      decision = this.#decisions.get(jobId)
-    )
-      await decision.outcome;
+    await this.#decisions.get(jobId)?.outcome;
   }
 }
--- a/src/shared/http.ts
+++ b/src/shared/http.ts
@@ -4,6 +4,7 @@
  */
 import http, { type IncomingMessage, type ServerResponse } from "node:http";
 import type { AddressInfo } from "node:net";
+import { setImmediate } from "node:timers/promises";
 import { Left, Right, type Either } from "purify-ts";
 import restana, { type Protocol, type Service } from "restana";
 
@@ -100,6 +101,19 @@
   response.end(bytes);
 }
 
+/**
+ * Checks whether the sender of a request has closed its connection. A process that was paused reads a request and the end of
+ * its connection together, the end in a later turn of the event loop; this waits for that turn.
+ * @param request - a request that has been read
+ * @returns true when no answer can reach the sender any more, or the sender has said that it sends nothing further
+ */
+export async function hasSenderLeft({ socket }: IncomingMessage): Promise<boolean> {
+  // The first callback runs after the reads of this turn, the second one after those of the next.
+  await setImmediate();
+  await setImmediate();
+  return socket.destroyed || socket.readableEnded;
+}
+
 /** Why a request body was not read: it exceeded the size, took too long, or the connection closed before its end. */
 export type BodyFault = "too-large" | "too-slow" | "cut";
 
--- a/src/shared/index.ts
+++ b/src/shared/index.ts
@@ -12,4 +12,11 @@
 } from "./rendezvous.js";
 export { delay, Pause, withTimeout } from "./timers.js";
 export { formatPath, parseWith, type ParseFault } from "./parse.js";
-export { createHttpService, sendJson, readBody, type HttpService, type BodyFault } from "./http.js";
+export {
+  createHttpService,
+  hasSenderLeft,
+  sendJson,
+  readBody,
+  type HttpService,
+  type BodyFault,
+} from "./http.js";
