--- a/src/pool-owners/test/gateway-fixture.ts
+++ b/src/pool-owners/test/gateway-fixture.ts
@@ -5,6 +5,7 @@
 import { Left, Right } from "purify-ts";
 import type { PeerCall, PeerNetwork } from "../../membership/index.js";
 import { createStoreFaults, MemoryStoreClient } from "../../stand-ins/index.js";
+import { createLog, createMetrics } from "../../telemetry/index.js";
 import type { OwnershipManager } from "../ownership-manager.js";
 import { OwnerGateway } from "../job-gateway.js";
 import type { PoolOwner } from "../pool-owner.js";
@@ -53,7 +54,7 @@
   } as never;
   const createOwnershipManager = (held: ReadonlyMap<string, PoolOwner>): OwnershipManager =>
     ({ owner: (name: string) => held.get(name) }) as unknown as OwnershipManager;
-  const options = { directory, store, peers: network };
+  const options = { directory, store, peers: network, log: createLog("silent"), metrics: createMetrics() };
   // The gateway that is created last handles the calls of the link.
   const remote = new OwnerGateway({
     ...options,
--- a/src/wiring/job-entry.ts
+++ b/src/wiring/job-entry.ts
@@ -158,7 +158,7 @@
   const ownerParts = { session, members, configuration };
   const { registry, ownershipManager } = wireOwners({ ...options, orders }, ownerParts);
   const { directory } = members;
-  const gateway = new OwnerGateway({ entryId, keeper: ownershipManager, directory, peers, store });
+  const gateway = new OwnerGateway({ ...options, keeper: ownershipManager, directory, peers });
   const fleet = wireFleet(options, { ...ownerParts, gateway });
   const ingress = options.createIngress(gateway, configuration.usable);
   let isStopping = false;
