An owner record carries its entry's address, so that an owner is reached without a member record

The owner record now holds both, as of the take; a member record goes before it, since it may be newer. An entry without a member record stays no candidate for pools and relays.

--- a/src/measures/job-path/measured-owner.ts
+++ b/src/measures/job-path/measured-owner.ts
@@ -97,6 +97,7 @@
   const session = openEntrySession({ store, self, listedRevision, log, metrics, leaseMilliseconds });
   const keeper = new OwnershipManager({
     entryId: "a",
+    self,
     store,
     session,
     directory: { entries: () => new Map([["a", 1]]), owners: () => new Map(), ageMilliseconds: () => 0 },
--- a/src/membership/index.ts
+++ b/src/membership/index.ts
@@ -2,7 +2,13 @@
  * Cluster membership of the entries: member list, connections to peers, failure detection and leader roles.
  * @packageDocumentation
  */
-export { definePeerCall, parseMemberRecord, type PeerCall, type MemberRecord } from "./messages.js";
+export {
+  definePeerCall,
+  memberRecordSchema,
+  parseMemberRecord,
+  type PeerCall,
+  type MemberRecord,
+} from "./messages.js";
 export type { PeerFailure, PeerFailureKind, PeerState } from "./peer-link.js";
 export type { PeerAnswer } from "./peer-listener.js";
 export type { PeerIdentity } from "./peer-links.js";
--- a/src/pool-owners/owner-record.ts
+++ b/src/pool-owners/owner-record.ts
@@ -3,6 +3,7 @@
  * @packageDocumentation
  */
 import * as z from "zod";
+import { memberRecordSchema } from "../membership/index.js";
 import { parseWith } from "../shared/index.js";
 import { membersPrefix } from "./member-registration.js";
 
@@ -13,6 +14,11 @@
 
 const ownerRecordSchema = z.object({
   entryId: z.string(),
+  /**
+   * The entry's member record as of the take, by which other entries reach the owner when its member record is gone. Omitted in
+   * records of earlier versions.
+   */
+  member: memberRecordSchema.optional(),
   /** A unique identifier of this ownership of the pool. */
   term: z.string(),
   /** Increases with each rewrite by the same owner, which fences transactions of unknown outcome. */
--- a/src/pool-owners/owner-takeover.ts
+++ b/src/pool-owners/owner-takeover.ts
@@ -10,6 +10,7 @@
   progressPrefix,
   type ProgressRecord,
 } from "../jobs/index.js";
+import type { MemberRecord } from "../membership/index.js";
 import { delay, withTimeout } from "../shared/index.js";
 import type { StoreRecord, TransactionalStore } from "../store/index.js";
 import { slowestClockRate } from "../task-runs/index.js";
@@ -34,23 +35,28 @@
   readonly takeoverState: TakeoverState;
 }
 
+/** An attempt to become a pool's owner. */
+export interface PoolTake {
+  readonly pool: string;
+  /** The member record of this entry. */
+  readonly member: MemberRecord;
+  /** The entry's lease; the owner record is deleted when it ends. */
+  readonly leaseId: string;
+  /** A unique identifier of this ownership. */
+  readonly term: string;
+  /** The revision of the owner record to replace; 0 when there is none. */
+  readonly heldRevision: number;
+}
+
 /**
  * Tries to become a pool's owner.
  * @param store - the store
- * @param pool - the pool
- * @param entryId - this entry
- * @param leaseId - the entry's lease; the owner record is deleted when it ends
- * @param term - a unique identifier of this ownership
- * @param heldRevision - the revision of the owner record to replace; 0 when there is none
+ * @param take - the pool and this entry
  * @returns the pool, or the reason why it was not taken
  */
 export async function takePool(
   store: TransactionalStore,
-  pool: string,
-  entryId: string,
-  leaseId: string,
-  term: string,
-  heldRevision = 0,
+  { pool, member, leaseId, term, heldRevision }: PoolTake,
 ): Promise<Either<string, TakenPool>> {
   const takeoverStateKey = `${takeoverStatePrefix}${pool}`;
   const stored = await store.get(takeoverStateKey);
@@ -59,7 +65,7 @@
   const before = decodeTakeoverState(earlier?.value);
   const takeoverState = { ...before, homes: before.homes + 1 };
   const key = `${ownerPrefix}${pool}`;
-  const record: OwnerRecord = { entryId, term, barrier: 0 };
+  const record: OwnerRecord = { entryId: member.entryId, member, term, barrier: 0 };
   const result = await store.transact({
     expected: [
       { key, revision: heldRevision },
--- a/src/pool-owners/ownership-manager.ts
+++ b/src/pool-owners/ownership-manager.ts
@@ -3,6 +3,7 @@
  * @packageDocumentation
  */
 import { randomUUID } from "node:crypto";
+import type { MemberRecord } from "../membership/index.js";
 import { Pause } from "../shared/index.js";
 import { areHeldElsewhere, isCurrent, type OwnerDirectory } from "./owner-directory.js";
 import { orderForOwnership } from "./owner-placement.js";
@@ -16,6 +17,8 @@
 /** Dependencies and settings of an ownership manager. */
 export interface OwnershipManagerOptions extends HeldPoolOptions, Pick<WorkspacesOptions, "workspaces"> {
   readonly entryId: string;
+  /** The member record of this entry. */
+  readonly self: MemberRecord;
   readonly directory: OwnerDirectory;
   /** Pools that need an owner. */
   readonly pools: () => readonly string[];
@@ -183,11 +186,12 @@
   }
 
   async #take(pool: string, heldRevision = 0): Promise<void> {
-    const { session, store, entryId, log } = this.#options;
+    const { session, store, self, log } = this.#options;
     const leaseId = session.leaseId();
     if (leaseId === undefined) return;
     const startedAt = performance.now();
-    const taken = await takePool(store, pool, entryId, leaseId, randomUUID(), heldRevision);
+    const take = { pool, member: self, leaseId, term: randomUUID(), heldRevision };
+    const taken = await takePool(store, take);
     if (taken.isLeft()) {
       log.write("info", "home-not-taken", { pool, reason: taken.swap().unsafeCoerce() });
       return;
--- a/src/pool-owners/test/late-writes.test.ts
+++ b/src/pool-owners/test/late-writes.test.ts
@@ -19,6 +19,7 @@
 import { leaderRolePrefix, SessionLeaderRole } from "../session-leader-role.js";
 
 const pool = "presses";
+const member = { entryId: "a", incarnation: 1, peerAddress: "127.0.0.1:1", zone: "zone" };
 const ownerKey = `${ownerPrefix}${pool}`;
 const roleKey = `${leaderRolePrefix}fleet`;
 
@@ -52,10 +53,11 @@
 
 test("a late write of an owner record does not replace the record under which the pool is owned", async () => {
   holdFirstWrite(ownerKey);
-  const first = await takePool(store, pool, "a", await grantLease(), "first");
+  const take = { pool, member, heldRevision: 0 };
+  const first = await takePool(store, { ...take, leaseId: await grantLease(), term: "first" });
   expect(first.isLeft()).toBe(true);
   const leaseId = await grantLease();
-  expect((await takePool(store, pool, "a", leaseId, "second")).isRight()).toBe(true);
+  expect((await takePool(store, { ...take, leaseId, term: "second" })).isRight()).toBe(true);
   expect(await late?.()).toBe("conflict");
   expect(engine.range(ownerKey)).toMatchObject([{ leaseId }]);
 });
--- a/src/pool-owners/test/owner-fixture.ts
+++ b/src/pool-owners/test/owner-fixture.ts
@@ -153,6 +153,7 @@
   };
   const ownershipManager = new OwnershipManager({
     entryId,
+    self,
     store,
     session,
     directory: {
--- a/src/pool-owners/test/ownership-manager.test.ts
+++ b/src/pool-owners/test/ownership-manager.test.ts
@@ -62,6 +62,7 @@
   };
   const ownershipManager = new OwnershipManager({
     entryId: first,
+    self: { entryId: first, incarnation: 1, peerAddress: "127.0.0.1:1", zone: "zone" },
     store,
     session,
     // The directory does not contain the pools that this entry has taken since the start.
--- a/src/pool-owners/test/settled-ownership-manager.test.ts
+++ b/src/pool-owners/test/settled-ownership-manager.test.ts
@@ -46,6 +46,7 @@
   };
   const ownershipManager = new OwnershipManager({
     entryId: "self",
+    self: { entryId: "self", incarnation: 1, peerAddress: "127.0.0.1:1", zone: "zone" },
     store,
     session,
     directory: { entries: () => new Map([["self", 1]]), owners: () => owners, ageMilliseconds: () => age },
--- a/src/wiring/job-entry.ts
+++ b/src/wiring/job-entry.ts
@@ -156,7 +156,7 @@
   const session = wireSession(options, self, members);
   const orders = wireOrders(options, peers, members);
   const ownerParts = { session, members, configuration };
-  const { registry, ownershipManager } = wireOwners({ ...options, orders }, ownerParts);
+  const { registry, ownershipManager } = wireOwners({ ...options, orders }, self, ownerParts);
   const { directory } = members;
   const gateway = new OwnerGateway({ ...options, keeper: ownershipManager, directory, peers });
   const fleet = wireFleet(options, { ...ownerParts, gateway });
@@ -244,6 +244,7 @@
 /** Starts the management of pool ownership and follows the registry of the targets. */
 function wireOwners(
   options: JobEntryOptions,
+  self: MemberRecord,
   { session, members, configuration }: OwnerParts,
 ): { readonly registry: FollowedRegistry; readonly ownershipManager: OwnershipManager } {
   const heldPools = (): PoolOwner[] => ownershipManager.owners();
@@ -252,6 +253,7 @@
   });
   const ownershipManager = new OwnershipManager({
     ...options,
+    self,
     session,
     directory: members.directory,
     pools: () => configuration.current()?.pools.map(({ pool }) => pool) ?? [],
--- a/src/wiring/job-followers.ts
+++ b/src/wiring/job-followers.ts
@@ -75,7 +75,7 @@
         key.startsWith(entryPrefix) ? (parseMemberRecord(value) ?? []) : [],
       );
       owners = decodeOwners(records.values());
-      peers.follow(entries);
+      peers.follow([...entries, ...findUnlistedOwners(entries, owners.values())]);
       onChanged();
     },
     onReachable: (isReachable, reason) => {
@@ -100,6 +100,18 @@
   return { follower, directory, relayCandidates };
 }
 
+/** The member records of owners, from their owner records, that the member list lacks: they have to be reached all the same. */
+function findUnlistedOwners(
+  entries: readonly MemberRecord[],
+  owners: Iterable<OwnerRecord>,
+): Iterable<MemberRecord> {
+  const listed = new Set(entries.map(({ entryId }) => entryId));
+  const unlisted = new Map<string, MemberRecord>();
+  for (const { member } of owners)
+    if (member !== undefined && !listed.has(member.entryId)) unlisted.set(member.entryId, member);
+  return unlisted.values();
+}
+
 function decodeOwners(records: Iterable<StoreRecord>): Map<string, OwnerRecord & { revision: number }> {
   const owners = new Map<string, OwnerRecord & { revision: number }>();
   for (const { key, value, revision } of records) {
