A check of the member record that began under a lost lease does not write it

Found by reading the change as a newcomer: the check reads the record, and the entry may have registered under its next lease by the time of the answer.

--- a/src/pool-owners/member-registration.ts
+++ b/src/pool-owners/member-registration.ts
@@ -36,6 +36,8 @@
   readonly #key: string;
   /** The revision of the last record that this entry wrote; undefined while its outcome is not known. */
   #revision: number | undefined;
+  /** The lease to which the record is bound, or is to be bound. */
+  #leaseId: string | undefined;
 
   /**
    * Creates a registration that has not written the record yet.
@@ -52,6 +54,7 @@
    * @returns the result; after `failed` the write may be tried again with the same lease
    */
   async register(leaseId: string): Promise<RegistrationResult> {
+    this.#leaseId = leaseId;
     this.#revision = undefined;
     const found = await this.#options.store.get(this.#key);
     if (found.isLeft()) return "failed";
@@ -60,7 +63,7 @@
 
   /**
    * Checks whether the record that this entry wrote is still listed; if not, reads it from the store and writes it again
-   * when it is gone or is not the one that this entry wrote.
+   * when it is gone or is not the one that this entry wrote. Does nothing once the record is registered under another lease.
    * @param leaseId - the valid lease of this entry
    */
   async restoreIfReplaced(leaseId: string): Promise<void> {
@@ -68,7 +71,7 @@
     const written = this.#revision;
     if (written !== undefined && listedRevision() === written) return;
     const found = await store.get(this.#key);
-    if (found.isLeft()) return;
+    if (found.isLeft() || this.#leaseId !== leaseId) return;
     const current = found.orDefault(undefined);
     // The copy may be older than the record.
     if (current !== undefined && current.revision === written) return;
