--- a/review/7/case.mjs
+++ b/review/7/case.mjs
@@ -1,6 +1,7 @@
 /**
- * LOST: a queue's policy allows only workers that lie behind the first thirty of an idle pool. The owner asks for advice on
- * the same thirty again and again, and an accepted job never starts.
+ * LOST: more subtasks that last wait for a place than the workers hold on which their queue's policy allows them. The owner
+ * keeps the other workers of the pool free for them, where they may never run, and accepted jobs of another queue starve
+ * beside idle workers.
  */
 import { dirname } from "node:path";
 import { fileURLToPath } from "node:url";
@@ -9,43 +10,65 @@
 import { startStore } from "../lib-2/store.mjs";
 import { startWorkers, Worker } from "../lib-2/workers.mjs";
 
-const workerCount = 36;
-const allowedCount = 4;
+const workerIds = ["i-1", "i-2", "i-3", "i-4", "i-5", "i-6"];
+/** The workers that the policy of the first queue allows; four subtasks fill one worker. */
+const allowedIds = ["i-1", "i-2"];
+const adviceTerms = { "decide-ms": 40, "period-ms": 2, "valid-ms": 3_000 };
+const capacity = { cpu: 8_000, "mem-mb": 32_000, gpu: 0 };
+const needs = { cpu: 2_000, "mem-mb": 1_000, gpu: 0 };
+const shortJobs = 3;
 const finishMs = 14_000;
-/** For this long nothing of the job may be idle with room for it. */
 const idleMs = 3_000;
-const adviceTerms = { "decide-ms": 40, "period-ms": 2, "valid-ms": 3_000 };
-const nameOf = (number) => `i-${String(number).padStart(3, "0")}`;
 
 function createWorkers(record, events) {
-  return Array.from({ length: workerCount }, (_, index) => {
-    const number = index + 1;
-    return new Worker({
-      id: nameOf(number),
-      pool: "pool-1",
-      zone: `zone-${(number % 3) + 1}`,
-      labels: ["a", `r-${Math.ceil(number / 4)}`],
-      capacity: { cpu: 32_000, "mem-mb": 128_000, gpu: 0 },
-      guards: true,
-      stopMs: 300,
-      holdMaxMs: 6_000,
-      workMs: () => 640,
-      needs: () => ({ cpu: 1_800, "mem-mb": 1_000, gpu: 0 }),
-      needsTicket: (task, { id }) => ticketOf(task.replace(/\.[0-9]+$/, ""), id),
-      log: (event) => {
-        record.write(JSON.stringify(event));
-        events.push(event);
-      },
-    });
-  });
+  return workerIds.map(
+    (id, index) =>
+      new Worker({
+        id,
+        pool: "pool-1",
+        zone: "zone-1",
+        labels: ["a", `r-${index}`],
+        capacity,
+        guards: true,
+        stopMs: 300,
+        holdMaxMs: 6_000,
+        workMs: (_task, spec) => (spec === "lasting" ? Infinity : 640),
+        needs: () => needs,
+        needsTicket: (task, worker) =>
+          task.startsWith("a") ? ticketOf(task.replace(/\.[0-9]+$/, ""), worker.id) : undefined,
+        log: (event) => {
+          record.write(JSON.stringify(event));
+          events.push(event);
+        },
+      }),
+  );
+}
+
+function createManifest() {
+  const lasting = { name: "q-1", prefix: "/one/", service: "pool-1", advice: adviceTerms };
+  const short = { name: "q-2", prefix: "/two/", service: "pool-1" };
+  return manifest([lasting, short], [{ name: "pool-1" }]);
+}
+
+/** Submits a job and throws when it is not accepted. */
+async function submit(entries, path, body) {
+  const { status } = await entries.insist("POST", path, body);
+  if (status !== 200) throw new Error("a job was not accepted");
+}
+
+/** Submits the jobs that last: 12 and 4 subtasks, of which the two allowed workers hold 8. */
+async function submitLasting(entries) {
+  const step = { ...needs, "estimate-ms": 900, "long-running": true };
+  for (const count of [12, 4]) {
+    await submit(entries, `/one/a${newId().slice(1)}`, { spec: "lasting", steps: [{ ...step, count }] });
+    await pause(1_400);
+  }
 }
 
 await runCase(dirname(fileURLToPath(import.meta.url)), async (record, isTroubled) => {
   const store = await startStore();
-  const route = { name: "q-1", prefix: "/one/", service: "pool-1", advice: adviceTerms };
-  store.items.putJson("op/config", manifest([route], [{ name: "pool-1" }]));
-  const firstAllowed = isTroubled ? workerCount - allowedCount + 1 : 1;
-  const allowed = new Set(Array.from({ length: allowedCount }, (_, index) => nameOf(firstAllowed + index)));
+  store.items.putJson("op/config", createManifest());
+  const allowed = new Set(isTroubled ? allowedIds : workerIds);
   record.write(`the policy allows ${[...allowed].join(", ")}`);
   const terms = { decideMs: 40, periodMs: 2, validMs: 3_000 };
   const advice = await startAdvice(terms, (_step, id) => allowed.has(id), record);
@@ -53,18 +76,20 @@
   await startWorkers(store, createWorkers(record, events));
   const entries = new Entries({ "platform.address": store.address, advice: advice.address }, record);
   await entries.start(["edge-1", "edge-2", "edge-3"]);
+  await pause(2_000);
+  await submitLasting(entries);
   await pause(3_000);
-  const id = newId();
-  const step = { count: 6, cpu: 1_800, "mem-mb": 1_000, "estimate-ms": 640 };
-  const accepted = await entries.insist("POST", `/one/${id}`, { spec: "s", steps: [step] });
-  if (accepted.status !== 200) throw new Error("the job was not accepted");
-  for (let waited = 0; waited < finishMs + idleMs; waited += 1_000) {
-    await pause(1_000);
-    await entries.call(entries.list[(waited / 1_000) % 3], "GET", `/one/${id}`);
+  const ids = Array.from({ length: shortJobs }, () => `b${newId().slice(1)}`);
+  const step = { ...needs, count: 2, "estimate-ms": 640 };
+  for (const id of ids) await submit(entries, `/two/${id}`, { spec: "short", steps: [step] });
+  for (let waited = 0; waited < finishMs + idleMs; waited += 2_000) {
+    await pause(2_000);
+    for (const [index, id] of ids.entries()) await entries.call(entries.list[index], "GET", `/two/${id}`);
   }
   entries.close();
-  const starts = events.filter(({ kind, task }) => kind === "start" && task.startsWith(id)).length;
-  return starts > 0
+  const idle = ids.filter((id) => !events.some(({ kind, task }) => kind === "start" && task.startsWith(id)));
+  const busy = new Set(events.filter(({ kind }) => kind === "start").map(({ worker }) => worker));
+  return idle.length === 0
     ? undefined
-    : `no subtask of the accepted job ${id} was started in ${(finishMs + idleMs) / 1_000} s, with ${allowedCount} idle workers that may run it`;
+    : `of ${shortJobs} accepted jobs ${idle.length} were never started in ${(finishMs + idleMs) / 1_000} s; workers in use: ${[...busy].join(", ")} of ${workerIds.length}`;
 });
--- a/review/8/case.mjs
+++ b/review/8/case.mjs
@@ -1,85 +1,70 @@
 /**
- * LOST: one large job, within the manifest's `max-body-bytes`, becomes a record longer than the store's `value-bytes`. The
- * owner tries to write it for ever, and with it nothing else of the pool is stored: a subtask that lasts and has failed is
- * not started again, and no job is accepted or cancelled.
+ * LOST: a queue's policy allows only workers that lie behind the first thirty of an idle pool. The owner asks for advice on
+ * the same thirty again and again, and an accepted job never starts.
  */
 import { dirname } from "node:path";
 import { fileURLToPath } from "node:url";
+import { startAdvice, ticketOf } from "../lib-2/advice.mjs";
 import { Entries, manifest, newId, pause, runCase } from "../lib-2/entries.mjs";
 import { startStore } from "../lib-2/store.mjs";
 import { startWorkers, Worker } from "../lib-2/workers.mjs";
 
-/** The job of the disruption, and the one in its place without it. */
-const [largeStepCount, smallStepCount] = [6_000, 600];
-/** LOST: from this long after its last run on, a subtask that lasts has to run again ... */
-const restartMs = 6_000;
-/** ... and may be without a run, with room for it, for this long at most. */
+const workerCount = 36;
+const allowedCount = 4;
+const finishMs = 14_000;
+/** For this long nothing of the job may be idle with room for it. */
 const idleMs = 3_000;
-const ackMs = 4_000;
-const needs = { cpu: 1_000, "mem-mb": 1_000, gpu: 0 };
+const adviceTerms = { "decide-ms": 40, "period-ms": 2, "valid-ms": 3_000 };
+const nameOf = (number) => `i-${String(number).padStart(3, "0")}`;
 
 function createWorkers(record, events) {
-  return [1, 2, 3, 4].map(
-    (number) =>
-      new Worker({
-        id: `i-${number}`,
-        pool: "pool-1",
-        zone: "zone-1",
-        labels: ["a", `r-${number}`],
-        capacity: { cpu: 32_000, "mem-mb": 128_000, gpu: 0 },
-        guards: true,
-        stopMs: 300,
-        holdMaxMs: 6_000,
-        workMs: (_task, spec) => (spec === "lasting" ? Infinity : 50),
-        needs: () => needs,
-        log: (event) => {
-          record.write(JSON.stringify(event));
-          events.push(event);
-        },
-      }),
-  );
-}
-
-/** Sends a job with many small steps; the consumer gives up after its time limit. */
-async function sendSteps(record, entries, stepCount) {
-  const step = { count: 1, cpu: 100, "estimate-ms": 50 };
-  const body = { spec: "short", steps: Array.from({ length: stepCount }, () => step) };
-  record.write(`the job of ${stepCount} steps has ${JSON.stringify(body).length} bytes`);
-  await entries.call(entries.list[0], "POST", `/one/${newId()}`, body);
+  return Array.from({ length: workerCount }, (_, index) => {
+    const number = index + 1;
+    return new Worker({
+      id: nameOf(number),
+      pool: "pool-1",
+      zone: `zone-${(number % 3) + 1}`,
+      labels: ["a", `r-${Math.ceil(number / 4)}`],
+      capacity: { cpu: 32_000, "mem-mb": 128_000, gpu: 0 },
+      guards: true,
+      stopMs: 300,
+      holdMaxMs: 6_000,
+      workMs: () => 640,
+      needs: () => ({ cpu: 1_800, "mem-mb": 1_000, gpu: 0 }),
+      needsTicket: (task, { id }) => ticketOf(task.replace(/\.[0-9]+$/, ""), id),
+      log: (event) => {
+        record.write(JSON.stringify(event));
+        events.push(event);
+      },
+    });
+  });
 }
 
 await runCase(dirname(fileURLToPath(import.meta.url)), async (record, isTroubled) => {
   const store = await startStore();
-  const route = { name: "q-1", prefix: "/one/", service: "pool-1" };
+  const route = { name: "q-1", prefix: "/one/", service: "pool-1", advice: adviceTerms };
   store.items.putJson("op/config", manifest([route], [{ name: "pool-1" }]));
+  const firstAllowed = isTroubled ? workerCount - allowedCount + 1 : 1;
+  const allowed = new Set(Array.from({ length: allowedCount }, (_, index) => nameOf(firstAllowed + index)));
+  record.write(`the policy allows ${[...allowed].join(", ")}`);
+  const terms = { decideMs: 40, periodMs: 2, validMs: 3_000 };
+  const advice = await startAdvice(terms, (_step, id) => allowed.has(id), record);
   const events = [];
-  const workers = createWorkers(record, events);
-  await startWorkers(store, workers);
-  const entries = new Entries({ "platform.address": store.address }, record);
+  await startWorkers(store, createWorkers(record, events));
+  const entries = new Entries({ "platform.address": store.address, advice: advice.address }, record);
   await entries.start(["edge-1", "edge-2", "edge-3"]);
-  await pause(2_000);
-  const [id, other] = [newId(), newId()];
-  const lasting = { ...needs, count: 4, "estimate-ms": 1_000, "long-running": true, "anti-affinity": 1 };
-  for (const each of [id, other]) {
-    const accepted = await entries.insist("POST", `/one/${each}`, { spec: "lasting", steps: [lasting] });
-    if (accepted.status !== 200) throw new Error("a job was not accepted");
-  }
   await pause(3_000);
-  await sendSteps(record, entries, isTroubled ? largeStepCount : smallStepCount);
-  await pause(5_000);
-  const task = `${id}.0.0.0`;
-  const worker = workers.find(({ runs }) => runs.has(task));
-  if (worker === undefined) throw new Error("the subtask does not run");
-  worker.fail(task);
-  const failedAt = events.length;
-  const cancelled = await entries.insist("DELETE", `/one/${other}`, undefined, { limitMs: 2 * ackMs });
-  await pause(restartMs + idleMs);
-  const isRunning = workers.some(({ runs }) => runs.has(task));
-  const restarts = events
-    .slice(failedAt)
-    .filter((event) => event.kind === "start" && event.task === task).length;
-  await entries.insist("POST", `/one/${newId()}`, { spec: "lasting", steps: [lasting] }, { limitMs: ackMs });
+  const id = newId();
+  const step = { count: 6, cpu: 1_800, "mem-mb": 1_000, "estimate-ms": 640 };
+  const accepted = await entries.insist("POST", `/one/${id}`, { spec: "s", steps: [step] });
+  if (accepted.status !== 200) throw new Error("the job was not accepted");
+  for (let waited = 0; waited < finishMs + idleMs; waited += 1_000) {
+    await pause(1_000);
+    await entries.call(entries.list[(waited / 1_000) % 3], "GET", `/one/${id}`);
+  }
   entries.close();
-  if (isRunning || restarts > 0) return undefined;
-  return `${task} failed and was not started again in ${(restartMs + idleMs) / 1_000} s or more, with room for it; the cancel of another job was answered with ${cancelled.status}`;
+  const starts = events.filter(({ kind, task }) => kind === "start" && task.startsWith(id)).length;
+  return starts > 0
+    ? undefined
+    : `no subtask of the accepted job ${id} was started in ${(finishMs + idleMs) / 1_000} s, with ${allowedCount} idle workers that may run it`;
 });
