--- a/review/7/case.mjs
+++ b/review/7/case.mjs
@@ -7,12 +7,12 @@
 import { fileURLToPath } from "node:url";
 import { startAdvice, ticketOf } from "../lib-2/advice.mjs";
 import { Entries, manifest, newId, pause, runCase } from "../lib-2/entries.mjs";
+import { startPool } from "../lib-2/machines.mjs";
 import { startStore } from "../lib-2/store.mjs";
-import { startWorkers, Worker } from "../lib-2/workers.mjs";
 
-const workerIds = ["i-1", "i-2", "i-3", "i-4", "i-5", "i-6"];
+const workerIds = ["i-0001", "i-0002", "i-0003", "i-0004", "i-0005", "i-0006"];
 /** The workers that the policy of the first queue allows; four subtasks fill one worker. */
-const allowedIds = ["i-1", "i-2"];
+const allowedIds = ["i-0001", "i-0002"];
 const adviceTerms = { "decide-ms": 40, "period-ms": 2, "valid-ms": 3_000 };
 const capacity = { cpu: 8_000, "mem-mb": 32_000, gpu: 0 };
 const needs = { cpu: 2_000, "mem-mb": 1_000, gpu: 0 };
@@ -20,28 +20,21 @@
 const finishMs = 14_000;
 const idleMs = 3_000;
 
-function createWorkers(record, events) {
-  return workerIds.map(
-    (id, index) =>
-      new Worker({
-        id,
-        pool: "pool-1",
-        zone: "zone-1",
-        labels: ["a", `r-${index}`],
-        capacity,
-        guards: true,
-        stopMs: 300,
-        holdMaxMs: 6_000,
-        workMs: (_task, spec) => (spec === "lasting" ? Infinity : 640),
-        needs: () => needs,
-        needsTicket: (task, worker) =>
-          task.startsWith("a") ? ticketOf(task.replace(/\.[0-9]+$/, ""), worker.id) : undefined,
-        log: (event) => {
-          record.write(JSON.stringify(event));
-          events.push(event);
-        },
-      }),
-  );
+function describeWorkers(record, events) {
+  return {
+    capacity,
+    guards: true,
+    stopMs: 300,
+    holdMaxMs: 6_000,
+    workMs: (_task, spec) => (spec === "lasting" ? Infinity : 640),
+    needs: () => needs,
+    needsTicket: (task, worker) =>
+      task.startsWith("a") ? ticketOf(task.replace(/\.[0-9]+$/, ""), worker.id) : undefined,
+    log: (event) => {
+      record.write(JSON.stringify(event));
+      events.push(event);
+    },
+  };
 }
 
 function createManifest() {
@@ -73,8 +66,11 @@
   const terms = { decideMs: 40, periodMs: 2, validMs: 3_000 };
   const advice = await startAdvice(terms, (_step, id) => allowed.has(id), record);
   const events = [];
-  await startWorkers(store, createWorkers(record, events));
-  const entries = new Entries({ "platform.address": store.address, advice: advice.address }, record);
+  const workerOptions = describeWorkers(record, events);
+  const count = workerIds.length;
+  const machines = await startPool({ store, record, pool: "pool-1", count, workerOptions });
+  const addresses = { "platform.address": store.address, advice: advice.address, ...machines.settings() };
+  const entries = new Entries(addresses, record);
   await entries.start(["edge-1", "edge-2", "edge-3"]);
   await pause(2_000);
   await submitLasting(entries);
--- a/review/8/case.mjs
+++ b/review/8/case.mjs
@@ -6,8 +6,8 @@
 import { fileURLToPath } from "node:url";
 import { startAdvice, ticketOf } from "../lib-2/advice.mjs";
 import { Entries, manifest, newId, pause, runCase } from "../lib-2/entries.mjs";
+import { startPool } from "../lib-2/machines.mjs";
 import { startStore } from "../lib-2/store.mjs";
-import { startWorkers, Worker } from "../lib-2/workers.mjs";
 
 const workerCount = 36;
 const allowedCount = 4;
@@ -15,29 +15,22 @@
 /** For this long nothing of the job may be idle with room for it. */
 const idleMs = 3_000;
 const adviceTerms = { "decide-ms": 40, "period-ms": 2, "valid-ms": 3_000 };
-const nameOf = (number) => `i-${String(number).padStart(3, "0")}`;
+const nameOf = (number) => `i-${String(number).padStart(4, "0")}`;
 
-function createWorkers(record, events) {
-  return Array.from({ length: workerCount }, (_, index) => {
-    const number = index + 1;
-    return new Worker({
-      id: nameOf(number),
-      pool: "pool-1",
-      zone: `zone-${(number % 3) + 1}`,
-      labels: ["a", `r-${Math.ceil(number / 4)}`],
-      capacity: { cpu: 32_000, "mem-mb": 128_000, gpu: 0 },
-      guards: true,
-      stopMs: 300,
-      holdMaxMs: 6_000,
-      workMs: () => 640,
-      needs: () => ({ cpu: 1_800, "mem-mb": 1_000, gpu: 0 }),
-      needsTicket: (task, { id }) => ticketOf(task.replace(/\.[0-9]+$/, ""), id),
-      log: (event) => {
-        record.write(JSON.stringify(event));
-        events.push(event);
-      },
-    });
-  });
+function describeWorkers(record, events) {
+  return {
+    capacity: { cpu: 32_000, "mem-mb": 128_000, gpu: 0 },
+    guards: true,
+    stopMs: 300,
+    holdMaxMs: 6_000,
+    workMs: () => 640,
+    needs: () => ({ cpu: 1_800, "mem-mb": 1_000, gpu: 0 }),
+    needsTicket: (task, { id }) => ticketOf(task.replace(/\.[0-9]+$/, ""), id),
+    log: (event) => {
+      record.write(JSON.stringify(event));
+      events.push(event);
+    },
+  };
 }
 
 await runCase(dirname(fileURLToPath(import.meta.url)), async (record, isTroubled) => {
@@ -50,8 +43,10 @@
   const terms = { decideMs: 40, periodMs: 2, validMs: 3_000 };
   const advice = await startAdvice(terms, (_step, id) => allowed.has(id), record);
   const events = [];
-  await startWorkers(store, createWorkers(record, events));
-  const entries = new Entries({ "platform.address": store.address, advice: advice.address }, record);
+  const workerOptions = describeWorkers(record, events);
+  const machines = await startPool({ store, record, pool: "pool-1", count: workerCount, workerOptions });
+  const addresses = { "platform.address": store.address, advice: advice.address, ...machines.settings() };
+  const entries = new Entries(addresses, record);
   await entries.start(["edge-1", "edge-2", "edge-3"]);
   await pause(3_000);
   const id = newId();
--- a/review/9/case.mjs
+++ b/review/9/case.mjs
@@ -7,8 +7,8 @@
 import { dirname } from "node:path";
 import { fileURLToPath } from "node:url";
 import { Entries, manifest, newId, pause, runCase } from "../lib-2/entries.mjs";
+import { startPool } from "../lib-2/machines.mjs";
 import { startStore } from "../lib-2/store.mjs";
-import { startWorkers, Worker } from "../lib-2/workers.mjs";
 
 const occurrences = 100_000_000;
 const intervalMs = 1_000;
@@ -18,26 +18,18 @@
 /** Fault: so many ends by itself, on two entries at least. */
 const endsOfItsOwn = 3;
 
-function createWorkers(record, events) {
-  return [1, 2, 3, 4].map(
-    (number) =>
-      new Worker({
-        id: `i-${number}`,
-        pool: "pool-1",
-        zone: "zone-1",
-        labels: ["a", `r-${number}`],
-        capacity: { cpu: 32_000, "mem-mb": 128_000, gpu: 0 },
-        guards: true,
-        stopMs: 300,
-        holdMaxMs: 6_000,
-        workMs: () => 640,
-        needs: () => ({ cpu: 1_000, "mem-mb": 1_000, gpu: 0 }),
-        log: (event) => {
-          record.write(JSON.stringify(event));
-          events.push(event);
-        },
-      }),
-  );
+function describeWorkers(record) {
+  return {
+    capacity: { cpu: 32_000, "mem-mb": 128_000, gpu: 0 },
+    guards: true,
+    stopMs: 300,
+    holdMaxMs: 6_000,
+    workMs: () => 640,
+    needs: () => ({ cpu: 1_000, "mem-mb": 1_000, gpu: 0 }),
+    log: (event) => {
+      record.write(JSON.stringify(event));
+    },
+  };
 }
 
 /** Starts an entry again each time that it has ended, as the platform does; counts the ends. */
@@ -77,9 +69,9 @@
   const store = await startStore();
   const route = { name: "q-1", prefix: "/one/", service: "pool-1" };
   store.items.putJson("op/config", manifest([route], [{ name: "pool-1" }]));
-  const events = [];
-  await startWorkers(store, createWorkers(record, events));
-  const entries = new Entries({ "platform.address": store.address }, record);
+  const workerOptions = describeWorkers(record);
+  const machines = await startPool({ store, record, pool: "pool-1", count: 4, workerOptions });
+  const entries = new Entries({ "platform.address": store.address, ...machines.settings() }, record);
   await entries.start(["edge-1", "edge-2", "edge-3"]);
   const { ends, stop } = keepRunning(entries);
   await pause(2_000);
--- a/review/lib-2/machines.mjs
+++ b/review/lib-2/machines.mjs
@@ -45,6 +45,21 @@
     await this.#startLife(found);
   }
 
+  /** The workers that are up. */
+  workers() {
+    return [...this.machines.values()].flatMap(({ worker }) => worker ?? []);
+  }
+
+  /** The settings by which an entry finds the interface. */
+  settings() {
+    return {
+      "cloud-api.address": this.address,
+      "cloud-api.rate-per-s": 64,
+      "cloud-api.duties": "",
+      "cloud-api.duty-per-s": 64,
+    };
+  }
+
   async start() {
     const server = await serve(async (request, response, url) => this.#handle(request, response, url));
     this.address = server.address;
@@ -109,6 +124,18 @@
   }
 }
 
+/**
+ * Starts the machine interface with machines of one pool, four a rack, and their workers `i-0001`, `i-0002` and so on.
+ * @param options - `store`, `record`, `pool`, `count` and `workerOptions`; `waves`, if there are any
+ */
+export async function startPool({ store, record, pool, count, workerOptions, waves = () => new Map() }) {
+  const machines = new Machines({ store, record, waves, workerOptions });
+  await machines.start();
+  for (let number = 1; number <= count; number += 1)
+    await machines.add(`m-${number}`, pool, `zone-${(number % 3) + 1}`, `r-${Math.ceil(number / 4)}`);
+  return machines;
+}
+
 function describe({ machine, pool, zone, labels, state, worker }) {
   const capacity = worker?.options.capacity ?? { cpu: 32_000, "mem-mb": 128_000, gpu: 0 };
   return { machine, pool, state, zone, labels, capacity, id: worker?.id };
--- a/review/lib-2/workers.mjs
+++ b/review/lib-2/workers.mjs
@@ -26,7 +26,7 @@
 
   /**
    * @param options - `id`, `pool`, `zone`, `labels`, `capacity`; `guards` (whether it rejects what does not fit),
-   * `stopMs`, `holdMaxMs`, `workMs(task, spec)`; `needsTicket(task)` returns the valid ticket, undefined when none is needed;
+   * `stopMs`, `holdMaxMs`, `needs(task, spec)`, `workMs(task, spec)`; `needsTicket(task)` returns the valid ticket, undefined when none is needed;
    * `log(event)` receives each start and end
    */
   constructor(options) {
@@ -112,7 +112,7 @@
       return reply(409, { reason: "old" });
     const needed = options.needsTicket?.(task, this);
     if (needed !== undefined && ticket !== needed) return reply(409, { reason: "ticket" });
-    const needs = options.needs(task);
+    const needs = options.needs(task, spec);
     const used = this.used();
     const isOver = Object.keys(used).some((name) => used[name] + needs[name] > options.capacity[name]);
     if (isOver && options.guards) return reply(409, { reason: "room" });
