--- a/src/jobs/definition.ts
+++ b/src/jobs/definition.ts
@@ -74,6 +74,17 @@
 /** A submitted job. */
 export type JobDefinition = z.infer<typeof jobDefinitionSchema>;
 
+/** Validates the time that the advice service takes for one request. */
+export const adviceTimingSchema = z.object({
+  /** Time for any request. */
+  baseMilliseconds: z.number(),
+  /** Additional time for each target that the request names. */
+  perTargetMilliseconds: z.number(),
+});
+
+/** The time that the advice service takes for one request. */
+export type AdviceTiming = z.infer<typeof adviceTimingSchema>;
+
 /** Validates the terms of a queue. */
 export const queueTermsSchema = z.object({
   queue: z.string(),
@@ -87,6 +98,8 @@
   objectiveMilliseconds: z.number(),
   /** Whether an external service decides which targets may run a step. */
   needsAdvice: z.boolean(),
+  /** How long that service takes; undefined when it is not needed, and in records of earlier versions. */
+  adviceTiming: adviceTimingSchema.optional(),
 });
 
 /** The terms for a queue's jobs in the operators' configuration. */
--- a/src/jobs/index.ts
+++ b/src/jobs/index.ts
@@ -7,6 +7,7 @@
   jobDefinitionSchema,
   queueTermsSchema,
   resourcesSchema,
+  type AdviceTiming,
   type JobDefinition,
   type JobState,
   type QueueTerms,
--- a/src/pool-owners/dispatcher.ts
+++ b/src/pool-owners/dispatcher.ts
@@ -13,27 +13,21 @@
   type TargetView,
   type UnplacedTasks,
 } from "../scheduling/index.js";
-import type { AdviceCache } from "./advice-cache.js";
 import { rankJob, type RankedJob } from "./job-rank.js";
-import { moveLongRunningTasks, reservePlace } from "./long-running-places.js";
+import { moveLongRunningTasks, reservePlaces } from "./long-running-places.js";
 import { createOverShareCheck } from "./over-share-check.js";
 import { startRun } from "./start-orders.js";
 import { isTaskOver, type OwnerState } from "./owner-state.js";
+import { unrestrictedAccess, type StepAccess } from "./step-access.js";
 import { describePlace, isUsable, viewTarget } from "./target-views.js";
 import { mayRunUnseen } from "./unseen-runs.js";
 import { beginQuotaRound, limitStarts, takeQuota } from "./workspace-limits.js";
 
-/** Tickets of the targets that may run a step, by target; `noTicketsNeeded` when every target may run it. */
-type Tickets = ReadonlyMap<string, string> | typeof noTicketsNeeded;
-
-const noTicketsNeeded = "none-needed";
-
 /**
  * Runs one placement round: starts every waiting task for which there is room.
  * @param state - the owner
- * @param advice - tickets of the targets that may run a step, for queues that need them
  */
-export function dispatch(state: OwnerState, advice: AdviceCache): void {
+export function dispatch(state: OwnerState): void {
   if (!state.isActive()) return;
   const now = performance.now();
   beginQuotaRound(state, now);
@@ -50,7 +44,7 @@
   ranked.sort((left, right) => compareJobs(left, right, now));
   const placeJob = ({ job }: RankedJob): UnplacedTasks[] =>
     [...job.occurrences.values()].flatMap((occurrence) =>
-      placeOccurrence(state, advice, job, occurrence, views, now),
+      placeOccurrence(state, job, occurrence, views, now),
     );
   const longRunning = ranked.filter(({ isLasting }) => isLasting);
   // A long-running task that does not run gets room before one that only has to leave its target.
@@ -58,6 +52,7 @@
   unplaced.push(...moveLongRunningTasks(state, longRunning, views));
   for (const job of ranked.slice(longRunning.length)) placeJob(job);
   state.unplacedLongRunning = unplaced;
+  state.advice.sendRequests();
 }
 
 /** Whether a round has to consider a job: most open jobs only wait for their runs to end. */
@@ -75,7 +70,6 @@
 /** Starts the waiting tasks of an occurrence that have room; returns its long-running tasks that have none. */
 function placeOccurrence(
   state: OwnerState,
-  advice: AdviceCache,
   job: Job,
   occurrence: Occurrence,
   views: readonly TargetView[],
@@ -88,10 +82,15 @@
     const idle = tasks.filter((task) => isIdle(state, task, now));
     if (idle.length === 0) return;
     const place = describePlace(state, first, tasks);
-    const tickets = job.record.terms.needsAdvice ? advice.tickets(place.stepKey, views) : noTicketsNeeded;
-    if (tickets === undefined) return;
-    const count = placeTasks(state, place, tasks, idle, views, tickets);
-    if (count > 0 && place.definition.isLasting) unplaced.push({ ...place, count });
+    const access = findAccess(state, job, place.stepKey);
+    const count = placeTasks(state, place, tasks, idle, views, access);
+    if (count === 0) return;
+    if (job.record.terms.needsAdvice)
+      state.advice.want({ place, timing: job.record.terms.adviceTiming, views });
+    const { isLasting, isGang } = place.definition;
+    if (!isLasting || isGang) return;
+    if (views.some((view) => access.mayStart(view))) reservePlaces(state, place, views, count);
+    unplaced.push({ ...place, count });
   });
   return unplaced;
 }
@@ -105,54 +104,56 @@
   return !mayRunUnseen(state, task);
 }
 
-/** Starts the waiting tasks of a step that have room; returns how many have none, 0 for a gang. */
+/** Finds on which targets a step may run. */
+function findAccess({ advice }: OwnerState, { record }: Job, stepKey: string): StepAccess {
+  return record.terms.needsAdvice ? advice.access(stepKey) : unrestrictedAccess;
+}
+
+/** Starts the waiting tasks of a step that have room; returns how many have none. */
 function placeTasks(
   state: OwnerState,
   place: StepPlace,
   tasks: readonly Task[],
   idle: readonly Task[],
   views: readonly TargetView[],
-  tickets: Tickets,
+  access: StepAccess,
 ): number {
-  const isAllowed = (view: TargetView): boolean => tickets === noTicketsNeeded || tickets.has(view.targetId);
-  const findTicket = (view: TargetView): string | undefined =>
-    tickets === noTicketsNeeded ? undefined : tickets.get(view.targetId);
+  const possible = views.filter((view) => !access.isRefused(view));
   if (place.definition.isGang) {
-    if (idle.length < tasks.length || limitStarts(state, place, idle, views, isAllowed).length === 0)
-      return 0;
-    const chosen = chooseGangPlaces(place, tasks.length, views, isAllowed);
-    const run = tasks.reduce((highest, { lastRun }) => Math.max(highest, lastRun), state.firstRun - 1) + 1;
-    const checkpoint = tasks.find((task) => task.checkpoint !== "")?.checkpoint ?? "";
-    chosen?.forEach((view, index) => {
-      const task = tasks[index];
-      if (task === undefined) return;
-      task.checkpoint = checkpoint;
-      takeQuota(state, task);
-      startRun(state, task, run, view.targetId, findTicket(view));
-    });
-    return 0;
+    if (idle.length < tasks.length || limitStarts(state, place, idle, possible).length === 0) return 0;
+    return startGang(state, place, tasks, views, access) ? 0 : tasks.length;
   }
-  const allowed = limitStarts(state, place, idle, views, isAllowed);
-  for (const [index, task] of allowed.entries()) {
-    const view = choosePlace(place, views, isAllowed);
+  const permitted = limitStarts(state, place, idle, possible);
+  for (const [index, task] of permitted.entries()) {
+    const view = choosePlace(place, views, (each) => access.mayStart(each));
     // All tasks of a step need the same room: if one does not fit, the others do not either.
-    if (view === undefined) return reserveRoom(state, place, views, allowed.length - index);
+    if (view === undefined) return permitted.length - index;
     allocatePlace(view, place);
     const run = Math.max(task.lastRun + 1, state.firstRun);
     takeQuota(state, task);
-    startRun(state, task, run, view.targetId, findTicket(view));
+    startRun(state, task, run, view.targetId, access.ticket(view));
   }
   return 0;
 }
 
-/** Keeps targets free for long-running tasks until their short tasks have left enough room; returns `count`. */
-function reserveRoom(
+/** Starts all members of a gang with one run number and one checkpoint; returns whether there is room for all of them. */
+function startGang(
   state: OwnerState,
   place: StepPlace,
+  tasks: readonly Task[],
   views: readonly TargetView[],
-  count: number,
-): number {
-  let left = place.definition.isLasting ? count : 0;
-  while (left > 0 && reservePlace(state, place, views)) left -= 1;
-  return count;
+  access: StepAccess,
+): boolean {
+  const chosen = chooseGangPlaces(place, tasks.length, views, (view) => access.mayStart(view));
+  if (chosen === undefined) return false;
+  const run = tasks.reduce((highest, { lastRun }) => Math.max(highest, lastRun), state.firstRun - 1) + 1;
+  const checkpoint = tasks.find((task) => task.checkpoint !== "")?.checkpoint ?? "";
+  chosen.forEach((view, index) => {
+    const task = tasks[index];
+    if (task === undefined) return;
+    task.checkpoint = checkpoint;
+    takeQuota(state, task);
+    startRun(state, task, run, view.targetId, access.ticket(view));
+  });
+  return true;
 }
--- a/src/pool-owners/held-pool.ts
+++ b/src/pool-owners/held-pool.ts
@@ -5,7 +5,7 @@
 import type { TransactionalStore } from "../store/index.js";
 import type { RegisteredTarget, TargetOrders } from "../task-runs/index.js";
 import type { Log, Metrics } from "../telemetry/index.js";
-import type { AdviceService } from "./advice-cache.js";
+import type { AdviceRequests } from "./advice-requests.js";
 import type { EntrySession } from "./entry-session.js";
 import { StoredOwnerJournal } from "./owner-journal.js";
 import { ownerPrefix } from "./owner-record.js";
@@ -24,7 +24,8 @@
   /** Targets of a pool as the registry lists them; undefined until the registry has been read. */
   readonly listedTargets: (pool: string) => ReadonlyMap<string, RegisteredTarget> | undefined;
   readonly orders: TargetOrders;
-  readonly advice: AdviceService | undefined;
+  /** Requests to the advice service, shared by the owners of this entry; undefined when the settings name none. */
+  readonly advice: AdviceRequests | undefined;
   readonly log: Log;
   readonly metrics: Metrics;
   /** The lease that a target gets for its runs with each renewal. */
@@ -96,6 +97,7 @@
     isActive,
     supersede,
     workspaces,
+    adviceRequests: options.advice,
   });
   loadJobs(state, jobs);
   const targets = new OwnerTargets(state, {
@@ -107,7 +109,6 @@
   const owner = new PoolOwner({
     state,
     store,
-    advice: options.advice,
     cancellations: jobs.cancellations,
     retentionMilliseconds: options.retentionMilliseconds,
     onTick: () => {
--- a/src/pool-owners/index.ts
+++ b/src/pool-owners/index.ts
@@ -3,7 +3,8 @@
  * entries reach it.
  * @packageDocumentation
  */
-export { type Advice, type AdviceService } from "./advice-cache.js";
+export { AdviceRequests } from "./advice-requests.js";
+export type { Advice, AdviceService } from "./advice-service.js";
 export { entryPrefix, membersPrefix } from "./member-registration.js";
 export {
   openEntrySession,
--- a/src/pool-owners/long-running-places.ts
+++ b/src/pool-owners/long-running-places.ts
@@ -75,7 +75,7 @@
  * @param views - the targets that may be used
  * @returns whether there is such a target
  */
-export function reservePlace(state: OwnerState, place: StepPlace, views: readonly TargetView[]): boolean {
+function reservePlace(state: OwnerState, place: StepPlace, views: readonly TargetView[]): boolean {
   const viewsWithoutShortTasks = views.map((view) => ({ ...view, free: readLongRunningRoom(state, view) }));
   const chosen = choosePlace(place, viewsWithoutShortTasks);
   const view = views.find(({ targetId }) => targetId === chosen?.targetId);
@@ -83,6 +83,23 @@
   return view !== undefined;
 }
 
+/**
+ * Reserves targets for long-running tasks that have no place, until the short tasks there have left enough room.
+ * @param state - the owner
+ * @param place - the tasks' step
+ * @param views - the targets that may be used
+ * @param count - the number of tasks
+ */
+export function reservePlaces(
+  state: OwnerState,
+  place: StepPlace,
+  views: readonly TargetView[],
+  count: number,
+): void {
+  let left = count;
+  while (left > 0 && reservePlace(state, place, views)) left -= 1;
+}
+
 /** Assumed for a pool without targets, which therefore requests a single machine for all its long-running tasks. */
 const unknownCapacity: Resources = { cpuMillicores: 0, memoryMegabytes: 0, accelerators: 0 };
 const noRoom: Resources = { cpuMillicores: -1, memoryMegabytes: -1, accelerators: -1 };
--- a/src/pool-owners/owner-state.ts
+++ b/src/pool-owners/owner-state.ts
@@ -26,6 +26,8 @@
 import type { RegisteredTarget, TargetOrders } from "../task-runs/index.js";
 import type { Log, Metrics } from "../telemetry/index.js";
 import type { OwnerWorkspaces } from "../workspaces/index.js";
+import { AdviceCache } from "./advice-cache.js";
+import type { AdviceRequests } from "./advice-requests.js";
 import { createAwaitedTargets, type AwaitedTargets } from "./awaited-targets.js";
 import type { OwnerJournal } from "./journal-writes.js";
 import type { PoolLoad } from "./pool-load.js";
@@ -59,6 +61,8 @@
   readonly log: Log;
   readonly metrics: Metrics;
   readonly runTimes: TaskRunTimes;
+  /** On which targets the steps of queues with an advice service may run. */
+  readonly advice: AdviceCache;
   /** Undefined where workspaces are not distinguished. */
   readonly workspaces: OwnerWorkspaces | undefined;
   /** Rate of the work that callers submit, whether it is accepted or not. */
@@ -110,17 +114,25 @@
   OwnerState,
   "pool" | "fencingToken" | "firstRun" | "orders" | "journal" | "log" | "metrics" | "isActive" | "supersede"
 > &
-  Partial<Pick<OwnerState, "workspaces">>;
+  Partial<Pick<OwnerState, "workspaces">> & {
+    /** Requests to the advice service; undefined when the settings name none. */
+    readonly adviceRequests?: AdviceRequests | undefined;
+  };
 
 /**
  * Creates the state of an owner that holds no jobs and no targets yet.
  * @param parts - the store, orders, log and metrics that the owner uses, and its identity
  * @returns the state
  */
-export function createOwnerState(parts: OwnerParts): OwnerState {
-  return {
+export function createOwnerState({ adviceRequests, ...parts }: OwnerParts): OwnerState {
+  const { log, metrics, pool } = parts;
+  const onAdvice = (): void => {
+    state.wake();
+  };
+  const state: OwnerState = {
     workspaces: undefined,
     ...parts,
+    advice: new AdviceCache({ requests: adviceRequests, log, metrics, pool, onAdvice }),
     runTimes: createTaskRunTimes(),
     demand: createDemandForecast(),
     forecastMargin: createForecastMargin(),
@@ -141,6 +153,7 @@
     roomPlan: undefined,
     recentLoad: undefined,
   };
+  return state;
 }
 
 /**
--- a/src/pool-owners/pool-owner.ts
+++ b/src/pool-owners/pool-owner.ts
@@ -4,7 +4,6 @@
  */
 import type { RoomArrival } from "../scheduling/index.js";
 import { delay } from "../shared/index.js";
-import { createAdviceCache, type AdviceCache, type AdviceService } from "./advice-cache.js";
 import { dispatch } from "./dispatcher.js";
 import type { JobCaller } from "./job-access.js";
 import type { CancelOutcome, JobSubmission, StateOutcome, SubmitOutcome } from "./job-outcomes.js";
@@ -18,7 +17,6 @@
 
 /** Settings of an owner. */
 export interface PoolOwnerOptions extends JobRequestsOptions {
-  readonly advice: AdviceService | undefined;
   /** How long the state of an ended job can still be read. */
   readonly retentionMilliseconds: number;
   /** Called in each of the owner's periodic rounds. */
@@ -35,7 +33,6 @@
   readonly #state: OwnerState;
   readonly #options: PoolOwnerOptions;
   readonly #stop = new AbortController();
-  readonly #adviceCache: AdviceCache;
   readonly #requests: JobRequests;
   #roundTimer: NodeJS.Timeout | undefined;
   readonly #roundPace = new RoundPace();
@@ -53,9 +50,6 @@
     this.#state = state;
     this.#options = options;
     this.#requests = new JobRequests(options, this.#stop.signal);
-    this.#adviceCache = createAdviceCache(options.advice, state.log, () => {
-      this.#scheduleRound();
-    });
     state.wake = () => {
       this.#scheduleRound();
     };
@@ -139,7 +133,7 @@
     this.#roundTimer ??= setTimeout(() => {
       this.#roundTimer = undefined;
       const startedAt = performance.now();
-      dispatch(this.#state, this.#adviceCache);
+      dispatch(this.#state);
       this.#roundPace.recordRound(performance.now() - startedAt);
     }, this.#roundPace.pauseMilliseconds());
   }
--- a/src/pool-owners/start-orders.ts
+++ b/src/pool-owners/start-orders.ts
@@ -8,6 +8,7 @@
 import type { PoolTarget, TargetRun } from "./pool-target.js";
 import { storePlaces } from "./job-progress.js";
 import { describeAnswer } from "./run-trace.js";
+import { stepKey } from "./target-views.js";
 import { markStartUnanswered } from "./unsettled-starts.js";
 
 const startTimeoutMilliseconds = 800;
@@ -152,6 +153,8 @@
   const block = blockMilliseconds[reason];
   if (block !== undefined) target.blockedUntil = performance.now() + block;
   if (reason === "unhealthy") target.failureScore += failureScorePerRefusal;
+  // The target would reject the same ticket again.
+  if (reason === "ticket") state.advice.access(stepKey(task)).forget(started.run.targetId);
   if (reason === "old-run") task.lastRun += runNumberIncrement;
   if (reason === "malformed") task.notBefore = performance.now() + malformedWaitMilliseconds;
   if (reason === "fenced") state.supersede("a target has seen a higher fencing token");
--- a/src/pool-owners/target-views.ts
+++ b/src/pool-owners/target-views.ts
@@ -34,7 +34,7 @@
  * @returns its free resources and the number of its runs
  */
 export function viewTarget(target: PoolTarget): TargetView {
-  const { capacity, labels, rack, targetId } = target.session.target();
+  const { capacity, labels, rack, targetId, startedAtUnix } = target.session.target();
   const taken = { cpuMillicores: 0, memoryMegabytes: 0, accelerators: 0 };
   const stepCounts = new Map<string, number>();
   let longRunningCount = 0;
@@ -51,6 +51,7 @@
   }
   return {
     targetId,
+    startedAtUnix,
     rack,
     labels,
     capacity,
--- a/src/pool-owners/test/owner-cost.test.ts
+++ b/src/pool-owners/test/owner-cost.test.ts
@@ -61,7 +61,7 @@
   };
   const state = { ...created, runTimes };
   const store = new MemoryStoreClient(createStoreEngine(), createStoreFaults());
-  owner = new PoolOwner({ state, store, advice: undefined, retentionMilliseconds: 60_000 });
+  owner = new PoolOwner({ state, store, retentionMilliseconds: 60_000 });
   return { owner, state, lookUps: () => lookUps };
 }
 
--- a/src/pool-owners/test/owner-fixture.ts
+++ b/src/pool-owners/test/owner-fixture.ts
@@ -14,6 +14,8 @@
 import { createLog, createMetrics, type Metrics } from "../../telemetry/index.js";
 import type { OrderHeader, TargetOrders } from "../../task-runs/index.js";
 import type { WorkspaceTable } from "../../workspaces/index.js";
+import { AdviceRequests } from "../advice-requests.js";
+import type { AdviceService } from "../advice-service.js";
 import { openEntrySession, type EntrySession } from "../entry-session.js";
 import { entryPrefix, membersPrefix } from "../member-registration.js";
 import { OwnershipManager } from "../ownership-manager.js";
@@ -59,6 +61,8 @@
   /** Pools in addition to `pool`, each with a fleet of the same size. */
   readonly otherPools?: readonly string[];
   readonly workspaces?: () => WorkspaceTable | undefined;
+  /** Decides on which targets the steps of queues that need advice may run. */
+  readonly advice?: AdviceService;
 }
 
 const leaseMilliseconds = 1_000;
@@ -71,7 +75,7 @@
  */
 export function startOwnerFixture(options: OwnerFixtureOptions): OwnerFixture {
   const engine = createStoreEngine();
-  const { otherPools = [], workspaces, ...size } = options;
+  const { otherPools = [], workspaces, advice, ...size } = options;
   const fleet = startJobFleet({ pool, ...size });
   const others = otherPools.map((other) => [other, startJobFleet({ pool: other, ...size })] as const);
   const fleets = new Map([[pool, fleet] as const, ...others]);
@@ -81,7 +85,7 @@
     fleet,
     fleets,
     startEntry: (entryId, adapt = (store) => store, pools = [pool]) => {
-      const entry = startEntry({ entryId, engine, fleets, adapt, pools, workspaces });
+      const entry = startEntry({ entryId, engine, fleets, adapt, pools, workspaces, advice });
       entries.push(entry);
       return entry;
     },
@@ -101,6 +105,7 @@
   readonly adapt: (store: TransactionalStore) => TransactionalStore;
   readonly pools: readonly string[];
   readonly workspaces: OwnerFixtureOptions["workspaces"];
+  readonly advice: AdviceService | undefined;
 }
 
 function failWithoutFleet(): never {
@@ -122,7 +127,7 @@
   };
 }
 
-function startEntry({ entryId, engine, fleets, adapt, pools, workspaces }: EntryParts): TestEntry {
+function startEntry({ entryId, engine, fleets, adapt, pools, workspaces, advice }: EntryParts): TestEntry {
   const faults = createStoreFaults();
   const store = adapt(new MemoryStoreClient(engine, faults));
   const lines: string[] = [];
@@ -168,7 +173,7 @@
       return new Map(targets.map(([targetId, target]) => [targetId, target.describe()] as const));
     },
     orders: joinOrders(fleets),
-    advice: undefined,
+    advice: advice === undefined ? undefined : new AdviceRequests(advice),
     log,
     metrics,
     runLeaseMilliseconds: 1_500,
--- a/src/pool-owners/test/surge-model.ts
+++ b/src/pool-owners/test/surge-model.ts
@@ -18,7 +18,6 @@
   type TargetOrders,
 } from "../../task-runs/index.js";
 import { createLog, createMetrics } from "../../telemetry/index.js";
-import { createAdviceCache } from "../advice-cache.js";
 import { dispatch } from "../dispatcher.js";
 import { reserveRoomForJob, forecastJob } from "../owner-forecast.js";
 import { addJob, createOwnerState, type OwnerState } from "../owner-state.js";
@@ -139,7 +138,6 @@
   readonly #trueSteps = new WeakMap<StepDefinition, { readonly mean: number; readonly longest: number }>();
   readonly #targets = new Map<string, SimulatedTarget>();
   readonly #state: OwnerState;
-  readonly #advice;
   readonly #acceptedJobs: (Omit<SimulatedJob, "endMilliseconds"> & { jobId: string })[] = [];
   #now = 0;
   #submittedCount = 0;
@@ -172,7 +170,6 @@
     this.#state.wake = () => {
       this.#isRoundDue = true;
     };
-    this.#advice = createAdviceCache(undefined, this.#state.log, () => undefined);
     for (let index = 0; index < targetCount; index += 1) this.#addTarget(`target-${index}`, orders);
   }
 
@@ -189,7 +186,7 @@
       }
       for (const target of this.#targets.values()) this.#runTarget(target);
       if (this.#now % tickMilliseconds === 0) stopUnwanted(this.#state);
-      if (this.#isRoundDue) dispatch(this.#state, this.#advice);
+      if (this.#isRoundDue) dispatch(this.#state);
       this.#isRoundDue = false;
       await flush();
       this.#now += stepMilliseconds;
--- a/src/pool-owners/workspace-limits.ts
+++ b/src/pool-owners/workspace-limits.ts
@@ -28,8 +28,7 @@
  * @param state - the owner
  * @param place - the step
  * @param idle - the tasks of the step that could start; for a gang, all its members
- * @param views - the targets that may be used
- * @param isAllowed - whether the tasks may run on a target
+ * @param views - the targets that may be used, and on which the step may be allowed
  * @returns the first tasks, as many as may start; for a gang, all or none
  */
 export function limitStarts(
@@ -37,7 +36,6 @@
   place: StepPlace,
   idle: readonly Task[],
   views: readonly TargetView[],
-  isAllowed: (view: TargetView) => boolean,
 ): readonly Task[] {
   const workspace = idle[0]?.job.record.workspace;
   const quotas = findQuotas(state);
@@ -45,7 +43,7 @@
   const { resources, isGang, isLasting } = place.definition;
   // Quota is not held for tasks without a place, since other pools could use it; long-running tasks are the exception,
   // because machines are added for them.
-  const placeable = isLasting ? idle.length : countPlaces(place, views, idle.length, isAllowed);
+  const placeable = isLasting ? idle.length : countPlaces(place, views, idle.length);
   if (!isGang) return idle.slice(0, quotas.countAllowed(workspace, resources, placeable));
   if (placeable < idle.length) return [];
   return quotas.countAllowed(workspace, scale(resources, idle.length), 1) === 1 ? idle : [];
--- a/src/scheduling/index.ts
+++ b/src/scheduling/index.ts
@@ -25,7 +25,15 @@
 export { createForecastMargin, type ForecastMargin } from "./forecast-margin.js";
 export { compareJobs, type OrderedJob } from "./order.js";
 export { choosePace, type TailLatency } from "./pacing.js";
-export { chooseGangPlaces, choosePlace, countPlaces, allocatePlace, type StepPlace } from "./placement.js";
+export {
+  allocatePlace,
+  chooseGangPlaces,
+  choosePlace,
+  countPlaces,
+  hasRequiredLabel,
+  hasRoomFor,
+  type StepPlace,
+} from "./placement.js";
 export { projectRunTime, timeRun } from "./run-progress.js";
 export {
   createTaskRunTimes,
--- a/src/scheduling/long-running-room.ts
+++ b/src/scheduling/long-running-room.ts
@@ -50,6 +50,7 @@
 function createEmptyTarget(capacity: Resources, { requiredLabel }: StepDefinition): TargetView {
   return {
     targetId: "",
+    startedAtUnix: 0,
     rack: undefined,
     labels: requiredLabel === undefined ? [] : [requiredLabel],
     capacity,
--- a/src/scheduling/placement.ts
+++ b/src/scheduling/placement.ts
@@ -27,11 +27,10 @@
   targets: readonly TargetView[],
   isAllowed: (target: TargetView) => boolean = () => true,
 ): TargetView | undefined {
-  const needed = chargedResources(place.definition);
   let best: TargetView | undefined;
   let bestCost = Number.POSITIVE_INFINITY;
   for (const target of targets) {
-    if (!fits(target.free, needed) || !satisfies(place, target) || !isAllowed(target)) continue;
+    if (!hasRoomFor(place, target) || !isAllowed(target)) continue;
     const cost = placeCost(place, target);
     if (cost < bestCost) {
       best = target;
@@ -60,7 +59,7 @@
   let count = 0;
   for (const target of targets) {
     if (count >= most) return most;
-    if (!fits(target.free, needed) || !satisfies(place, target) || !isAllowed(target)) continue;
+    if (!hasRoomFor(place, target) || !isAllowed(target)) continue;
     const left = maximumPerTarget - (target.stepCounts.get(place.stepKey) ?? 0);
     count += Math.min(left, countFitting(target.free, needed), most);
   }
@@ -77,10 +76,27 @@
   );
 }
 
-function satisfies({ stepKey, definition }: StepPlace, target: TargetView): boolean {
-  const { requiredLabel, maximumPerTarget } = definition;
-  if (requiredLabel !== undefined && !target.labels.includes(requiredLabel)) return false;
-  return maximumPerTarget === undefined || (target.stepCounts.get(stepKey) ?? 0) < maximumPerTarget;
+/**
+ * Checks whether one more task of a step may be placed on a target by the step's own definition.
+ * @param place - the step
+ * @param target - the target
+ * @returns true when the target has the required label, enough free resources and not too many tasks of the step
+ */
+export function hasRoomFor(place: StepPlace, target: TargetView): boolean {
+  const { maximumPerTarget } = place.definition;
+  if (!fits(target.free, chargedResources(place.definition)) || !hasRequiredLabel(place, target))
+    return false;
+  return maximumPerTarget === undefined || (target.stepCounts.get(place.stepKey) ?? 0) < maximumPerTarget;
+}
+
+/**
+ * Checks whether a target has the label that a step requires.
+ * @param place - the step
+ * @param target - the target
+ * @returns true also when the step requires none
+ */
+export function hasRequiredLabel({ definition: { requiredLabel } }: StepPlace, target: TargetView): boolean {
+  return requiredLabel === undefined || target.labels.includes(requiredLabel);
 }
 
 /** A rack on which the task runs longer outweighs any difference in free resources. */
--- a/src/scheduling/target-view.ts
+++ b/src/scheduling/target-view.ts
@@ -7,6 +7,8 @@
 /** A target's resources and tasks, for placement. */
 export interface TargetView {
   readonly targetId: string;
+  /** Start of the target's process, which distinguishes it from earlier ones under the same identifier. */
+  readonly startedAtUnix: number;
   readonly rack: string | undefined;
   readonly labels: readonly string[];
   readonly capacity: Resources;
--- a/src/scheduling/test/decisions.test.ts
+++ b/src/scheduling/test/decisions.test.ts
@@ -203,6 +203,7 @@
 });
 const view = (targetId: string, freeCores: number, changes: Partial<TargetView> = {}): TargetView => ({
   targetId,
+  startedAtUnix: 1,
   rack: "r1",
   labels: ["a", "r1"],
   capacity: { cpuMillicores: 32_000, memoryMegabytes: 64_000, accelerators: 0 },
--- a/src/scheduling/test/long-running-room.test.ts
+++ b/src/scheduling/test/long-running-room.test.ts
@@ -32,6 +32,7 @@
 function targets(count: number, cpuMillicores = capacity.cpuMillicores): TargetView[] {
   return Array.from({ length: count }, (_, index) => ({
     targetId: `target-${index}`,
+    startedAtUnix: 1,
     rack: undefined,
     labels: [],
     capacity,
--- a/src/wiring/job-entry.ts
+++ b/src/wiring/job-entry.ts
@@ -11,6 +11,7 @@
   findLargeEntries,
   openEntrySession,
   SessionLeaderRole,
+  AdviceRequests,
   type AdviceService,
   type EntrySession,
   type JobGateway,
@@ -253,6 +254,7 @@
   });
   const ownershipManager = new OwnershipManager({
     ...options,
+    advice: options.advice === undefined ? undefined : new AdviceRequests(options.advice),
     self,
     session,
     directory: members.directory,
