--- a/src/jobs/index.ts
+++ b/src/jobs/index.ts
@@ -38,4 +38,5 @@
   type Task,
   type TaskRun,
 } from "./job.js";
+export { countTasks, describeExcess, hasTasks, maximumTasksPerJob } from "./job-size.js";
 export { findQueue, type PoolTerms, type Queue, type QueueTable, type RequestLimits } from "./queue-table.js";
--- a/src/jobs/job.ts
+++ b/src/jobs/job.ts
@@ -2,6 +2,7 @@
  * The state of an accepted job: its occurrences, tasks, runs and progress. Uses neither clock nor network.
  * @packageDocumentation
  */
+import { hasTasks } from "./job-size.js";
 import { isFinalState, type JobState, type StepDefinition } from "./definition.js";
 import type { JobRecord, ProgressRecord } from "./records.js";
 
@@ -244,10 +245,11 @@
   if (isDone) job.finishedOccurrences.add(occurrence.index);
 }
 
-/** Whether all tasks of all occurrences of a job have succeeded. */
+/** Whether all tasks of all occurrences of a job have succeeded; true also for a job without tasks. */
 export function isWorkDone(job: Job): boolean {
-  const total = job.record.definition.repetition?.occurrences ?? 1;
-  return job.finishedOccurrences.size >= total;
+  const { definition } = job.record;
+  if (!hasTasks(definition)) return true;
+  return job.finishedOccurrences.size >= (definition.repetition?.occurrences ?? 1);
 }
 
 /**
--- a/src/pool-owners/held-pool.ts
+++ b/src/pool-owners/held-pool.ts
@@ -110,6 +110,7 @@
     state,
     store,
     cancellations: jobs.cancellations,
+    unreadable: jobs.unreadable,
     retentionMilliseconds: options.retentionMilliseconds,
     onTick: () => {
       targets.reviewUse();
--- a/src/pool-owners/job-admission.ts
+++ b/src/pool-owners/job-admission.ts
@@ -11,6 +11,7 @@
   type ShareAdmission,
   type ShareRefusal,
 } from "../scheduling/index.js";
+import { countTasks } from "../jobs/index.js";
 import { hashText } from "../shared/index.js";
 import type { OwnerWorkspaces } from "../workspaces/index.js";
 import { createFirstRequests } from "./first-requests.js";
@@ -40,6 +41,11 @@
   limit: "the workspace is at its limit",
 };
 const hashRange = 2 ** 32;
+/** Open tasks that an owner holds at most, which bounds its memory. */
+const maximumOpenTasks = 60_000;
+const tooManyTasksReason = "the pool holds too many tasks";
+/** A pool that holds so many tasks needs a while to end some of them. */
+const retryAfterTooManyMilliseconds = 15_000;
 
 /** Decides whether an owner accepts submitted jobs. */
 export class JobAdmission {
@@ -65,6 +71,8 @@
   decide(submission: JobSubmission, now: number): JobDecision {
     const { jobId, terms, definition, workspace } = submission;
     const { workspaces } = this.#state;
+    if (this.#state.tasks.size + countTasks(definition) > maximumOpenTasks)
+      return this.#refuseTooManyTasks(submission);
     const ageMilliseconds = now - this.#firstRequests.note(jobId, now);
     const forecast = forecastJob(this.#state, terms, definition, ageMilliseconds);
     const isShared = workspaces !== undefined && workspace !== undefined && !isLongRunningJob(definition);
@@ -79,6 +87,24 @@
     return { kind: "refused", reason: refusalReasons.backlog, retryAfterMilliseconds };
   }
 
+  #refuseTooManyTasks({ jobId, terms, definition }: JobSubmission): JobDecision {
+    const { log, metrics, pool, tasks } = this.#state;
+    metrics.count("jobs_refused_total", { pool, reason: "tasks" });
+    log.write("warn", "job-refused", {
+      job: jobId,
+      queue: terms.queue,
+      reason: "tasks",
+      tasks: countTasks(definition),
+      openTasks: tasks.size,
+      retryAfterMilliseconds: retryAfterTooManyMilliseconds,
+    });
+    return {
+      kind: "refused",
+      reason: tooManyTasksReason,
+      retryAfterMilliseconds: retryAfterTooManyMilliseconds,
+    };
+  }
+
   #decideInShare(
     submission: JobSubmission,
     forecast: OwnerForecast,
--- a/src/pool-owners/job-requests.ts
+++ b/src/pool-owners/job-requests.ts
@@ -15,7 +15,7 @@
 import { answerRepeatedSubmission, findJob, type JobCaller } from "./job-access.js";
 import { JobAdmission, type AcceptedJob } from "./job-admission.js";
 import type { CancelOutcome, JobSubmission, StateOutcome, SubmitOutcome } from "./job-outcomes.js";
-import { endJob } from "./job-progress.js";
+import { endJob, hasEnded, storeProgress } from "./job-progress.js";
 import { describeForecast, reserveRoomForJob } from "./owner-forecast.js";
 import { addJob, type OwnerState } from "./owner-state.js";
 import { stopUnwanted } from "./stopper.js";
@@ -27,6 +27,8 @@
   readonly store: TransactionalStore;
   /** Cancellations of unknown jobs that earlier owners stored; none by default. */
   readonly cancellations?: readonly CancellationRecord[];
+  /** Jobs whose stored progress cannot be read: this owner does not hold them; none by default. */
+  readonly unreadable?: ReadonlySet<string>;
 }
 
 /** What the store holds under an identifier: a job, its cancellation, or neither. */
@@ -50,16 +52,21 @@
   readonly #admission: JobAdmission;
   readonly #submissions = new SubmissionsInProgress();
   readonly #cancellations: EarlyCancellations;
+  readonly #unreadable: ReadonlySet<string>;
 
   /**
    * Creates the requests to an owner.
    * @param options - the owner's state and the store
    * @param stop - aborted when the owner is closed
    */
-  constructor({ state, store, cancellations = [] }: JobRequestsOptions, stop: AbortSignal) {
+  constructor(
+    { state, store, cancellations = [], unreadable = new Set() }: JobRequestsOptions,
+    stop: AbortSignal,
+  ) {
     this.#state = state;
     this.#store = store;
     this.#stop = stop;
+    this.#unreadable = unreadable;
     this.#admission = new JobAdmission(state);
     this.#cancellations = new EarlyCancellations(state, cancellations);
   }
@@ -140,7 +147,7 @@
       this.#cancellations.adopt(cancellation);
       return { kind: "not-accepted" };
     }
-    if (job === undefined) return { kind: "unknown", reason: unreadReason };
+    if (job === undefined || this.#unreadable.has(jobId)) return { kind: "unknown", reason: unreadReason };
     if (job.terms.pool !== this.#state.pool) return { kind: "not-known" };
     this.#hold(job);
     return this.cancel(jobId, caller);
@@ -223,9 +230,10 @@
     return { job: undefined, cancellation: undefined };
   }
 
-  /** Holds a job of this pool that is stored. */
+  /** Holds a job of this pool that is stored, unless it would run without its progress. */
   #hold(record: JobRecord): void {
-    if (!this.#state.jobs.has(record.jobId)) this.#add(record, undefined);
+    const { jobId } = record;
+    if (!this.#state.jobs.has(jobId) && !this.#unreadable.has(jobId)) this.#add(record, undefined);
   }
 
   #add(record: JobRecord, accepted: AcceptedJob | undefined): void {
@@ -243,6 +251,8 @@
       isOverShare: accepted?.isOverShare,
       ...(forecast === undefined ? {} : describeForecast(forecast)),
     });
+    // A job without tasks has ended already.
+    if (hasEnded(job)) void storeProgress(this.#state, job);
     this.#state.wake();
   }
 }
--- a/src/pool-owners/owner-state.ts
+++ b/src/pool-owners/owner-state.ts
@@ -6,6 +6,8 @@
   allTasks,
   countDue,
   createJob,
+  describeExcess,
+  hasTasks,
   openOccurrences,
   type Job,
   type JobRecord,
@@ -166,10 +168,18 @@
   const byEnd = [...records].sort((left, right) => endedAt(left) - endedAt(right));
   for (const record of byEnd) {
     const formerRevision = revisions.get(record.jobId) ?? 0;
-    addJob(state, record, progress.get(record.jobId), Date.now(), formerRevision);
+    const job = addJob(state, record, progress.get(record.jobId), Date.now(), formerRevision);
+    reportOversized(state, job);
   }
 }
 
+/** Logs that a stored job is too large to run, so that an operator can cancel it. */
+function reportOversized({ log, pool }: OwnerState, { id, record, finalState }: Job): void {
+  const excess = describeExcess(record.definition);
+  if (excess === undefined || finalState !== undefined || !hasTasks(record.definition)) return;
+  log.write("error", "job-oversized", { job: id, queue: record.terms.queue, pool, excess });
+}
+
 /**
  * Adds a job to the owner.
  * @param state - the owner
@@ -220,7 +230,8 @@
 }
 
 /**
- * Creates the tasks of occurrences that have become due.
+ * Creates the tasks of occurrences that have become due. A job that is too large gets none: it may have been stored by
+ * another version, and the other jobs of the pool must not suffer from it. It can be read and cancelled.
  * @param state - the owner
  * @param job - the job
  * @param unixMilliseconds - the current Unix time
@@ -233,11 +244,16 @@
   progress?: ProgressRecord,
 ): void {
   const due = countDue(job.record, unixMilliseconds);
-  if (due <= job.dueCount) return;
+  if (due <= job.dueCount || !canBeOpened(job)) return;
   openOccurrences(job, due, progress);
   for (const task of allTasks(job)) state.tasks.set(task.name, task);
 }
 
+/** Whether the tasks of a job fit into memory; a job without tasks has nothing to create. */
+function canBeOpened({ record: { definition } }: Job): boolean {
+  return hasTasks(definition) && describeExcess(definition) === undefined;
+}
+
 /** Removes the tasks of an ended job, except those with runs that are still present on targets. */
 function dropTasks(state: OwnerState, job: Job): void {
   for (const task of allTasks(job)) {
--- a/src/pool-owners/owner-takeover.ts
+++ b/src/pool-owners/owner-takeover.ts
@@ -136,9 +136,9 @@
   pool: string,
   log: Log,
 ): Promise<Either<string, StoredJobs>> {
-  const [jobs, progress] = await Promise.all([store.list(jobPrefix), store.list(progressPrefix)]);
+  const [jobs, progressList] = await Promise.all([store.list(jobPrefix), store.list(progressPrefix)]);
   return jobs
-    .chain(({ records }) => progress.map((found) => ({ records, progressRecords: found.records })))
+    .chain(({ records }) => progressList.map((found) => ({ records, progressRecords: found.records })))
     .mapLeft(({ kind, message }) => `${kind}: ${message}`)
     .map(({ records, progressRecords }) => {
       const cancellations = records.flatMap(({ value }) => decodeCancellation(value) ?? []);
@@ -148,23 +148,41 @@
         const job = decodeOrLog(record, decodeJobRecord, log);
         return job?.terms.pool === pool ? [{ job, revision: record.revision }] : [];
       });
-      const revisions = new Map(own.map(({ job, revision }) => [job.jobId, revision]));
-      const byJob = new Map<string, ProgressRecord>();
-      for (const record of progressRecords) {
-        const jobId = record.key.slice(progressPrefix.length);
-        if (!revisions.has(jobId)) continue;
-        const found = decodeOrLog(record, decodeProgressRecord, log);
-        if (found !== undefined) byJob.set(jobId, found);
-      }
+      const { progress, unreadable } = decodeProgress(
+        progressRecords,
+        new Set(own.map(({ job }) => job.jobId)),
+        log,
+      );
+      // Without its progress a job would run again what has ended, so that it is not held.
+      const readable = own.filter(({ job }) => !unreadable.has(job.jobId));
       return {
-        records: own.map(({ job }) => job),
-        revisions,
-        progress: byJob,
+        records: readable.map(({ job }) => job),
+        revisions: new Map(readable.map(({ job, revision }) => [job.jobId, revision])),
+        progress,
+        unreadable,
         cancellations: cancellations.filter((cancellation) => cancellation.pool === pool),
       };
     });
 }
 
+/** Decodes the progress of the given jobs. */
+function decodeProgress(
+  progressRecords: readonly StoreRecord[],
+  jobIds: ReadonlySet<string>,
+  log: Log,
+): Pick<StoredJobs, "progress" | "unreadable"> {
+  const progress = new Map<string, ProgressRecord>();
+  const unreadable = new Set<string>();
+  for (const record of progressRecords) {
+    const jobId = record.key.slice(progressPrefix.length);
+    if (!jobIds.has(jobId)) continue;
+    const found = decodeOrLog(record, decodeProgressRecord, log);
+    if (found === undefined) unreadable.add(jobId);
+    else progress.set(jobId, found);
+  }
+  return { progress, unreadable };
+}
+
 function decodeOrLog<Decoded>(
   { key, value }: StoreRecord,
   decode: (value: unknown) => Decoded | undefined,
--- a/src/pool-owners/stored-jobs.ts
+++ b/src/pool-owners/stored-jobs.ts
@@ -11,6 +11,8 @@
   /** Store revision of each record, by job id. */
   readonly revisions: ReadonlyMap<string, number>;
   readonly progress: ReadonlyMap<string, ProgressRecord>;
+  /** Jobs whose progress cannot be read, which are not among `records`. */
+  readonly unreadable: ReadonlySet<string>;
   /** Identifiers that were cancelled before a job with them was accepted. */
   readonly cancellations: readonly CancellationRecord[];
 }
