--- a/src/pool-owners/dispatcher.ts
+++ b/src/pool-owners/dispatcher.ts
@@ -13,12 +13,13 @@
   type TargetView,
   type UnplacedTasks,
 } from "../scheduling/index.js";
+import { findAccess, wantAdvice } from "./advised-steps.js";
 import { rankJob, type RankedJob } from "./job-rank.js";
 import { moveLongRunningTasks, reservePlaces } from "./long-running-places.js";
 import { createOverShareCheck } from "./over-share-check.js";
 import { startRun } from "./start-orders.js";
 import { isTaskOver, type OwnerState } from "./owner-state.js";
-import { unrestrictedAccess, type StepAccess } from "./step-access.js";
+import type { StepAccess } from "./step-access.js";
 import { describePlace, isUsable, viewTarget } from "./target-views.js";
 import { mayRunUnseen } from "./unseen-runs.js";
 import { beginQuotaRound, limitStarts, takeQuota } from "./workspace-limits.js";
@@ -34,10 +35,14 @@
   const candidates = [...state.openJobs.values()].filter(
     (job) => !job.isEnding && hasTasksToPlace(state, job, now),
   );
-  if (candidates.length === 0) {
-    state.unplacedLongRunning = [];
-    return;
-  }
+  if (candidates.length > 0) placeJobs(state, candidates, now);
+  else state.unplacedLongRunning = [];
+  state.reservations.endRound();
+  state.advice.sendRequests();
+}
+
+/** Starts the waiting tasks of jobs in their order, long-running ones first. */
+function placeJobs(state: OwnerState, candidates: readonly Job[], now: number): void {
   const views = [...state.targets.values()].filter((target) => isUsable(target, now)).map(viewTarget);
   const isOverShare = createOverShareCheck(state, now);
   const ranked = candidates.map((job) => rankJob(state, job, now, isOverShare));
@@ -52,7 +57,6 @@
   unplaced.push(...moveLongRunningTasks(state, longRunning, views));
   for (const job of ranked.slice(longRunning.length)) placeJob(job);
   state.unplacedLongRunning = unplaced;
-  state.advice.sendRequests();
 }
 
 /** Whether a round has to consider a job: most open jobs only wait for their runs to end. */
@@ -85,11 +89,10 @@
     const access = findAccess(state, job, place.stepKey);
     const count = placeTasks(state, place, tasks, idle, views, access);
     if (count === 0) return;
-    if (job.record.terms.needsAdvice)
-      state.advice.want({ place, timing: job.record.terms.adviceTiming, views });
+    wantAdvice(state, job, place, views);
     const { isLasting, isGang } = place.definition;
     if (!isLasting || isGang) return;
-    if (views.some((view) => access.mayStart(view))) reservePlaces(state, place, views, count);
+    reservePlaces(state, place, views, access, count);
     unplaced.push({ ...place, count });
   });
   return unplaced;
@@ -104,11 +107,6 @@
   return !mayRunUnseen(state, task);
 }
 
-/** Finds on which targets a step may run. */
-function findAccess({ advice }: OwnerState, { record }: Job, stepKey: string): StepAccess {
-  return record.terms.needsAdvice ? advice.access(stepKey) : unrestrictedAccess;
-}
-
 /** Starts the waiting tasks of a step that have room; returns how many have none. */
 function placeTasks(
   state: OwnerState,
--- a/src/pool-owners/long-running-places.ts
+++ b/src/pool-owners/long-running-places.ts
@@ -13,10 +13,12 @@
   type TargetView,
   type UnplacedTasks,
 } from "../scheduling/index.js";
+import { findAccess, wantAdvice } from "./advised-steps.js";
 import type { OwnerState } from "./owner-state.js";
 import type { PoolTarget } from "./pool-target.js";
 import type { RankedJob } from "./job-rank.js";
 import { findTargetToLeave, mayStopForMove } from "./long-running-moves.js";
+import type { StepAccess } from "./step-access.js";
 import { describePlace, isUsable, viewTarget } from "./target-views.js";
 
 /**
@@ -56,10 +58,12 @@
   if (from === undefined && run.status !== "stopping") return undefined;
   const tasks = occurrence.steps[task.step] ?? [];
   const place = describePlace(state, task, tasks);
+  const access = findAccess(state, task.job, place.stepKey);
   const elsewhere = views.filter(({ targetId }) => targetId !== run.targetId);
-  const view = choosePlace(place, elsewhere);
+  const view = choosePlace(place, elsewhere, (each) => access.mayStart(each));
   if (view === undefined) {
-    reservePlace(state, place, elsewhere);
+    wantAdvice(state, task.job, place, elsewhere);
+    reservePlaces(state, place, elsewhere, access, 1);
     return place;
   }
   allocatePlace(view, place);
@@ -68,36 +72,35 @@
 }
 
 /**
- * Reserves a target for a long-running task that has room for it once the target's short tasks have ended: no task is placed
- * there for the rest of the round.
- * @param state - the owner
- * @param place - the task's step
- * @param views - the targets that may be used
- * @returns whether there is such a target
- */
-function reservePlace(state: OwnerState, place: StepPlace, views: readonly TargetView[]): boolean {
-  const viewsWithoutShortTasks = views.map((view) => ({ ...view, free: readLongRunningRoom(state, view) }));
-  const chosen = choosePlace(place, viewsWithoutShortTasks);
-  const view = views.find(({ targetId }) => targetId === chosen?.targetId);
-  if (view !== undefined) view.free = noRoom;
-  return view !== undefined;
-}
-
-/**
- * Reserves targets for long-running tasks that have no place, until the short tasks there have left enough room.
+ * Reserves targets for long-running tasks that have no place: those on which they may run, and which have room for them once
+ * their short tasks have ended. No task is placed on a reserved target for the rest of the round.
  * @param state - the owner
  * @param place - the tasks' step
  * @param views - the targets that may be used
+ * @param access - on which of them the step may run
  * @param count - the number of tasks
  */
 export function reservePlaces(
   state: OwnerState,
   place: StepPlace,
   views: readonly TargetView[],
+  access: StepAccess,
   count: number,
 ): void {
+  const allowed = views.filter((view) => access.isAllowed(view));
   let left = count;
-  while (left > 0 && reservePlace(state, place, views)) left -= 1;
+  while (left > 0 && reservePlace(state, place, allowed)) left -= 1;
+}
+
+/** Reserves a target for one long-running task; returns whether there is one. */
+function reservePlace(state: OwnerState, place: StepPlace, views: readonly TargetView[]): boolean {
+  const viewsWithoutShortTasks = views.map((view) => ({ ...view, free: readLongRunningRoom(state, view) }));
+  const chosen = choosePlace(place, viewsWithoutShortTasks);
+  const view = views.find(({ targetId }) => targetId === chosen?.targetId);
+  if (view === undefined) return false;
+  view.free = noRoom;
+  state.reservations.note(place.stepKey, view.targetId);
+  return true;
 }
 
 /** Assumed for a pool without targets, which therefore requests a single machine for all its long-running tasks. */
--- a/src/pool-owners/owner-state.ts
+++ b/src/pool-owners/owner-state.ts
@@ -34,6 +34,7 @@
 import type { OwnerJournal } from "./journal-writes.js";
 import type { PoolLoad } from "./pool-load.js";
 import type { PoolTarget, TargetRun, UnansweredStart } from "./pool-target.js";
+import { Reservations } from "./reservations.js";
 import type { StoredJobs } from "./stored-jobs.js";
 
 /** Capacity that new targets are expected to add to the pool. */
@@ -65,6 +66,8 @@
   readonly runTimes: TaskRunTimes;
   /** On which targets the steps of queues with an advice service may run. */
   readonly advice: AdviceCache;
+  /** Targets that are kept free for steps with long-running tasks. */
+  readonly reservations: Reservations;
   /** Undefined where workspaces are not distinguished. */
   readonly workspaces: OwnerWorkspaces | undefined;
   /** Rate of the work that callers submit, whether it is accepted or not. */
@@ -135,6 +138,7 @@
     workspaces: undefined,
     ...parts,
     advice: new AdviceCache({ requests: adviceRequests, log, metrics, pool, onAdvice }),
+    reservations: new Reservations({ pool, log, metrics }),
     runTimes: createTaskRunTimes(),
     demand: createDemandForecast(),
     forecastMargin: createForecastMargin(),
--- a/src/pool-owners/test/advice.test.ts
+++ b/src/pool-owners/test/advice.test.ts
@@ -211,3 +211,31 @@
   await submit(owner, "job");
   await waitFor(() => isComplete(owner, "job"));
 });
+
+// Guards against accepted jobs that never start, because room is kept for long-running tasks where they may never run.
+test("targets that the policy of a queue does not allow are not kept free for its long-running tasks", async () => {
+  const allowed = ["presses-0", "presses-1"];
+  const started = start(new PolicyAdvice(allowed, 600));
+  const owner = await started.owner(started.startEntry("a"));
+  const needs = { cpuMillicores: 1_000 * coresPerTarget, memoryMegabytes: 100, accelerators: 0 };
+  await submit(owner, "lasting-0", { taskCount: 40, isLasting: true, resources: needs });
+  await submit(owner, "lasting-1", { taskCount: 40, isLasting: true, resources: needs });
+  await waitFor(() => started.fleet.world.history.length === allowed.length);
+  expect(await owner.submit(submission("short", createStep()))).toEqual({ kind: "accepted" });
+  await waitFor(() => isComplete(owner, "short"));
+  const lasting = started.fleet.world.history.filter(({ task }) => task.startsWith("lasting"));
+  expect(new Set(lasting.map(({ targetId }) => targetId))).toEqual(new Set(allowed));
+});
+
+// Guards against a long-running task that is stopped for a move to a target on which its queue's policy does not allow it.
+test("a long-running task leaves its target only for one that the policy allows", async () => {
+  const advice = new PolicyAdvice(["presses-0"], 600);
+  const started = start(advice);
+  const owner = await started.owner(started.startEntry("a"));
+  await submit(owner, "lasting", { taskCount: 1, isLasting: true, maximumUnavailable: 1 });
+  await waitFor(() => started.fleet.world.history.length === 1);
+  owner.vacate(["presses-0"]);
+  await wait(1_000);
+  expect(started.fleet.world.history.length).toBe(1);
+  expect(started.fleet.world.history[0]?.to).toBeUndefined();
+});
