TWICE: a restarted target's lease and orders of its former process are accounted for, and refused once it is fenced

What callers saw: a task ran on two targets at once, or again after its success.

Cause: an order names the identifier and not the process. The owner counted the requested one, took the runs for ended and started the tasks elsewhere. An acknowledgement in such a renewal makes the new process forget an end that no owner has seen.

Change: the owner's fencing token rises to the store revision of the record that lists a restarted target, and the target is used only when it has answered under that token: from then on it refuses everything sent to its former process. A lease that it took before counts as the longest one, also for a next owner while the process is young. When the leases of a silent target have lapsed, starts that no report has shown are waited for until a later process could not run them any more. A target of an earlier owner stays awaited until its new process has answered.

--- a/src/measures/job-path/measured-owner.ts
+++ b/src/measures/job-path/measured-owner.ts
@@ -108,6 +108,7 @@
     log,
     metrics,
     runLeaseMilliseconds,
+    longestRunLeaseMilliseconds: runLeaseMilliseconds,
     retentionMilliseconds,
     settleMilliseconds: 0,
   });
--- a/src/order-relays/messages.ts
+++ b/src/order-relays/messages.ts
@@ -56,6 +56,7 @@
 
 const refusals = [
   "fenced",
+  "overtaken",
   "old-run",
   "too-late",
   "no-room",
--- a/src/pool-owners/held-pool.ts
+++ b/src/pool-owners/held-pool.ts
@@ -11,7 +11,7 @@
 import { ownerPrefix } from "./owner-record.js";
 import { createOwnerState, loadJobs, type OwnerState } from "./owner-state.js";
 import { OwnerTargets } from "./owner-targets.js";
-import { formerLeaseMilliseconds, type TakenPool } from "./owner-takeover.js";
+import type { TakenPool } from "./owner-takeover.js";
 import type { WorkspacesOfOwners } from "./owner-workspaces.js";
 import { PoolOwner } from "./pool-owner.js";
 import { readRecentLoad } from "./pool-report.js";
@@ -30,6 +30,8 @@
   readonly metrics: Metrics;
   /** The lease that a target gets for its runs with each renewal. */
   readonly runLeaseMilliseconds: number;
+  /** The longest lease that a target grants, whatever is requested. */
+  readonly longestRunLeaseMilliseconds: number;
   /** How long ended jobs stay readable. */
   readonly retentionMilliseconds: number;
 }
@@ -64,7 +66,7 @@
   jobs: StoredJobs,
   onSuperseded: (reason: string) => void,
 ): HeldPool {
-  const { store, session, orders, log, metrics, runLeaseMilliseconds } = options;
+  const { store, session, orders, log, metrics, runLeaseMilliseconds, longestRunLeaseMilliseconds } = options;
   const ownerKey = `${ownerPrefix}${pool}`;
   let isClosed = false;
   const supersede = (reason: string): void => {
@@ -88,7 +90,7 @@
   const workspaces = workspacesOfOwners.create({ pool, journal, isActive, wake, cores });
   const state = createOwnerState({
     pool,
-    fencingToken: revision,
+    takenRevision: revision,
     firstRun: (takeoverState.homes - 1) * runsPerOwner + 1,
     orders,
     journal,
@@ -102,10 +104,10 @@
   loadJobs(state, jobs);
   const targets = new OwnerTargets(state, {
     leaseMilliseconds: runLeaseMilliseconds,
+    longestLeaseMilliseconds: longestRunLeaseMilliseconds,
     ownerCount: takeoverState.homes,
   });
-  const leaseUntil = performance.now() + formerLeaseMilliseconds(runLeaseMilliseconds);
-  targets.restoreTargets(takeoverState, leaseUntil);
+  targets.restoreTargets(takeoverState);
   const owner = new PoolOwner({
     state,
     store,
--- a/src/pool-owners/owner-state.ts
+++ b/src/pool-owners/owner-state.ts
@@ -25,7 +25,7 @@
   type TaskRunTimes,
   type UnplacedTasks,
 } from "../scheduling/index.js";
-import type { RegisteredTarget, TargetOrders } from "../task-runs/index.js";
+import { OwnerOrders, type RegisteredTarget, type TargetOrders } from "../task-runs/index.js";
 import type { Log, Metrics } from "../telemetry/index.js";
 import type { OwnerWorkspaces } from "../workspaces/index.js";
 import { AdviceCache } from "./advice-cache.js";
@@ -56,10 +56,11 @@
 /** State that is shared by all parts of an owner. */
 export interface OwnerState {
   readonly pool: string;
-  readonly fencingToken: number;
+  /** Store revision at which this owner took the pool. */
+  readonly takenRevision: number;
   /** Lowest run number of this owner, above all run numbers of earlier owners. */
   readonly firstRun: number;
-  readonly orders: TargetOrders;
+  readonly orders: OwnerOrders;
   readonly journal: OwnerJournal;
   readonly log: Log;
   readonly metrics: Metrics;
@@ -117,9 +118,11 @@
 /** The parts of an owner's state that its creator provides. */
 export type OwnerParts = Pick<
   OwnerState,
-  "pool" | "fencingToken" | "firstRun" | "orders" | "journal" | "log" | "metrics" | "isActive" | "supersede"
+  "pool" | "takenRevision" | "firstRun" | "journal" | "log" | "metrics" | "isActive" | "supersede"
 > &
   Partial<Pick<OwnerState, "workspaces">> & {
+    /** Sends the owner's orders, at first with `takenRevision` as their fencing token. */
+    readonly orders: TargetOrders;
     /** Requests to the advice service; undefined when the settings name none. */
     readonly adviceRequests?: AdviceRequests | undefined;
   };
@@ -129,7 +132,7 @@
  * @param parts - the store, orders, log and metrics that the owner uses, and its identity
  * @returns the state
  */
-export function createOwnerState({ adviceRequests, ...parts }: OwnerParts): OwnerState {
+export function createOwnerState({ adviceRequests, orders, ...parts }: OwnerParts): OwnerState {
   const { log, metrics, pool } = parts;
   const onAdvice = (): void => {
     state.wake();
@@ -137,6 +140,7 @@
   const state: OwnerState = {
     workspaces: undefined,
     ...parts,
+    orders: new OwnerOrders(orders, parts.takenRevision),
     advice: new AdviceCache({ requests: adviceRequests, log, metrics, pool, onAdvice }),
     reservations: new Reservations({ pool, log, metrics }),
     runTimes: createTaskRunTimes(),
--- a/src/pool-owners/owner-targets.ts
+++ b/src/pool-owners/owner-targets.ts
@@ -9,6 +9,7 @@
 import type { PoolTarget } from "./pool-target.js";
 import { formerLeaseMilliseconds } from "./owner-takeover.js";
 import { handleReport } from "./run-ends.js";
+import { lateOrderMilliseconds, TargetIncarnations } from "./target-incarnations.js";
 import { TargetRecords } from "./target-records.js";
 import { keepUnsettledStarts, refuseLateStarts, takeUnsettledStarts } from "./unsettled-starts.js";
 
@@ -26,6 +27,8 @@
 export interface OwnerTargetsOptions {
   /** The lease that a target gets for its runs with each renewal. */
   readonly leaseMilliseconds: number;
+  /** The longest lease that a target grants. */
+  readonly longestLeaseMilliseconds: number;
   /** How many times the pool has been taken, this time included. */
   readonly ownerCount: number;
 }
@@ -36,6 +39,7 @@
   readonly #options: OwnerTargetsOptions;
   readonly #handlers: TargetSessionHandlers;
   readonly #records: TargetRecords;
+  readonly #incarnations: TargetIncarnations;
 
   /**
    * Creates the set of sessions, which is empty at first.
@@ -46,6 +50,7 @@
     this.#state = state;
     this.#options = options;
     this.#records = new TargetRecords(state, options.ownerCount);
+    this.#incarnations = new TargetIncarnations(options);
     this.#handlers = {
       onReport: (session, report, freshEnds, requestSentAt) => {
         const target = this.#find(session);
@@ -53,6 +58,7 @@
         handleReport(state, target, report, freshEnds, requestSentAt);
         paceBestEffortTasks(state, target);
       },
+      onLeaseLapsed: (session) => this.#dropLapsedRuns(session),
       onGone: (session, reason) => {
         const target = this.#find(session);
         if (target === undefined) return;
@@ -91,12 +97,12 @@
   /**
    * Opens sessions with the targets that an earlier owner used, whether or not the registry lists them.
    * @param takeoverState - the state that the earlier owner left
-   * @param leaseUntil - when the earlier owner's run leases have certainly ended, by the monotonic clock
    */
-  restoreTargets(takeoverState: TakeoverState, leaseUntil: number): void {
+  restoreTargets(takeoverState: TakeoverState): void {
     const { pool, awaitedTargets: awaited } = this.#state;
     for (const [targetId, { address, startedAtUnix, unusedSince }] of Object.entries(takeoverState.targets)) {
       awaited.add(targetId, unusedSince ?? Number.POSITIVE_INFINITY);
+      const leaseUntil = performance.now() + this.#formerLeaseMilliseconds(startedAtUnix);
       const target = this.#open(unlistedTarget(pool, targetId, address, startedAtUnix), leaseUntil);
       target.unusedSince = unusedSince;
       target.session.setListed(false);
@@ -124,21 +130,27 @@
       known.session.close();
       this.#drop(known, "replaced");
     }
-    this.#open(target, 0);
+    // A target of an earlier owner stays awaited until its new process has answered.
+    const isAwaited = state.awaitedTargets.has(target.targetId);
+    const leaseMilliseconds = this.#formerLeaseMilliseconds(target.startedAtUnix);
+    this.#open(target, isAwaited ? performance.now() + leaseMilliseconds : 0);
   }
 
   #open(target: RegisteredTarget, formerLeaseUntil: number): PoolTarget {
-    const { pool, targets, orders, fencingToken, metrics, log } = this.#state;
+    const { pool, targets, orders, metrics, log } = this.#state;
+    const { leaseMilliseconds, longestLeaseMilliseconds } = this.#options;
     const unsettled = takeUnsettledStarts(this.#state, target.targetId);
-    const unsettledUntil = unsettled.length === 0 ? 0 : performance.now() + this.#lateOrderMilliseconds();
+    const lateLeaseUntil = unsettled.length === 0 ? 0 : performance.now() + this.#lateLeaseMilliseconds();
+    const formerOrders = this.#incarnations.open(target);
     const session = new TargetSession({
       target,
       orders,
-      fencingToken,
-      leaseMilliseconds: this.#options.leaseMilliseconds,
+      leaseMilliseconds,
+      longestLeaseMilliseconds,
+      formerOrders,
       metrics,
       handlers: this.#handlers,
-      formerLeaseUntil: Math.max(formerLeaseUntil, unsettledUntil),
+      formerLeaseUntil: Math.max(formerLeaseUntil, lateLeaseUntil),
     });
     const opened: PoolTarget = {
       session,
@@ -153,7 +165,8 @@
     };
     targets.set(target.targetId, opened);
     refuseLateStarts(this.#state, opened);
-    log.write("info", "target-session-opened", { pool, target: target.targetId, address: target.address });
+    const { targetId, address } = target;
+    log.write("info", "target-session-opened", { pool, target: targetId, address, formerOrders });
     void session.run();
     return opened;
   }
@@ -173,14 +186,62 @@
 
   /** Removes a target that has no runs any more, also from the takeover state, so that a next owner does not wait for it. */
   #drop(target: PoolTarget, reason: string): void {
-    if (reason === "replaced") keepUnsettledStarts(this.#state, target, this.#lateOrderMilliseconds());
+    const { targetId } = target.session;
+    this.#incarnations.close(targetId);
+    if (reason === "replaced") this.#keepForNextProcess(target);
+    else this.#state.awaitedTargets.delete(targetId);
     dropTarget(this.#state, target, reason);
     this.#records.write("soon");
   }
 
-  /** An order of this age can no longer be carried out. */
-  #lateOrderMilliseconds(): number {
-    return formerLeaseMilliseconds(this.#options.leaseMilliseconds);
+  /**
+   * Drops the runs that a target which does not answer has reported, since their leases have lapsed. A start that no report has
+   * shown may be carried out by a later process, of which the owner does not know, under the longest lease.
+   */
+  #dropLapsedRuns(session: TargetSession): number | undefined {
+    const target = this.#find(session);
+    const requestedAt = session.leaseRequestedAt();
+    if (target === undefined || requestedAt === undefined) return undefined;
+    const until = requestedAt + this.#lateLeaseMilliseconds();
+    const runs = [...target.runs.values()];
+    const unlisted = runs.filter(({ run }) => !run.isListed);
+    if (unlisted.length === 0 || until <= performance.now()) return undefined;
+    const lapsed = runs.filter(({ run }) => run.isListed);
+    for (const each of lapsed) removeRun(this.#state, target, each);
+    this.#state.awaitedTargets.delete(session.targetId);
+    this.#state.log.write("info", "target-runs-lapsed", {
+      pool: this.#state.pool,
+      target: session.targetId,
+      lapsed: lapsed.length,
+      unlisted: unlisted.length,
+      waitMilliseconds: Math.round(until - performance.now()),
+    });
+    this.#state.wake();
+    return until;
+  }
+
+  /** Keeps what orders to an ended process may still do on the next one, for a limited time in case that does not appear. */
+  #keepForNextProcess(target: PoolTarget): void {
+    const { awaitedTargets: awaited, targets } = this.#state;
+    const { targetId } = target.session;
+    keepUnsettledStarts(this.#state, target, this.#lateLeaseMilliseconds());
+    if (!awaited.has(targetId)) return;
+    const timer = setTimeout(() => {
+      if (!targets.has(targetId) && awaited.delete(targetId)) this.#state.wake();
+    }, formerLeaseMilliseconds(this.#options.longestLeaseMilliseconds));
+    timer.unref();
+  }
+
+  /** How long a lease may last that a target took from an order which was sent to its former process and arrived late. */
+  #lateLeaseMilliseconds(): number {
+    return lateOrderMilliseconds + formerLeaseMilliseconds(this.#options.longestLeaseMilliseconds);
+  }
+
+  /** How long a lease from an earlier owner may last on a target that does not answer. */
+  #formerLeaseMilliseconds(startedAtUnix: number): number {
+    const { leaseMilliseconds, longestLeaseMilliseconds } = this.#options;
+    const mayHoldLongest = this.#incarnations.mayHoldLongestLease(startedAtUnix);
+    return formerLeaseMilliseconds(mayHoldLongest ? longestLeaseMilliseconds : leaseMilliseconds);
   }
 }
 
@@ -222,7 +283,6 @@
   state.targets.delete(session.targetId);
   const lost = [...runs.values()];
   for (const each of lost) removeRun(state, target, each);
-  state.awaitedTargets.delete(session.targetId);
   state.log.write("info", "target-session-closed", {
     pool: state.pool,
     target: session.targetId,
@@ -270,7 +330,6 @@
     run.pacePercent = next;
     const order = {
       target: target.session.target(),
-      fencingToken: state.fencingToken,
       timeoutMilliseconds: paceTimeoutMilliseconds,
       task: task.name,
       run: run.run,
--- a/src/pool-owners/run-ends.ts
+++ b/src/pool-owners/run-ends.ts
@@ -129,7 +129,6 @@
   state.log.write("info", "run-stray", { task, run, target: target.session.targetId });
   void state.orders.stop({
     target: target.session.target(),
-    fencingToken: state.fencingToken,
     timeoutMilliseconds: unexpectedRunStopTimeoutMilliseconds,
     task,
     run,
--- a/src/pool-owners/start-checks.ts
+++ b/src/pool-owners/start-checks.ts
@@ -51,7 +51,6 @@
 ): Promise<void> {
   const answer = await state.orders.renew({
     target: session.target(),
-    fencingToken: state.fencingToken,
     acknowledgedSequence: 0,
     leaseUntilMilliseconds: undefined,
     waitMilliseconds: 0,
--- a/src/pool-owners/start-orders.ts
+++ b/src/pool-owners/start-orders.ts
@@ -91,7 +91,6 @@
   }
   const order = {
     target: target.session.target(),
-    fencingToken: state.fencingToken,
     timeoutMilliseconds: startTimeoutMilliseconds,
     task: task.name,
     run: run.run,
--- a/src/pool-owners/stopper.ts
+++ b/src/pool-owners/stopper.ts
@@ -44,7 +44,6 @@
   const requestSentAt = performance.now();
   const outcome = await state.orders.stop({
     target: target.session.target(),
-    fencingToken: state.fencingToken,
     timeoutMilliseconds: stopTimeoutMilliseconds,
     task: task.name,
     run: run.run,
--- a/src/pool-owners/target-records.ts
+++ b/src/pool-owners/target-records.ts
@@ -22,7 +22,7 @@
   const { session, runs, isVacating } = target;
   const isSilent = session.failuresInARow() >= unansweredRenewals;
   // What this owner has accepted is newer than its own record, and has no runs on a target that it has never used.
-  if (isSilent && !session.isKnown()) return state.fencingToken;
+  if (isSilent && !session.isKnown()) return state.takenRevision;
   if (isSilent) return state.journal.storedRevision();
   const isEmpty = session.isResponsive() && runs.size === 0 && !state.unansweredStarts.has(session.targetId);
   return isVacating && isEmpty ? 0 : undefined;
@@ -84,11 +84,28 @@
       if (result !== "stored") return;
       // An earlier write of the record may be stored after the use of a target has changed.
       for (const target of open) target.isRecorded ||= (target.recordedBy ?? Infinity) <= number;
+      raiseToken(state, open);
       state.wake();
     });
   }
 }
 
+/**
+ * Raises the owner's fencing token for targets that have restarted, so that their new processes refuse the orders that it sent
+ * to the former ones. The revision of the record that lists them is above every token so far, and below the next owner's.
+ */
+function raiseToken({ orders, journal, log, pool }: OwnerState, recorded: readonly PoolTarget[]): void {
+  const restarted = recorded.filter(({ isRecorded, session }) => isRecorded && session.needsHigherToken());
+  if (restarted.length === 0) return;
+  orders.raiseToken(journal.storedRevision());
+  log.write("info", "fencing-token-raised", {
+    pool,
+    fencingToken: orders.fencingToken(),
+    restarted: restarted.length,
+  });
+  for (const { session } of restarted) session.noteHigherToken();
+}
+
 function describeTarget({ session, unusedSince }: PoolTarget): TakeoverState["targets"][string] {
   const { address, startedAtUnix } = session.target();
   return { address, startedAtUnix, ...(unusedSince === undefined ? {} : { unusedSince }) };
--- a/src/pool-owners/target-views.ts
+++ b/src/pool-owners/target-views.ts
@@ -21,7 +21,7 @@
     target.unusedSince === undefined &&
     !target.isVacating &&
     target.blockedUntil <= now &&
-    session.isKnown() &&
+    session.isFenced() &&
     session.isListed() &&
     session.failuresInARow() === 0 &&
     session.target().state === "ready"
--- a/src/pool-owners/test/job-admission.test.ts
+++ b/src/pool-owners/test/job-admission.test.ts
@@ -58,7 +58,7 @@
   };
   const state = createOwnerState({
     pool,
-    fencingToken: 1,
+    takenRevision: 1,
     firstRun: 1,
     orders: { start: unused, stop: unused, pace: unused, renew: unused },
     journal: {
--- a/src/pool-owners/test/owner-cost.test.ts
+++ b/src/pool-owners/test/owner-cost.test.ts
@@ -40,7 +40,7 @@
   const unused = async (): Promise<never> => Promise.reject(new Error("no orders are given here"));
   const created = createOwnerState({
     pool,
-    fencingToken: 1,
+    takenRevision: 1,
     firstRun: 1,
     orders: { start: unused, stop: unused, pace: unused, renew: unused },
     journal,
--- a/src/pool-owners/test/owner-fixture.ts
+++ b/src/pool-owners/test/owner-fixture.ts
@@ -177,6 +177,7 @@
     log,
     metrics,
     runLeaseMilliseconds: 1_500,
+    longestRunLeaseMilliseconds: fleets.get(pool)?.world.longestLeaseMilliseconds ?? 0,
     retentionMilliseconds: 60_000,
     settleMilliseconds: 0,
   });
--- a/src/pool-owners/test/owner-model.test.ts
+++ b/src/pool-owners/test/owner-model.test.ts
@@ -54,10 +54,11 @@
 
   readonly #isCapped: boolean;
 
-  constructor(isCapped: boolean) {
+  constructor(isCapped: boolean, longestLeaseMilliseconds?: number) {
     this.#isCapped = isCapped;
     const workspaces = (): typeof cappedWorkspaces | undefined => (isCapped ? cappedWorkspaces : undefined);
-    this.fixture = startOwnerFixture({ targetCount, coresPerTarget: 4, behaviour, workspaces });
+    const lease = longestLeaseMilliseconds === undefined ? {} : { longestLeaseMilliseconds };
+    this.fixture = startOwnerFixture({ targetCount, coresPerTarget: 4, behaviour, workspaces, ...lease });
     this.#entry = this.fixture.startEntry("entry-1");
   }
 
@@ -246,6 +247,29 @@
   };
 }
 
+/** Restarts a target that carries out a renewal of its former process, and cuts it off soon after. */
+function restartAndCutStep({
+  index,
+  after,
+  silence,
+}: {
+  index: number;
+  after: number;
+  silence: number;
+}): Step {
+  return {
+    name: `restart ${index} with a renewal after ${after}, silence after ${silence}`,
+    act: (simulation) => {
+      const { targetId } = simulation.target(index).describe();
+      simulation.model.noteRestart(targetId, performance.now());
+      simulation.fixture.fleet.restartWithRenewal(targetId, after);
+      setTimeout(() => {
+        silenceStep(index).act(simulation);
+      }, silence);
+    },
+  };
+}
+
 function lateStep(milliseconds: number): Step {
   return {
     name: `late ${milliseconds}`,
@@ -268,8 +292,9 @@
 async function runSteps(
   steps: readonly { readonly step: Step; readonly pause: number }[],
   isCapped: boolean,
+  longestLeaseMilliseconds?: number,
 ): Promise<string[]> {
-  const simulation = new Simulation(isCapped);
+  const simulation = new Simulation(isCapped, longestLeaseMilliseconds);
   const names: string[] = [];
   try {
     for (const { step, pause } of steps) {
@@ -299,6 +324,49 @@
   return wrong.filter((found) => found.length > 0);
 }
 
+const recutRuns = 5;
+const recutSteps = 14;
+/** Twice the lease that owners request, so that a renewal for a former process makes a difference. */
+const recutLongestLeaseMilliseconds = 3_000;
+const recutArbitrary: fc.Arbitrary<Step> = fc.oneof(
+  { weight: 4, arbitrary: fc.constantFrom<JobKind>("short", "lasting").map(submitStep) },
+  { weight: 2, arbitrary: targetIndex.map(reviveStep) },
+  {
+    weight: 4,
+    arbitrary: fc
+      .record({
+        index: targetIndex,
+        after: fc.constantFrom(0, 0, 60, 250),
+        silence: fc.constantFrom(100, 300, 800),
+      })
+      .map(restartAndCutStep),
+  },
+  {
+    weight: 1,
+    arbitrary: fc.constant<Step>({
+      name: "replace entry",
+      act: (simulation) => {
+        simulation.replaceEntry();
+      },
+    }),
+  },
+);
+
+// Guards against a task that runs on two targets: one is back under its old identifier, holds a longer lease, and is cut off.
+test("no restarted target that carries out renewals of its former process breaks a rule", async () => {
+  const pause = fc.integer({ min: 100, max: 900 });
+  const steps = fc.array(fc.record({ step: recutArbitrary, pause }), {
+    minLength: recutSteps,
+    maxLength: recutSteps,
+  });
+  const chosen = process.env.HOME_MODEL_SEED?.split(",").map(Number) ?? seeds;
+  const samples = chosen.flatMap((seed) => fc.sample(steps, { seed, numRuns: recutRuns }));
+  const wrong = await Promise.all(
+    samples.map(async (sample) => runSteps(sample, false, recutLongestLeaseMilliseconds)),
+  );
+  expect(wrong.filter((found) => found.length > 0)).toEqual([]);
+}, 60_000);
+
 test("no interleaving of faults and callers breaks a rule, and all is done once they end", async () => {
   expect(await runSamples(false)).toEqual([]);
 }, 60_000);
--- a/src/pool-owners/test/owner-targets.test.ts
+++ b/src/pool-owners/test/owner-targets.test.ts
@@ -52,7 +52,7 @@
   };
   const state = createOwnerState({
     pool,
-    fencingToken: 1,
+    takenRevision: 1,
     firstRun: 1,
     orders,
     journal,
@@ -63,7 +63,11 @@
   });
   const definition = { spec: "", steps: [createStep()] };
   addJob(state, { jobId: "job", terms, definition, acceptedAt: 0, requestedAt: 0 }, undefined, 0);
-  const targets = new OwnerTargets(state, { leaseMilliseconds: 6_000, ownerCount: 1 });
+  const targets = new OwnerTargets(state, {
+    leaseMilliseconds: 6_000,
+    longestLeaseMilliseconds: 6_000,
+    ownerCount: 1,
+  });
   targets.follow(new Map([[listed.targetId, listed]]));
   await waitFor(() => settles.length > 0);
   targets.follow(new Map());
--- a/src/pool-owners/test/ownership-manager.test.ts
+++ b/src/pool-owners/test/ownership-manager.test.ts
@@ -74,6 +74,7 @@
     log: createLog("silent"),
     metrics: createMetrics(),
     runLeaseMilliseconds: 6_000,
+    longestRunLeaseMilliseconds: 6_000,
     retentionMilliseconds: 60_000,
     settleMilliseconds,
   });
--- a/src/pool-owners/test/run-ends.test.ts
+++ b/src/pool-owners/test/run-ends.test.ts
@@ -41,7 +41,7 @@
   const unused = async (): Promise<never> => Promise.reject(new Error("no orders are given here"));
   return createOwnerState({
     pool,
-    fencingToken: 1,
+    takenRevision: 1,
     firstRun: 1,
     orders: { start: unused, stop: unused, pace: unused, renew: unused },
     journal,
@@ -234,11 +234,13 @@
       remainingMilliseconds: undefined,
     },
     orders,
-    fencingToken: 1,
+    formerOrders: "none",
+    longestLeaseMilliseconds: 6_000,
     leaseMilliseconds: 1_000,
     metrics,
     handlers: {
       onReport: () => undefined,
+      onLeaseLapsed: () => undefined,
       onGone: () => undefined,
       onFenced: () => undefined,
       isActive: () => true,
--- a/src/pool-owners/test/run-time-learning.test.ts
+++ b/src/pool-owners/test/run-time-learning.test.ts
@@ -29,7 +29,7 @@
 function createState(): OwnerState {
   return createOwnerState({
     pool,
-    fencingToken: 1,
+    takenRevision: 1,
     firstRun: 1,
     orders,
     journal,
@@ -55,11 +55,13 @@
       remainingMilliseconds: undefined,
     },
     orders,
-    fencingToken: 1,
+    formerOrders: "none",
+    longestLeaseMilliseconds: 6_000,
     leaseMilliseconds: 1_000,
     metrics: createMetrics(),
     handlers: {
       onReport: () => undefined,
+      onLeaseLapsed: () => undefined,
       onGone: () => undefined,
       onFenced: () => undefined,
       isActive: () => true,
--- a/src/pool-owners/test/settled-ownership-manager.test.ts
+++ b/src/pool-owners/test/settled-ownership-manager.test.ts
@@ -57,6 +57,7 @@
     log: createLog("silent"),
     metrics: createMetrics(),
     runLeaseMilliseconds: 6_000,
+    longestRunLeaseMilliseconds: 6_000,
     retentionMilliseconds: 60_000,
     settleMilliseconds: 0,
   });
--- a/src/pool-owners/test/silent-targets.test.ts
+++ b/src/pool-owners/test/silent-targets.test.ts
@@ -50,13 +50,15 @@
         remainingMilliseconds: undefined,
       },
       orders: { start: unused, stop: unused, pace: unused, renew },
-      fencingToken: 1,
+      formerOrders: "none",
+      longestLeaseMilliseconds: 6_000,
       leaseMilliseconds: 6_000,
       metrics: createMetrics(),
       handlers: {
         onReport: (_, { ends }) => {
           if (ends.length > 0) this.lastReceivedAt ??= performance.now() - this.startedAt;
         },
+        onLeaseLapsed: () => undefined,
         onGone: () => undefined,
         onFenced: () => undefined,
         isActive: () => true,
--- a/src/pool-owners/test/start-checks.test.ts
+++ b/src/pool-owners/test/start-checks.test.ts
@@ -77,7 +77,7 @@
   };
   return createOwnerState({
     pool,
-    fencingToken: 1,
+    takenRevision: 1,
     firstRun: 1,
     orders,
     journal,
@@ -103,11 +103,13 @@
       remainingMilliseconds: undefined,
     },
     orders,
-    fencingToken: 1,
+    formerOrders: "none",
+    longestLeaseMilliseconds: 6_000,
     leaseMilliseconds: 1_000,
     metrics,
     handlers: {
       onReport: () => undefined,
+      onLeaseLapsed: () => undefined,
       onGone: () => undefined,
       onFenced: () => undefined,
       isActive: () => true,
--- a/src/pool-owners/test/surge-model.ts
+++ b/src/pool-owners/test/surge-model.ts
@@ -157,7 +157,7 @@
     };
     const created = createOwnerState({
       pool,
-      fencingToken: 1,
+      takenRevision: 1,
       firstRun: 1,
       orders,
       journal,
@@ -311,11 +311,13 @@
         remainingMilliseconds: undefined,
       },
       orders,
-      fencingToken: 1,
+      formerOrders: "none",
+      longestLeaseMilliseconds: 6_000,
       leaseMilliseconds: 1_000,
       metrics: createMetrics(),
       handlers: {
         onReport: () => undefined,
+        onLeaseLapsed: () => undefined,
         onGone: () => undefined,
         onFenced: () => undefined,
         isActive: () => true,
@@ -323,7 +325,7 @@
       },
       formerLeaseUntil: 0,
     });
-    session.isKnown = () => true;
+    session.isFenced = () => true;
     session.nextLeaseEnd = () => this.#now + 1_000;
     const owner: PoolTarget = {
       session,
--- a/src/pool-owners/unsettled-starts.ts
+++ b/src/pool-owners/unsettled-starts.ts
@@ -7,11 +7,10 @@
  */
 import type { OwnerState } from "./owner-state.js";
 import type { PoolTarget, TargetRun, UnansweredStart } from "./pool-target.js";
+import { lateOrderMilliseconds } from "./target-incarnations.js";
 
 /** Bounds the number of unanswered starts that are kept for each target. */
 const maximumUnanswered = 200;
-/** An order without an answer may be carried out this much later by an incarnation that has no record of its lease. */
-const rememberedMilliseconds = 15_000;
 const stopTimeoutMilliseconds = 700;
 
 /** Added to a target's failure score for each start without an answer, so that placement avoids the target for a while. */
@@ -47,9 +46,9 @@
  * @param target - the new incarnation
  */
 export function refuseLateStarts(state: OwnerState, target: PoolTarget): void {
-  const { unansweredStarts, orders, fencingToken, log, pool } = state;
+  const { unansweredStarts, orders, log, pool } = state;
   const { targetId } = target.session;
-  const oldest = performance.now() - rememberedMilliseconds;
+  const oldest = performance.now() - lateOrderMilliseconds;
   const recent = (unansweredStarts.get(targetId) ?? []).filter(({ startedAt }) => startedAt > oldest);
   unansweredStarts.set(targetId, recent);
   if (recent.length === 0) unansweredStarts.delete(targetId);
@@ -58,7 +57,6 @@
     log.write("info", "late-start-refused", { pool, task, run, target: targetId });
     void orders.stop({
       target: target.session.target(),
-      fencingToken,
       timeoutMilliseconds: stopTimeoutMilliseconds,
       task,
       run,
@@ -70,12 +68,12 @@
  * Keeps the starts that no report of an ended incarnation showed, for the next incarnation of the target.
  * @param state - the owner's state
  * @param target - the ended incarnation
- * @param lateOrderMilliseconds - the age from which an order can no longer be carried out; the starts are dropped then
+ * @param keptMilliseconds - how long a start to the ended incarnation may still matter; the starts are dropped then
  */
 export function keepUnsettledStarts(
   state: OwnerState,
   { session, runs }: PoolTarget,
-  lateOrderMilliseconds: number,
+  keptMilliseconds: number,
 ): void {
   const { unsettledStarts } = state;
   const { targetId } = session;
@@ -93,7 +91,7 @@
   unsettledStarts.set(targetId, kept);
   const timer = setTimeout(() => {
     forgetUnsettledStarts(state, targetId, kept);
-  }, lateOrderMilliseconds);
+  }, keptMilliseconds);
   timer.unref();
 }
 
--- a/src/soak/targets.ts
+++ b/src/soak/targets.ts
@@ -65,10 +65,11 @@
    */
   constructor(options: TargetFleetOptions) {
     this.#options = options;
-    const { history } = options;
+    const { history, bounds } = options;
     this.#world = {
       now: readClock,
       behaviour: (task) => findBehaviour(history, task),
+      longestLeaseMilliseconds: bounds.longestRunLeaseMilliseconds,
       history: history.runs,
       lapses: [],
     };
--- a/src/stand-ins/job-targets/job-fleet.ts
+++ b/src/stand-ins/job-targets/job-fleet.ts
@@ -4,7 +4,7 @@
  */
 import { Left } from "purify-ts";
 import { createRandom, delay } from "../../shared/index.js";
-import type { OrderHeader, OrderOutcome, TargetOrders } from "../../task-runs/index.js";
+import type { OrderHeader, OrderOutcome, RenewOrder, TargetOrders } from "../../task-runs/index.js";
 import { JobTarget, type JobTargetWorld, type TaskBehaviour } from "./job-target.js";
 
 /** A fleet of stand-in targets. */
@@ -16,6 +16,12 @@
   setLate(milliseconds: number | undefined): void;
   /** Delays the reading of each response by a random time up to this maximum, as in a busy process. */
   setAnswerDelay(milliseconds: number): void;
+  /**
+   * Restarts a target, whose new process then carries out the last renewal that was sent to the former one.
+   * @param targetId - the target
+   * @param afterMilliseconds - when the new process carries it out
+   */
+  restartWithRenewal(targetId: string, afterMilliseconds: number): void;
   close(): void;
 }
 
@@ -25,8 +31,11 @@
   readonly targetCount: number;
   readonly coresPerTarget: number;
   readonly behaviour: (task: string) => TaskBehaviour;
+  /** The longest lease that the targets grant; 6 s by default. */
+  readonly longestLeaseMilliseconds?: number;
 }
 
+const defaultLongestLeaseMilliseconds = 6_000;
 const advanceMilliseconds = 5;
 const millicoresPerCore = 1_000;
 const targetsPerRack = 4;
@@ -42,6 +51,7 @@
   const world: JobTargetWorld = {
     now: () => performance.now(),
     behaviour: options.behaviour,
+    longestLeaseMilliseconds: options.longestLeaseMilliseconds ?? defaultLongestLeaseMilliseconds,
     history: [],
     lapses: [],
   };
@@ -51,6 +61,7 @@
       return [target.describe().targetId, target] as const;
     }),
   );
+  const lastRenewals = new Map<string, RenewOrder>();
   let late: number | undefined;
   let answerDelay = 0;
   const random = createRandom(answerSeed);
@@ -90,7 +101,9 @@
       stop: async (order) => send(order, (target) => target.stop(order)),
       pace: async () => Promise.resolve({ kind: "done", clockMilliseconds: 0 }),
       renew: async (order) => {
-        const found = targets.get(order.target.targetId);
+        const { targetId } = order.target;
+        if (order.leaseUntilMilliseconds !== undefined) lastRenewals.set(targetId, order);
+        const found = targets.get(targetId);
         await delay(Math.min(order.waitMilliseconds, renewWaitMilliseconds));
         if (found === undefined) return Left({ kind: "refused", reason: "not-connected" });
         if (found.isSilent) {
@@ -108,12 +121,24 @@
     setAnswerDelay: (milliseconds) => {
       answerDelay = milliseconds;
     },
+    restartWithRenewal: (targetId, afterMilliseconds) => {
+      restartWithOrder(targets.get(targetId), lastRenewals.get(targetId), afterMilliseconds);
+    },
     close: () => {
       clearInterval(timer);
     },
   };
 }
 
+function restartWithOrder(
+  target: JobTarget | undefined,
+  renewal: RenewOrder | undefined,
+  afterMilliseconds: number,
+): void {
+  target?.restart();
+  if (renewal !== undefined) setTimeout(() => target?.renew(renewal), afterMilliseconds);
+}
+
 /** The longest wait of a renewal, even if it requests a longer one, so that tests don't wait. */
 const renewWaitMilliseconds = 10;
 
--- a/src/stand-ins/job-targets/job-target.ts
+++ b/src/stand-ins/job-targets/job-target.ts
@@ -66,15 +66,14 @@
   /** The current time in milliseconds. */
   now(): number;
   readonly behaviour: (task: string) => TaskBehaviour;
+  /** Leases are shortened to this length. */
+  readonly longestLeaseMilliseconds: number;
   /** Every run so far, for checks. */
   readonly history: RunRecord[];
   /** Every lapse so far, for checks. */
   readonly lapses: LeaseLapse[];
 }
 
-/** Leases are shortened to this length. */
-const longestLeaseMilliseconds = 6_000;
-
 /** A simulated target that runs tasks. */
 export class JobTarget {
   readonly #world: JobTargetWorld;
@@ -105,7 +104,7 @@
     this.#world = world;
     this.#registered = registered;
     this.#startedAt = world.now();
-    this.#startedAtUnix = Math.floor(this.#startedAt) + 1;
+    this.#startedAtUnix = Date.now();
   }
 
   /** Returns the target's registration. */
@@ -135,7 +134,7 @@
     this.#leaseUntil = 0;
     this.#holdsLease = false;
     this.#startedAt = this.#world.now();
-    this.#startedAtUnix += 1;
+    this.#startedAtUnix = Math.max(Date.now(), this.#startedAtUnix + 1);
   }
 
   /** Ends the runs that are finished by now, and all runs if the lease has lapsed. */
@@ -243,7 +242,8 @@
   #extend(until: number | undefined, refusal: OrderRefusal | undefined): void {
     if (until === undefined || (refusal !== undefined && refusal !== "old-run" && refusal !== "no-room"))
       return;
-    this.#leaseUntil = Math.max(this.#leaseUntil, Math.min(until, this.clock() + longestLeaseMilliseconds));
+    const latest = this.clock() + this.#world.longestLeaseMilliseconds;
+    this.#leaseUntil = Math.max(this.#leaseUntil, Math.min(until, latest));
     this.#holdsLease ||= this.#leaseUntil > this.clock();
   }
 
--- a/src/task-runs/index.ts
+++ b/src/task-runs/index.ts
@@ -2,17 +2,21 @@
  * Runs of tasks on targets: orders, leases, reports, and the ends of runs.
  * @packageDocumentation
  */
+export { OwnerOrders, type FencedOrders } from "./fenced-orders.js";
 export type {
+  FailedOrder,
   OrderHeader,
   OrderOutcome,
   OrderRefusal,
   OrderTiming,
+  PaceOrder,
   PresentRun,
   RegisteredTarget,
   RenewOrder,
   RunEnd,
   RunEndKind,
   StartOrder,
+  StopOrder,
   TargetIdentity,
   TargetOrders,
   TargetReport,
@@ -21,6 +25,7 @@
 export {
   slowestClockRate,
   TargetSession,
+  type FormerOrders,
   type SessionEndReason,
   type TargetSessionHandlers,
   type TargetSessionOptions,
--- a/src/task-runs/target-orders.ts
+++ b/src/task-runs/target-orders.ts
@@ -76,6 +76,9 @@
 /** Result of an order. */
 export type OrderOutcome = OrderTiming & OrderResult;
 
+/** Result of an order that was refused, or whose outcome is unknown. */
+export type FailedOrder = Exclude<OrderOutcome, { kind: "done" }>;
+
 type OrderResult =
   | { readonly kind: "done"; readonly clockMilliseconds: number }
   /** The target refused the order and has not carried out any of it. */
@@ -87,6 +90,8 @@
 export type OrderRefusal =
   /** The target has seen a higher fencing token. */
   | "fenced"
+  /** The target has seen a higher fencing token of the same owner, in a later order. */
+  | "overtaken"
   /** A run of the task with the same or a higher number has ended on the target. */
   | "old-run"
   /** The requested lease has already ended by the target's clock. */
@@ -119,6 +124,20 @@
   readonly ticket: string | undefined;
 }
 
+/** An order to stop a run. */
+export interface StopOrder extends OrderHeader {
+  readonly task: string;
+  readonly run: number;
+}
+
+/** An order to set the pace of a run. */
+export interface PaceOrder extends OrderHeader {
+  readonly task: string;
+  readonly run: number;
+  /** 0 to 100 percent of full speed. */
+  readonly percent: number;
+}
+
 /** An order to renew the lease of all runs on a target and to list them. */
 export interface RenewOrder extends OrderHeader {
   /** Ends up to this sequence have been stored; the target may discard them. */
@@ -129,12 +148,10 @@
   readonly waitMilliseconds: number;
 }
 
-/** Sends orders to targets. Failures are results, not exceptions; `pace` sets the pace of a run, 0 to 100 percent. */
+/** Sends orders to targets. Failures are results, not exceptions. */
 export interface TargetOrders {
   start(order: StartOrder): Promise<OrderOutcome>;
-  stop(order: OrderHeader & { readonly task: string; readonly run: number }): Promise<OrderOutcome>;
-  pace(
-    order: OrderHeader & { readonly task: string; readonly run: number; readonly percent: number },
-  ): Promise<OrderOutcome>;
-  renew(order: RenewOrder): Promise<Either<Exclude<OrderOutcome, { kind: "done" }>, TargetReport>>;
+  stop(order: StopOrder): Promise<OrderOutcome>;
+  pace(order: PaceOrder): Promise<OrderOutcome>;
+  renew(order: RenewOrder): Promise<Either<FailedOrder, TargetReport>>;
 }
--- a/src/task-runs/target-session.ts
+++ b/src/task-runs/target-session.ts
@@ -6,7 +6,8 @@
 import { delay } from "../shared/index.js";
 import type { Metrics } from "../telemetry/index.js";
 import { RepeatedRenewal } from "./repeated-renewal.js";
-import type { RegisteredTarget, RunEnd, TargetOrders, TargetReport } from "./target-orders.js";
+import type { FencedOrders } from "./fenced-orders.js";
+import type { RegisteredTarget, RunEnd, TargetReport } from "./target-orders.js";
 
 /** Callbacks of a session to its owner. */
 export interface TargetSessionHandlers {
@@ -18,9 +19,12 @@
     requestSentAt: number,
   ): void;
   /**
-   * Called when the target's process has ended or the lease of all its runs has lapsed: none of its runs still
-   * exists.
+   * Called when the leases of all runs that the target's process has reported have lapsed.
+   * @returns until when the session goes on because of runs that a later process may have started, by the monotonic clock;
+   * undefined when it ends
    */
+  onLeaseLapsed(session: TargetSession): number | undefined;
+  /** Called when the target's process has ended or the session has lapsed: none of its runs still exists. */
   onGone(session: TargetSession, reason: SessionEndReason): void;
   /** Called when the target has seen a higher fencing token: another owner has taken over. */
   onFenced(session: TargetSession): void;
@@ -33,13 +37,25 @@
 /** Why no run of a target exists any more. */
 export type SessionEndReason = "replaced" | "lease-lapsed" | "closed";
 
+/**
+ * Orders to former processes under the target's identifier. An order names only the identifier, so that it may be carried out
+ * by a later process, whose lease it can extend to the longest that the target grants.
+ * - `none`: there are none that could still arrive.
+ * - `of-earlier-owners`: the target refuses them once it has seen this owner's fencing token.
+ * - `of-this-owner`: the target refuses them once it has seen a token higher than the one that they carry.
+ */
+export type FormerOrders = "none" | "of-earlier-owners" | "of-this-owner";
+
 /** Settings of a session. */
 export interface TargetSessionOptions {
   readonly target: RegisteredTarget;
-  readonly orders: TargetOrders;
-  readonly fencingToken: number;
-  /** Duration of a lease. */
+  readonly orders: FencedOrders;
+  /** Duration of a requested lease. */
   readonly leaseMilliseconds: number;
+  /** The longest lease that the target grants. */
+  readonly longestLeaseMilliseconds: number;
+  /** Orders to former processes of the target that this process may have carried out, or may still carry out. */
+  readonly formerOrders: FormerOrders;
   readonly metrics: Metrics;
   readonly handlers: TargetSessionHandlers;
   /**
@@ -86,6 +102,13 @@
   #failuresInARow = 0;
   #clock: ClockReading | undefined;
   #leaseLapsesAt: number;
+  #leaseRequestedAt: number | undefined;
+  /**
+   * Orders sent from this time on carry a token that makes the target refuse those to its former processes, by the monotonic
+   * clock; infinite while the owner's token is not high enough.
+   */
+  #fencesFrom: number;
+  #isFenced = false;
   #acknowledgedSequence = 0;
   #reportedSequence = 0;
   /** Whether the last report listed ends. */
@@ -104,6 +127,7 @@
     this.#target = options.target;
     this.targetId = options.target.targetId;
     this.#leaseLapsesAt = options.formerLeaseUntil;
+    this.#fencesFrom = options.formerOrders === "of-this-owner" ? Number.POSITIVE_INFINITY : 0;
   }
 
   /** The registry's newest description of the target. */
@@ -131,6 +155,23 @@
     return this.#isKnown;
   }
 
+  /** Whether the owner's fencing token has to rise before the target refuses the orders to its former processes. */
+  needsHigherToken(): boolean {
+    return this.#fencesFrom === Number.POSITIVE_INFINITY;
+  }
+
+  /** Notes that the owner's fencing token has risen, and renews at once so that the target sees it. */
+  noteHigherToken(): void {
+    this.#fencesFrom = performance.now();
+    this.requestAgain();
+    this.hurry();
+  }
+
+  /** Whether the target refuses all orders to its former processes, so that their effects are known. */
+  isFenced(): boolean {
+    return this.#isFenced;
+  }
+
   /** Number of renewals that have failed since the last report. */
   failuresInARow(): number {
     return this.#failuresInARow;
@@ -146,6 +187,11 @@
     return this.#leaseLapsesAt;
   }
 
+  /** When a lease was last requested, by the monotonic clock; undefined before the first request. */
+  leaseRequestedAt(): number | undefined {
+    return this.#leaseRequestedAt;
+  }
+
   /**
    * Computes the end of the lease to request, and extends the time at which leases count as lapsed accordingly.
    * @returns a time of the target's clock in milliseconds; undefined before the first answer
@@ -153,6 +199,7 @@
   nextLeaseEnd(): number | undefined {
     if (this.#clock === undefined) return undefined;
     const { value, readAt } = this.#clock;
+    this.#leaseRequestedAt = performance.now();
     const end = Math.floor(value + (performance.now() - readAt) + this.#options.leaseMilliseconds);
     const duration = (end - value) / slowestClockRate;
     this.#leaseLapsesAt = Math.max(this.#leaseLapsesAt, readAt + duration + lapseMarginMilliseconds);
@@ -200,7 +247,7 @@
   async run(): Promise<void> {
     while (!this.#stop.signal.aborted) {
       if (this.#options.handlers.isActive()) await this.#renewOnce();
-      if (this.#failuresInARow > 0 && this.#hasLapsed()) this.#finish("lease-lapsed");
+      if (this.#failuresInARow > 0 && this.#hasLapsed()) this.#lapse();
       await this.#waitBeforeRenewal(this.#failuresInARow > 0 ? retryMilliseconds : this.#choosePause());
     }
   }
@@ -225,7 +272,7 @@
   }
 
   async #renewOnce(): Promise<void> {
-    const { orders, fencingToken, handlers, metrics } = this.#options;
+    const { orders, handlers, metrics } = this.#options;
     // While the target doesn't answer, no lease is requested: each unanswered order could have renewed it, and the runs
     // would never count as ended.
     const isSteady = this.#isKnown && this.#failuresInARow === 0;
@@ -234,7 +281,6 @@
       const wait = isAgain ? 0 : waitMilliseconds;
       return orders.renew({
         target: this.#target,
-        fencingToken,
         acknowledgedSequence: this.#nextAcknowledgement(),
         leaseUntilMilliseconds: isSteady ? this.nextLeaseEnd() : undefined,
         waitMilliseconds: wait,
@@ -245,6 +291,8 @@
     metrics.count("target_renewals_total", { result: outcome.isRight() ? "answered" : "failed" });
     outcome.caseOf({
       Left: (failure) => {
+        // The target answers; it only saw the owner's higher token before this renewal.
+        if (failure.kind === "refused" && failure.reason === "overtaken") return;
         this.#failuresInARow += 1;
         if (failure.kind !== "refused") return;
         if (failure.reason === "fenced") handlers.onFenced(this);
@@ -260,6 +308,7 @@
 
   #handleReport(report: TargetReport, requestSentAt: number): void {
     this.#isKnown = true;
+    if (!this.#isFenced && requestSentAt >= this.#fencesFrom) this.#noteFenced();
     this.#failuresInARow = 0;
     this.#listsEnds = report.ends.length > 0;
     this.noteClock(report.clockMilliseconds, performance.now());
@@ -269,6 +318,15 @@
     this.#options.handlers.onReport(this, report, fresh, requestSentAt);
   }
 
+  /** From now on the target refuses orders to its former processes; until now one may have extended its lease. */
+  #noteFenced(): void {
+    this.#isFenced = true;
+    const { formerOrders, longestLeaseMilliseconds } = this.#options;
+    if (formerOrders === "none") return;
+    const longest = longestLeaseMilliseconds / slowestClockRate + lapseMarginMilliseconds;
+    this.#leaseLapsesAt = Math.max(this.#leaseLapsesAt, performance.now() + longest);
+  }
+
   #countEnds(count: number): void {
     const now = performance.now();
     const elapsed = Math.max(1, now - this.#reportedAt);
@@ -281,6 +339,12 @@
     return Math.min(longestPauseMilliseconds, shortestPauseMilliseconds + pausePerEnd * this.#endsPerSecond);
   }
 
+  #lapse(): void {
+    const until = this.#options.handlers.onLeaseLapsed(this);
+    if (until === undefined) this.#finish("lease-lapsed");
+    else this.#leaseLapsesAt = until;
+  }
+
   #finish(reason: SessionEndReason): void {
     if (this.#stop.signal.aborted) return;
     this.close();
--- a/src/task-runs/test/renewal-rate.test.ts
+++ b/src/task-runs/test/renewal-rate.test.ts
@@ -52,13 +52,15 @@
   const session = new TargetSession({
     target,
     orders,
-    fencingToken: 1,
+    formerOrders: "none",
+    longestLeaseMilliseconds: 6_000,
     leaseMilliseconds: 5_000,
     metrics: createMetrics(),
     handlers: {
       onReport: (reporting, { ends }) => {
         for (const { sequence } of ends) reporting.acknowledge(sequence);
       },
+      onLeaseLapsed: () => undefined,
       onGone: () => undefined,
       onFenced: () => undefined,
       isActive: () => true,
--- a/src/task-runs/test/target-session.test.ts
+++ b/src/task-runs/test/target-session.test.ts
@@ -20,6 +20,7 @@
 
 const handlers: TargetSessionHandlers = {
   onReport: () => undefined,
+  onLeaseLapsed: () => undefined,
   onGone: () => undefined,
   onFenced: () => undefined,
   isActive: () => true,
@@ -44,7 +45,8 @@
       remainingMilliseconds: undefined,
     },
     orders,
-    fencingToken: 1,
+    formerOrders: "none",
+    longestLeaseMilliseconds: 6_000,
     leaseMilliseconds,
     metrics: createMetrics(),
     handlers: { ...handlers, ...changes },
@@ -92,6 +94,7 @@
       renewals += 1;
       return Promise.resolve(Left({ kind: "refused", reason: "not-connected" }));
     },
+    onLeaseLapsed: () => undefined,
     onGone: () => {
       gone += 1;
     },
--- a/src/wiring/job-entry.ts
+++ b/src/wiring/job-entry.ts
@@ -92,6 +92,8 @@
   readonly log: Log;
   readonly metrics: Metrics;
   readonly runLeaseMilliseconds: number;
+  /** The longest lease that a target grants, whatever is requested. */
+  readonly longestRunLeaseMilliseconds: number;
   readonly retentionMilliseconds: number;
   /** Time limit from the acceptance of a configuration until every entry applies it. */
   readonly configurationMilliseconds: number;
