--- a/src/pool-owners/owner-targets.ts
+++ b/src/pool-owners/owner-targets.ts
@@ -2,27 +2,18 @@
  * The sessions of an owner with the targets of its pool, kept in line with the registry.
  * @packageDocumentation
  */
-import { choosePace } from "../scheduling/index.js";
 import { TargetSession, type RegisteredTarget, type TargetSessionHandlers } from "../task-runs/index.js";
+import { fullPercent, paceBestEffortTasks } from "./best-effort-pace.js";
 import type { TakeoverState } from "./owner-record.js";
 import { removeRun, type OwnerState } from "./owner-state.js";
 import type { PoolTarget } from "./pool-target.js";
 import { formerLeaseMilliseconds } from "./owner-takeover.js";
+import { chooseRenewalWait } from "./renewal-wait.js";
 import { handleReport } from "./run-ends.js";
 import { lateOrderMilliseconds, TargetIncarnations } from "./target-incarnations.js";
 import { TargetRecords } from "./target-records.js";
 import { keepUnsettledStarts, refuseLateStarts, takeUnsettledStarts } from "./unsettled-starts.js";
 
-/** How long a renewal waits at the target for the end of a run. Targets without runs need fewer renewals. */
-const idleWaitMilliseconds = 2_000;
-const busyWaitMilliseconds = 1_000;
-/** Shorter while a long-running task is starting: further tasks of its step may move only once it is ready. */
-const startingWaitMilliseconds = 200;
-/** Shorter while best-effort tasks run, so that their throttling follows the load of the long-running tasks beside them. */
-const throttledWaitMilliseconds = 400;
-const paceTimeoutMilliseconds = 500;
-const fullPercent = 100;
-
 /** Settings of an owner's sessions with targets. */
 export interface OwnerTargetsOptions {
   /** The lease that a target gets for its runs with each renewal. */
@@ -70,7 +61,7 @@
         state.supersede("a target has seen a higher fencing token");
       },
       isActive: () => state.isActive(),
-      chooseWait: (session) => chooseWait(this.#find(session)),
+      chooseWait: (session) => chooseRenewalWait(this.#find(session)),
     };
   }
 
@@ -291,53 +282,3 @@
   });
   state.wake();
 }
-
-function chooseWait(target: PoolTarget | undefined): number {
-  if (target === undefined || target.runs.size === 0) return idleWaitMilliseconds;
-  if (hasStartingLongRunningTasks(target)) return startingWaitMilliseconds;
-  return hasBestEffortTasks(target) ? throttledWaitMilliseconds : busyWaitMilliseconds;
-}
-
-function hasStartingLongRunningTasks({ runs }: PoolTarget): boolean {
-  for (const { task, run } of runs.values()) {
-    if (task.definition.isLasting && run.status === "running" && run.percent < fullPercent) return true;
-  }
-  return false;
-}
-
-function hasBestEffortTasks({ runs }: PoolTarget): boolean {
-  for (const { task } of runs.values()) if (task.definition.isFiller) return true;
-  return false;
-}
-
-/** Throttles the best-effort tasks on a target according to the tail latencies of the long-running tasks beside them. */
-function paceBestEffortTasks(state: OwnerState, target: PoolTarget): void {
-  if (!hasBestEffortTasks(target)) return;
-  const runs = [...target.runs.values()];
-  const bestEffortTasks = runs.filter(
-    ({ task, run }) => task.definition.isFiller && run.status === "running",
-  );
-  if (bestEffortTasks.length === 0) return;
-  const tails = runs.flatMap(({ task, run }) => {
-    const { goalMilliseconds } = task.definition;
-    return goalMilliseconds === undefined ? [] : [{ tailMilliseconds: run.usage, goalMilliseconds }];
-  });
-  const next = choosePace(target.pacePercent, tails);
-  target.pacePercent = next;
-  for (const { task, run } of bestEffortTasks) {
-    if (run.pacePercent === next) continue;
-    const before = run.pacePercent;
-    run.pacePercent = next;
-    const order = {
-      target: target.session.target(),
-      timeoutMilliseconds: paceTimeoutMilliseconds,
-      task: task.name,
-      run: run.run,
-      percent: next,
-    };
-    void state.orders.pace(order).then((outcome) => {
-      if (outcome.kind !== "done" && run.pacePercent === next) run.pacePercent = before;
-    });
-    state.log.write("info", "run-paced", { task: task.name, target: run.targetId, percent: next });
-  }
-}
--- a/src/task-runs/index.ts
+++ b/src/task-runs/index.ts
@@ -22,8 +22,8 @@
   TargetReport,
 } from "./target-orders.js";
 export { mostEndsListed } from "./target-orders.js";
+export { slowestClockRate } from "./run-lease.js";
 export {
-  slowestClockRate,
   TargetSession,
   type FormerOrders,
   type SessionEndReason,
--- a/src/task-runs/target-session.ts
+++ b/src/task-runs/target-session.ts
@@ -6,6 +6,7 @@
 import { delay } from "../shared/index.js";
 import type { Metrics } from "../telemetry/index.js";
 import { RepeatedRenewal } from "./repeated-renewal.js";
+import { RunLease, type RunLeaseOptions } from "./run-lease.js";
 import type { FencedOrders } from "./fenced-orders.js";
 import type { RegisteredTarget, RunEnd, TargetReport } from "./target-orders.js";
 
@@ -47,22 +48,13 @@
 export type FormerOrders = "none" | "of-earlier-owners" | "of-this-owner";
 
 /** Settings of a session. */
-export interface TargetSessionOptions {
+export interface TargetSessionOptions extends RunLeaseOptions {
   readonly target: RegisteredTarget;
   readonly orders: FencedOrders;
-  /** Duration of a requested lease. */
-  readonly leaseMilliseconds: number;
-  /** The longest lease that the target grants. */
-  readonly longestLeaseMilliseconds: number;
   /** Orders to former processes of the target that this process may have carried out, or may still carry out. */
   readonly formerOrders: FormerOrders;
   readonly metrics: Metrics;
   readonly handlers: TargetSessionHandlers;
-  /**
-   * Monotonic time in milliseconds until which a lease of an earlier owner may last; the runs under it are unknown
-   * before the first report. 0 for no such lease.
-   */
-  readonly formerLeaseUntil: number;
 }
 
 const renewTimeoutMilliseconds = 1_000;
@@ -74,35 +66,16 @@
 const pausePerEnd = 1.4;
 /** Averaging time of the rate of ends. */
 const rateMilliseconds = 1_000;
-/** Lowest assumed rate of a target's clock relative to real time. */
-export const slowestClockRate = 0.98;
-/** Added to the computed end of a lease before the lease counts as lapsed. */
-const lapseMarginMilliseconds = 150;
-
-interface ClockReading {
-  /** The target's clock, in milliseconds. */
-  readonly value: number;
-  /** When the value was received, by the monotonic clock of this process. */
-  readonly readAt: number;
-}
-
-/** Returns the least value that a target's clock can show at a later time. */
-function earliestValue({ value, readAt }: ClockReading, now: number): number {
-  return value + (now - readAt) * slowestClockRate;
-}
-
 /** An owner's session with one process of a target. */
 export class TargetSession {
   readonly targetId: string;
   readonly #options: TargetSessionOptions;
   readonly #stop = new AbortController();
+  readonly #lease: RunLease;
   #target: RegisteredTarget;
   #isListed = true;
   #isKnown = false;
   #failuresInARow = 0;
-  #clock: ClockReading | undefined;
-  #leaseLapsesAt: number;
-  #leaseRequestedAt: number | undefined;
   /**
    * Orders sent from this time on carry a token that makes the target refuse those to its former processes, by the monotonic
    * clock; infinite while the owner's token is not high enough.
@@ -126,7 +99,7 @@
     this.#options = options;
     this.#target = options.target;
     this.targetId = options.target.targetId;
-    this.#leaseLapsesAt = options.formerLeaseUntil;
+    this.#lease = new RunLease(options);
     this.#fencesFrom = options.formerOrders === "of-this-owner" ? Number.POSITIVE_INFINITY : 0;
   }
 
@@ -184,12 +157,12 @@
 
   /** Monotonic time in milliseconds at which the leases of all runs on the target have certainly lapsed. */
   leaseLapsesAt(): number {
-    return this.#leaseLapsesAt;
+    return this.#lease.lapsesAt();
   }
 
   /** When a lease was last requested, by the monotonic clock; undefined before the first request. */
   leaseRequestedAt(): number | undefined {
-    return this.#leaseRequestedAt;
+    return this.#lease.requestedAt();
   }
 
   /**
@@ -197,19 +170,12 @@
    * @returns a time of the target's clock in milliseconds; undefined before the first answer
    */
   nextLeaseEnd(): number | undefined {
-    if (this.#clock === undefined) return undefined;
-    const { value, readAt } = this.#clock;
-    this.#leaseRequestedAt = performance.now();
-    const end = Math.floor(value + (performance.now() - readAt) + this.#options.leaseMilliseconds);
-    const duration = (end - value) / slowestClockRate;
-    this.#leaseLapsesAt = Math.max(this.#leaseLapsesAt, readAt + duration + lapseMarginMilliseconds);
-    return end;
+    return this.#lease.nextEnd();
   }
 
   /** Notes the target's clock from an answer. A value below what the earlier reading implies was read late: ignored. */
   noteClock(clockMilliseconds: number, receivedAt: number): void {
-    if (this.#clock !== undefined && clockMilliseconds < earliestValue(this.#clock, receivedAt)) return;
-    this.#clock = { value: clockMilliseconds, readAt: receivedAt };
+    this.#lease.noteClock(clockMilliseconds, receivedAt);
   }
 
   /** Notes that ends up to this sequence have been stored; a later renewal acknowledges them to the target. */
@@ -247,7 +213,7 @@
   async run(): Promise<void> {
     while (!this.#stop.signal.aborted) {
       if (this.#options.handlers.isActive()) await this.#renewOnce();
-      if (this.#failuresInARow > 0 && this.#hasLapsed()) this.#lapse();
+      if (this.#failuresInARow > 0 && this.#lease.hasLapsed()) this.#lapse();
       await this.#waitBeforeRenewal(this.#failuresInARow > 0 ? retryMilliseconds : this.#choosePause());
     }
   }
@@ -266,11 +232,6 @@
     await delay(milliseconds, this.#pause.signal);
   }
 
-  /** Whether there was a lease, of this or an earlier owner, and it has certainly ended. */
-  #hasLapsed(): boolean {
-    return this.#leaseLapsesAt > 0 && performance.now() > this.#leaseLapsesAt;
-  }
-
   async #renewOnce(): Promise<void> {
     const { orders, handlers, metrics } = this.#options;
     // While the target doesn't answer, no lease is requested: each unanswered order could have renewed it, and the runs
@@ -321,10 +282,7 @@
   /** From now on the target refuses orders to its former processes; until now one may have extended its lease. */
   #noteFenced(): void {
     this.#isFenced = true;
-    const { formerOrders, longestLeaseMilliseconds } = this.#options;
-    if (formerOrders === "none") return;
-    const longest = longestLeaseMilliseconds / slowestClockRate + lapseMarginMilliseconds;
-    this.#leaseLapsesAt = Math.max(this.#leaseLapsesAt, performance.now() + longest);
+    if (this.#options.formerOrders !== "none") this.#lease.extendToLongest();
   }
 
   #countEnds(count: number): void {
@@ -342,7 +300,7 @@
   #lapse(): void {
     const until = this.#options.handlers.onLeaseLapsed(this);
     if (until === undefined) this.#finish("lease-lapsed");
-    else this.#leaseLapsesAt = until;
+    else this.#lease.extendTo(until);
   }
 
   #finish(reason: SessionEndReason): void {
