Starts that no report has shown wait for the longest lease only, and not for late orders

Cause: waited until an order that is carried out 15 s late could not run any more, 26 s after the last request for a lease, also for long-running tasks, which have to run again within seconds.

Long-running tasks do not wait.

--- a/src/pool-owners/owner-targets.ts
+++ b/src/pool-owners/owner-targets.ts
@@ -10,7 +10,7 @@
 import { formerLeaseMilliseconds } from "./owner-takeover.js";
 import { chooseRenewalWait } from "./renewal-wait.js";
 import { handleReport } from "./run-ends.js";
-import { lateOrderMilliseconds, TargetIncarnations } from "./target-incarnations.js";
+import { TargetIncarnations } from "./target-incarnations.js";
 import { TargetRecords } from "./target-records.js";
 import { keepUnsettledStarts, refuseLateStarts, takeUnsettledStarts } from "./unsettled-starts.js";
 
@@ -131,7 +131,8 @@
     const { pool, targets, orders, metrics, log } = this.#state;
     const { leaseMilliseconds, longestLeaseMilliseconds } = this.#options;
     const unsettled = takeUnsettledStarts(this.#state, target.targetId);
-    const lateLeaseUntil = unsettled.length === 0 ? 0 : performance.now() + this.#lateLeaseMilliseconds();
+    const unsettledUntil =
+      unsettled.length === 0 ? 0 : performance.now() + this.#longestFormerLeaseMilliseconds();
     const formerOrders = this.#incarnations.open(target);
     const session = new TargetSession({
       target,
@@ -141,7 +142,7 @@
       formerOrders,
       metrics,
       handlers: this.#handlers,
-      formerLeaseUntil: Math.max(formerLeaseUntil, lateLeaseUntil),
+      formerLeaseUntil: Math.max(formerLeaseUntil, unsettledUntil),
     });
     const opened: PoolTarget = {
       session,
@@ -186,18 +187,20 @@
   }
 
   /**
-   * Drops the runs that a target which does not answer has reported, since their leases have lapsed. A start that no report has
-   * shown may be carried out by a later process, of which the owner does not know, under the longest lease.
+   * Drops the runs on a target that does not answer and whose requested leases have lapsed, except for starts that no report has
+   * shown: a later process, of which the owner does not know, may have carried them out under the longest lease. Long-running
+   * tasks are dropped at once: they have to run again within seconds, and reports show them soon after their start.
+   * @returns until when the other starts have to be waited for; undefined when there are none
    */
   #dropLapsedRuns(session: TargetSession): number | undefined {
     const target = this.#find(session);
     const requestedAt = session.leaseRequestedAt();
     if (target === undefined || requestedAt === undefined) return undefined;
-    const until = requestedAt + this.#lateLeaseMilliseconds();
+    const until = requestedAt + this.#longestFormerLeaseMilliseconds();
     const runs = [...target.runs.values()];
-    const unlisted = runs.filter(({ run }) => !run.isListed);
+    const unlisted = runs.filter(({ task, run }) => !run.isListed && !task.definition.isLasting);
     if (unlisted.length === 0 || until <= performance.now()) return undefined;
-    const lapsed = runs.filter(({ run }) => run.isListed);
+    const lapsed = runs.filter((each) => !unlisted.includes(each));
     for (const each of lapsed) removeRun(this.#state, target, each);
     this.#state.awaitedTargets.delete(session.targetId);
     this.#state.log.write("info", "target-runs-lapsed", {
@@ -215,17 +218,18 @@
   #keepForNextProcess(target: PoolTarget): void {
     const { awaitedTargets: awaited, targets } = this.#state;
     const { targetId } = target.session;
-    keepUnsettledStarts(this.#state, target, this.#lateLeaseMilliseconds());
+    const keptMilliseconds = this.#longestFormerLeaseMilliseconds();
+    keepUnsettledStarts(this.#state, target, keptMilliseconds);
     if (!awaited.has(targetId)) return;
     const timer = setTimeout(() => {
       if (!targets.has(targetId) && awaited.delete(targetId)) this.#state.wake();
-    }, formerLeaseMilliseconds(this.#options.longestLeaseMilliseconds));
+    }, keptMilliseconds);
     timer.unref();
   }
 
-  /** How long a lease may last that a target took from an order which was sent to its former process and arrived late. */
-  #lateLeaseMilliseconds(): number {
-    return lateOrderMilliseconds + formerLeaseMilliseconds(this.#options.longestLeaseMilliseconds);
+  /** How long a lease may last that a target took from an order which was sent to its former process. */
+  #longestFormerLeaseMilliseconds(): number {
+    return formerLeaseMilliseconds(this.#options.longestLeaseMilliseconds);
   }
 
   /** How long a lease from an earlier owner may last on a target that does not answer. */
