A target whose address answers for another one is not waited for

Cause: since a target of an earlier owner stays awaited until its next process has answered. "Another target answers at the address" ended a session like "another process answers under the identifier", although no next process is to be expected there.

Change: the two ends are told apart. Where another target has the address, the former one is not awaited, and its unanswered starts, which that target refuses, are not kept.

--- a/src/pool-owners/test/former-process.test.ts
+++ b/src/pool-owners/test/former-process.test.ts
@@ -252,3 +252,22 @@
   expect(second?.targetId).toBe(target.describe().targetId);
   expect(third).toBeUndefined();
 }, 15_000);
+
+// Guards against a task that does not run for seconds, because its ended target is expected back although another has its address.
+test("the next owner does not wait for a target whose address answers for another one", async () => {
+  const started = await start();
+  await started.owner.submit(submission("long", createStep({ taskCount: 1 })));
+  const { target } = await findRun(started, "long.0.0.0");
+  const { targetId } = target.describe();
+  const { fleet } = started.fixture;
+  started.entry.crash();
+  target.crash();
+  (fleet.targets as Map<string, JobTarget>).delete(targetId);
+  const renew = fleet.orders.renew.bind(fleet.orders);
+  fleet.orders.renew = async (order) =>
+    order.target.targetId === targetId ? Left({ kind: "refused", reason: "other-instance" }) : renew(order);
+  await started.fixture.owner(started.fixture.startEntry("b"));
+  const takenAt = performance.now();
+  const second = await waitFor(() => historyOf(started, "long.0.0.0")[1]);
+  expect(second.from - takenAt).toBeLessThan(1_500);
+}, 15_000);
--- a/src/task-runs/target-session.ts
+++ b/src/task-runs/target-session.ts
@@ -35,8 +35,11 @@
   chooseWait(session: TargetSession): number;
 }
 
-/** Why no run of a target exists any more. */
-export type SessionEndReason = "replaced" | "lease-lapsed" | "closed";
+/**
+ * Why no run of a target's process exists any more: another process answers under the target's identifier, another target
+ * answers at its address, its leases have lapsed, or it has left.
+ */
+export type SessionEndReason = "replaced" | "other-instance" | "lease-lapsed" | "closed";
 
 /**
  * Orders to former processes under the target's identifier. An order names only the identifier, so that it may be carried out
@@ -257,7 +260,7 @@
         this.#failuresInARow += 1;
         if (failure.kind !== "refused") return;
         if (failure.reason === "fenced") handlers.onFenced(this);
-        if (failure.reason === "other-instance") this.#finish("replaced");
+        if (failure.reason === "other-instance") this.#finish("other-instance");
       },
       Right: (report) => {
         if (report.startedAtUnix === this.#options.target.startedAtUnix)
