--- a/src/pool-owners/test/former-process.test.ts
+++ b/src/pool-owners/test/former-process.test.ts
@@ -94,7 +94,7 @@
   return fleet.world.history.filter((run) => run.task === task);
 }
 
-/** Waits until the owner has sent every target something after `at`, and has started a run of the task. */
+/** Waits for the first run of a task; returns it with its target. */
 async function findRun(started: Started, task: string): Promise<{ run: RunRecord; target: JobTarget }> {
   const run = await waitFor(() => historyOf(started, task)[0]);
   const target = started.fixture.fleet.targets.get(run.targetId);
