A repeated renewal acknowledges no ends, as the next process of its target may carry it out

Ends 1 to 5 of a restarted target's new process were acknowledged 10 to 170 ms after they came, and no owner had logged them.

Cause: an acknowledgement is a number up to which the target forgets its ends, and each process counts from 1. A renewal that is repeated because its answer is late carried the number of the process that answered last, although a late answer is just what a restart looks like. Only a failure took the acknowledgement out.

Change: only the first call of a renewal, which follows an answer of the same process, acknowledges. Ends whose first call is lost are listed again and acknowledged with the next one, so that nothing is lost.

Measured: the new test of target-session.test.ts failed before ([0, 7, 7] in place of [0, 7, 0]). That the repeated call is what happened in these plays is concluded from the code; renewals have no line of their own.

--- a/src/task-runs/target-session.ts
+++ b/src/task-runs/target-session.ts
@@ -246,8 +246,8 @@
   }
 
   /**
-   * Acknowledges only after a report that listed ends. After a failure the target may be a new process that counts
-   * its ends from 1, and an acknowledgement would make it discard ends that no owner has seen.
+   * Acknowledges only after a report that listed ends. After a failure, and while an answer is late, the target may be a new
+   * process that counts its ends from 1, and an acknowledgement would make it discard ends that no owner has seen.
    */
   #nextAcknowledgement(): number {
     return this.#listsEnds && this.#failuresInARow === 0 ? this.#acknowledgedSequence : 0;
@@ -269,7 +269,7 @@
       const wait = isAgain ? 0 : waitMilliseconds;
       return orders.renew({
         target: this.#target,
-        acknowledgedSequence: this.#nextAcknowledgement(),
+        acknowledgedSequence: isAgain ? 0 : this.#nextAcknowledgement(),
         leaseUntilMilliseconds: isSteady ? this.nextLeaseEnd() : undefined,
         waitMilliseconds: wait,
         timeoutMilliseconds: wait + renewTimeoutMilliseconds,
--- a/src/task-runs/test/target-session.test.ts
+++ b/src/task-runs/test/target-session.test.ts
@@ -132,3 +132,23 @@
   session.close();
   expect(acknowledged).toEqual([0, 7, 0, 7, 0]);
 });
+
+test("a repeated renewal, which another process may carry out, does not make that process forget its ends", async () => {
+  const acknowledged: number[] = [];
+  const end = { sequence: 7, task: "job.0.0.0", run: 1, kind: "succeeded", checkpoint: "" } as const;
+  const report = Right({ startedAtUnix: 1, clockMilliseconds: 1, present: [], ends: [end] });
+  const session = createSession({
+    renew: async ({ acknowledgedSequence }) => {
+      acknowledged.push(acknowledgedSequence);
+      return acknowledged.length === 1 ? Promise.resolve(report) : new Promise(() => undefined);
+    },
+    onReport: (reporting) => {
+      reporting.acknowledge(end.sequence);
+    },
+  });
+  void session.run();
+  await vi.advanceTimersByTimeAsync(500);
+  session.requestAgain();
+  session.close();
+  expect(acknowledged).toEqual([0, 7, 0]);
+});
