Request path test: wait until the circuit breakers that an outage opened are closed

Cause: the test before "lost answers of a slow store do not refuse or double a run" refuses all store calls; the breakers that opened then refuse calls for 0.5 to 1 s more. Change: an entry shows its breaker as the gauge store_breaker_open, and the tests of the file begin once it is 0 in every entry. What they demand is unchanged.

--- a/src/ingress/test/request-path.test.ts
+++ b/src/ingress/test/request-path.test.ts
@@ -7,6 +7,7 @@
 import { once } from "node:events";
 import { afterAll, beforeAll, beforeEach, describe, expect, test } from "vitest";
 import { startFleet, waitUntil, type Fleet } from "../../stand-ins/index.js";
+import type { Entry } from "../../wiring/index.js";
 import type { OutcomeBody } from "../index.js";
 
 const maximumBodyBytes = 4_096;
@@ -33,12 +34,15 @@
   await fleet.close();
 });
 
-beforeEach(() => {
+beforeEach(async () => {
   fleet.store.faults.mode = "up";
   fleet.store.faults.delayMilliseconds = 0;
   for (const { faults } of fleet.targets)
     Object.assign(faults, { lateMilliseconds: 0, cutAnswers: 0, refuseAll: false });
   nextKey += 1;
+  // An outage in the test before leaves circuit breakers open for a while.
+  const isOpen = ({ metrics }: Entry): boolean => metrics.value("store_breaker_open") === 1;
+  expect(await waitUntil(() => !fleet.entries.some(isOpen))).toBe(true);
 });
 
 interface ReceivedAnswer {
--- a/src/store/guarded-store-client.ts
+++ b/src/store/guarded-store-client.ts
@@ -57,6 +57,7 @@
     this.#breaker = createCircuitBreaker(options.random);
     this.#random = options.random;
     this.#metrics = options.metrics;
+    this.#metrics.follow("store_breaker_open", () => (this.#breaker.state() === "closed" ? 0 : 1));
   }
 
   /**
--- a/src/store/test/guarded-store-client.test.ts
+++ b/src/store/test/guarded-store-client.test.ts
@@ -16,7 +16,8 @@
   const store = new GuardedStoreClient({ client, callsPerSecond, random: createRandom(1), metrics });
   const calls = (call: string, result: string): number =>
     metrics.value("store_calls_total", { call, result });
-  return { engine, faults, store, calls };
+  const breakerGauge = (): number => metrics.value("store_breaker_open");
+  return { engine, faults, store, calls, breakerGauge };
 }
 
 beforeEach(() => {
@@ -51,15 +52,18 @@
 });
 
 test("the breaker opens after five failures, lets one probe through and closes on a success", async () => {
-  const { faults, store, calls } = createParts();
+  const { faults, store, calls, breakerGauge } = createParts();
+  expect(breakerGauge()).toBe(0);
   faults.mode = "down";
   const write = { key: "a", value: 1, expectedRevision: 0 };
   for (let attempt = 0; attempt < 5; attempt += 1) await store.compareAndSwap(write);
   expect(store.breakerState()).toBe("open");
+  expect(breakerGauge()).toBe(1);
   expect((await store.compareAndSwap(write)).kind).toBe("not-done");
   expect(calls("compare-and-swap", "unavailable")).toBe(5);
   await vi.advanceTimersByTimeAsync(1_000);
   expect(store.breakerState()).toBe("half-open");
+  expect(breakerGauge()).toBe(1);
   const probes = await Promise.all([store.compareAndSwap(write), store.compareAndSwap(write)]);
   expect(probes.map(({ kind }) => kind)).toEqual(["not-done", "not-done"]);
   expect(calls("compare-and-swap", "unavailable")).toBe(6);
@@ -67,6 +71,7 @@
   await vi.advanceTimersByTimeAsync(1_000);
   expect((await store.compareAndSwap(write)).kind).toBe("done");
   expect(store.breakerState()).toBe("closed");
+  expect(breakerGauge()).toBe(0);
 });
 
 test("calls over the rate limit wait, then fail, and do not use the share of lease renewals", async () => {
