Soak: the owner of each pool ends while targets come back, and the next owner soon after it

Cause: owner-kill ends one owner, between restart and cut.

Change: the variants owner-kill-at-restart (killed), owner-stop-at-restart (SIGTERM) and two-owner-kills (the next owner is killed 20 to 1000 ms after its takeover) end the owner of each pool 20 to 600 ms after one of the pool's targets is back. Plans of the other variants stay as they were.

--- a/src/soak/restart-plan.ts
+++ b/src/soak/restart-plan.ts
@@ -14,6 +14,9 @@
   "store-down",
   "drain",
   "clock-jump",
+  "owner-kill-at-restart",
+  "owner-stop-at-restart",
+  "two-owner-kills",
 ] as const;
 
 /** The name of a variant. */
@@ -74,14 +77,18 @@
   readonly after: number;
 }
 
-/** The kill of an entry that owns a pool. */
-export interface PlannedOwnerKill {
+/** The end of an entry that owns a pool. */
+export interface PlannedOwnerEnd {
   /** Selects the pool by its relative position in the list, from 0 to 1. */
   readonly choice: number;
   /** Milliseconds after the start of the round. */
   readonly after: number;
   /** How long the entry is away. */
   readonly milliseconds: number;
+  /** Whether the entry is killed, or is told to stop. */
+  readonly how: "kill" | "stop";
+  /** Milliseconds from the takeover by the next owner to its kill; undefined when it is left alone. */
+  readonly nextAfter: number | undefined;
 }
 
 /** One round. */
@@ -89,7 +96,7 @@
   /** Milliseconds after the start of the soak. */
   readonly at: number;
   readonly restarts: readonly PlannedRestart[];
-  readonly ownerKills: readonly PlannedOwnerKill[];
+  readonly ownerEnds: readonly PlannedOwnerEnd[];
   readonly outages: readonly PlannedOutage[];
   readonly drains: readonly PlannedDrain[];
   readonly clockJumps: readonly PlannedClockJump[];
@@ -114,6 +121,10 @@
 const cutMilliseconds = [8_500, 9_500] as const;
 const ownerKillMilliseconds = [1_300, 2_300] as const;
 const ownerAwayMilliseconds = [400, 3_000] as const;
+/** From the moment at which a target is back. */
+const ownerEndMilliseconds = [20, 600] as const;
+/** From the takeover by the next owner. */
+const nextKillMilliseconds = [20, 1_000] as const;
 const outageMilliseconds = [2_000, 4_000] as const;
 const earliestOutage = 200;
 const latestDrainMilliseconds = 3_000;
@@ -159,7 +170,10 @@
   return {
     at,
     restarts,
-    ownerKills: has("owner-kill") ? [drawOwnerKill(random)] : [],
+    ownerEnds: [
+      ...(has("owner-kill") ? [drawOwnerKill(random)] : []),
+      ...drawEndsAtRestart(random, restarts, counts, variants),
+    ],
     outages: has("store-down") ? [drawOutage(random)] : [],
     drains: has("drain") ? drawDrains(random, machines) : [],
     clockJumps: has("clock-jump") ? drawClockJumps(random, counts) : [],
@@ -222,14 +236,50 @@
   };
 }
 
-function drawOwnerKill(random: Random): PlannedOwnerKill {
+function drawOwnerKill(random: Random): PlannedOwnerEnd {
   return {
     choice: random.fraction(),
     after: drawBetween(random, ownerKillMilliseconds),
     milliseconds: drawBetween(random, ownerAwayMilliseconds),
+    how: "kill",
+    nextAfter: undefined,
   };
 }
 
+/** Draws the end of each pool's owner, soon after one of the pool's targets is back. */
+function drawEndsAtRestart(
+  random: Random,
+  restarts: readonly PlannedRestart[],
+  { pools, targetsPerPool }: MachineCounts,
+  variants: readonly RestartVariant[],
+): PlannedOwnerEnd[] {
+  const isKilledTwice = variants.includes("two-owner-kills");
+  const ways: PlannedOwnerEnd["how"][] = [];
+  if (isKilledTwice || variants.includes("owner-kill-at-restart")) ways.push("kill");
+  if (variants.includes("owner-stop-at-restart")) ways.push("stop");
+  const [first, ...others] = ways;
+  if (first === undefined) return [];
+  return Array.from({ length: pools }, (_, pool) => {
+    const own = restarts.filter(({ machineIndex }) => Math.floor(machineIndex / targetsPerPool) === pool);
+    const [back = 0, ...laterBacks] = own.map(findReturn);
+    return {
+      choice: (pool + 1 / 2) / pools,
+      after: draw(random, [back, ...laterBacks]) + drawBetween(random, ownerEndMilliseconds),
+      milliseconds: drawBetween(random, ownerAwayMilliseconds),
+      how: draw(random, [first, ...others]),
+      nextAfter: isKilledTwice ? drawBetween(random, nextKillMilliseconds) : undefined,
+    };
+  });
+}
+
+/**
+ * Finds when the new process of a target starts.
+ * @returns milliseconds after the start of the round
+ */
+function findReturn({ crashAfter, heldMilliseconds, darkMilliseconds: dark }: PlannedRestart): number {
+  return crashAfter + heldMilliseconds + dark;
+}
+
 function drawOutage(random: Random): PlannedOutage {
   return {
     after: random.integer(0, earliestOutage + darkMilliseconds[1]),
--- a/src/soak/restart-rounds.ts
+++ b/src/soak/restart-rounds.ts
@@ -4,13 +4,14 @@
  */
 import { delay } from "../shared/index.js";
 import { readClock } from "./clock.js";
+import type { EntryProcess } from "./entries.js";
 import type { SoakHistory } from "./history.js";
 import type { PlatformSession } from "./platform-session.js";
 import type {
   PlannedClockJump,
   PlannedDrain,
   PlannedOutage,
-  PlannedOwnerKill,
+  PlannedOwnerEnd,
   PlannedRestart,
   RestartRound,
 } from "./restart-plan.js";
@@ -18,6 +19,9 @@
 
 /** How long a drained machine is away before its next target starts. */
 const drainedMilliseconds = 1_000;
+/** How long to wait for a next owner that is to be killed. */
+const longestTakeoverMilliseconds = 7_000;
+const takeoverCheckMilliseconds = 10;
 
 /** Plays the rounds of one soak. */
 export class RestartRounds {
@@ -44,10 +48,10 @@
     );
   }
 
-  async #playRound({ restarts, ownerKills, outages, drains, clockJumps }: RestartRound): Promise<void> {
+  async #playRound({ restarts, ownerEnds, outages, drains, clockJumps }: RestartRound): Promise<void> {
     await Promise.all([
       ...restarts.map(async (restart) => this.#restartAndCut(restart)),
-      ...ownerKills.map(async (kill) => this.#killOwner(kill)),
+      ...ownerEnds.map(async (end) => this.#endOwner(end)),
       ...outages.map(async (outage) => this.#stopStore(outage)),
       ...drains.map(async (drain) => this.#drain(drain)),
       ...clockJumps.map(async (jump) => this.#moveClock(jump)),
@@ -69,20 +73,41 @@
     );
   }
 
-  async #killOwner({ choice, after, milliseconds }: PlannedOwnerKill): Promise<void> {
-    const { entries, queues } = this.#session;
-    await delay(after);
-    const pool = queues[Math.floor(choice * queues.length)]?.pool ?? "";
-    const entryId = this.#session.owners().get(pool);
-    const entry = entries.find((each) => each.entryId === entryId);
+  async #endOwner(end: PlannedOwnerEnd): Promise<void> {
+    const { queues } = this.#session;
+    await delay(end.after);
+    const pool = queues[Math.floor(end.choice * queues.length)]?.pool ?? "";
+    const entry = this.#findOwner(pool);
     if (entry === undefined) return;
-    await this.#record("owner-kill", `${entry.entryId} ${pool}`, async () => {
-      await entry.kill();
+    await Promise.all([this.#endEntry(entry, pool, end), this.#killNextOwner(entry, pool, end)]);
+  }
+
+  async #killNextOwner(former: EntryProcess, pool: string, end: PlannedOwnerEnd): Promise<void> {
+    if (end.nextAfter === undefined) return;
+    const latest = readClock() + longestTakeoverMilliseconds;
+    let next = this.#findOwner(pool);
+    while ((next === undefined || next === former) && readClock() < latest) {
+      await delay(takeoverCheckMilliseconds);
+      next = this.#findOwner(pool);
+    }
+    if (next === undefined || next === former) return;
+    await delay(end.nextAfter);
+    await this.#endEntry(next, pool, { ...end, how: "kill" });
+  }
+
+  async #endEntry(entry: EntryProcess, pool: string, { how, milliseconds }: PlannedOwnerEnd): Promise<void> {
+    await this.#record(`owner-${how}`, `${entry.entryId} ${pool}`, async () => {
+      await (how === "kill" ? entry.kill() : entry.stop());
       await delay(milliseconds);
       await entry.start();
     });
   }
 
+  #findOwner(pool: string): EntryProcess | undefined {
+    const entryId = this.#session.owners().get(pool);
+    return this.#session.entries.find((each) => each.entryId === entryId);
+  }
+
   async #stopStore({ after, milliseconds }: PlannedOutage): Promise<void> {
     const { storeFaults } = this.#session;
     await delay(after);
--- a/src/soak/test/restart-plan.test.ts
+++ b/src/soak/test/restart-plan.test.ts
@@ -44,8 +44,33 @@
 
 test("each variant adds its faults", () => {
   const [round] = plan(1, restartVariants);
-  const lists = [round?.ownerKills, round?.outages, round?.drains, round?.clockJumps];
+  const lists = [round?.ownerEnds, round?.outages, round?.drains, round?.clockJumps];
   for (const faults of lists) expect(faults).not.toEqual([]);
   const [plain] = plan(1, []);
-  expect([plain?.ownerKills, plain?.outages, plain?.drains, plain?.clockJumps]).toEqual([[], [], [], []]);
+  expect([plain?.ownerEnds, plain?.outages, plain?.drains, plain?.clockJumps]).toEqual([[], [], [], []]);
+});
+
+const endVariants = ["owner-kill-at-restart", "owner-stop-at-restart", "two-owner-kills"] as const;
+
+test.each(endVariants)("%s ends the owner of each pool while the pool's targets come back", (variant) => {
+  for (const { restarts, ownerEnds } of seeds.flatMap((seed) => plan(seed, [variant]))) {
+    expect(ownerEnds).toHaveLength(counts.pools);
+    for (const { choice, after, how, nextAfter } of ownerEnds) {
+      const pool = Math.floor(choice * counts.pools);
+      const own = restarts.filter(
+        ({ machineIndex }) => Math.floor(machineIndex / counts.targetsPerPool) === pool,
+      );
+      const returns = own.map((each) => each.crashAfter + each.heldMilliseconds + each.darkMilliseconds);
+      const sinceReturn = returns.map((back) => after - back).filter((since) => since >= 20 && since <= 600);
+      expect(sinceReturn).not.toEqual([]);
+      expect(how).toBe(variant === "owner-stop-at-restart" ? "stop" : "kill");
+      expect(nextAfter === undefined).toBe(variant !== "two-owner-kills");
+    }
+  }
+});
+
+test("variants that end owners are drawn beside each other", () => {
+  const ends = seeds.flatMap((seed) => plan(seed, endVariants)).flatMap(({ ownerEnds }) => ownerEnds);
+  expect(new Set(ends.map(({ how }) => how))).toEqual(new Set(["kill", "stop"]));
+  expect(ends.every(({ nextAfter }) => nextAfter !== undefined)).toBe(true);
 });
