Soak: regression seeds name their scenario, size and variants

Change: a seed may name rounds with their length, size and variants; the sizes have names (src/soak/sizes.ts).

--- a/src/soak/index.ts
+++ b/src/soak/index.ts
@@ -9,6 +9,7 @@
 export { regressionSeeds, type RegressionSeed } from "./regression-seeds.js";
 export { formatReport } from "./report.js";
 export { restartVariants, type RestartVariant } from "./restart-plan.js";
+export { soakSizes } from "./sizes.js";
 export { runSoak, type SoakOptions, type SoakResult } from "./soak.js";
 export type {
   SoakRequest,
--- a/src/soak/regression-seeds.ts
+++ b/src/soak/regression-seeds.ts
@@ -3,12 +3,32 @@
  * @packageDocumentation
  */
 
+import type { RestartVariant } from "./restart-plan.js";
+import type { soakSizes } from "./sizes.js";
+
 /** A seed that failed. */
 export interface RegressionSeed {
   readonly seed: number;
   readonly cause: string;
+  /** The rounds of restarts and cuts that failed; omitted for drawn faults. */
+  readonly restarts?: RegressionRestarts;
+}
+
+/** How rounds of restarts and cuts were played when they failed. */
+export interface RegressionRestarts {
+  readonly seconds: number;
+  readonly size: keyof typeof soakSizes;
+  readonly variants: readonly RestartVariant[];
 }
 
+const ownerKillOfPools: RegressionRestarts = {
+  seconds: 63,
+  size: "restartsOfPools",
+  variants: ["owner-kill"],
+};
+const withoutState =
+  "the next owner started tasks at once that ran on a restarted target, which the state of the former owner did not list";
+
 /** All seeds that failed. */
 export const regressionSeeds: readonly RegressionSeed[] = [
   {
@@ -26,4 +46,12 @@
     cause:
       "responses after 3.5 s, same cause as seed 101; then jobs that had not ended at 60 s, because entries waited for a processor until 58 s",
   },
+  { seed: 2, restarts: ownerKillOfPools, cause: withoutState },
+  { seed: 3, restarts: ownerKillOfPools, cause: withoutState },
+  { seed: 4, restarts: ownerKillOfPools, cause: withoutState },
+  {
+    seed: 2,
+    restarts: { seconds: 35, size: "restarts", variants: ["owner-kill-at-restart"] },
+    cause: withoutState,
+  },
 ];
