Log what an owner knew of each target at its takeover, and why a task of an earlier owner's job could start

Change, without a change of any decision: target-inherited for each target of the takeover state; target-record-changed when a stored state says something else of a target than before, with why it left and the store revision, which the next owner's home-taken names as stateRevision; startBasis, jobRevision, awaitedTargets and awaitedRevision on starts of jobs of earlier owners; isInherited, isAwaited and process on target-session-opened; process on inherited-target-known. mayRunUnseen and startBasis come from one function, so that they can't differ. At most 400 lines at once, then one that tells how many are left out.

--- a/src/pool-owners/awaited-targets.ts
+++ b/src/pool-owners/awaited-targets.ts
@@ -23,6 +23,8 @@
   mayRunLong(targetId: string, revision: number): boolean;
   /** Whether a job with this store revision may have runs on any awaited target. */
   mayRunAnywhere(revision: number): boolean;
+  /** Highest store revision of a job that may have runs on an awaited target, infinite for any job; undefined when none is awaited. */
+  highestRevision(): number | undefined;
 }
 
 /**
@@ -53,5 +55,6 @@
     mayRunLong: (targetId, revision) =>
       !withoutLongRunning.has(targetId) && revision <= (targets.get(targetId) ?? Number.NEGATIVE_INFINITY),
     mayRunAnywhere: (revision) => revision <= latest,
+    highestRevision: () => (targets.size === 0 ? undefined : latest),
   };
 }
--- a/src/pool-owners/owner-takeover.ts
+++ b/src/pool-owners/owner-takeover.ts
@@ -33,6 +33,8 @@
   readonly revision: number;
   readonly leaseId: string;
   readonly takeoverState: TakeoverState;
+  /** The revision of the takeover state that the earlier owner stored; 0 when there was none. */
+  readonly stateRevision: number;
 }
 
 /** An attempt to become a pool's owner. */
@@ -65,22 +67,24 @@
   const before = decodeTakeoverState(earlier?.value);
   const takeoverState = { ...before, homes: before.homes + 1 };
   const key = `${ownerPrefix}${pool}`;
+  const stateRevision = earlier?.revision ?? 0;
   const record: OwnerRecord = { entryId: member.entryId, member, term, barrier: 0 };
   const result = await store.transact({
     expected: [
       { key, revision: heldRevision },
-      { key: takeoverStateKey, revision: earlier?.revision ?? 0 },
+      { key: takeoverStateKey, revision: stateRevision },
     ],
     writes: [
       { key, value: record, leaseId },
       { key: takeoverStateKey, value: takeoverState },
     ],
   });
-  if (result.kind === "done") return Right({ record, revision: result.revision, leaseId, takeoverState });
+  const taken = { record, leaseId, takeoverState, stateRevision };
+  if (result.kind === "done") return Right({ ...taken, revision: result.revision });
   if (result.kind !== "unknown") return Left(result.kind);
   const found = (await store.get(key)).orDefault(undefined);
   if (found === undefined || decodeOwnerRecord(found.value)?.term !== term) return Left("unknown");
-  return Right({ record, revision: found.revision, leaseId, takeoverState });
+  return Right({ ...taken, revision: found.revision });
 }
 
 /** Orders that the earlier owner sent just before it lost the pool may still be delivered within this time. */
--- a/src/pool-owners/owner-targets.ts
+++ b/src/pool-owners/owner-targets.ts
@@ -19,6 +19,7 @@
 import { describeRelease, noteDroppedRun, type Release, type ReleaseReason } from "./release-trace.js";
 import { ReplacedProcesses } from "./replaced-processes.js";
 import { handleReport } from "./run-ends.js";
+import { TakeoverTrace } from "./takeover-trace.js";
 import { TargetIncarnations } from "./target-incarnations.js";
 import { TargetRecords } from "./target-records.js";
 import { keepUnsettledStarts, refuseLateStarts, takeUnsettledStarts } from "./unsettled-starts.js";
@@ -39,6 +40,7 @@
   readonly #options: OwnerTargetsOptions;
   readonly #handlers: TargetSessionHandlers;
   readonly #records: TargetRecords;
+  readonly #takeoverTrace: TakeoverTrace;
   readonly #incarnations: TargetIncarnations;
   readonly #replaced: ReplacedProcesses;
   /** Monotonic time at which all leases that orders of earlier owners granted have ended. */
@@ -53,6 +55,7 @@
     this.#state = state;
     this.#options = options;
     this.#records = new TargetRecords(state, options.ownerCount);
+    this.#takeoverTrace = new TakeoverTrace(state);
     this.#incarnations = new TargetIncarnations(options);
     this.#replaced = new ReplacedProcesses(() => {
       this.follow(state.listedTargets);
@@ -108,6 +111,8 @@
    */
   restoreTargets(takeoverState: TakeoverState): void {
     const { pool, awaitedTargets: awaited } = this.#state;
+    this.#takeoverTrace.note(takeoverState);
+    this.#records.trace.begin(takeoverState.targets);
     for (const [targetId, { address, startedAtUnix, unusedSince }] of Object.entries(takeoverState.targets)) {
       awaited.add(targetId, unusedSince ?? Number.POSITIVE_INFINITY);
       const formerLease = this.#formerLease(startedAtUnix);
@@ -115,6 +120,7 @@
       target.unusedSince = unusedSince;
       target.session.setListed(false);
     }
+    this.#takeoverTrace.report(takeoverState, this.#formerLeasesUntil);
   }
 
   /** Closes all sessions. */
@@ -175,8 +181,15 @@
     };
     targets.set(target.targetId, opened);
     refuseLateStarts(this.#state, opened);
-    const { targetId, address } = target;
-    log.write("info", "target-session-opened", { pool, target: targetId, address, formerOrders });
+    const { targetId, address, startedAtUnix } = target;
+    log.write("info", "target-session-opened", {
+      pool,
+      target: targetId,
+      address,
+      process: startedAtUnix,
+      formerOrders,
+      ...this.#takeoverTrace.describeOpened(targetId),
+    });
     void session.run();
     return opened;
   }
@@ -204,6 +217,7 @@
     const dropped = runs.filter(({ task }) => target.runs.has(task.name));
     this.#reportRelease(target, reason, { dropped, isAwaited, kept: runs.length - dropped.length });
     dropTarget(this.#state, target, reason);
+    this.#records.trace.noteLeft(targetId, reason);
     this.#records.write("soon");
   }
 
--- a/src/pool-owners/ownership-manager.ts
+++ b/src/pool-owners/ownership-manager.ts
@@ -213,6 +213,7 @@
       homes: found.takeoverState.homes,
       jobs: jobs.records.length,
       inheritedTargets: Object.keys(found.takeoverState.targets).length,
+      stateRevision: found.stateRevision,
       milliseconds: Math.round(performance.now() - startedAt),
     });
   }
--- a/src/pool-owners/run-ends.ts
+++ b/src/pool-owners/run-ends.ts
@@ -49,6 +49,7 @@
     state.log.write("info", "inherited-target-known", {
       pool: state.pool,
       target: target.session.targetId,
+      process: report.startedAtUnix,
       present: present.size,
       left: state.awaitedTargets.size(),
     });
--- a/src/pool-owners/start-orders.ts
+++ b/src/pool-owners/start-orders.ts
@@ -4,12 +4,14 @@
  */
 import type { Task, TaskRun } from "../jobs/index.js";
 import type { OrderOutcome, OrderRefusal } from "../task-runs/index.js";
+import type { LogFields } from "../telemetry/index.js";
 import { isTaskOver, removeRun, type OwnerState } from "./owner-state.js";
 import type { PoolTarget, TargetRun } from "./pool-target.js";
 import { storePlaces } from "./job-progress.js";
 import { describeDroppedRun } from "./release-trace.js";
 import { describeAnswer } from "./run-trace.js";
 import { stepKey } from "./target-views.js";
+import { describeStartBasis } from "./unseen-runs.js";
 import { markStartUnanswered } from "./unsettled-starts.js";
 
 const startTimeoutMilliseconds = 800;
@@ -27,6 +29,14 @@
 /** Added to the run number after a target refused it because it has seen a higher one. */
 const runNumberIncrement = 16;
 
+/** A run that is being started. */
+interface Start extends TargetRun {
+  /** Proves to the target that it may run the task's step; undefined where no ticket is needed. */
+  readonly ticket: string | undefined;
+  /** Log fields about why the task may be started. */
+  readonly basis: LogFields;
+}
+
 /**
  * Starts a run. The outcome of the order is handled when it arrives.
  * @param state - the owner's state
@@ -45,6 +55,7 @@
   const target = state.targets.get(targetId);
   if (target === undefined) return;
   const now = performance.now();
+  const basis = describeStartBasis(state, task);
   const run: TaskRun = {
     targetId,
     run: runNumber,
@@ -63,26 +74,21 @@
   task.lastRun = runNumber;
   task.runs.push(run);
   target.runs.set(task.name, { task, run });
-  const started = { task, run };
+  const started: Start = { task, run, ticket, basis };
   if (!task.definition.isLasting) {
-    sendStart(state, target, started, ticket);
+    sendStart(state, target, started);
     return;
   }
   // The place has to be stored first: a next owner searches for the task only on its stored places.
   task.recordedPlaces = task.runs.map((each) => each.targetId);
   void storePlaces(state, task.job).then((isStored) => {
-    if (isStored) sendStart(state, target, started, ticket);
+    if (isStored) sendStart(state, target, started);
     else removeRun(state, target, started);
   });
 }
 
-function sendStart(
-  state: OwnerState,
-  target: PoolTarget,
-  started: TargetRun,
-  ticket: string | undefined,
-): void {
-  const { task, run } = started;
+function sendStart(state: OwnerState, target: PoolTarget, started: Start): void {
+  const { task, run, ticket } = started;
   // The run may have been removed, or the target replaced, while the place was being stored.
   if (target.runs.get(task.name)?.run !== run) return;
   const leaseUntilMilliseconds = target.session.nextLeaseEnd();
@@ -109,7 +115,7 @@
 function handleStartOutcome(
   state: OwnerState,
   target: PoolTarget,
-  started: TargetRun,
+  started: Start,
   outcome: OrderOutcome,
   requestSentAt: number,
 ): void {
@@ -128,6 +134,7 @@
     isAwaited: target.runs.get(task.name)?.run === run && run.status === "starting",
     ...describeAnswer(outcome, requestSentAt, performance.now()),
     ...describeDroppedRun(started),
+    ...started.basis,
   });
   if (outcome.kind === "done") confirmStart(target, started, outcome.clockMilliseconds, requestSentAt);
   if (outcome.kind === "unknown" && run.status === "starting") markStartUnanswered(state, target, started);
--- a/src/pool-owners/target-records.ts
+++ b/src/pool-owners/target-records.ts
@@ -7,6 +7,7 @@
 import { takeoverStatePrefix, type TakeoverState } from "./owner-record.js";
 import type { OwnerState } from "./owner-state.js";
 import type { PoolTarget } from "./pool-target.js";
+import { RecordTrace } from "./record-trace.js";
 
 /** A target counts as unused after this many unanswered renewals; a single answer may be lost. */
 const unansweredRenewals = 2;
@@ -37,6 +38,8 @@
 
 /** The record of a pool's targets. */
 export class TargetRecords {
+  /** Logs the changes that are stored. */
+  readonly trace: RecordTrace;
   readonly #state: OwnerState;
   readonly #ownerCount: number;
   #writes = 0;
@@ -49,6 +52,7 @@
   constructor(state: OwnerState, ownerCount: number) {
     this.#state = state;
     this.#ownerCount = ownerCount;
+    this.trace = new RecordTrace(state);
   }
 
   /** Records which targets have become unused, and which are about to be used again. */
@@ -82,6 +86,7 @@
     const write = state.journal.write(`${takeoverStatePrefix}${state.pool}`, value, { urgency });
     void write.result.then((result) => {
       if (result !== "stored") return;
+      this.trace.noteStored(value.targets);
       // An earlier write of the record may be stored after the use of a target has changed.
       for (const target of open) target.isRecorded ||= (target.recordedBy ?? Infinity) <= number;
       raiseToken(state, open);
