--- a/src/pool-owners/target-records.ts
+++ b/src/pool-owners/target-records.ts
@@ -8,6 +8,7 @@
 import { takeoverStatePrefix, type TakeoverState } from "./owner-record.js";
 import type { OwnerState } from "./owner-state.js";
 import type { PoolTarget } from "./pool-target.js";
+import { RecordTrace } from "./record-trace.js";
 
 /** A target counts as unused after this many unanswered renewals; a single answer may be lost. */
 const unansweredRenewals = 2;
@@ -40,6 +41,8 @@
 
 /** The record of a pool's targets. */
 export class TargetRecords {
+  /** Logs the changes that are stored. */
+  readonly trace: RecordTrace;
   readonly #state: OwnerState;
   readonly #ownerCount: number;
   /** What the record says of each target, also of those without a session. */
@@ -54,6 +57,7 @@
   constructor(state: OwnerState, ownerCount: number) {
     this.#state = state;
     this.#ownerCount = ownerCount;
+    this.trace = new RecordTrace(state);
   }
 
   /**
@@ -103,6 +107,7 @@
     const write = state.journal.write(`${takeoverStatePrefix}${state.pool}`, value, { urgency });
     void write.result.then((result) => {
       if (result !== "stored") return;
+      this.trace.noteStored(value.targets);
       // An earlier write of the record may be stored after the use of a target has changed.
       for (const target of open) target.isRecorded ||= (target.recordedBy ?? Infinity) <= number;
       raiseToken(state, open);
