--- a/src/pool-owners/owner-targets.ts
+++ b/src/pool-owners/owner-targets.ts
@@ -226,12 +226,11 @@
     this.#incarnations.close(targetId, target.session.isKnown());
     const runs = [...target.runs.values()];
     if (reason === "replaced") this.#keepForNextProcess(target);
-    else this.#records.settle(targetId);
+    else this.#records.settle(targetId, reason);
     const isAwaited = reason !== "replaced" && this.#state.awaitedTargets.delete(targetId);
     const dropped = runs.filter(({ task }) => target.runs.has(task.name));
     this.#reportRelease(target, reason, { dropped, isAwaited, kept: runs.length - dropped.length });
     dropTarget(this.#state, target, reason);
-    this.#records.trace.noteLeft(targetId, reason);
     this.#records.write("soon");
   }
 
@@ -305,7 +304,7 @@
     const dropped = dropUnsettledStarts(this.#state, targetId);
     const isAwaited = this.#state.awaitedTargets.delete(targetId);
     this.#reportRelease(target, "not-returned", { dropped, isAwaited, kept: 0 });
-    this.#records.settle(targetId);
+    this.#records.settle(targetId, "not-returned");
     this.#records.write("soon");
     this.#state.wake();
   }
--- a/src/pool-owners/record-trace.ts
+++ b/src/pool-owners/record-trace.ts
@@ -6,6 +6,7 @@
 import { limitLines } from "./bounded-lines.js";
 import type { TakeoverState } from "./owner-record.js";
 import type { OwnerState } from "./owner-state.js";
+import type { SettlementReason } from "./release-trace.js";
 
 type RecordedTargets = TakeoverState["targets"];
 type RecordedTarget = RecordedTargets[string];
@@ -19,7 +20,7 @@
   #stored: RecordedTargets = {};
   /** The last value whose write is known to be stored; undefined once its changes are logged. */
   #unreported: RecordedTargets | undefined;
-  readonly #leftBecause = new Map<string, string>();
+  readonly #leftBecause = new Map<string, SettlementReason>();
 
   /**
    * Creates a trace of a pool whose stored state lists no targets.
@@ -40,9 +41,9 @@
   /**
    * Notes why a target is about to leave the record.
    * @param targetId - the target
-   * @param reason - why its session has ended
+   * @param reason - why nothing that was sent to it matters any more
    */
-  noteLeft(targetId: string, reason: string): void {
+  noteLeft(targetId: string, reason: SettlementReason): void {
     this.#leftBecause.set(targetId, reason);
   }
 
--- a/src/pool-owners/release-trace.ts
+++ b/src/pool-owners/release-trace.ts
@@ -7,10 +7,12 @@
 import type { PoolTarget, TargetRun } from "./pool-target.js";
 
 /**
- * Why runs on a target have ended; `not-returned`: the next process that might have run them has not appeared in time;
- * `requested-lease-lapsed`: only long-running tasks of earlier owners are released.
+ * Why all that was sent to a target is settled; `not-returned`: the next process that might have run it has not appeared in time.
  */
-export type ReleaseReason = SessionEndReason | "not-returned" | "requested-lease-lapsed";
+export type SettlementReason = Exclude<SessionEndReason, "replaced"> | "not-returned";
+
+/** Why runs on a target have ended; `requested-lease-lapsed`: only long-running tasks of earlier owners are released. */
+export type ReleaseReason = SessionEndReason | SettlementReason | "requested-lease-lapsed";
 
 /** What a decision releases. */
 export interface Release {
--- a/src/pool-owners/target-records.ts
+++ b/src/pool-owners/target-records.ts
@@ -9,6 +9,7 @@
 import type { OwnerState } from "./owner-state.js";
 import type { PoolTarget } from "./pool-target.js";
 import { RecordTrace } from "./record-trace.js";
+import type { SettlementReason } from "./release-trace.js";
 
 /** A target counts as unused after this many unanswered renewals; a single answer may be lost. */
 const unansweredRenewals = 2;
@@ -71,9 +72,11 @@
   /**
    * Removes a target from the next write on: nothing that owners sent to it runs or can still be carried out.
    * @param targetId - the target
+   * @param reason - why that is so
    */
-  settle(targetId: string): void {
+  settle(targetId: string, reason: SettlementReason): void {
     this.#targets.delete(targetId);
+    this.trace.noteLeft(targetId, reason);
   }
 
   /** Records which targets have become unused, and which are about to be used again. */
--- a/src/pool-owners/test/takeover-trace.test.ts
+++ b/src/pool-owners/test/takeover-trace.test.ts
@@ -217,7 +217,7 @@
   records.write("now");
   await settle(settles);
   state.targets.delete("target");
-  records.trace.noteLeft("target", "lease-lapsed");
+  records.settle("target", "lease-lapsed");
   records.write("soon");
   await settle(settles);
   const changes = readLines(lines, "target-record-changed");
