--- a/src/telemetry/job-timeline.ts
+++ b/src/telemetry/job-timeline.ts
@@ -3,6 +3,7 @@
  * @packageDocumentation
  */
 import { parseLogLine } from "./log-line.js";
+import { TakeoverLines, findFormerTargets, mayBeTakeoverLine, type FormerTargets } from "./takeover-lines.js";
 import { findCauses } from "./timeline-causes.js";
 
 /** One log line of a job, with the values by which the timeline is sorted. */
@@ -22,23 +23,44 @@
  * Selects and orders the log lines of a job and its tasks.
  * @param logs - content of each log by its name; each log must come from a single process
  * @param jobId - identifier that the lines must carry, exactly or as the prefix of a task name
- * @returns the lines in causal order, with the releases of targets that its starts name: lines of one log keep their order, across logs an effect follows its causes, the
+ * @returns the lines in causal order, with the releases of targets that its starts name and, where a later owner has started a
+ * task again, the lines about its takeover: lines of one log keep their order, across logs an effect follows its causes, the
  * response to the caller comes as soon as its causes are listed, and all other lines are ordered by timestamp
  */
 export function readJobTimeline(logs: ReadonlyMap<string, string>, jobId: string): TimelineLine[] {
-  const queues = [...logs].map(([source, text]) => readLines(source, text, jobId));
+  const jobLines = [...logs].flatMap(([source, text]) => readJobLines(source, text, jobId));
+  const former = findFormerTargets(jobLines);
+  const queues = [...logs].map(([source, text]) => readLines(source, text, jobId, former));
   return mergeByCause(queues);
 }
 
-function readLines(source: string, text: string, jobId: string): TimelineLine[] {
+function readJobLines(source: string, text: string, jobId: string): TimelineLine[] {
+  return text.split("\n").flatMap((line) => readJobLine(source, line, jobId) ?? []);
+}
+
+/** Reads a line; returns undefined if it does not concern the job. */
+function readJobLine(source: string, line: string, jobId: string): TimelineLine | undefined {
+  // Cheap check before parsing: most lines concern other jobs.
+  if (!line.includes(jobId)) return undefined;
+  const found = readLine(source, line);
+  return concernsJob(found.fields, jobId) ? found : undefined;
+}
+
+/** Reads the lines of the job, and those about targets that explain them. */
+function readLines(source: string, text: string, jobId: string, former: FormerTargets): TimelineLine[] {
   const releases = new Releases();
-  return text.split("\n").flatMap((line) => {
-    if (line.includes(`event=${releaseEvent}`)) releases.note(readLine(source, line));
-    // Cheap check before parsing: most lines concern other jobs.
-    if (!line.includes(jobId)) return [];
-    const found = readLine(source, line);
-    return concernsJob(found.fields, jobId) ? [...releases.take(found), found] : [];
+  const takeover = new TakeoverLines(former);
+  const listed = text.split("\n").flatMap((line) => {
+    if (mayBeTakeoverLine(line)) {
+      const found = readLine(source, line);
+      if (found.event === releaseEvent) releases.note(found);
+      return takeover.note(found);
+    }
+    const found = readJobLine(source, line, jobId);
+    return found === undefined ? [] : [...takeover.take(found), ...releases.take(found), found];
   });
+  // A release may be named by a start and belong to the takeover before it.
+  return [...new Set([...listed, ...takeover.end()])];
 }
 
 function readLine(source: string, text: string): TimelineLine {
--- a/src/telemetry/test/job-timeline.test.ts
+++ b/src/telemetry/test/job-timeline.test.ts
@@ -155,3 +155,63 @@
   });
   expect(timeline).toEqual(["start-order 1 owner", "target-runs-released owner", "start-order 2 owner"]);
 });
+
+test("a start by a later owner is preceded by what it knew of the target of the first start, and by what was stored of it", () => {
+  const pool = "pool-1";
+  const about = { pool, target: "first" };
+  const timeline = readTimelineEvents({
+    former: writeLog(
+      0,
+      ["target-record-changed", { ...about, change: "listed" }],
+      ["target-record-changed", { pool, target: "other", change: "listed" }],
+      ["start-order", { task, run: 1, target: "first" }],
+      ["target-record-changed", { ...about, change: "unlisted" }],
+    ),
+    next: writeLog(
+      10,
+      ["target-session-opened", { ...about, isInherited: true }],
+      ["target-inherited", about],
+      ["home-taken", { pool, inheritedTargets: 2 }],
+      ["home-lost", { pool }],
+      ["target-session-opened", { pool, target: "other", isInherited: true }],
+      ["target-inherited", { pool, target: "other" }],
+      ["home-taken", { pool: "pool-2" }],
+      ["home-taken", { pool, inheritedTargets: 1 }],
+      ["target-session-opened", { ...about, isInherited: false }],
+      ["start-order", { task, run: 65, target: "other", startBasis: "none-awaited" }],
+      ["target-record-changed", { ...about, change: "listed" }],
+      ["run-ended", { task, run: 65, target: "other" }],
+    ),
+  });
+  expect(timeline).toEqual([
+    "start-order 1 former",
+    "target-record-changed former",
+    "home-taken next",
+    "target-session-opened next",
+    "start-order 65 next",
+    "run-ended 65 next",
+  ]);
+});
+
+test("a release that ended the wait of a later owner is listed once, also where its start names it", () => {
+  const pool = "pool-1";
+  const timeline = readTimelineEvents({
+    former: writeLog(0, ["start-order", { task, run: 1, target: "first" }]),
+    next: writeLog(
+      10,
+      ["target-session-opened", { pool, target: "other" }],
+      ["target-inherited", { pool, target: "first" }],
+      ["target-runs-released", { pool, target: "first", isAwaited: true }],
+      [
+        "start-order",
+        { task, run: 65, target: "other", startBasis: "none-awaited", afterRun: 64, afterTarget: "first" },
+      ],
+    ),
+  });
+  expect(timeline).toEqual([
+    "start-order 1 former",
+    "target-inherited next",
+    "target-runs-released next",
+    "start-order 65 next",
+  ]);
+});
--- a/src/telemetry/timeline-causes.ts
+++ b/src/telemetry/timeline-causes.ts
@@ -64,7 +64,12 @@
   });
 }
 
-function groupByTask(lines: readonly TimelineLine[]): ReadonlyMap<string, readonly TimelineLine[]> {
+/**
+ * Groups the lines that name a task.
+ * @param lines - lines of one job
+ * @returns the lines of each task, in their order
+ */
+export function groupByTask(lines: readonly TimelineLine[]): ReadonlyMap<string, readonly TimelineLine[]> {
   const groups = new Map<string, TimelineLine[]>();
   for (const line of lines) {
     const { task } = line.fields;
