Split the sessions of an owner: leases of earlier orders, lapsed runs and descriptions of targets have modules of their own

No behaviour is changed; the wait for all leases of earlier owners is worked out in one place (FormerLeases) in place of three.

--- a/src/pool-owners/owner-targets.ts
+++ b/src/pool-owners/owner-targets.ts
@@ -12,17 +12,19 @@
 } from "../task-runs/index.js";
 import { fullPercent, paceBestEffortTasks } from "./best-effort-pace.js";
 import { ExpectedReturns } from "./expected-returns.js";
+import { FormerLeases } from "./former-leases.js";
+import { releaseLapsedRuns } from "./lapsed-runs.js";
 import type { TakeoverState } from "./owner-record.js";
 import { removeRun, type OwnerState } from "./owner-state.js";
 import type { PoolTarget } from "./pool-target.js";
-import { formerLeaseMilliseconds } from "./owner-takeover.js";
 import { chooseRenewalWait } from "./renewal-wait.js";
-import { describeRelease, noteDroppedRun, type Release, type ReleaseReason } from "./release-trace.js";
+import { reportRelease } from "./release-trace.js";
 import { ReplacedProcesses } from "./replaced-processes.js";
 import { handleReport } from "./run-ends.js";
 import { TakeoverTrace } from "./takeover-trace.js";
 import { TargetIncarnations } from "./target-incarnations.js";
 import { TargetRecords } from "./target-records.js";
+import { createUnlistedTarget, updateRegistration } from "./target-registrations.js";
 import {
   dropUnsettledStarts,
   keepUnsettledStarts,
@@ -50,8 +52,7 @@
   readonly #incarnations: TargetIncarnations;
   readonly #replaced: ReplacedProcesses;
   readonly #expectedReturns = new ExpectedReturns();
-  /** Monotonic time at which all leases that orders of earlier owners granted have ended. */
-  readonly #formerLeasesUntil: number;
+  readonly #leases: FormerLeases;
 
   /**
    * Creates the set of sessions, which is empty at first.
@@ -67,7 +68,7 @@
     this.#replaced = new ReplacedProcesses(() => {
       this.follow(state.listedTargets);
     });
-    this.#formerLeasesUntil = performance.now() + this.#longestFormerLeaseMilliseconds();
+    this.#leases = new FormerLeases(options);
     this.#handlers = {
       onReport: (session, report, freshEnds, requestSentAt) => {
         const target = this.#find(session);
@@ -75,7 +76,10 @@
         handleReport(state, target, report, freshEnds, requestSentAt);
         paceBestEffortTasks(state, target);
       },
-      onLeaseLapsed: (session) => this.#dropLapsedRuns(session),
+      onLeaseLapsed: (session) => {
+        const target = this.#find(session);
+        return target === undefined ? undefined : releaseLapsedRuns(state, target, this.#leases);
+      },
       onGone: (session, reason) => {
         const target = this.#find(session);
         if (target === undefined) return;
@@ -122,12 +126,13 @@
     this.#records.trace.begin(takeoverState.targets);
     for (const [targetId, { address, startedAtUnix, unusedSince }] of Object.entries(takeoverState.targets)) {
       awaited.add(targetId, unusedSince ?? Number.POSITIVE_INFINITY);
-      const formerLease = this.#formerLease(startedAtUnix);
-      const target = this.#open(unlistedTarget(pool, targetId, address, startedAtUnix), formerLease);
+      const mayHoldLongest = this.#incarnations.mayHoldLongestLease(startedAtUnix);
+      const formerLease = this.#leases.ofLongRunningTasks(mayHoldLongest);
+      const target = this.#open(createUnlistedTarget(pool, targetId, address, startedAtUnix), formerLease);
       target.unusedSince = unusedSince;
       target.session.setListed(false);
     }
-    this.#takeoverTrace.report(takeoverState, this.#formerLeasesUntil);
+    this.#takeoverTrace.report(takeoverState, this.#leases.ofEarlierOwnersUntil);
   }
 
   /** Closes all sessions. */
@@ -156,8 +161,7 @@
     }
     // A target of an earlier owner stays awaited until its new process has answered.
     const isAwaited = state.awaitedTargets.has(target.targetId);
-    const formerLease = { until: this.#formerLeasesUntil, basis: "earlier-owner-longest" } as const;
-    this.#open(target, isAwaited ? formerLease : noFormerLease);
+    this.#open(target, isAwaited ? this.#leases.longestOfEarlierOwners() : noFormerLease);
   }
 
   #open(target: RegisteredTarget, formerLease: FormerLease): PoolTarget {
@@ -173,7 +177,7 @@
       formerOrders,
       metrics,
       handlers: this.#handlers,
-      formerLease: unsettled.length === 0 ? formerLease : this.#leaseOfUnsettledStarts(formerLease),
+      formerLease: unsettled.length === 0 ? formerLease : this.#leases.ofUnsettledStarts(formerLease),
     });
     const opened: PoolTarget = {
       session,
@@ -229,71 +233,16 @@
     else this.#records.settle(targetId, reason);
     const isAwaited = reason !== "replaced" && this.#state.awaitedTargets.delete(targetId);
     const dropped = runs.filter(({ task }) => target.runs.has(task.name));
-    this.#reportRelease(target, reason, { dropped, isAwaited, kept: runs.length - dropped.length });
+    reportRelease(this.#state, target, reason, { dropped, isAwaited, kept: runs.length - dropped.length });
     dropTarget(this.#state, target, reason);
     this.#records.write("soon");
   }
 
-  /** Logs that tasks may run again elsewhere, with what that rests on. */
-  #reportRelease(target: PoolTarget, reason: ReleaseReason, release: Release): void {
-    const { log, pool } = this.#state;
-    for (const each of release.dropped) noteDroppedRun(each, reason);
-    if (release.dropped.length === 0 && !release.isAwaited) return;
-    log.write("info", "target-runs-released", { pool, ...describeRelease(target, reason, release) });
-  }
-
-  /**
-   * Drops the runs on a target that does not answer and whose requested leases have lapsed, except for starts that no report has
-   * shown: a later process, of which the owner does not know, may have carried them out under the longest lease. Long-running
-   * tasks are dropped at once: they have to run again within seconds, and reports show them soon after their start.
-   * @returns until when the other starts have to be waited for; undefined when there are none
-   */
-  #dropLapsedRuns(session: TargetSession): number | undefined {
-    const target = this.#find(session);
-    if (target === undefined) return undefined;
-    const requestedAt = session.leaseRequestedAt();
-    if (requestedAt === undefined) return this.#releaseLongRunning(target);
-    const until = requestedAt + this.#longestFormerLeaseMilliseconds();
-    const runs = [...target.runs.values()];
-    const unlisted = runs.filter(({ task, run }) => !run.isListed && !task.definition.isLasting);
-    if (unlisted.length === 0 || until <= performance.now()) return undefined;
-    const lapsed = runs.filter((each) => !unlisted.includes(each));
-    const isAwaited = this.#state.awaitedTargets.delete(session.targetId);
-    this.#reportRelease(target, "lease-lapsed", { dropped: lapsed, isAwaited, kept: unlisted.length });
-    for (const each of lapsed) removeRun(this.#state, target, each);
-    this.#state.log.write("info", "target-runs-lapsed", {
-      pool: this.#state.pool,
-      target: session.targetId,
-      lapsed: lapsed.length,
-      unlisted: unlisted.length,
-      waitMilliseconds: Math.round(until - performance.now()),
-    });
-    this.#state.wake();
-    return until;
-  }
-
-  /**
-   * Releases long-running tasks of earlier owners that were on a target which has never answered this owner. Other tasks are
-   * waited for until the longest lease has ended: the target may have restarted without the notice of any owner, and a lease that
-   * its new process took from a former owner's order is the longest.
-   * @returns until when the other tasks have to be waited for; undefined when nothing is left to wait for
-   */
-  #releaseLongRunning(target: PoolTarget): number | undefined {
-    const { awaitedTargets: awaited } = this.#state;
-    const { targetId } = target.session;
-    const until = this.#formerLeasesUntil;
-    if (!awaited.has(targetId) || target.session.isKnown() || until <= performance.now()) return undefined;
-    awaited.endLongRunning(targetId);
-    this.#reportRelease(target, "requested-lease-lapsed", { dropped: [], isAwaited: true, kept: 0 });
-    this.#state.wake();
-    return until;
-  }
-
   /** Keeps what orders to an ended process may still do on the next one, for a limited time in case that does not appear. */
   #keepForNextProcess(target: PoolTarget): void {
     this.#records.list(target);
     keepUnsettledStarts(this.#state, target);
-    this.#expectedReturns.expect(target.session.targetId, this.#longestFormerLeaseMilliseconds(), () => {
+    this.#expectedReturns.expect(target.session.targetId, this.#leases.longestMilliseconds, () => {
       this.#settleUnreturned(target);
     });
   }
@@ -303,71 +252,11 @@
     const { targetId } = target.session;
     const dropped = dropUnsettledStarts(this.#state, targetId);
     const isAwaited = this.#state.awaitedTargets.delete(targetId);
-    this.#reportRelease(target, "not-returned", { dropped, isAwaited, kept: 0 });
+    reportRelease(this.#state, target, "not-returned", { dropped, isAwaited, kept: 0 });
     this.#records.settle(targetId, "not-returned");
     this.#records.write("soon");
     this.#state.wake();
   }
-
-  /** How long a lease may last that a target took from an order which was sent to its former process. */
-  #longestFormerLeaseMilliseconds(): number {
-    return formerLeaseMilliseconds(this.#options.longestLeaseMilliseconds);
-  }
-
-  /**
-   * The lease from an earlier owner that long-running tasks may hold on a target that does not answer. They have to run again
-   * within seconds, so that the longest lease counts only for a process that has started lately.
-   */
-  #formerLease(startedAtUnix: number): FormerLease {
-    const { leaseMilliseconds, longestLeaseMilliseconds } = this.#options;
-    const mayHoldLongest = this.#incarnations.mayHoldLongestLease(startedAtUnix);
-    const milliseconds = formerLeaseMilliseconds(
-      mayHoldLongest ? longestLeaseMilliseconds : leaseMilliseconds,
-    );
-    return {
-      until: performance.now() + milliseconds,
-      basis: mayHoldLongest ? "earlier-owner-longest" : "earlier-owner-requested",
-    };
-  }
-
-  /** The lease that a target may have taken from starts which were sent to its former process, if it is the later one. */
-  #leaseOfUnsettledStarts(formerLease: FormerLease): FormerLease {
-    const until = performance.now() + this.#longestFormerLeaseMilliseconds();
-    return until > formerLease.until ? { until, basis: "unsettled-starts" } : formerLease;
-  }
-}
-
-/** Creates a target that is known only from the takeover state. */
-function unlistedTarget(
-  pool: string,
-  targetId: string,
-  address: string,
-  startedAtUnix: number,
-): RegisteredTarget {
-  return {
-    targetId,
-    address,
-    startedAtUnix,
-    pool,
-    availabilityZone: "",
-    state: "draining",
-    capacity: { cpuMillicores: 0, memoryMegabytes: 0, accelerators: 0 },
-    rack: undefined,
-    labels: [],
-    remainingMilliseconds: undefined,
-  };
-}
-
-function updateRegistration(state: OwnerState, known: PoolTarget, target: RegisteredTarget): void {
-  if (known.session.target().state !== target.state) {
-    state.log.write("info", "target-state", {
-      pool: state.pool,
-      target: target.targetId,
-      state: target.state,
-    });
-    state.wake();
-  }
-  known.session.updateTarget(target);
 }
 
 function dropTarget(state: OwnerState, target: PoolTarget, reason: SessionEndReason): void {
--- a/src/pool-owners/release-trace.ts
+++ b/src/pool-owners/release-trace.ts
@@ -4,6 +4,7 @@
  */
 import type { SessionEndReason } from "../task-runs/index.js";
 import type { LogFields } from "../telemetry/index.js";
+import type { OwnerState } from "./owner-state.js";
 import type { PoolTarget, TargetRun } from "./pool-target.js";
 
 /**
@@ -24,6 +25,24 @@
   readonly kept: number;
 }
 
+/**
+ * Logs that tasks may run again elsewhere, and notes it on the tasks whose runs are dropped.
+ * @param state - the owner
+ * @param target - the target of the runs
+ * @param reason - why its runs have ended
+ * @param release - what is released; nothing is logged of a release of nothing
+ */
+export function reportRelease(
+  { log, pool }: Pick<OwnerState, "log" | "pool">,
+  target: PoolTarget,
+  reason: ReleaseReason,
+  release: Release,
+): void {
+  for (const each of release.dropped) noteDroppedRun(each, reason);
+  if (release.dropped.length === 0 && !release.isAwaited) return;
+  log.write("info", "target-runs-released", { pool, ...describeRelease(target, reason, release) });
+}
+
 /**
  * Describes what a release rests on.
  * @param target - the target
