A takeover state that can't be read does not count as one without targets

Cause: decodeTakeoverState took a value that does not match the schema for an empty state, without a line. The next owner then waited for no target, and its run numbers began anew below those of its predecessors.

Change: such a state is incomplete. Its owner holds back the tasks of earlier owners' jobs as if each of their targets were silent: long-running ones for the requested lease, the others for the longest. It says so in what it stores until this is over, so that a next owner waits too; the field is optional, and the former program passes over it.

--- a/src/pool-owners/awaited-targets.ts
+++ b/src/pool-owners/awaited-targets.ts
@@ -4,6 +4,9 @@
  * @packageDocumentation
  */
 
+/** Stands for all targets that an incomplete takeover state does not list. */
+export const unlistedTargets = "*";
+
 /** Targets that may have runs of which this owner does not know. */
 export interface AwaitedTargets {
   /**
@@ -35,6 +38,8 @@
   const targets = new Map<string, number>();
   const withoutLongRunning = new Set<string>();
   let latest = Number.NEGATIVE_INFINITY;
+  const mayRunLong = (targetId: string, revision: number): boolean =>
+    !withoutLongRunning.has(targetId) && revision <= (targets.get(targetId) ?? Number.NEGATIVE_INFINITY);
   return {
     add: (targetId, unusedSince) => {
       targets.set(targetId, unusedSince);
@@ -53,7 +58,7 @@
       withoutLongRunning.add(targetId);
     },
     mayRunLong: (targetId, revision) =>
-      !withoutLongRunning.has(targetId) && revision <= (targets.get(targetId) ?? Number.NEGATIVE_INFINITY),
+      mayRunLong(targetId, revision) || mayRunLong(unlistedTargets, revision),
     mayRunAnywhere: (revision) => revision <= latest,
     highestRevision: () => (targets.size === 0 ? undefined : latest),
   };
--- a/src/pool-owners/owner-record.ts
+++ b/src/pool-owners/owner-record.ts
@@ -41,6 +41,8 @@
       unusedSince: z.number().optional(),
     }),
   ),
+  /** Whether targets that are not listed may have runs too, since the state before this one could not be read. */
+  isIncomplete: z.boolean().optional(),
 });
 
 /** The state that a pool's next owner needs. */
@@ -61,8 +63,15 @@
 /**
  * Decodes the state that an earlier owner left.
  * @param value - the stored value; undefined for a pool without an earlier owner
- * @returns the takeover state; an empty one when the value does not match the schema
+ * @param revision - the store revision of the value
+ * @returns the takeover state; an incomplete one when the value does not match the schema, with the revision as the number of
+ * takes, which it exceeds
  */
-export function decodeTakeoverState(value: unknown): TakeoverState {
-  return parseWith(takeoverStateSchema, value).orDefault({ homes: 0, targets: {} });
+export function decodeTakeoverState(value: unknown, revision: number): TakeoverState {
+  if (value === undefined) return { homes: 0, targets: {} };
+  return parseWith(takeoverStateSchema, value).orDefault({
+    homes: revision,
+    targets: {},
+    isIncomplete: true,
+  });
 }
--- a/src/pool-owners/owner-takeover.ts
+++ b/src/pool-owners/owner-takeover.ts
@@ -64,10 +64,10 @@
   const stored = await store.get(takeoverStateKey);
   if (stored.isLeft()) return Left("the takeover state was not read");
   const earlier = stored.orDefault(undefined);
-  const before = decodeTakeoverState(earlier?.value);
+  const stateRevision = earlier?.revision ?? 0;
+  const before = decodeTakeoverState(earlier?.value, stateRevision);
   const takeoverState = { ...before, homes: before.homes + 1 };
   const key = `${ownerPrefix}${pool}`;
-  const stateRevision = earlier?.revision ?? 0;
   const record: OwnerRecord = { entryId: member.entryId, member, term, barrier: 0 };
   const result = await store.transact({
     expected: [
--- a/src/pool-owners/owner-targets.ts
+++ b/src/pool-owners/owner-targets.ts
@@ -13,6 +13,7 @@
 import { fullPercent, paceBestEffortTasks } from "./best-effort-pace.js";
 import { ExpectedReturns } from "./expected-returns.js";
 import { FormerLeases } from "./former-leases.js";
+import { awaitUnlistedTargets } from "./incomplete-state.js";
 import { releaseLapsedRuns } from "./lapsed-runs.js";
 import type { TakeoverState } from "./owner-record.js";
 import { removeRun, type OwnerState } from "./owner-state.js";
@@ -52,6 +53,7 @@
   readonly #incarnations: TargetIncarnations;
   readonly #replaced: ReplacedProcesses;
   readonly #expectedReturns = new ExpectedReturns();
+  #endWait: () => void = () => undefined;
   readonly #leases: FormerLeases;
 
   /**
@@ -133,15 +135,30 @@
       target.session.setListed(false);
     }
     this.#takeoverTrace.report(takeoverState, this.#leases.ofEarlierOwnersUntil);
+    if (takeoverState.isIncomplete === true) this.#awaitUnlisted();
   }
 
   /** Closes all sessions. */
   close(): void {
     this.#replaced.close();
     this.#expectedReturns.close();
+    this.#endWait();
     for (const { session } of this.#state.targets.values()) session.close();
   }
 
+  /** Waits for runs on targets that the takeover state does not list. The next owner has to wait too until this is over. */
+  #awaitUnlisted(): void {
+    this.#records.isIncomplete = true;
+    const runs = {
+      longRunningMilliseconds: this.#leases.requestedMilliseconds,
+      milliseconds: this.#leases.longestMilliseconds,
+    };
+    this.#endWait = awaitUnlistedTargets(this.#state, runs, () => {
+      this.#records.isIncomplete = false;
+      this.#records.write("soon");
+    });
+  }
+
   #find(session: TargetSession): PoolTarget | undefined {
     const target = this.#state.targets.get(session.targetId);
     return target?.session === session ? target : undefined;
--- a/src/pool-owners/target-records.ts
+++ b/src/pool-owners/target-records.ts
@@ -48,6 +48,8 @@
   readonly #ownerCount: number;
   /** What the record says of each target, also of those without a session. */
   readonly #targets = new Map<string, TakeoverTarget>();
+  /** Whether targets that the record does not list may have runs too. */
+  isIncomplete = false;
   #writes = 0;
 
   /**
@@ -106,7 +108,11 @@
       target.recordedBy ??= number;
       this.list(target);
     }
-    const value: TakeoverState = { homes: this.#ownerCount, targets: Object.fromEntries(this.#targets) };
+    const value: TakeoverState = {
+      homes: this.#ownerCount,
+      targets: Object.fromEntries(this.#targets),
+      ...(this.isIncomplete ? { isIncomplete: true } : {}),
+    };
     const write = state.journal.write(`${takeoverStatePrefix}${state.pool}`, value, { urgency });
     void write.result.then((result) => {
       if (result !== "stored") return;
--- a/src/pool-owners/test/owner-targets.test.ts
+++ b/src/pool-owners/test/owner-targets.test.ts
@@ -77,7 +77,7 @@
   const journal: OwnerJournal = {
     ...storedJournal,
     write: (key, value, options) => {
-      written.push(Object.keys(decodeTakeoverState(value).targets));
+      written.push(Object.keys(decodeTakeoverState(value, 0).targets));
       return storedJournal.write(key, value, options);
     },
   };
--- a/src/pool-owners/test/stored-targets-check.ts
+++ b/src/pool-owners/test/stored-targets-check.ts
@@ -39,8 +39,9 @@
         note(change.key.slice(prefix.length), change);
       });
     this.#watches = [
-      watch(takeoverStatePrefix, (name, { value }) => {
-        this.#states.set(name, decodeTakeoverState(value === undefined ? undefined : JSON.parse(value)));
+      watch(takeoverStatePrefix, (name, { value, revision }) => {
+        const stored: unknown = value === undefined ? undefined : JSON.parse(value);
+        this.#states.set(name, decodeTakeoverState(stored, revision));
         this.check();
       }),
       watch(jobPrefix, (jobId, { value, revision }) => {
--- a/src/pool-owners/test/takeover-trace.test.ts
+++ b/src/pool-owners/test/takeover-trace.test.ts
@@ -71,7 +71,7 @@
     if (!key.startsWith(takeoverStatePrefix)) return read;
     return read.map((record) => {
       if (record === undefined) return record;
-      const state = decodeTakeoverState(record.value);
+      const state = decodeTakeoverState(record.value, record.revision);
       return { ...record, value: { ...state, targets: change(state.targets) } };
     });
   };
--- a/src/pool-owners/test/target-records.test.ts
+++ b/src/pool-owners/test/target-records.test.ts
@@ -41,9 +41,8 @@
 
 /** What the takeover state says of a target. */
 function readUnusedSince(targetId: string): number | undefined {
-  const state = decodeTakeoverState(
-    JSON.parse(fixture.engine.range(`inheritance/${pool}`)[0]?.value ?? "{}"),
-  );
+  const [record] = fixture.engine.range(`inheritance/${pool}`);
+  const state = decodeTakeoverState(JSON.parse(record?.value ?? "{}"), record?.revision ?? 0);
   return state.targets[targetId]?.unusedSince;
 }
 
