The record of a target tells that another process has answered in place of the listed one

Cause: the takeover state names the process that the registry names, the former one, also after its owner has been answered by the next.

Change: a listed process in whose place another one has answered is marked as replaced, until the registry names another process or all is settled. The next owner waits for the longest lease of such a target, for long-running tasks as well, as the owner that stays does.

--- a/src/pool-owners/owner-record.ts
+++ b/src/pool-owners/owner-record.ts
@@ -39,6 +39,8 @@
       startedAtUnix: z.number(),
       /** Highest store revision of a job that may have runs on the target; omitted while any job may. */
       unusedSince: z.number().optional(),
+      /** Whether another process has answered in place of this one, whose runs may hold the longest lease. */
+      isReplaced: z.boolean().optional(),
     }),
   ),
   /** Whether targets that are not listed may have runs too, since the state before this one could not be read. */
--- a/src/pool-owners/owner-targets.ts
+++ b/src/pool-owners/owner-targets.ts
@@ -126,9 +126,11 @@
     const { pool, awaitedTargets: awaited } = this.#state;
     this.#takeoverTrace.note(takeoverState);
     this.#records.trace.begin(takeoverState.targets);
-    for (const [targetId, { address, startedAtUnix, unusedSince }] of Object.entries(takeoverState.targets)) {
+    for (const [targetId, record] of Object.entries(takeoverState.targets)) {
+      const { address, startedAtUnix, unusedSince, isReplaced = false } = record;
       awaited.add(targetId, unusedSince ?? Number.POSITIVE_INFINITY);
-      const mayHoldLongest = this.#incarnations.mayHoldLongestLease(startedAtUnix);
+      if (isReplaced) this.#records.noteReplaced({ targetId, startedAtUnix });
+      const mayHoldLongest = isReplaced || this.#incarnations.mayHoldLongestLease(startedAtUnix);
       const formerLease = this.#leases.ofLongRunningTasks(mayHoldLongest);
       const target = this.#open(createUnlistedTarget(pool, targetId, address, startedAtUnix), formerLease);
       target.unusedSince = unusedSince;
@@ -257,6 +259,7 @@
 
   /** Keeps what orders to an ended process may still do on the next one, for a limited time in case that does not appear. */
   #keepForNextProcess(target: PoolTarget): void {
+    this.#records.noteReplaced(target.session.target());
     this.#records.list(target);
     keepUnsettledStarts(this.#state, target);
     this.#expectedReturns.expect(target.session.targetId, this.#leases.longestMilliseconds, () => {
--- a/src/pool-owners/record-trace.ts
+++ b/src/pool-owners/record-trace.ts
@@ -11,8 +11,11 @@
 type RecordedTargets = TakeoverState["targets"];
 type RecordedTarget = RecordedTargets[string];
 
-/** What has changed in the record of a target; `used-again`: any job may have runs there from now on. */
-type RecordChange = "listed" | "unlisted" | "other-process" | "unused" | "used-again";
+/**
+ * What has changed in the record of a target; `replaced`: another process has answered in place of the listed one; `used-again`:
+ * any job may have runs there from now on.
+ */
+type RecordChange = "listed" | "unlisted" | "other-process" | "replaced" | "unused" | "used-again";
 
 /** Logs how each stored takeover state differs from the one before it. */
 export class RecordTrace {
@@ -98,6 +101,7 @@
   if (after === undefined) return before === undefined ? undefined : "unlisted";
   if (before === undefined) return "listed";
   if (before.startedAtUnix !== after.startedAtUnix) return "other-process";
+  if (before.isReplaced !== true && after.isReplaced === true) return "replaced";
   if (before.unusedSince === after.unusedSince) return undefined;
   return after.unusedSince === undefined ? "used-again" : "unused";
 }
--- a/src/pool-owners/target-records.ts
+++ b/src/pool-owners/target-records.ts
@@ -5,6 +5,7 @@
  * runs there.
  * @packageDocumentation
  */
+import type { TargetIdentity } from "../task-runs/index.js";
 import { takeoverStatePrefix, type TakeoverState } from "./owner-record.js";
 import type { OwnerState } from "./owner-state.js";
 import type { PoolTarget } from "./pool-target.js";
@@ -48,6 +49,8 @@
   readonly #ownerCount: number;
   /** What the record says of each target, also of those without a session. */
   readonly #targets = new Map<string, TakeoverTarget>();
+  /** Start times of processes in whose place another one has answered, by target. */
+  readonly #replaced = new Map<string, number>();
   /** Whether targets that the record does not list may have runs too. */
   isIncomplete = false;
   #writes = 0;
@@ -68,7 +71,15 @@
    * @param target - the target
    */
   list(target: PoolTarget): void {
-    this.#targets.set(target.session.targetId, describeTarget(target));
+    this.#targets.set(target.session.targetId, this.#describe(target));
+  }
+
+  /**
+   * Notes that another process has answered in place of a target's process.
+   * @param process - the process that was expected to answer
+   */
+  noteReplaced({ targetId, startedAtUnix }: Pick<TargetIdentity, "targetId" | "startedAtUnix">): void {
+    this.#replaced.set(targetId, startedAtUnix);
   }
 
   /**
@@ -78,6 +89,7 @@
    */
   settle(targetId: string, reason: SettlementReason): void {
     this.#targets.delete(targetId);
+    this.#replaced.delete(targetId);
     this.trace.noteLeft(targetId, reason);
   }
 
@@ -123,6 +135,17 @@
       state.wake();
     });
   }
+
+  #describe({ session, unusedSince }: PoolTarget): TakeoverTarget {
+    const { targetId, address, startedAtUnix } = session.target();
+    const isReplaced = this.#replaced.get(targetId) === startedAtUnix;
+    return {
+      address,
+      startedAtUnix,
+      ...(unusedSince === undefined ? {} : { unusedSince }),
+      ...(isReplaced ? { isReplaced } : {}),
+    };
+  }
 }
 
 /**
@@ -140,8 +163,3 @@
   });
   for (const { session } of restarted) session.noteHigherToken();
 }
-
-function describeTarget({ session, unusedSince }: PoolTarget): TakeoverTarget {
-  const { address, startedAtUnix } = session.target();
-  return { address, startedAtUnix, ...(unusedSince === undefined ? {} : { unusedSince }) };
-}
