Tests of the moments at which an owner may go while a target restarts

Change: restart-scene.ts takes the steps of a restart and of an owner one at a time, with targets whose clocks say that they have run for long, so that no test has to wait for that. owner-goes-during-restart.test.ts gets 19 tests more, its first two stand on the scene. They run concurrently.

--- a/src/pool-owners/test/owner-goes-during-restart.test.ts
+++ b/src/pool-owners/test/owner-goes-during-restart.test.ts
@@ -3,135 +3,404 @@
  * not start a task that may run on a target which it can't reach.
  * @packageDocumentation
  */
-import { afterEach, expect, test, vi } from "vitest";
-import type { JobTarget, RunRecord, TaskBehaviour } from "../../stand-ins/index.js";
-import {
-  createStep,
-  startOwnerFixture,
-  submission,
-  waitFor,
-  type OwnerFixture,
-  type TestEntry,
-} from "./owner-fixture.js";
-
-let fixture: OwnerFixture | undefined;
-afterEach(() => {
-  vi.restoreAllMocks();
-  fixture?.close();
-  fixture = undefined;
-});
-
-const oneCore = { cpuMillicores: 1_000, memoryMegabytes: 100, accelerators: 0 };
-/** Longer than the longest lease, so that a run on a silent target ends by its lease. */
-const runMilliseconds = 10_000;
-const longestLeaseMilliseconds = 6_000;
-/** Age of processes that have run for long, as their start times say. */
-const longLivedMilliseconds = 120_000;
-/** Long enough that a lease by the clock of a target's first process is the longest for the next one. */
-const firstLifeMilliseconds = 5_000;
-const outage = { outageMilliseconds: 200, heartbeatMilliseconds: 0 };
+import { expect, test } from "vitest";
+import type { StepDefinition } from "../../jobs/index.js";
+import type { JobTarget } from "../../stand-ins/index.js";
+import { createStep, waitFor } from "./owner-fixture.js";
+import { RestartScene, longStep, wait } from "./restart-scene.js";
+
+const task = "long.0.0.0";
 /** In which the owner opens a session and stores its targets; less than the pause of a replaced process. */
 const storeMilliseconds = 100;
+const testMilliseconds = 25_000;
 
-async function wait(milliseconds: number): Promise<void> {
-  await new Promise((resolve) => setTimeout(resolve, milliseconds));
-}
-
-/** Creates processes that have run for long. */
-function startFixture(): OwnerFixture {
-  const bornAt = Date.now() - longLivedMilliseconds;
-  const clock = vi.spyOn(Date, "now").mockReturnValue(bornAt);
-  const behaviour = (): TaskBehaviour => ({
-    needs: oneCore,
-    runMilliseconds,
-    isLasting: false,
-    fails: false,
-  });
-  const started = startOwnerFixture({
-    targetCount: 2,
-    coresPerTarget: 4,
-    behaviour,
-    longestLeaseMilliseconds,
-  });
-  clock.mockRestore();
-  fixture = started;
-  return started;
-}
-
-/** A task that runs on the next process of a target, which is cut off. */
-interface CutOffRun {
-  readonly fixture: OwnerFixture;
-  readonly entry: TestEntry;
+/** A task that runs on the next process of a target, of which the registry names the former one. */
+interface Restarted {
+  readonly scene: RestartScene;
   readonly target: JobTarget;
-  readonly run: RunRecord;
+  readonly targetId: string;
+  /** Lets the registry name the present processes. */
+  readonly release: (isReleased: (targetId: string) => boolean) => void;
 }
 
-const task = "long.0.0.0";
-
-/** Lets the registry name a target's present process until the function that is returned is called. */
-function holdRegistration(target: JobTarget): () => void {
-  const record = target.describe();
-  const spy = vi.spyOn(target, "describe").mockReturnValue(record);
-  return () => {
-    spy.mockRestore();
-  };
+/** Restarts all targets, and returns as soon as a start that was sent meanwhile has reached a next process. */
+async function startOnNextProcess(
+  jobId = "long",
+  step: StepDefinition = longStep,
+  targetCount = 2,
+): Promise<Restarted> {
+  const scene = new RestartScene(targetCount);
+  await scene.submit("short", createStep({ taskCount: 1 }));
+  await waitFor(() => scene.runsOf("short.0.0.0")[0]?.acknowledgedAt);
+  const release = scene.restartAll();
+  await scene.submit(jobId, step);
+  const { run, target } = await scene.findRun(`${jobId}.0.0.0`);
+  return { scene, target, targetId: run.targetId, release };
 }
 
 /**
- * Restarts all targets while the registry names their former processes, and submits a job whose start reaches a next process.
- * Returns in the pause after the owner has noticed that. The target is cut off then, and the owner has stored its targets,
- * because the registry names another one's next process.
+ * Goes on until the pause after the owner has noticed the restart. The target is cut off then, and the owner has stored its
+ * targets, because the registry names the next processes of the others.
  */
-async function cutOffInPause(): Promise<CutOffRun> {
-  const started = startFixture();
-  const entry = started.startEntry("a");
-  const owner = await started.owner(entry);
-  await wait(firstLifeMilliseconds);
-  const { fleet } = started;
-  const releases = new Map([...fleet.targets].map(([targetId, each]) => [targetId, holdRegistration(each)]));
-  for (const targetId of fleet.targets.keys()) fleet.restartWithWaitingOrders(targetId, outage);
-  await owner.submit(submission("long", createStep({ taskCount: 1, estimateMilliseconds: runMilliseconds })));
-  const run = await waitFor(() => fleet.world.history.find((each) => each.task === task));
-  const target = fleet.targets.get(run.targetId);
-  if (target === undefined) throw new Error("the run's target does not exist");
-  await waitFor(() => entry.lines.some((line) => isReplaced(line, run.targetId)));
+async function cutOffInPause(restarted: Restarted): Promise<void> {
+  const { scene, target, targetId, release } = restarted;
+  await scene.untilReplaced(targetId);
   target.isSilent = true;
-  for (const [targetId, release] of releases) if (targetId !== run.targetId) release();
+  release((other) => other !== targetId);
   await wait(storeMilliseconds);
-  return { fixture: started, entry, target, run };
-}
-
-function isReplaced(line: string, targetId: string): boolean {
-  return line.includes("event=target-session-closed") && line.includes(`target=${targetId} reason=replaced`);
-}
-
-/** Waits for the second run of the task and expects that it began after the first one had ended. */
-async function expectNoOverlap({ fixture: { fleet }, run }: CutOffRun): Promise<void> {
-  const second = await waitFor(() => fleet.world.history.filter((each) => each.task === task)[1]);
-  expect(run.to ?? Infinity).toBeLessThanOrEqual(second.from);
-  expect(run.how).toBe("lease-lapsed");
 }
 
 // Guards against a target that is missing from the takeover state while no session is open with its next process.
-test.fails(
+test.concurrent.fails(
   "a task does not run twice when its owner crashes in the pause after its target's restart",
   async () => {
-    const cutOff = await cutOffInPause();
-    cutOff.entry.crash();
-    cutOff.fixture.startEntry("b");
-    await expectNoOverlap(cutOff);
+    const restarted = await startOnNextProcess();
+    await cutOffInPause(restarted);
+    restarted.scene.entry.crash();
+    restarted.scene.next();
+    await restarted.scene.expectNoOverlap(task);
   },
-  25_000,
+  testMilliseconds,
 );
 
 // Guards against the same at a stop that writes all that is pending.
-test.fails(
+test.concurrent.fails(
   "a task does not run twice when its owner is stopped in the pause after its target's restart",
   async () => {
-    const cutOff = await cutOffInPause();
-    await cutOff.entry.stop();
-    cutOff.fixture.startEntry("b");
-    await expectNoOverlap(cutOff);
+    const restarted = await startOnNextProcess();
+    await cutOffInPause(restarted);
+    await restarted.scene.entry.stop();
+    restarted.scene.next();
+    await restarted.scene.expectNoOverlap(task);
+  },
+  testMilliseconds,
+);
+
+// Guards against the same in a later pause: the registry goes on to name the former process.
+test.concurrent.fails(
+  "a task does not run twice when its owner goes in a later pause, while the registry names the former process",
+  async () => {
+    const { scene, target, targetId, release } = await startOnNextProcess();
+    await scene.untilReplaced(targetId, 3);
+    target.isSilent = true;
+    release((other) => other !== targetId);
+    await wait(storeMilliseconds);
+    scene.entry.crash();
+    scene.next();
+    await scene.expectNoOverlap(task);
+  },
+  testMilliseconds,
+);
+
+// Guards against the same for an awaited target: the second owner notices the restart, and goes in its turn.
+test.concurrent.fails(
+  "a task does not run twice when a second owner goes in the pause after a restart that the first one had not noticed",
+  async () => {
+    const { scene, target, targetId, release } = await startOnNextProcess();
+    scene.entry.crash();
+    scene.next();
+    await scene.untilReplaced(targetId);
+    target.isSilent = true;
+    release((other) => other !== targetId);
+    await wait(storeMilliseconds);
+    await scene.entry.stop();
+    scene.next();
+    await scene.expectNoOverlap(task);
+  },
+  testMilliseconds,
+);
+
+test.concurrent(
+  "a task does not run twice when its owner crashes as soon as it has noticed its target's restart",
+  async () => {
+    const { scene, target, targetId, release } = await startOnNextProcess();
+    await scene.untilReplaced(targetId);
+    target.isSilent = true;
+    scene.entry.crash();
+    release((other) => other !== targetId);
+    scene.next();
+    await scene.expectNoOverlap(task);
+  },
+  testMilliseconds,
+);
+
+test.concurrent(
+  "a task does not run twice when its owner crashes before any answer to its start",
+  async () => {
+    const { scene, target, targetId, release } = await startOnNextProcess();
+    target.isSilent = true;
+    scene.entry.crash();
+    release((other) => other !== targetId);
+    scene.next();
+    await scene.expectNoOverlap(task);
+    scene.expectAllStored();
+  },
+  testMilliseconds,
+);
+
+test.concurrent.each(["crash", "stop"] as const)(
+  "a task does not run twice when its owner goes with a %s once the next process is registered and has not answered",
+  async (manner) => {
+    const { scene, target, targetId, release } = await startOnNextProcess();
+    await scene.untilReplaced(targetId);
+    target.isSilent = true;
+    release(() => true);
+    await scene.untilLogged([
+      "event=target-session-opened",
+      `target=${targetId}`,
+      "formerOrders=of-this-owner",
+    ]);
+    if (manner === "crash") scene.entry.crash();
+    else await scene.entry.stop();
+    scene.next();
+    await scene.expectNoOverlap(task);
+  },
+  testMilliseconds,
+);
+
+test.concurrent(
+  "a task does not run twice when its owner crashes as soon as its fencing token has risen for the next process",
+  async () => {
+    const { scene, target, targetId, release } = await startOnNextProcess();
+    await scene.untilReplaced(targetId);
+    release(() => true);
+    const raised = await scene.untilLogged(["event=fencing-token-raised"]);
+    target.isSilent = true;
+    scene.entry.crash();
+    scene.next();
+    const taken = await scene.untilLogged(["event=home-taken"]);
+    expect(readToken(taken)).toBeGreaterThan(readToken(raised));
+    await scene.expectNoOverlap(task);
+  },
+  testMilliseconds,
+);
+
+function readToken(line: string): number {
+  return Number(/fencingToken=(\d+)/.exec(line)?.[1]);
+}
+
+test.concurrent(
+  "a task does not run twice when two owners in a row can't reach its target",
+  async () => {
+    const { scene, target, targetId, release } = await startOnNextProcess();
+    target.isSilent = true;
+    scene.entry.crash();
+    release((other) => other !== targetId);
+    scene.next();
+    await scene.owner();
+    await scene.entry.stop();
+    scene.next();
+    await scene.expectNoOverlap(task);
+    scene.expectAllStored();
+  },
+  testMilliseconds,
+);
+
+/** In which a target that does not answer is recorded as unused. */
+const unusedMilliseconds = 900;
+
+test.concurrent(
+  "a task does not run twice when the second owner goes after it has recorded its silent target as unused",
+  async () => {
+    const { scene, target, targetId, release } = await startOnNextProcess();
+    target.isSilent = true;
+    scene.entry.crash();
+    release((other) => other !== targetId);
+    scene.next();
+    await scene.owner();
+    await wait(unusedMilliseconds);
+    expect(scene.stored().targets[targetId]?.unusedSince).toBeDefined();
+    await scene.entry.stop();
+    scene.next();
+    await scene.expectNoOverlap(task);
+    scene.expectAllStored();
+  },
+  testMilliseconds,
+);
+
+// Guards against a start of which only the owner's memory knows, for a target that the registry has dropped.
+test.concurrent.fails(
+  "a task does not run twice when its owner goes after the record of its restarted target has lapsed in the registry",
+  async () => {
+    const { scene, target, targetId, release } = await startOnNextProcess();
+    await scene.untilReplaced(targetId);
+    target.isSilent = true;
+    release((other) => other !== targetId);
+    unlist(scene, targetId);
+    await wait(1_000);
+    scene.entry.crash();
+    scene.next();
+    await scene.expectNoOverlap(task);
+  },
+  testMilliseconds,
+);
+
+/** Removes a target from the registry for all entries; it goes on to run. */
+function unlist({ fixture: { fleet } }: RestartScene, targetId: string): void {
+  const target = fleet.targets.get(targetId);
+  (fleet.targets as Map<string, JobTarget>).delete(targetId);
+  const timer = setInterval(() => {
+    target?.advance();
+    if (!fleet.world.history.some((run) => run.targetId === targetId && run.to === undefined))
+      clearInterval(timer);
+  }, 5);
+}
+
+// Guards against an empty record of targets where the stored one can't be read.
+test.concurrent.fails(
+  "a task does not run twice when the stored takeover state can't be read",
+  async () => {
+    const { scene, target, targetId, release } = await startOnNextProcess();
+    target.isSilent = true;
+    scene.entry.crash();
+    release((other) => other !== targetId);
+    const { engine } = scene.fixture;
+    const [stored] = engine.range("inheritance/presses");
+    engine.write({
+      key: "inheritance/presses",
+      value: JSON.stringify({ homes: "two" }),
+      expectedRevision: stored?.revision ?? 0,
+      leaseId: undefined,
+    });
+    scene.next();
+    await scene.expectNoOverlap(task);
+  },
+  testMilliseconds,
+);
+
+test.concurrent(
+  "a task does not run twice when the store's answer to the record of its restarted target is lost",
+  async () => {
+    const { scene, target, targetId, release } = await startOnNextProcess();
+    await scene.untilReplaced(targetId);
+    scene.entry.faults.loseAnswers = 1;
+    release(() => true);
+    await scene.untilLogged(["event=journal-failed", "result=unknown"]);
+    target.isSilent = true;
+    scene.entry.crash();
+    scene.next();
+    await scene.expectNoOverlap(task);
+  },
+  testMilliseconds,
+);
+
+test.concurrent(
+  "a task does not run twice when its owner loses the store and goes on until its lease has ended",
+  async () => {
+    const { scene, target, targetId, release } = await startOnNextProcess();
+    scene.entry.faults.mode = "down";
+    await scene.untilReplaced(targetId);
+    target.isSilent = true;
+    release((other) => other !== targetId);
+    scene.next();
+    await scene.expectNoOverlap(task);
+  },
+  testMilliseconds,
+);
+
+// Guards against the same for one of several tasks that start together.
+test.concurrent.fails(
+  "no task of a gang runs twice when its owner goes in the pause after a restart",
+  async () => {
+    const gang = createStep({ taskCount: 2, isGang: true, estimateMilliseconds: 10_000 });
+    const { scene, release } = await startOnNextProcess("long", gang, 3);
+    const second = await scene.findRun("long.0.0.1");
+    const first = await scene.findRun(task);
+    const targets = new Map([first, second].map(({ run, target }) => [run.targetId, target]));
+    for (const [targetId, target] of targets) {
+      await scene.untilReplaced(targetId);
+      target.isSilent = true;
+    }
+    release((other) => !targets.has(other));
+    await wait(storeMilliseconds);
+    await scene.entry.stop();
+    scene.next();
+    await scene.expectNoOverlap(task);
+    await scene.expectNoOverlap("long.0.0.1");
+  },
+  testMilliseconds,
+);
+
+// Guards against the same for a long-running task, which is searched for on its stored place.
+test.concurrent.fails(
+  "a long-running task does not run twice when its owner goes in the pause after its target's restart",
+  async () => {
+    const lasting = createStep({ taskCount: 1, isLasting: true });
+    const restarted = await startOnNextProcess("lasting", lasting);
+    await cutOffInPause(restarted);
+    restarted.scene.entry.crash();
+    restarted.scene.next();
+    await restarted.scene.expectNoOverlap("lasting.0.0.0");
+  },
+  testMilliseconds,
+);
+
+// Guards against the same for a checkpointed task.
+test.concurrent.fails(
+  "a checkpointed task does not run twice when its owner goes in the pause after its target's restart",
+  async () => {
+    const checkpointed = createStep({ taskCount: 1, isCheckpointed: true, estimateMilliseconds: 10_000 });
+    const restarted = await startOnNextProcess("long", checkpointed);
+    await cutOffInPause(restarted);
+    restarted.scene.entry.crash();
+    restarted.scene.next();
+    await restarted.scene.expectNoOverlap(task);
+  },
+  testMilliseconds,
+);
+
+test.concurrent(
+  "a task does not run twice when its owner goes after it has begun to vacate its restarted target",
+  async () => {
+    const { scene, target, targetId, release } = await startOnNextProcess();
+    const owner = await scene.owner();
+    owner.vacate([targetId]);
+    await scene.untilReplaced(targetId);
+    release(() => true);
+    await scene.untilLogged(["event=fencing-token-raised"]);
+    target.isSilent = true;
+    await wait(unusedMilliseconds);
+    scene.entry.crash();
+    scene.next();
+    await scene.expectNoOverlap(task);
+  },
+  testMilliseconds,
+);
+
+test.concurrent(
+  "no task is started on a target that was vacated before the use of the target is stored again",
+  async () => {
+    const scene = new RestartScene(1);
+    const owner = await scene.owner();
+    owner.vacate(["presses-0"]);
+    await waitFor(() => scene.stored().targets["presses-0"]?.unusedSince === 0);
+    scene.entry.faults.loseAnswers = 1;
+    owner.vacate([]);
+    await scene.submit("long", longStep);
+    await scene.findRun(task);
+    scene.expectAllStored();
+  },
+  testMilliseconds,
+);
+
+// Guards against a stop that is known to the former owner alone.
+test.concurrent(
+  "a cancelled task ends on its target when its owner goes in the pause after the target's restart",
+  async () => {
+    const restarted = await startOnNextProcess();
+    const { scene, target, targetId, release } = restarted;
+    await scene.untilReplaced(targetId);
+    const owner = await scene.owner();
+    const cancelled = await owner.cancel("long");
+    expect(cancelled.kind).toBe("cancelled");
+    scene.entry.crash();
+    scene.next();
+    release(() => true);
+    const { run } = await scene.findRun(task);
+    await waitFor(() => run.to !== undefined);
+    expect(run.how).toBe("stopped");
+    expect(target.isSilent).toBe(false);
+    expect(scene.runsOf(task).length).toBe(1);
   },
-  25_000,
+  testMilliseconds,
 );
