--- a/src/pool-owners/test/owner-fixture.ts
+++ b/src/pool-owners/test/owner-fixture.ts
@@ -188,8 +188,9 @@
     pools: () => pools,
     workspaces,
     listedTargets: (name) => {
-      const targets = [...(fleets.get(name)?.targets ?? [])];
-      return new Map(targets.map(([targetId, target]) => [targetId, target.describe()] as const));
+      const targets = [...(fleets.get(name)?.targets.values() ?? [])].map((target) => target.describe());
+      const listed = targets.filter((target) => target.pool === name);
+      return new Map(listed.map((target) => [target.targetId, target] as const));
     },
     orders,
     advice: advice === undefined ? undefined : new AdviceRequests(advice),
