Takeover and record lines: at most 250 at once, the unusual ones first

Cause: with 400 lines a takeover of 400 targets wrote 207 KB in one round of the event loop (trial; session, state and inherited lines), near the 262 KB after which the log drops lines, and home-taken comes last.

--- a/src/pool-owners/bounded-lines.ts
+++ b/src/pool-owners/bounded-lines.ts
@@ -4,15 +4,20 @@
  */
 import type { LogFields } from "../telemetry/index.js";
 
-/** At most this many lines are written at once; a pool has fewer targets. */
-export const mostLinesAtOnce = 400;
+/** At most this many lines are written at once, so that they do not fill the buffer of the log. */
+export const mostLinesAtOnce = 250;
 
 /**
  * Limits the lines that are written at once.
  * @param lines - the fields of each line
- * @returns the first lines, followed by one that tells how many are left out, if any are
+ * @param isUsual - whether a line says of its target what holds for most targets; such lines are left out first
+ * @returns the lines, followed by one that tells how many are left out, if any are
  */
-export function limitLines(lines: readonly LogFields[]): readonly LogFields[] {
+export function limitLines(
+  lines: readonly LogFields[],
+  isUsual: (line: LogFields) => boolean,
+): readonly LogFields[] {
   if (lines.length <= mostLinesAtOnce) return lines;
-  return [...lines.slice(0, mostLinesAtOnce), { leftOut: lines.length - mostLinesAtOnce }];
+  const ordered = [...lines.filter((line) => !isUsual(line)), ...lines.filter(isUsual)];
+  return [...ordered.slice(0, mostLinesAtOnce), { leftOut: lines.length - mostLinesAtOnce }];
 }
--- a/src/pool-owners/record-trace.ts
+++ b/src/pool-owners/record-trace.ts
@@ -67,7 +67,8 @@
     const after = this.#unreported ?? before;
     this.#stored = after;
     this.#unreported = undefined;
-    for (const fields of limitLines(this.#describeChanges(before, after)))
+    const isListed = ({ change }: LogFields): boolean => change === "listed";
+    for (const fields of limitLines(this.#describeChanges(before, after), isListed))
       log.write("info", "target-record-changed", { pool, ...fields, revision });
     this.#forgetLeft(after);
   }
--- a/src/pool-owners/takeover-trace.ts
+++ b/src/pool-owners/takeover-trace.ts
@@ -38,7 +38,9 @@
     const lines = Object.entries(targets).map(([targetId, record]) =>
       this.#describe(targetId, record, longestUntil),
     );
-    for (const fields of limitLines(lines)) log.write("info", "target-inherited", { pool, ...fields });
+    const isInUse = ({ unusedSince }: LogFields): boolean => unusedSince === undefined;
+    for (const fields of limitLines(lines, isInUse))
+      log.write("info", "target-inherited", { pool, ...fields });
   }
 
   /**
--- a/src/pool-owners/test/takeover-trace.test.ts
+++ b/src/pool-owners/test/takeover-trace.test.ts
@@ -233,15 +233,16 @@
   const { lines, state } = createSettledState();
   const count = mostLinesAtOnce + 37;
   const ids = Array.from({ length: count }, (_unused, index) => `target-${index}`);
-  const targets: Targets = Object.fromEntries(
-    ids.map((each) => [each, { address: "127.0.0.1:1", startedAtUnix: 1 }]),
-  );
+  const inUse = { address: "127.0.0.1:1", startedAtUnix: 1 };
+  const targets: Targets = Object.fromEntries(ids.map((each) => [each, inUse]));
+  targets.unused = { ...inUse, unusedSince: 2 };
   new TakeoverTrace(state).report({ homes: 1, targets }, performance.now());
   new RecordTrace(state).noteStored(targets);
   await new Promise((resolve) => setImmediate(resolve));
   for (const event of ["target-inherited", "target-record-changed"]) {
     const written = readLines(lines, event);
     expect(written).toHaveLength(mostLinesAtOnce + 1);
-    expect(written.at(-1)).toMatchObject({ leftOut: "37" });
+    expect(written.at(-1)).toMatchObject({ leftOut: "38" });
   }
+  expect(readLines(lines, "target-inherited")[0]).toMatchObject({ target: "unused", unusedSince: "2" });
 });
