--- a/src/pool-owners/start-orders.ts
+++ b/src/pool-owners/start-orders.ts
@@ -11,7 +11,7 @@
 import { describeDroppedRun } from "./release-trace.js";
 import { describeAnswer } from "./run-trace.js";
 import { stepKey } from "./target-views.js";
-import { describeStartBasis } from "./unseen-runs.js";
+import { describeStartBasis, findUnseenRunBasis } from "./unseen-runs.js";
 import { markStartUnanswered } from "./unsettled-starts.js";
 
 const startTimeoutMilliseconds = 800;
@@ -56,6 +56,7 @@
   if (target === undefined) return;
   const now = performance.now();
   const basis = describeStartBasis(state, task);
+  if (task.job.formerRevision !== undefined) countFormerStart(state, task);
   const run: TaskRun = {
     targetId,
     run: runNumber,
@@ -87,6 +88,14 @@
   });
 }
 
+/** Counts a start of a task of a job that an earlier owner accepted. */
+function countFormerStart(state: OwnerState, task: Task): void {
+  state.metrics.count("former_job_starts_total", {
+    pool: state.pool,
+    basis: findUnseenRunBasis(state, task),
+  });
+}
+
 function sendStart(state: OwnerState, target: PoolTarget, started: Start): void {
   const { task, run, ticket } = started;
   // The run may have been removed, or the target replaced, while the place was being stored.
--- a/src/pool-owners/takeover-trace.ts
+++ b/src/pool-owners/takeover-trace.ts
@@ -29,12 +29,14 @@
   }
 
   /**
-   * Logs what the takeover state says of each target and how long the owner waits for it. The sessions have to be open.
+   * Logs and counts what the takeover state says of each target and how long the owner waits for it. The sessions have to be open.
    * @param takeoverState - the state that the earlier owner left
    * @param longestUntil - until when any lease of an earlier owner may last, by the monotonic clock
    */
   report({ targets }: TakeoverState, longestUntil: number): void {
-    const { log, pool } = this.#state;
+    const { log, metrics, pool } = this.#state;
+    for (const { unusedSince } of Object.values(targets))
+      metrics.count("targets_inherited_total", { pool, use: unusedSince === undefined ? "used" : "unused" });
     const lines = Object.entries(targets).map(([targetId, record]) =>
       this.#describe(targetId, record, longestUntil),
     );
--- a/src/pool-owners/test/takeover-trace.test.ts
+++ b/src/pool-owners/test/takeover-trace.test.ts
@@ -6,7 +6,7 @@
 import { afterEach, expect, test } from "vitest";
 import type { JobTarget } from "../../stand-ins/index.js";
 import type { TransactionalStore } from "../../store/index.js";
-import { createLog, parseLogLine } from "../../telemetry/index.js";
+import { createLog, parseLogLine, readJobTimeline } from "../../telemetry/index.js";
 import { mostLinesAtOnce } from "../bounded-lines.js";
 import type { JournalResult, OwnerJournal } from "../journal-writes.js";
 import { decodeTakeoverState, takeoverStatePrefix, type TakeoverState } from "../owner-record.js";
@@ -78,23 +78,34 @@
   return store;
 }
 
+const waitEnds = new Set(["inherited-target-known", "target-runs-released"]);
+
 interface Finding {
   readonly cause: "missing" | "unused" | "awaited";
   /** How the next owner's wait for the target ended; undefined when it did not wait. */
   readonly wait?: string | undefined;
 }
 
-/** Reads from the lines of two entries alone why the second one started a task of the first one again. */
+/**
+ * Follows docs/OPERATIONS.md, "A second start by the next owner", on what `trace` prints of the logs of two entries: why the second
+ * one started a task of the first one again.
+ */
 function judge(former: readonly string[], next: readonly string[]): Finding {
-  const first = readLines(former, "start-order").find((line) => line.task === task);
-  const second = readLines(next, "start-order").find((line) => line.task === task);
-  const isOfFirst = ({ target }: Fields): boolean => target === first?.target;
-  const inherited = readLines(next, "target-inherited").find(isOfFirst);
+  const logs = new Map([
+    ["former.log", former.join("\n")],
+    ["next.log", next.join("\n")],
+  ]);
+  const timeline = readJobTimeline(logs, "long");
+  const starts = timeline.filter(({ event, fields }) => event === "start-order" && fields.task === task);
+  const [first, second] = starts.map(({ fields }) => fields);
+  const known = timeline.filter(
+    ({ source, fields }) => source === "next.log" && fields.target === first?.target,
+  );
+  const inherited = known.find(({ event }) => event === "target-inherited")?.fields;
   if (inherited === undefined) return { cause: "missing" };
   if (Number(inherited.unusedSince ?? Infinity) < Number(second?.jobRevision)) return { cause: "unused" };
-  const ends = ["inherited-target-known", "target-runs-released"].flatMap((event) => readLines(next, event));
-  const end = ends.find(isOfFirst);
-  return { cause: "awaited", wait: end?.reason ?? end?.event };
+  const end = known.find(({ event }) => waitEnds.has(event));
+  return { cause: "awaited", wait: end?.fields.reason ?? end?.event };
 }
 
 test("the lines tell of a second start that its target was missing from the takeover state", async () => {
@@ -111,6 +122,7 @@
   expect(judge(entry.lines, next.lines)).toEqual({ cause: "missing" });
   expect(second).toMatchObject({ startBasis: "none-awaited", awaitedTargets: "0" });
   expect(second.awaitedRevision).toBeUndefined();
+  expect(next.metrics.value("former_job_starts_total", { pool, basis: "none-awaited" })).toBe(1);
   const opened = readLines(next.lines, "target-session-opened");
   expect(opened.find((line) => line.target === targetId)).toMatchObject({
     isInherited: "false",
@@ -118,6 +130,7 @@
   });
   expect(opened.find((line) => line.target === second.target)).toMatchObject({ isInherited: "true" });
   expect(readLines(next.lines, "home-taken")[0]).toMatchObject({ inheritedTargets: "1" });
+  expect(next.metrics.value("targets_inherited_total", { pool, use: "used" })).toBe(1);
 });
 
 test("the lines tell of a second start that its target was recorded as unused before the job", async () => {
