--- a/src/telemetry/takeover-lines.ts
+++ b/src/telemetry/takeover-lines.ts
@@ -16,7 +16,9 @@
 ]);
 const recordEvent = "target-record-changed";
 const lostEvent = "home-lost";
-const lineEvents = [...takeoverEvents, recordEvent, lostEvent].map((event) => `event=${event} `);
+/** A process opens its session before it takes pools; one that was killed has logged no loss. */
+const sessionEvent = "entry-session-opened";
+const lineEvents = [...takeoverEvents, recordEvent, lostEvent, sessionEvent].map((event) => `event=${event} `);
 
 /** Targets of the runs of a task that came before a start by a later owner, by task. */
 export type FormerTargets = ReadonlyMap<string, ReadonlySet<string>>;
@@ -74,6 +76,7 @@
   note(line: TimelineLine): readonly TimelineLine[] {
     const { event, fields } = line;
     const pool = fields.pool ?? "";
+    if (event === sessionEvent) return this.end();
     if (event === lostEvent) return this.#endTerm(pool);
     const ofPool = this.#byPool.get(pool) ?? new Map<string, TimelineLine>();
     this.#byPool.set(pool, ofPool);
@@ -104,9 +107,11 @@
     return removeLines(ofPool, isWanted);
   }
 
-  /** Returns the last records of the targets at the end of the log. */
+  /** Removes all lines and returns the last records of the targets, where the log or a process in it ends. */
   end(): readonly TimelineLine[] {
-    return [...this.#byPool.keys()].flatMap((pool) => this.#endTerm(pool));
+    const records = [...this.#byPool.keys()].flatMap((pool) => this.#endTerm(pool));
+    this.#owner = undefined;
+    return records;
   }
 
   #endTerm(pool: string): readonly TimelineLine[] {
--- a/src/telemetry/test/job-timeline.test.ts
+++ b/src/telemetry/test/job-timeline.test.ts
@@ -166,6 +166,8 @@
       ["target-record-changed", { pool, target: "other", change: "listed" }],
       ["start-order", { task, run: 1, target: "first" }],
       ["target-record-changed", { ...about, change: "unlisted" }],
+      ["entry-session-opened", { leaseId: 2 }],
+      ["target-record-changed", { ...about, change: "listed" }],
     ),
     next: writeLog(
       10,
