--- a/src/telemetry/takeover-lines.ts
+++ b/src/telemetry/takeover-lines.ts
@@ -18,7 +18,9 @@
 const lostEvent = "home-lost";
 /** A process opens its session before it takes pools; one that was killed has logged no loss. */
 const sessionEvent = "entry-session-opened";
-const lineEvents = [...takeoverEvents, recordEvent, lostEvent, sessionEvent].map((event) => `event=${event} `);
+const lineEvents = [...takeoverEvents, recordEvent, lostEvent, sessionEvent].map(
+  (event) => `event=${event} `,
+);
 
 /** Targets of the runs of a task that came before a start by a later owner, by task. */
 export type FormerTargets = ReadonlyMap<string, ReadonlySet<string>>;
