--- a/src/pool-owners/owner-targets.ts
+++ b/src/pool-owners/owner-targets.ts
@@ -11,6 +11,7 @@
   type TargetSessionHandlers,
 } from "../task-runs/index.js";
 import { fullPercent, paceBestEffortTasks } from "./best-effort-pace.js";
+import { ExpectedReturns } from "./expected-returns.js";
 import type { TakeoverState } from "./owner-record.js";
 import { removeRun, type OwnerState } from "./owner-state.js";
 import type { PoolTarget } from "./pool-target.js";
@@ -19,9 +20,15 @@
 import { describeRelease, noteDroppedRun, type Release, type ReleaseReason } from "./release-trace.js";
 import { ReplacedProcesses } from "./replaced-processes.js";
 import { handleReport } from "./run-ends.js";
+import { TakeoverTrace } from "./takeover-trace.js";
 import { TargetIncarnations } from "./target-incarnations.js";
 import { TargetRecords } from "./target-records.js";
-import { keepUnsettledStarts, refuseLateStarts, takeUnsettledStarts } from "./unsettled-starts.js";
+import {
+  dropUnsettledStarts,
+  keepUnsettledStarts,
+  refuseLateStarts,
+  takeUnsettledStarts,
+} from "./unsettled-starts.js";
 
 /** Settings of an owner's sessions with targets. */
 export interface OwnerTargetsOptions {
@@ -39,8 +46,10 @@
   readonly #options: OwnerTargetsOptions;
   readonly #handlers: TargetSessionHandlers;
   readonly #records: TargetRecords;
+  readonly #takeoverTrace: TakeoverTrace;
   readonly #incarnations: TargetIncarnations;
   readonly #replaced: ReplacedProcesses;
+  readonly #expectedReturns = new ExpectedReturns();
   /** Monotonic time at which all leases that orders of earlier owners granted have ended. */
   readonly #formerLeasesUntil: number;
 
@@ -53,6 +62,7 @@
     this.#state = state;
     this.#options = options;
     this.#records = new TargetRecords(state, options.ownerCount);
+    this.#takeoverTrace = new TakeoverTrace(state);
     this.#incarnations = new TargetIncarnations(options);
     this.#replaced = new ReplacedProcesses(() => {
       this.follow(state.listedTargets);
@@ -108,6 +118,8 @@
    */
   restoreTargets(takeoverState: TakeoverState): void {
     const { pool, awaitedTargets: awaited } = this.#state;
+    this.#takeoverTrace.note(takeoverState);
+    this.#records.trace.begin(takeoverState.targets);
     for (const [targetId, { address, startedAtUnix, unusedSince }] of Object.entries(takeoverState.targets)) {
       awaited.add(targetId, unusedSince ?? Number.POSITIVE_INFINITY);
       const formerLease = this.#formerLease(startedAtUnix);
@@ -115,11 +127,13 @@
       target.unusedSince = unusedSince;
       target.session.setListed(false);
     }
+    this.#takeoverTrace.report(takeoverState, this.#formerLeasesUntil);
   }
 
   /** Closes all sessions. */
   close(): void {
     this.#replaced.close();
+    this.#expectedReturns.close();
     for (const { session } of this.#state.targets.values()) session.close();
   }
 
@@ -174,9 +188,18 @@
       acknowledging: Promise.resolve(),
     };
     targets.set(target.targetId, opened);
+    this.#expectedReturns.end(target.targetId);
+    this.#records.list(opened);
     refuseLateStarts(this.#state, opened);
-    const { targetId, address } = target;
-    log.write("info", "target-session-opened", { pool, target: targetId, address, formerOrders });
+    const { targetId, address, startedAtUnix } = target;
+    log.write("info", "target-session-opened", {
+      pool,
+      target: targetId,
+      address,
+      process: startedAtUnix,
+      formerOrders,
+      ...this.#takeoverTrace.describeOpened(targetId),
+    });
     void session.run();
     return opened;
   }
@@ -194,12 +217,16 @@
     }
   }
 
-  /** Removes a target that has no runs any more, also from the takeover state, so that a next owner does not wait for it. */
+  /**
+   * Removes a target whose process has no runs any more. If another process has answered, the target stays in the takeover state,
+   * since that process may have carried out what was sent to this one.
+   */
   #drop(target: PoolTarget, reason: SessionEndReason): void {
     const { targetId } = target.session;
     this.#incarnations.close(targetId, target.session.isKnown());
     const runs = [...target.runs.values()];
     if (reason === "replaced") this.#keepForNextProcess(target);
+    else this.#records.settle(targetId, reason);
     const isAwaited = reason !== "replaced" && this.#state.awaitedTargets.delete(targetId);
     const dropped = runs.filter(({ task }) => target.runs.has(task.name));
     this.#reportRelease(target, reason, { dropped, isAwaited, kept: runs.length - dropped.length });
@@ -264,19 +291,22 @@
 
   /** Keeps what orders to an ended process may still do on the next one, for a limited time in case that does not appear. */
   #keepForNextProcess(target: PoolTarget): void {
-    const { awaitedTargets: awaited, targets } = this.#state;
-    const { targetId } = target.session;
-    const keptMilliseconds = this.#longestFormerLeaseMilliseconds();
-    keepUnsettledStarts(this.#state, target, keptMilliseconds, (dropped) => {
-      this.#reportRelease(target, "not-returned", { dropped, isAwaited: false, kept: 0 });
+    this.#records.list(target);
+    keepUnsettledStarts(this.#state, target);
+    this.#expectedReturns.expect(target.session.targetId, this.#longestFormerLeaseMilliseconds(), () => {
+      this.#settleUnreturned(target);
     });
-    if (!awaited.has(targetId)) return;
-    const timer = setTimeout(() => {
-      if (targets.has(targetId) || !awaited.delete(targetId)) return;
-      this.#reportRelease(target, "not-returned", { dropped: [], isAwaited: true, kept: 0 });
-      this.#state.wake();
-    }, keptMilliseconds);
-    timer.unref();
+  }
+
+  /** Releases what was kept for the next process of a target, which has not returned within the longest lease. */
+  #settleUnreturned(target: PoolTarget): void {
+    const { targetId } = target.session;
+    const dropped = dropUnsettledStarts(this.#state, targetId);
+    const isAwaited = this.#state.awaitedTargets.delete(targetId);
+    this.#reportRelease(target, "not-returned", { dropped, isAwaited, kept: 0 });
+    this.#records.settle(targetId, "not-returned");
+    this.#records.write("soon");
+    this.#state.wake();
   }
 
   /** How long a lease may last that a target took from an order which was sent to its former process. */
