Split src/shared/http.ts: the body of a request and the account of its memory have their own modules

Change: request-body.ts reads bodies, request-account.ts holds what a request uses; no change of behaviour or of a test.

--- a/src/shared/http.ts
+++ b/src/shared/http.ts
@@ -4,11 +4,9 @@
  */
 import http, { type IncomingMessage, type ServerResponse } from "node:http";
 import type { AddressInfo, Socket } from "node:net";
-import { setImmediate as nextTurn } from "node:timers/promises";
-import { Left, Right, type Either } from "purify-ts";
 import restana, { type Protocol, type Service } from "restana";
-import { BodyBuffer } from "./body-buffer.js";
 import { ConnectionLedger, type CloseReason, type ConnectionLimits } from "./connection-ledger.js";
+import { createRequestAccount, unlimitedAccount, type RequestAccount } from "./request-account.js";
 
 /** Options of a service. */
 export interface HttpServiceOptions {
@@ -20,16 +18,6 @@
   readonly refuse?: (response: ServerResponse) => void;
 }
 
-/** What a request holds of its service's memory. All of it is released when the request's answer is written. */
-export interface RequestAccount {
-  /** Notes that the body is being waited for. */
-  beginBody(): void;
-  /** Notes that the body is no longer waited for. */
-  endBody(): void;
-  /** Asks for memory in bytes; false if there is none, or if the connection was closed to make room. */
-  hold(bytes: number): boolean;
-}
-
 /** A listening HTTP service. */
 export interface HttpService {
   /** Router of the service; routes may be added before and after it listens. */
@@ -154,48 +142,6 @@
   };
 }
 
-/** Opens the account of an admitted request and closes it when the answer is written. */
-function createRequestAccount(
-  ledger: ConnectionLedger<Socket>,
-  socket: Socket,
-  response: ServerResponse,
-): RequestAccount {
-  let heldBytes = 0;
-  let isBodyExpected = false;
-  let isOpen = true;
-  const endBody = (): void => {
-    if (!isBodyExpected) return;
-    isBodyExpected = false;
-    ledger.endBody(socket);
-  };
-  // An answer that its client does not read is written but never flushed; it no longer counts as a request in progress.
-  response.once("prefinish", () => {
-    isOpen = false;
-    endBody();
-    ledger.release(socket, heldBytes);
-    ledger.endRequest(socket);
-  });
-  return {
-    beginBody: () => {
-      if (!isOpen || isBodyExpected) return;
-      isBodyExpected = true;
-      ledger.beginBody(socket);
-    },
-    endBody,
-    hold: (bytes) => {
-      if (!isOpen || !ledger.hold(socket, bytes)) return false;
-      heldBytes += bytes;
-      return true;
-    },
-  };
-}
-
-const unlimitedAccount: RequestAccount = {
-  beginBody: () => undefined,
-  endBody: () => undefined,
-  hold: () => true,
-};
-
 function refuseForMemory(response: ServerResponse): void {
   sendJson(
     response,
@@ -252,79 +198,3 @@
   });
   response.end(bytes);
 }
-
-/**
- * Checks whether the sender of a request has closed its connection. A process that was paused reads a request and the end of
- * its connection together, the end in a later turn of the event loop; this waits for that turn.
- * @param request - a request that has been read
- * @returns true when no answer can reach the sender any more, or the sender has said that it sends nothing further
- */
-export async function hasSenderLeft({ socket }: IncomingMessage): Promise<boolean> {
-  // The first callback runs after the reads of this turn, the second one after those of the next.
-  await nextTurn();
-  await nextTurn();
-  return socket.destroyed || socket.readableEnded;
-}
-
-/**
- * Ends the connection of an answered request unless the rest of its body, which is discarded, arrives in time.
- * @param request - a request whose answer does not depend on its body
- * @param timeoutMilliseconds - time for the rest of the body
- */
-export function limitDiscardedBody(request: IncomingMessage, timeoutMilliseconds: number): void {
-  if (request.complete) return;
-  const timer = setTimeout(() => {
-    // Behind a request that is not answered yet, "close" comes later than the end of the body.
-    if (!request.complete) request.socket.destroy();
-  }, timeoutMilliseconds);
-  request.once("close", () => {
-    clearTimeout(timer);
-  });
-}
-
-/**
- * Why a request body was not read: it exceeded the size, took too long, the connection closed before its end, or there was
- * no memory for it.
- */
-export type BodyFault = "too-large" | "too-slow" | "cut" | "no-memory";
-
-/**
- * Reads a request's whole body, limited in size, time and memory. After a fault the rest of the body is not kept; the
- * connection must be closed with the answer, as its client may never end the body.
- * @param request - a request whose body has not been read
- * @param maximumBytes - larger bodies give `too-large`
- * @param timeoutMilliseconds - bodies that take longer give `too-slow`
- * @param account - the account that the body's memory is taken from; unlimited by default
- * @returns the body, or the reason why it was not read
- */
-export async function readBody(
-  request: IncomingMessage,
-  maximumBytes: number,
-  timeoutMilliseconds: number,
-  account: RequestAccount = unlimitedAccount,
-): Promise<Either<BodyFault, Buffer>> {
-  return new Promise((resolve) => {
-    const body = new BodyBuffer(maximumBytes, (bytes) => account.hold(bytes));
-    const finish = (result: Either<BodyFault, Buffer>): void => {
-      clearTimeout(timer);
-      request.removeAllListeners("data");
-      account.endBody();
-      body.clear();
-      resolve(result);
-    };
-    const timer = setTimeout(() => {
-      finish(Left("too-slow"));
-    }, timeoutMilliseconds);
-    account.beginBody();
-    request.on("data", (chunk: Buffer) => {
-      const excess = body.append(chunk);
-      if (excess !== undefined) finish(Left(excess));
-    });
-    request.once("end", () => {
-      finish(Right(body.bytes()));
-    });
-    request.once("close", () => {
-      finish(Left("cut"));
-    });
-  });
-}
--- a/src/shared/index.ts
+++ b/src/shared/index.ts
@@ -23,12 +23,9 @@
 export {
   createHttpService,
   defaultConnectionLimits,
-  hasSenderLeft,
-  limitDiscardedBody,
   sendJson,
-  readBody,
   type HttpService,
   type HttpServiceOptions,
-  type RequestAccount,
-  type BodyFault,
 } from "./http.js";
+export type { RequestAccount } from "./request-account.js";
+export { hasSenderLeft, limitDiscardedBody, readBody, type BodyFault } from "./request-body.js";
