The pause between renewals has a module of its own

Change: renewal-pace.ts counts the rate of ends and chooses the pause; no change of behaviour or of a test.

--- a/src/task-runs/target-session.ts
+++ b/src/task-runs/target-session.ts
@@ -5,6 +5,7 @@
  */
 import { delay } from "../shared/index.js";
 import type { Metrics } from "../telemetry/index.js";
+import { RenewalPace } from "./renewal-pace.js";
 import { RepeatedRenewal } from "./repeated-renewal.js";
 import { RunLease, type LeaseBasis, type RunLeaseOptions } from "./run-lease.js";
 import type { FencedOrders } from "./fenced-orders.js";
@@ -63,13 +64,7 @@
 
 const renewTimeoutMilliseconds = 1_000;
 const retryMilliseconds = 150;
-/** Bounds of the pause after a report, so that one report brings several ends; longer at high rates of ends. */
-const shortestPauseMilliseconds = 25;
-const longestPauseMilliseconds = 60;
-/** Milliseconds that are added to the pause for each end a second. */
-const pausePerEnd = 1.4;
-/** Averaging time of the rate of ends. */
-const rateMilliseconds = 1_000;
+
 /** An owner's session with one process of a target. */
 export class TargetSession {
   readonly targetId: string;
@@ -91,8 +86,7 @@
   #reportedSequence = 0;
   /** Whether the last report listed ends. */
   #listsEnds = false;
-  #endsPerSecond = 0;
-  #reportedAt = performance.now();
+  readonly #pace = new RenewalPace();
   #pause = new AbortController();
   readonly #renewal = new RepeatedRenewal();
 
@@ -241,7 +235,9 @@
     while (!this.#stop.signal.aborted) {
       if (this.#options.handlers.isActive()) await this.#renewOnce();
       if (this.#failuresInARow > 0 && this.#lease.hasLapsed()) this.#lapse();
-      await this.#waitBeforeRenewal(this.#failuresInARow > 0 ? retryMilliseconds : this.#choosePause());
+      await this.#waitBeforeRenewal(
+        this.#failuresInARow > 0 ? retryMilliseconds : this.#pace.pauseMilliseconds(),
+      );
     }
   }
 
@@ -302,7 +298,7 @@
     this.#listsEnds = report.ends.length > 0;
     this.noteClock(report.clockMilliseconds, performance.now());
     const fresh = report.ends.filter(({ sequence }) => sequence > this.#reportedSequence);
-    this.#countEnds(fresh.length);
+    this.#pace.countEnds(fresh.length, performance.now());
     for (const { sequence } of fresh) this.#reportedSequence = Math.max(this.#reportedSequence, sequence);
     this.#options.handlers.onReport(this, report, fresh, requestSentAt);
   }
@@ -313,18 +309,6 @@
     if (this.#options.formerOrders !== "none") this.#lease.extendToLongest();
   }
 
-  #countEnds(count: number): void {
-    const now = performance.now();
-    const elapsed = Math.max(1, now - this.#reportedAt);
-    this.#reportedAt = now;
-    const weight = Math.min(1, elapsed / rateMilliseconds);
-    this.#endsPerSecond += weight * ((count * 1_000) / elapsed - this.#endsPerSecond);
-  }
-
-  #choosePause(): number {
-    return Math.min(longestPauseMilliseconds, shortestPauseMilliseconds + pausePerEnd * this.#endsPerSecond);
-  }
-
   #lapse(): void {
     const until = this.#options.handlers.onLeaseLapsed(this);
     if (until === undefined) this.#finish("lease-lapsed");
