Split src/jobs/job.ts and src/wiring/job-entry.ts

Change: encode-progress.ts encodes the progress record of a job, job-fleet.ts starts the fleet manager and its leader role; no change of behaviour or of a test.

--- a/src/jobs/index.ts
+++ b/src/jobs/index.ts
@@ -27,7 +27,6 @@
   allTasks,
   countDue,
   createJob,
-  encodeProgress,
   isStepReady,
   isWorkDone,
   noteSuccess,
@@ -38,5 +37,6 @@
   type Task,
   type TaskRun,
 } from "./job.js";
+export { encodeProgress } from "./encode-progress.js";
 export { countTasks, describeExcess, hasTasks, maximumTasksPerJob } from "./job-size.js";
 export { findQueue, type PoolTerms, type Queue, type QueueTable, type RequestLimits } from "./queue-table.js";
--- a/src/jobs/job.ts
+++ b/src/jobs/job.ts
@@ -3,7 +3,7 @@
  * @packageDocumentation
  */
 import { hasTasks } from "./job-size.js";
-import { isFinalState, type JobState, type StepDefinition } from "./definition.js";
+import type { JobState, StepDefinition } from "./definition.js";
 import type { JobRecord, ProgressRecord } from "./records.js";
 
 /** One run of a task on a target. */
@@ -276,30 +276,3 @@
 export function allTasks(job: Job): Task[] {
   return [...job.occurrences.values()].flatMap(({ steps }) => steps.flat());
 }
-
-/**
- * Encodes a job's progress for the store.
- * @param job - the job
- * @returns the record; without tasks for a job that has ended
- */
-export function encodeProgress(job: Job): ProgressRecord {
-  const { finalState, endedAt } = job;
-  // The tasks of an ended job are no longer needed.
-  if (finalState !== undefined && isFinalState(finalState)) {
-    return { finalState, endedAt, succeeded: [], failures: {} };
-  }
-  const tasks = allTasks(job);
-  const key = ({ occurrence, step, index }: Task): string => `${occurrence}.${step}.${index}`;
-  const failed = tasks.filter((task) => task.failures > 0);
-  const failures = failed.map((task) => [key(task), task.failures] as const);
-  const failedRuns = failed.map((task): [string, number[]] => [key(task), [...task.failedRuns]]);
-  const places = tasks
-    .filter(({ recordedPlaces }) => recordedPlaces.length > 0)
-    .map((task): [string, string[]] => [key(task), [...task.recordedPlaces]]);
-  return {
-    succeeded: tasks.filter(({ succeeded }) => succeeded).map(key),
-    failures: Object.fromEntries(failures),
-    ...(failed.length > 0 ? { failedRuns: Object.fromEntries(failedRuns) } : {}),
-    ...(places.length > 0 ? { places: Object.fromEntries(places) } : {}),
-  };
-}
--- a/src/wiring/job-entry.ts
+++ b/src/wiring/job-entry.ts
@@ -6,23 +6,15 @@
 import {
   OwnerGateway,
   OwnershipManager,
-  leaderRolePrefix,
   entryPrefix,
-  findLargeEntries,
   openEntrySession,
-  SessionLeaderRole,
   AdviceRequests,
   type AdviceService,
   type EntrySession,
   type JobGateway,
   type PoolOwner,
 } from "../pool-owners/index.js";
-import {
-  FleetManager,
-  type FleetManagerOptions,
-  type MachineControl,
-  type MaintenanceWave,
-} from "../fleet/index.js";
+import type { FleetManagerOptions, MachineControl, MaintenanceWave } from "../fleet/index.js";
 import type { QueueTable } from "../jobs/index.js";
 import { createPeerNetwork, type PeerNetwork, type MemberRecord } from "../membership/index.js";
 import { createRelayDirectory, RelayedTargetOrders, startOrderRelay } from "../order-relays/index.js";
@@ -35,10 +27,10 @@
   followConfiguration,
   followMembers,
   followRegistry,
-  type FollowedConfiguration,
   type FollowedRegistry,
   type Members,
 } from "./job-followers.js";
+import { wireFleet, type OwnerParts } from "./job-fleet.js";
 import { wireStorePaths } from "./store-paths.js";
 
 /** Address that a service listens on. */
@@ -116,10 +108,8 @@
 
 /** No link is kept open without calls: calls to owners and to or from relays open theirs, others would carry only heartbeats. */
 const permanentLinks = 0;
-const fleetLeaderRole = "fleet";
 /** When all entries start at the same time, they have joined within this time; a new entry takes no pool earlier. */
 const settleMilliseconds = 700;
-const vacateTimeoutMilliseconds = 700;
 const entryLeaseMilliseconds = 3_000;
 /** Part of the grace period that is reserved for the last responses and the exit of the process. */
 const stopReserveMilliseconds = 1_500;
@@ -212,16 +202,6 @@
   };
 }
 
-interface OwnerParts {
-  readonly session: EntrySession;
-  readonly members: Members;
-  readonly configuration: FollowedConfiguration;
-}
-
-interface FleetParts extends OwnerParts {
-  readonly gateway: OwnerGateway;
-}
-
 /** The member record of this entry. */
 function describeSelf(options: JobEntryOptions, incarnation: number): MemberRecord {
   const { entryId, availabilityZone, addresses, capacityCores } = options;
@@ -271,36 +251,3 @@
   void ownershipManager.run();
   return { registry, ownershipManager };
 }
-
-/** Starts the fleet manager and its leader role; undefined if no platform accepts orders for machines. */
-function wireFleet(options: JobEntryOptions, parts: FleetParts): FleetManager | undefined {
-  const { machines, entryId, store, log, metrics, orderLeaseMilliseconds } = options;
-  const { session, members, configuration, gateway } = parts;
-  if (machines === undefined) return undefined;
-  const leaderRole = new SessionLeaderRole({
-    name: fleetLeaderRole,
-    entryId,
-    store,
-    session,
-    entries: () => findLargeEntries(members.directory.entries()),
-    holder: () => members.follower.records().get(`${leaderRolePrefix}${fleetLeaderRole}`),
-    log,
-  });
-  const fleet = new FleetManager({
-    entryId,
-    leaderRole,
-    store,
-    machines,
-    waves: configuration.waves,
-    pools: () => configuration.current()?.pools ?? [],
-    vacate: async (pool, targetIds, arrivals) =>
-      gateway.vacate(pool, targetIds, arrivals, vacateTimeoutMilliseconds),
-    waveStatus: options.operators.waveStatus,
-    orderLeaseMilliseconds,
-    ordersPerSecond: options.machineOrdersPerSecond,
-    log,
-    metrics,
-  });
-  void fleet.run();
-  return fleet;
-}
