--- a/src/cli/configuration-commands.ts
+++ b/src/cli/configuration-commands.ts
@@ -9,7 +9,8 @@
 import { Left, Right, type Either } from "purify-ts";
 import { checkConfiguration, warnAboutConfiguration } from "../configuration/index.js";
 import { exitCodes } from "./exit-codes.js";
-import { readFromEntry, sendCommand } from "./operator-client.js";
+import { sendCommand } from "./operator-client.js";
+import { printFromEntry } from "./print-from-entry.js";
 import {
   operatorAddress,
   operatorArguments,
@@ -83,15 +84,7 @@
 export const showCommand = defineCommand({
   meta: { name: "show", description: "Show the configuration in force. Example: dogwoodhoist show" },
   args: operatorArguments,
-  run: async ({ args }) => {
-    const current = await readFromEntry(operatorAddress(args), "/operator/configuration");
-    current.caseOf({
-      Left: reportFailure,
-      Right: (value) => {
-        writeLine(JSON.stringify(value, undefined, args.json ? 0 : 2));
-      },
-    });
-  },
+  run: async ({ args }) => printFromEntry(args, "/operator/configuration"),
 });
 
 async function readJson(path: string): Promise<Either<string, unknown>> {
--- a/src/cli/history-commands.ts
+++ b/src/cli/history-commands.ts
@@ -7,14 +7,9 @@
 import { defineCommand } from "citty";
 import { historyPaths } from "../operations/history-routes.js";
 import { exitCodes } from "./exit-codes.js";
-import { readFromEntry, sendCommand } from "./operator-client.js";
-import {
-  operatorAddress,
-  operatorArguments,
-  reportCommand,
-  reportFailure,
-  writeLine,
-} from "./shared-arguments.js";
+import { sendCommand } from "./operator-client.js";
+import { printFromEntry } from "./print-from-entry.js";
+import { operatorAddress, operatorArguments, reportCommand, reportFailure } from "./shared-arguments.js";
 
 /** Lists the most recently accepted changes. */
 export const historyCommand = defineCommand({
@@ -69,16 +64,3 @@
 function isRevision(value: number): boolean {
   return Number.isInteger(value) && value >= 1;
 }
-
-async function printFromEntry(
-  args: { entry: string; token?: string | undefined; json: boolean },
-  path: string,
-): Promise<void> {
-  const response = await readFromEntry(operatorAddress(args), path);
-  response.caseOf({
-    Left: reportFailure,
-    Right: (value) => {
-      writeLine(JSON.stringify(value, undefined, args.json ? 0 : 2));
-    },
-  });
-}
