A short play with the real program in which the owner is killed just after its targets are back

Cause: no play with the tests killed an owner, so that a next owner that waits for nothing was not seen there.

--- a/src/soak/regression-seeds.ts
+++ b/src/soak/regression-seeds.ts
@@ -26,6 +26,11 @@
   size: "restartsOfPools",
   variants: ["owner-kill"],
 };
+const ownerKillAtRestart: RegressionRestarts = {
+  seconds: 35,
+  size: "restarts",
+  variants: ["owner-kill-at-restart"],
+};
 const withoutState =
   "the next owner started tasks at once that ran on a restarted target, which the state of the former owner did not list";
 
@@ -49,9 +54,16 @@
   { seed: 2, restarts: ownerKillOfPools, cause: withoutState },
   { seed: 3, restarts: ownerKillOfPools, cause: withoutState },
   { seed: 4, restarts: ownerKillOfPools, cause: withoutState },
+  { seed: 2, restarts: ownerKillAtRestart, cause: withoutState },
+  { seed: 4, restarts: ownerKillAtRestart, cause: withoutState },
+  {
+    seed: 5,
+    restarts: { seconds: 63, size: "restartsOfPools", variants: ["owner-kill-at-restart"] },
+    cause: withoutState,
+  },
   {
-    seed: 2,
-    restarts: { seconds: 35, size: "restarts", variants: ["owner-kill-at-restart"] },
+    seed: 5,
+    restarts: { seconds: 63, size: "restartsOfPools", variants: ["owner-stop-at-restart"] },
     cause: withoutState,
   },
 ];
