--- a/src/pool-owners/test/owner-goes-during-restart.test.ts
+++ b/src/pool-owners/test/owner-goes-during-restart.test.ts
@@ -235,6 +235,23 @@
   testMilliseconds,
 );
 
+test.concurrent(
+  "a restarted target that does not return leaves the takeover state only when its leases have ended",
+  async (context) => {
+    const { scene, target, targetId, release } = await startOnNextProcess(context);
+    await scene.untilReplaced(targetId);
+    target.isSilent = true;
+    release((other) => other !== targetId);
+    unlist(scene, targetId);
+    await waitFor(() => scene.stored().targets[targetId] === undefined);
+    expect(scene.runsOf(task)[0]?.to).toBeDefined();
+    await scene.entry.stop();
+    scene.next();
+    await scene.expectNoOverlap(task);
+  },
+  testMilliseconds,
+);
+
 /** Removes a target from the registry for all entries; it goes on to run. */
 function unlist({ fixture: { fleet } }: RestartScene, targetId: string): void {
   const target = fleet.targets.get(targetId);
