--- a/src/pool-owners/target-records.ts
+++ b/src/pool-owners/target-records.ts
@@ -5,9 +5,10 @@
  * runs there.
  * @packageDocumentation
  */
+import type { TargetIdentity } from "../task-runs/index.js";
 import { takeoverStatePrefix, type TakeoverState } from "./owner-record.js";
 import type { OwnerState } from "./owner-state.js";
-import type { PoolTarget } from "./pool-target.js";
+import { areEndsStored, type PoolTarget } from "./pool-target.js";
 import { RecordTrace } from "./record-trace.js";
 import type { SettlementReason } from "./release-trace.js";
 
@@ -27,8 +28,9 @@
   // What this owner has accepted is newer than its own record, and has no runs on a target that it has never used.
   if (isSilent && !session.isKnown() && !wasUsed) return state.takenRevision;
   if (isSilent) return state.journal.storedRevision();
-  const isEmpty = session.isResponsive() && runs.size === 0 && !state.unansweredStarts.has(session.targetId);
-  return isVacating && isEmpty ? 0 : undefined;
+  if (!isVacating || !session.isResponsive() || runs.size > 0 || !areEndsStored(target)) return undefined;
+  const { unansweredStarts, awaitedTargets: awaited } = state;
+  return unansweredStarts.has(session.targetId) || awaited.has(session.targetId) ? undefined : 0;
 }
 
 /** Finds what the record has to say of a target: what it says stays until the target can be used again. */
@@ -48,6 +50,10 @@
   readonly #ownerCount: number;
   /** What the record says of each target, also of those without a session. */
   readonly #targets = new Map<string, TakeoverTarget>();
+  /** Start times of processes in whose place another one has answered, by target. */
+  readonly #replaced = new Map<string, number>();
+  /** Whether targets that the record does not list may have runs too. */
+  isIncomplete = false;
   #writes = 0;
 
   /**
@@ -66,7 +72,15 @@
    * @param target - the target
    */
   list(target: PoolTarget): void {
-    this.#targets.set(target.session.targetId, describeTarget(target));
+    this.#targets.set(target.session.targetId, this.#describe(target));
+  }
+
+  /**
+   * Notes that another process has answered in place of a target's process.
+   * @param process - the process that was expected to answer
+   */
+  noteReplaced({ targetId, startedAtUnix }: Pick<TargetIdentity, "targetId" | "startedAtUnix">): void {
+    this.#replaced.set(targetId, startedAtUnix);
   }
 
   /**
@@ -76,6 +90,7 @@
    */
   settle(targetId: string, reason: SettlementReason): void {
     this.#targets.delete(targetId);
+    this.#replaced.delete(targetId);
     this.trace.noteLeft(targetId, reason);
   }
 
@@ -106,7 +121,11 @@
       target.recordedBy ??= number;
       this.list(target);
     }
-    const value: TakeoverState = { homes: this.#ownerCount, targets: Object.fromEntries(this.#targets) };
+    const value: TakeoverState = {
+      homes: this.#ownerCount,
+      targets: Object.fromEntries(this.#targets),
+      ...(this.isIncomplete ? { isIncomplete: true } : {}),
+    };
     const write = state.journal.write(`${takeoverStatePrefix}${state.pool}`, value, { urgency });
     void write.result.then((result) => {
       if (result !== "stored") return;
@@ -117,6 +136,17 @@
       state.wake();
     });
   }
+
+  #describe({ session, unusedSince }: PoolTarget): TakeoverTarget {
+    const { targetId, address, startedAtUnix } = session.target();
+    const isReplaced = this.#replaced.get(targetId) === startedAtUnix;
+    return {
+      address,
+      startedAtUnix,
+      ...(unusedSince === undefined ? {} : { unusedSince }),
+      ...(isReplaced ? { isReplaced } : {}),
+    };
+  }
 }
 
 /**
@@ -134,8 +164,3 @@
   });
   for (const { session } of restarted) session.noteHigherToken();
 }
-
-function describeTarget({ session, unusedSince }: PoolTarget): TakeoverTarget {
-  const { address, startedAtUnix } = session.target();
-  return { address, startedAtUnix, ...(unusedSince === undefined ? {} : { unusedSince }) };
-}
