--- a/src/pool-owners/test/former-process.test.ts
+++ b/src/pool-owners/test/former-process.test.ts
@@ -10,6 +10,7 @@
 import type { PoolOwner } from "../pool-owner.js";
 import {
   createStep,
+  pool,
   startOwnerFixture,
   submission,
   waitFor,
@@ -91,6 +92,14 @@
   return sent;
 }
 
+/** Waits until tasks may be started on both targets. */
+async function untilBothUsable({ renewals, fixture: { engine } }: Started): Promise<void> {
+  await waitFor(() => {
+    const stored = engine.range(`inheritance/${pool}`)[0]?.value ?? "";
+    return renewals.size === 2 && stored.includes("address") && !stored.includes("unusedSince");
+  });
+}
+
 async function wait(milliseconds: number): Promise<void> {
   await new Promise((resolve) => setTimeout(resolve, milliseconds));
 }
@@ -246,6 +255,7 @@
 // Guards against a run after a successful one: an acknowledgement for a former process makes the next one forget an end.
 test("a late acknowledgement for a target's former process does not let a task run again", async () => {
   const started = await start();
+  await untilBothUsable(started);
   await started.owner.submit(submission("first", createStep({ taskCount: 8 })));
   await waitFor(() => started.acknowledgements.size === 2);
   await wait(300);
