--- a/review/lib-3/platform.mjs
+++ b/review/lib-3/platform.mjs
@@ -258,6 +258,16 @@
     this.#service?.close();
   }
 
+  /** The worker is gone at once, with all that runs on it, and says nothing any more. */
+  lose() {
+    this.close();
+    for (const { record } of this.running.values()) {
+      record.endedAt = Math.round(performance.now());
+      record.how = "lost with the worker";
+    }
+    this.running.clear();
+  }
+
   clock() {
     return performance.now() - this.#startedAt;
   }
@@ -570,7 +580,7 @@
   workers = [];
   entries = [];
 
-  async start({ entries, workers, routes, services }) {
+  async start({ entries, workers, routes, services, settings = {} }) {
     this.folder = mkdtempSync(join(tmpdir(), "review-3-"));
     process.once("exit", () => this.#end());
     for (const signal of ["SIGINT", "SIGTERM"]) process.once(signal, () => process.exit(2));
@@ -599,6 +609,7 @@
       const entry = new Entry(this.folder, `edge-${index}`, {
         "platform.address": `${host}:${this.store.port}`,
         "cloud-api.address": `${host}:${this.machines.port}`,
+        ...settings,
       });
       await entry.prepare();
       entry.start();
