--- a/review/lib-3/platform.mjs
+++ b/review/lib-3/platform.mjs
@@ -229,9 +229,12 @@
   #startedAt = performance.now();
   #born = Date.now();
   #service;
-  #timers = [];
+  #heartbeat;
+  #timer;
   #beat = 0;
   state = "ready";
+  /** Whether nothing reaches the worker, and nothing that it says reaches others. */
+  isSilent = false;
 
   constructor(store, world, options) {
     this.store = store;
@@ -248,16 +251,58 @@
   async start() {
     this.#service = await listen((request, response) => this.#handle(request, response));
     this.address = `${host}:${this.#service.port}`;
+    this.#beginHeartbeats();
+    this.#timer = setInterval(() => this.#advance(), 5);
+  }
+
+  #beginHeartbeats() {
     this.#register();
-    this.#timers.push(setInterval(() => this.#register(), this.options.heartbeatMilliseconds));
-    this.#timers.push(setInterval(() => this.#advance(), 5));
+    this.#heartbeat = setInterval(() => this.#register(), this.options.heartbeatMilliseconds);
   }
 
   close() {
-    for (const timer of this.#timers) clearInterval(timer);
+    clearInterval(this.#heartbeat);
+    clearInterval(this.#timer);
     this.#service?.close();
   }
 
+  /** The worker crashes: it runs nothing any more. It stays silent and unheard until it is heard again. */
+  crash() {
+    this.isSilent = true;
+    for (const { record } of this.running.values()) {
+      record.endedAt = Math.round(performance.now());
+      record.how = "lost with the worker";
+    }
+    this.running.clear();
+  }
+
+  /** A new life under the same identifier: it holds and knows nothing of before, and its clock starts anew. */
+  restart() {
+    this.#stopped.clear();
+    this.#finished = [];
+    this.#sequence = 0;
+    this.#fence = 0;
+    this.#until = 0;
+    this.#startedAt = performance.now();
+    this.#born = Date.now();
+    clearInterval(this.#heartbeat);
+    this.#beginHeartbeats();
+  }
+
+  /** The worker is reached again, and writes its entry with its next heartbeat. Calls that came meanwhile stay without an answer. */
+  hear() {
+    this.isSilent = false;
+  }
+
+  /** Carries out a start that got no answer, as a worker may seconds later. */
+  carryOutLate(body) {
+    const token = body["fencing-token"] ?? 0;
+    if (token < this.#fence) return;
+    this.#fence = token;
+    const ignore = { destroyed: true };
+    this.#startRun(body, ignore, () => ({}));
+  }
+
   /** The worker is gone at once, with all that runs on it, and says nothing any more. */
   lose() {
     this.close();
@@ -277,6 +322,7 @@
   }
 
   #register() {
+    if (this.isSilent) return;
     this.#beat += 1;
     const { id, service, zone = "zone-1", capacity } = this.options;
     this.store.put(`servers/${id}`, {
@@ -317,9 +363,9 @@
   async #handle(request, response) {
     const body = await readBody(request);
     const clock = () => ({ "clock-ms": Math.floor(this.clock()), born: this.#born });
+    if (this.world.onCall?.(this, request.url, body) === "no answer" || this.isSilent) return;
     if (request.headers["expect-instance"] !== this.options.id) return answer(response, 421, clock());
     const token = body["fencing-token"] ?? 0;
-    this.world.onOrder?.(this, request.url, body);
     if (token < this.#fence) return answer(response, 409, { ...clock(), reason: "fence" });
     this.#fence = token;
     this.#advance();
@@ -339,7 +385,9 @@
     for (const end of this.#finished) if (end[0] <= cursor) this.world.onAcknowledged?.(end[1], end[3]);
     this.#finished = this.#finished.filter(([sequence]) => sequence > cursor);
     const end = performance.now() + Math.min(body["wait-ms"] ?? 0, 2_000);
+    const startedAt = this.#startedAt;
     while (this.#finished.length === 0 && performance.now() < end && !response.destroyed) await sleep(10);
+    if (this.isSilent || this.#startedAt !== startedAt) return;
     const running = [...this.running.values()].map((run) => [run.task, run.run, "", 100, 0]);
     answer(response, 200, { ...clock(), running, finished: this.#finished.slice(0, 500) });
   }
